--- /dev/null
+++ b/src/Base/Clock.h
@@ -0,0 +1,63 @@
+#ifndef PISTACHIOSHIFT_BASE_CLOCK_H
+#define PISTACHIOSHIFT_BASE_CLOCK_H
+
+#include <chrono>
+
+namespace pistachioshift {
+
+using MonoTime =
+  std::chrono::time_point<std::chrono::steady_clock, std::chrono::nanoseconds>;
+using WallTime =
+  std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+using Duration = std::chrono::nanoseconds;
+
+/**
+ * \brief Source of time, passed in so that decisions can run in virtual time.
+ * \sa SystemClock, ManualClock
+ */
+class Clock
+{
+public:
+  virtual ~Clock() = default;
+
+  /** \brief Monotonic time of this host; never compared across hosts. */
+  virtual MonoTime Now() const = 0;
+
+  /** \brief Wall time in milliseconds; for display and absolute deadlines. */
+  virtual WallTime WallNow() const = 0;
+};
+
+/** \brief The operating system's clocks. */
+class SystemClock final : public Clock
+{
+public:
+  MonoTime Now() const override { return std::chrono::steady_clock::now(); }
+
+  WallTime WallNow() const override
+  {
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  }
+};
+
+/** \brief A clock that moves only when told to; for tests and benchmarks. */
+class ManualClock final : public Clock
+{
+public:
+  MonoTime Now() const override { return m_now; }
+
+  WallTime WallNow() const override
+  {
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_now.time_since_epoch()));
+  }
+
+  void Advance(Duration aStep) { m_now += aStep; }
+
+private:
+  MonoTime m_now{ std::chrono::hours(1) };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Base/Logger.h
@@ -0,0 +1,74 @@
+#ifndef PISTACHIOSHIFT_BASE_LOGGER_H
+#define PISTACHIOSHIFT_BASE_LOGGER_H
+
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace pistachioshift {
+
+enum class LogLevel
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+};
+
+/** \brief Parses debug, info, warning or error; throws ConfigError. */
+LogLevel ParseLogLevel(std::string_view aText);
+
+/**
+ * \brief Writes one line per change of state to stderr.
+ *
+ * A line is `time level program event key=value ...`.
+ */
+class Logger
+{
+public:
+  Logger(std::string aProgram, LogLevel aLevel);
+
+  template<class... Args>
+  void Info(std::string_view aEvent,
+            fmt::format_string<Args...> aFields,
+            Args&&... aArgs) const
+  {
+    Write(LogLevel::kInfo,
+          aEvent,
+          fmt::format(aFields, std::forward<Args>(aArgs)...));
+  }
+
+  template<class... Args>
+  void Warning(std::string_view aEvent,
+               fmt::format_string<Args...> aFields,
+               Args&&... aArgs) const
+  {
+    Write(LogLevel::kWarning,
+          aEvent,
+          fmt::format(aFields, std::forward<Args>(aArgs)...));
+  }
+
+  template<class... Args>
+  void Error(std::string_view aEvent,
+             fmt::format_string<Args...> aFields,
+             Args&&... aArgs) const
+  {
+    Write(LogLevel::kError,
+          aEvent,
+          fmt::format(aFields, std::forward<Args>(aArgs)...));
+  }
+
+private:
+  void Write(LogLevel aLevel,
+             std::string_view aEvent,
+             const std::string& aFields) const;
+
+  std::string m_program;
+  LogLevel m_level;
+};
+
+}
+
+#endif
