--- /dev/null
+++ b/src/Inner/idl/frames.thrift
@@ -0,0 +1,104 @@
+// Frames on the TCP connections between daemons. A frame travels as a 4-byte
+// big-endian length followed by one Frame in the compact protocol.
+namespace cpp pistachioshift.wire
+
+struct WireRequestId {
+  1: required i64 high
+  2: required i64 low
+}
+
+struct WireToken {
+  1: required i64 entry
+  2: required i8 rank
+}
+
+struct WireHeader {
+  1: required string name
+  2: required string value
+}
+
+struct WireHello {
+  1: required i64 boot
+  2: required i32 protocol
+  3: required i64 daemon
+}
+
+struct WireRequestOpen {
+  1: required i64 stream
+  2: required WireRequestId request
+  3: required string serviceName
+  4: required string key
+  5: required string method
+  6: required string target
+  7: required list<WireHeader> headers
+  8: required i64 remainingMicros
+  9: optional i64 contentLength
+  10: required bool hasBody
+  11: optional string idempotencyKey
+}
+
+struct WireBody {
+  1: required i64 stream
+  2: required binary data
+  3: required bool last
+}
+
+struct WireCredit {
+  1: required i64 stream
+  2: required i64 bytes
+}
+
+struct WireResponseOpen {
+  1: required i64 stream
+  2: required i32 status
+  3: required list<WireHeader> headers
+  4: optional i64 contentLength
+  5: required WireToken token
+}
+
+struct WireRefused {
+  1: required i64 stream
+  2: required i32 outcome
+  3: required i32 reason
+  4: required i64 retryAfterMicros
+  5: optional i64 holder
+}
+
+struct WireCancel {
+  1: required i64 stream
+}
+
+struct WirePing {
+  1: required i64 sequence
+}
+
+struct WirePong {
+  1: required i64 sequence
+}
+
+struct WireOutcomeQuery {
+  1: required i64 query
+  2: required WireRequestId request
+}
+
+struct WireOutcomeReply {
+  1: required i64 query
+  2: required i32 state
+  3: optional i32 status
+  4: optional list<WireHeader> headers
+  5: optional binary body
+}
+
+union WireFrame {
+  1: WireHello hello
+  2: WireRequestOpen requestOpen
+  3: WireBody body
+  4: WireCredit credit
+  5: WireResponseOpen responseOpen
+  6: WireRefused refused
+  7: WireCancel cancel
+  8: WirePing ping
+  9: WirePong pong
+  10: WireOutcomeQuery outcomeQuery
+  11: WireOutcomeReply outcomeReply
+}
