--- /dev/null
+++ b/src/Http/Client.h
@@ -0,0 +1,162 @@
+#ifndef PISTACHIOSHIFT_HTTP_CLIENT_H
+#define PISTACHIOSHIFT_HTTP_CLIENT_H
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "src/Base/Clock.h"
+#include "src/Base/Ids.h"
+#include "src/Http/Message.h"
+
+struct event_base;
+
+namespace pistachioshift {
+
+namespace internal {
+class ClientConnection;
+class ClientCore;
+struct ClientState;
+}
+
+/** \brief Bounds of a pool and of each of its connections. */
+struct HttpClientLimits
+{
+  size_t maxConnections = 64;
+  size_t maxWaiting = 1024;                ///< Requests without a connection.
+  size_t maxHeadBytes = 64 * 1024;         ///< Of an answer.
+  size_t maxHeaders = 128;                 ///< Of an answer.
+  size_t inputHighWatermark = 64 * 1024;   ///< Bytes read ahead.
+  size_t outputHighWatermark = 256 * 1024; ///< SendBody answers false above.
+  size_t outputLowWatermark = 64 * 1024;   ///< OnDrained at or below.
+  Duration connectTimeout = std::chrono::seconds(1);
+  Duration silenceTimeout = std::chrono::seconds(60); ///< Without a byte read
+                                                      ///< or written.
+  Duration idleTimeout = std::chrono::seconds(30);    ///< Between requests.
+};
+
+/** \brief Why a request got no whole answer. */
+enum class ClientFailure
+{
+  kConnectRefused,
+  kConnectTimeout,
+  kNotWritten,         ///< The check said no, or the socket took no byte.
+  kPoolExhausted,      ///< Too many requests wait for a connection.
+  kClosedBeforeAnswer, ///< Closed or reset before the head of the answer.
+  kTruncatedAnswer,    ///< Closed or reset within the body of the answer.
+  kMalformedAnswer,
+  kTimeout, ///< Silent for too long after the request was written.
+};
+
+std::string_view ToString(ClientFailure aFailure);
+
+/**
+ * \brief Whether a byte of the request may have reached the backend server.
+ * False means that it certainly didn't run.
+ */
+bool MayHaveRun(ClientFailure aFailure);
+
+/**
+ * \brief Receives the answer; called from the event loop, never from within
+ * HttpClientPool::Start. Nothing is called after OnEnd, OnFailed or Cancel.
+ */
+class ClientListener
+{
+public:
+  virtual ~ClientListener() = default;
+  virtual void OnHead(const ResponseHead& aHead) = 0;
+  virtual void OnBody(std::string_view aData) = 0;
+  virtual void OnEnd() = 0;
+  virtual void OnDrained() = 0;
+  virtual void OnFailed(ClientFailure aFailure) = 0;
+};
+
+/**
+ * \brief One request and its answer.
+ *
+ * Calls after the end of the exchange do nothing. An answer that ends before
+ * the request body does ends the exchange, and its connection is closed.
+ * \sa HttpClientPool, ClientListener
+ */
+class ClientExchange : public std::enable_shared_from_this<ClientExchange>
+{
+public:
+  explicit ClientExchange(std::unique_ptr<internal::ClientState> aState);
+  ~ClientExchange();
+
+  /**
+   * \brief Sends a part of the body; it waits here until the head is written.
+   * \return false above the high watermark: wait for OnDrained.
+   */
+  bool SendBody(std::string_view aData);
+
+  /**
+   * \brief Ends the request; needed also without a body. With bytes missing it
+   * acts as Cancel.
+   */
+  void Finish();
+
+  /** \brief Stops OnBody at once; the peer is held up by flow control. */
+  void PauseBody();
+  void ResumeBody();
+
+  /** \brief Closes the connection, if one was taken, and ends the exchange. */
+  void Cancel();
+
+  /** \brief Bytes of the request that wait in this process. */
+  size_t BufferedBytes() const;
+
+  bool Ended() const;
+
+private:
+  friend class internal::ClientConnection;
+  friend class internal::ClientCore;
+
+  std::unique_ptr<internal::ClientState> m_state;
+};
+
+/**
+ * \brief Keep-alive connections to one backend server.
+ *
+ * Must be destroyed before its event base; requests in progress then end
+ * without a callback.
+ */
+class HttpClientPool
+{
+public:
+  /**
+   * \brief Last check before a request is started. It is called immediately
+   * before the head is written to a connected socket, again if that socket
+   * took no byte and another one is tried.
+   */
+  using BeforeWrite = std::function<bool()>;
+
+  HttpClientPool(event_base* aBase,
+                 const Endpoint& aEndpoint,
+                 const HttpClientLimits& aLimits);
+  ~HttpClientPool();
+  HttpClientPool(const HttpClientPool&) = delete;
+  HttpClientPool& operator=(const HttpClientPool&) = delete;
+
+  /**
+   * \brief Sends a request on an idle connection, a new one, or the next that
+   * becomes free.
+   * \throws HttpError if the head can't be written as HTTP.
+   */
+  std::shared_ptr<ClientExchange> Start(
+    RequestHead aHead,
+    std::shared_ptr<ClientListener> aListener,
+    BeforeWrite aBeforeWrite = {});
+
+  /** \brief Open connections, idle ones included. */
+  size_t Connections() const;
+  size_t IdleConnections() const;
+
+private:
+  std::shared_ptr<internal::ClientCore> m_core;
+};
+
+}
+
+#endif
