Add outcomes, the outcome table, the gate and retry decisions

The daemon needs these interfaces first. The table decides never-seen by the position the sender held before its first attempt, not by time: an age or a wall clock would make a dropped record look like a request never seen when a message was late.

--- /dev/null
+++ b/src/Routing/Gate.cpp
@@ -0,0 +1,377 @@
+#include "src/Routing/Gate.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "src/Routing/RoutingError.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr double kServiceSmoothing = 0.1; // Weight of the newest sample.
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(30);
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+}
+
+GateSettings
+GateSettingsOf(const ServicePolicy& aPolicy)
+{
+  GateSettings settings;
+  settings.slots = aPolicy.slots;
+  for (const auto& entry : aPolicy.classes) {
+    settings.classes.push_back(GateClass{ entry.weight, entry.queueBound });
+  }
+  return settings;
+}
+
+Gate::Gate(GateSettings aSettings)
+  : m_settings(std::move(aSettings))
+  , m_limit(m_settings.slots)
+{
+  if (m_settings.classes.empty()) {
+    throw RoutingError("gate without request classes");
+  }
+  for (const auto& entry : m_settings.classes) {
+    if (!(entry.weight > 0.0)) {
+      throw RoutingError("gate class with a weight that is not positive");
+    }
+    ClassState state;
+    state.settings = entry;
+    state.service = m_settings.initialService;
+    m_classes.push_back(std::move(state));
+  }
+}
+
+GateActions
+Gate::Admit(const GateRequest& aRequest, MonoTime aNow)
+{
+  GateActions actions;
+  auto& state = StateOf(aRequest.requestClass);
+  const auto waiting = MakeWaiting(aRequest);
+  if (const auto reason = Objection(aRequest, waiting, aNow)) {
+    const auto retryAfter = RetryAfter(state, aNow);
+    actions.refusals.push_back({ aRequest.id, *reason, retryAfter });
+    return actions;
+  }
+  const bool wasIdle = state.queue.empty();
+  const auto place = state.queue.insert(waiting).first;
+  m_queued.emplace(aRequest.id, Queued{ aRequest.requestClass, place });
+  if (wasIdle) {
+    // An idle class gets no credit for the time it asked for nothing.
+    state.finishTag = std::max(state.finishTag, m_virtualTime);
+  }
+  StartNext(actions, aNow);
+  return actions;
+}
+
+GateActions
+Gate::Finished(const RequestId& aId, ServiceResult aResult, MonoTime aNow)
+{
+  GateActions actions;
+  const auto found = m_running.find(aId);
+  if (found == m_running.end()) {
+    return actions;
+  }
+  if (aResult == ServiceResult::kDone) {
+    Learn(found->second, aNow);
+  }
+  m_running.erase(found);
+  StartNext(actions, aNow);
+  return actions;
+}
+
+GateActions
+Gate::Cancel(const RequestId& aId, RefusalReason aReason)
+{
+  GateActions actions;
+  if (!m_queued.contains(aId)) {
+    return actions;
+  }
+  Remove(aId);
+  actions.refusals.push_back({ aId, aReason, Duration{} });
+  return actions;
+}
+
+GateActions
+Gate::Expire(MonoTime aNow)
+{
+  GateActions actions;
+  RefuseLate(actions, aNow);
+  return actions;
+}
+
+GateActions
+Gate::RefuseQueued(RefusalReason aReason)
+{
+  GateActions actions;
+  for (const auto& [id, queued] : m_queued) {
+    actions.refusals.push_back({ id, aReason, Duration{} });
+  }
+  m_queued.clear();
+  for (auto& state : m_classes) {
+    state.queue.clear();
+  }
+  return actions;
+}
+
+GateActions
+Gate::SetLimit(uint32_t aSlots, MonoTime aNow)
+{
+  GateActions actions;
+  m_limit = aSlots;
+  StartNext(actions, aNow);
+  return actions;
+}
+
+std::optional<MonoTime>
+Gate::NextWakeup() const
+{
+  std::optional<MonoTime> earliest;
+  for (const auto& state : m_classes) {
+    for (const auto& waiting : state.queue) {
+      if (!earliest || waiting.latestStart < *earliest) {
+        earliest = waiting.latestStart;
+      }
+    }
+  }
+  return earliest;
+}
+
+Duration
+Gate::ExpectedService(ClassIndex aClass) const
+{
+  return m_classes.at(aClass.Value()).service;
+}
+
+Gate::ClassState&
+Gate::StateOf(ClassIndex aClass)
+{
+  if (aClass.Value() >= m_classes.size()) {
+    throw RoutingError("gate asked for a request class that it doesn't have");
+  }
+  return m_classes[aClass.Value()];
+}
+
+Gate::Waiting
+Gate::MakeWaiting(const GateRequest& aRequest)
+{
+  Waiting waiting;
+  waiting.id = aRequest.id;
+  waiting.sequence = ++m_sequence;
+  waiting.latestStart =
+    aRequest.deadline - ExpectedService(aRequest.requestClass);
+  switch (m_settings.order) {
+    case QueueOrder::kLaxity:
+      waiting.key = waiting.latestStart;
+      break;
+    case QueueOrder::kDeadline:
+      waiting.key = aRequest.deadline;
+      break;
+    case QueueOrder::kArrival:
+      waiting.key = MonoTime{};
+      break;
+  }
+  return waiting;
+}
+
+std::optional<RefusalReason>
+Gate::Objection(const GateRequest& aRequest,
+                const Waiting& aWaiting,
+                MonoTime aNow) const
+{
+  if (IsRunning(aRequest.id) || IsQueued(aRequest.id)) {
+    return RefusalReason::kDuplicate;
+  }
+  if (aRequest.deadline <= aNow) {
+    return RefusalReason::kDeadlineExpired;
+  }
+  if (aWaiting.latestStart < aNow) {
+    return RefusalReason::kCannotFinish;
+  }
+  if (m_running.size() < m_limit) {
+    return std::nullopt;
+  }
+  const auto& state = m_classes[aRequest.requestClass.Value()];
+  if (state.queue.size() >= state.settings.queueBound) {
+    return RefusalReason::kQueueFull;
+  }
+  if (!FitsQueue(aRequest.requestClass, aWaiting, aNow)) {
+    return RefusalReason::kCannotFinish;
+  }
+  return std::nullopt;
+}
+
+// Whether the newcomer, and those it would overtake, still start in time.
+bool
+Gate::FitsQueue(ClassIndex aClass, const Waiting& aWaiting, MonoTime aNow) const
+{
+  const auto& state = m_classes[aClass.Value()];
+  const auto place = state.queue.lower_bound(aWaiting);
+  auto ahead = static_cast<size_t>(std::distance(state.queue.begin(), place));
+  const auto startsInTime = [&](const Waiting& aOne, size_t aAhead) {
+    const auto wait = WaitSeconds(state, aAhead, aNow);
+    return wait <= Seconds(aOne.latestStart - aNow);
+  };
+  if (!startsInTime(aWaiting, ahead)) {
+    return false;
+  }
+  return std::all_of(place, state.queue.end(), [&](const Waiting& aOne) {
+    return startsInTime(aOne, ++ahead);
+  });
+}
+
+// Wait of a request with aAhead requests of its class before it. Other classes
+// hold it up by no more than what they have queued, nor by more than their
+// share of the slots.
+double
+Gate::WaitSeconds(const ClassState& aState, size_t aAhead, MonoTime aNow) const
+{
+  if (m_limit == 0) {
+    return kNever;
+  }
+  const auto own = static_cast<double>(aAhead) * Seconds(aState.service);
+  const auto whole =
+    static_cast<double>(aState.queue.size()) * Seconds(aState.service);
+  const auto others = QueuedSeconds() - whole;
+  const auto queue = std::min(own + others, own / ShareOf(aState));
+  return (RunningSeconds(aNow) + queue) / static_cast<double>(m_limit);
+}
+
+double
+Gate::RunningSeconds(MonoTime aNow) const
+{
+  // Half of the expected time is left for one that has outrun it.
+  constexpr double kLeastLeft = 0.5;
+  double seconds = 0.0;
+  for (const auto& [id, running] : m_running) {
+    const auto expected = Seconds(running.expected);
+    const auto left = expected - Seconds(aNow - running.started);
+    seconds += std::max(left, kLeastLeft * expected);
+  }
+  return seconds;
+}
+
+double
+Gate::QueuedSeconds() const
+{
+  double seconds = 0.0;
+  for (const auto& state : m_classes) {
+    seconds += static_cast<double>(state.queue.size()) * Seconds(state.service);
+  }
+  return seconds;
+}
+
+double
+Gate::ShareOf(const ClassState& aState) const
+{
+  double weights = 0.0;
+  for (const auto& state : m_classes) {
+    if (&state == &aState || !state.queue.empty()) {
+      weights += state.settings.weight;
+    }
+  }
+  return aState.settings.weight / weights;
+}
+
+Duration
+Gate::RetryAfter(const ClassState& aState, MonoTime aNow) const
+{
+  const auto wait = WaitSeconds(aState, aState.queue.size(), aNow);
+  return FromSeconds(std::min(wait, Seconds(kLongestRetryAfter)));
+}
+
+void
+Gate::Start(ClassIndex aClass, const RequestId& aId, MonoTime aNow)
+{
+  auto& state = m_classes[aClass.Value()];
+  m_virtualTime = std::max(m_virtualTime, state.finishTag);
+  state.finishTag += Seconds(state.service) / state.settings.weight;
+  m_running.emplace(aId, Running{ aClass, aNow, state.service });
+}
+
+void
+Gate::StartNext(GateActions& aActions, MonoTime aNow)
+{
+  RefuseLate(aActions, aNow);
+  while (m_running.size() < m_limit && !m_queued.empty()) {
+    const auto next = NextClass();
+    const auto id = m_classes[next.Value()].queue.begin()->id;
+    Remove(id);
+    Start(next, id, aNow);
+    aActions.starts.push_back(id);
+  }
+}
+
+void
+Gate::RefuseLate(GateActions& aActions, MonoTime aNow)
+{
+  for (auto& state : m_classes) {
+    auto place = state.queue.begin();
+    while (place != state.queue.end()) {
+      if (place->latestStart >= aNow) {
+        ++place;
+        continue;
+      }
+      const auto id = place->id;
+      place = state.queue.erase(place);
+      m_queued.erase(id);
+      aActions.refusals.push_back(
+        { id, RefusalReason::kCannotFinish, RetryAfter(state, aNow) });
+    }
+  }
+}
+
+ClassIndex
+Gate::NextClass() const
+{
+  uint32_t best = 0;
+  double least = kNever;
+  for (uint32_t index = 0; index < m_classes.size(); ++index) {
+    const auto& state = m_classes[index];
+    if (!state.queue.empty() && state.finishTag < least) {
+      least = state.finishTag;
+      best = index;
+    }
+  }
+  return ClassIndex(best);
+}
+
+void
+Gate::Remove(const RequestId& aId)
+{
+  const auto found = m_queued.find(aId);
+  const auto& queued = found->second;
+  m_classes[queued.requestClass.Value()].queue.erase(queued.place);
+  m_queued.erase(found);
+}
+
+void
+Gate::Learn(const Running& aRunning, MonoTime aNow)
+{
+  auto& state = m_classes[aRunning.requestClass.Value()];
+  const auto taken = aNow - aRunning.started;
+  if (!state.measured) {
+    state.measured = true;
+    state.service = taken;
+    return;
+  }
+  const auto step = Seconds(taken - state.service) * kServiceSmoothing;
+  state.service += FromSeconds(step);
+}
+
+}
--- /dev/null
+++ b/src/Routing/OutcomeTable.cpp
@@ -0,0 +1,221 @@
+#include "src/Routing/OutcomeTable.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+OutcomeTable::OutcomeTable(OutcomeTableSettings aSettings)
+  : m_settings(aSettings)
+{
+}
+
+BeginResult
+OutcomeTable::Begin(const RequestId& aId, TablePosition aKnown)
+{
+  if (auto found = FindId(aId, aKnown)) {
+    return *found;
+  }
+  if (!MakeRoom()) {
+    return { BeginVerdict::kFull, std::nullopt };
+  }
+  Insert(aId, State::kRunning);
+  return { BeginVerdict::kStarted, std::nullopt };
+}
+
+BeginResult
+OutcomeTable::Begin(const RequestId& aId,
+                    TablePosition aKnown,
+                    const FenceToken& aGrant,
+                    const IdempotencyKey& aKey)
+{
+  KeyName name{ aGrant, aKey.value };
+  if (auto found = FindKey(name, aKey)) {
+    return *found;
+  }
+  auto result = Begin(aId, aKnown);
+  if (result.verdict == BeginVerdict::kStarted) {
+    m_entries.at(aId).key = name;
+    m_keys.emplace(std::move(name), aId);
+  }
+  return result;
+}
+
+void
+OutcomeTable::Finish(const RequestId& aId, std::optional<KeptAnswer> aAnswer)
+{
+  const auto found = m_entries.find(aId);
+  if (found == m_entries.end() || found->second.state != State::kRunning) {
+    return;
+  }
+  auto& entry = found->second;
+  if (aAnswer && aAnswer->payload.size() <= m_settings.answerBytes) {
+    m_answerBytes += aAnswer->payload.size();
+    entry.answer = std::move(aAnswer);
+    m_answered.push_back(aId);
+  }
+  Close(aId, entry, State::kDone);
+  TrimAnswers();
+}
+
+void
+OutcomeTable::Withdraw(const RequestId& aId)
+{
+  const auto found = m_entries.find(aId);
+  if (found == m_entries.end() || found->second.state != State::kRunning) {
+    return;
+  }
+  auto& entry = found->second;
+  if (entry.key) {
+    m_keys.erase(*entry.key);
+    entry.key.reset();
+  }
+  // The id stays refused: its sender has been told not-run.
+  Close(aId, entry, State::kPoisoned);
+}
+
+AskResult
+OutcomeTable::Ask(const RequestId& aId, TablePosition aKnown)
+{
+  const auto found = m_entries.find(aId);
+  if (found != m_entries.end()) {
+    const auto& entry = found->second;
+    switch (entry.state) {
+      case State::kRunning:
+        return { RequestState::kRunning, std::nullopt };
+      case State::kDone:
+        return { RequestState::kDone, entry.answer };
+      case State::kPoisoned:
+        return { RequestState::kNeverSeen, std::nullopt };
+    }
+  }
+  if (aKnown.Value() < m_droppedThrough || !MakeRoom()) {
+    return { RequestState::kForgotten, std::nullopt };
+  }
+  Close(aId, Insert(aId, State::kPoisoned), State::kPoisoned);
+  return { RequestState::kNeverSeen, std::nullopt };
+}
+
+void
+OutcomeTable::EndGrant(const FenceToken& aGrant)
+{
+  auto key = m_keys.lower_bound(KeyName{ aGrant, "" });
+  while (key != m_keys.end() && key->first.grant == aGrant) {
+    m_entries.at(key->second).key.reset();
+    key = m_keys.erase(key);
+  }
+  m_keysDropped.erase(aGrant);
+}
+
+std::optional<BeginResult>
+OutcomeTable::FindKey(const KeyName& aName, const IdempotencyKey& aKey) const
+{
+  const auto found = m_keys.find(aName);
+  if (found != m_keys.end()) {
+    const auto& entry = m_entries.at(found->second);
+    if (entry.state == State::kRunning) {
+      return BeginResult{ BeginVerdict::kRunning, std::nullopt };
+    }
+    return BeginResult{ BeginVerdict::kDone, entry.answer };
+  }
+  if (!aKey.repeat) {
+    return std::nullopt;
+  }
+  const bool complete =
+    aKey.triedUnder == aName.grant && !m_keysDropped.contains(aName.grant);
+  if (complete) {
+    return std::nullopt;
+  }
+  return BeginResult{ BeginVerdict::kUndecided, std::nullopt };
+}
+
+std::optional<BeginResult>
+OutcomeTable::FindId(const RequestId& aId, TablePosition aKnown) const
+{
+  const auto found = m_entries.find(aId);
+  if (found != m_entries.end()) {
+    const auto& entry = found->second;
+    switch (entry.state) {
+      case State::kRunning:
+        return BeginResult{ BeginVerdict::kRunning, std::nullopt };
+      case State::kDone:
+        return BeginResult{ BeginVerdict::kDone, entry.answer };
+      case State::kPoisoned:
+        return BeginResult{ BeginVerdict::kPoisoned, std::nullopt };
+    }
+  }
+  if (aKnown.Value() < m_droppedThrough) {
+    return BeginResult{ BeginVerdict::kUndecided, std::nullopt };
+  }
+  return std::nullopt;
+}
+
+bool
+OutcomeTable::MakeRoom()
+{
+  while (m_entries.size() >= m_settings.capacity) {
+    if (m_closed.empty()) {
+      return false;
+    }
+    DropOldest();
+  }
+  return true;
+}
+
+OutcomeTable::Entry&
+OutcomeTable::Insert(const RequestId& aId, State aState)
+{
+  auto& entry = m_entries[aId];
+  entry.state = aState;
+  entry.sequence = ++m_sequence;
+  return entry;
+}
+
+void
+OutcomeTable::Close(const RequestId& aId, Entry& aEntry, State aState)
+{
+  aEntry.state = aState;
+  m_closed.push_back(aId);
+}
+
+void
+OutcomeTable::DropOldest()
+{
+  const auto found = m_entries.find(m_closed.front());
+  auto& entry = found->second;
+  m_droppedThrough = std::max(m_droppedThrough, entry.sequence);
+  if (entry.answer) {
+    DropOldestAnswer();
+  }
+  DropKey(entry);
+  m_entries.erase(found);
+  m_closed.pop_front();
+}
+
+void
+OutcomeTable::DropKey(const Entry& aEntry)
+{
+  if (!aEntry.key) {
+    return;
+  }
+  ++m_keysDropped[aEntry.key->grant];
+  m_keys.erase(*aEntry.key);
+}
+
+void
+OutcomeTable::TrimAnswers()
+{
+  while (m_answerBytes > m_settings.totalBytes) {
+    DropOldestAnswer();
+  }
+}
+
+void
+OutcomeTable::DropOldestAnswer()
+{
+  auto& entry = m_entries.at(m_answered.front());
+  m_answered.pop_front();
+  m_answerBytes -= entry.answer->payload.size();
+  entry.answer.reset();
+}
+
+}
--- /dev/null
+++ b/src/Routing/Retry.cpp
@@ -0,0 +1,315 @@
+#include "src/Routing/Retry.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr double kMostTokens = 20.0;
+constexpr double kFirstTokens = 5.0; // Lets a quiet service retry at all.
+constexpr double kLeastLatencySeconds = 50e-6;
+constexpr double kBucketRatio = 1.1;
+constexpr double kHistoryRequests = 5000.0;
+constexpr double kLeastHistory = 50.0;
+
+RetryDecision
+GiveUp(Outcome aOutcome, RefusalReason aRefusal)
+{
+  RetryDecision decision;
+  decision.step = RetryStep::kGiveUp;
+  decision.outcome = aOutcome;
+  decision.refusal = aRefusal;
+  return decision;
+}
+
+RetryDecision
+RetryIn(Duration aDelay, RetryReason aReason)
+{
+  RetryDecision decision;
+  decision.step =
+    aDelay > Duration{} ? RetryStep::kRetryAfter : RetryStep::kRetryNow;
+  decision.delay = aDelay;
+  decision.reason = aReason;
+  return decision;
+}
+
+bool
+IsRedirect(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::kNotOwner:
+    case RefusalReason::kLeaseNotHeld:
+    case RefusalReason::kDraining:
+    case RefusalReason::kNoOwner:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// A repeat of these meets the same refusal, or nobody waits for it.
+bool
+IsFinal(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::kDeadlineExpired:
+    case RefusalReason::kCancelled:
+    case RefusalReason::kNoService:
+    case RefusalReason::kNoKey:
+    case RefusalReason::kRetriesSpent:
+    case RefusalReason::kBodyTooLarge:
+      return true;
+    default:
+      return false;
+  }
+}
+
+RetryReason
+ReasonOf(RefusalReason aReason)
+{
+  if (IsRedirect(aReason)) {
+    return RetryReason::kRedirected;
+  }
+  switch (aReason) {
+    case RefusalReason::kCold:
+    case RefusalReason::kBackendDown:
+    case RefusalReason::kOwnerUnreachable:
+    case RefusalReason::kNoInstance:
+      return RetryReason::kUnavailable;
+    default:
+      return RetryReason::kOverloaded;
+  }
+}
+
+RetryReason
+ReasonOf(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::kConnectionSilent:
+      return RetryReason::kConnectionSilent;
+    case AttemptEnd::kServerFailed:
+      return RetryReason::kServerFailed;
+    default:
+      return RetryReason::kConnectionLost;
+  }
+}
+
+// The outcome stands if nothing more is tried.
+bool
+MayTry(const AttemptReport& aReport,
+       const RetrySettings& aSettings,
+       Duration aDelay)
+{
+  const bool timeLeft = aReport.left - aDelay >= aSettings.leastLeft;
+  return timeLeft && aReport.replayable && !aReport.answerBegun &&
+         aReport.attempts < aSettings.maxAttempts;
+}
+
+Duration
+DelayOf(const AttemptReport& aReport, const RetrySettings& aSettings)
+{
+  if (!IsRedirect(aReport.refusal)) {
+    return std::max(aReport.retryAfter, aSettings.redirectDelay);
+  }
+  return aReport.attempts > 1 ? aSettings.redirectDelay : Duration{};
+}
+
+RetryDecision
+AfterNotRun(const AttemptReport& aReport,
+            const RetrySettings& aSettings,
+            RetryBudget& aBudget)
+{
+  const auto giveUp = GiveUp(OutcomeOf(aReport.refusal), aReport.refusal);
+  const auto delay = DelayOf(aReport, aSettings);
+  if (IsFinal(aReport.refusal) || !MayTry(aReport, aSettings, delay)) {
+    return giveUp;
+  }
+  if (giveUp.outcome != Outcome::kNotRun) {
+    return giveUp;
+  }
+  if (!IsRedirect(aReport.refusal) && !aBudget.TrySpend()) {
+    return giveUp;
+  }
+  return RetryIn(delay, ReasonOf(aReport.refusal));
+}
+
+RetryDecision
+RepeatIdempotent(const AttemptReport& aReport,
+                 const RetrySettings& aSettings,
+                 RetryBudget& aBudget)
+{
+  const bool failed = aReport.end == AttemptEnd::kServerFailed;
+  const auto outcome = failed ? Outcome::kDone : Outcome::kUnknown;
+  if (!MayTry(aReport, aSettings, Duration{}) || !aBudget.TrySpend()) {
+    return GiveUp(outcome, RefusalReason::kRetriesSpent);
+  }
+  return RetryIn(Duration{}, ReasonOf(aReport.end));
+}
+
+bool
+LostConnection(const AttemptReport& aReport)
+{
+  return aReport.end == AttemptEnd::kConnectionLost ||
+         aReport.end == AttemptEnd::kConnectionSilent;
+}
+
+size_t
+BucketOf(Duration aLatency, size_t aBuckets)
+{
+  const auto seconds = std::chrono::duration<double>(aLatency).count();
+  const auto ratio = std::max(seconds / kLeastLatencySeconds, 1.0);
+  const auto bucket = std::log(ratio) / std::log(kBucketRatio);
+  return std::min(static_cast<size_t>(bucket), aBuckets - 1);
+}
+
+Duration
+UpperBoundOf(size_t aBucket)
+{
+  const auto exponent = static_cast<double>(aBucket) + 1.0;
+  const std::chrono::duration<double> bound(kLeastLatencySeconds *
+                                            std::pow(kBucketRatio, exponent));
+  return std::chrono::duration_cast<Duration>(bound);
+}
+
+}
+
+RetryBudget::RetryBudget(double aShare)
+  : m_share(std::clamp(aShare, 0.0, 1.0))
+  , m_tokens(m_share > 0.0 ? kFirstTokens : 0.0)
+{
+}
+
+void
+RetryBudget::OnFirstAttempt()
+{
+  m_tokens = std::min(m_tokens + m_share, kMostTokens);
+}
+
+bool
+RetryBudget::TrySpend()
+{
+  if (m_tokens < 1.0) {
+    return false;
+  }
+  m_tokens -= 1.0;
+  return true;
+}
+
+RetryDecision
+DecideRetry(const AttemptReport& aReport,
+            const RetrySettings& aSettings,
+            RetryBudget& aBudget)
+{
+  switch (aReport.end) {
+    case AttemptEnd::kAnswered:
+      return GiveUp(Outcome::kDone, RefusalReason::kRetriesSpent);
+    case AttemptEnd::kNotRun:
+      return AfterNotRun(aReport, aSettings, aBudget);
+    case AttemptEnd::kServerFailed:
+      if (!aReport.idempotent) {
+        return GiveUp(Outcome::kDone, RefusalReason::kRetriesSpent);
+      }
+      break;
+    default:
+      break;
+  }
+  if (aReport.idempotent) {
+    return RepeatIdempotent(aReport, aSettings, aBudget);
+  }
+  const bool worthAsking = aReport.left >= aSettings.leastLeft;
+  if (LostConnection(aReport) && worthAsking && !aReport.answerBegun) {
+    RetryDecision decision;
+    decision.step = RetryStep::kAskOwner;
+    return decision;
+  }
+  return GiveUp(Outcome::kUnknown, RefusalReason::kUndecided);
+}
+
+RetryDecision
+DecideAfterAsk(const AskResult& aResult,
+               const AttemptReport& aReport,
+               const RetrySettings& aSettings,
+               RetryBudget& aBudget)
+{
+  const auto unknown = GiveUp(Outcome::kUnknown, RefusalReason::kUndecided);
+  switch (aResult.state) {
+    case RequestState::kDone:
+      return aResult.answer
+               ? GiveUp(Outcome::kDone, RefusalReason::kRetriesSpent)
+               : unknown;
+    case RequestState::kForgotten:
+      return unknown;
+    case RequestState::kRunning: {
+      if (aReport.left - aSettings.redirectDelay < aSettings.leastLeft) {
+        return unknown;
+      }
+      RetryDecision decision;
+      decision.step = RetryStep::kAskOwner;
+      decision.delay = aSettings.redirectDelay;
+      return decision;
+    }
+    case RequestState::kNeverSeen:
+      break;
+  }
+  if (!MayTry(aReport, aSettings, Duration{}) || !aBudget.TrySpend()) {
+    return GiveUp(Outcome::kNotRun, RefusalReason::kRetriesSpent);
+  }
+  return RetryIn(Duration{}, RetryReason::kNeverSeen);
+}
+
+Duration
+NestedDeadline(Duration aParentLeft, Duration aClassDeadline)
+{
+  return std::max(std::min(aParentLeft, aClassDeadline), Duration{});
+}
+
+HedgePolicy::HedgePolicy(double aQuantile)
+  : m_quantile(aQuantile)
+{
+}
+
+void
+HedgePolicy::OnLatency(Duration aLatency)
+{
+  m_counts[BucketOf(aLatency, kBuckets)] += 1.0;
+  m_total += 1.0;
+  if (m_total < kHistoryRequests) {
+    return;
+  }
+  for (auto& count : m_counts) {
+    count /= 2.0;
+  }
+  m_total /= 2.0;
+}
+
+std::optional<Duration>
+HedgePolicy::Delay() const
+{
+  if (m_quantile >= 1.0 || m_total < kLeastHistory) {
+    return std::nullopt;
+  }
+  double below = 0.0;
+  for (size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    below += m_counts[bucket];
+    if (below >= m_quantile * m_total) {
+      return UpperBoundOf(bucket);
+    }
+  }
+  return UpperBoundOf(kBuckets - 1);
+}
+
+bool
+HedgePolicy::TryHedge(Duration aElapsed,
+                      Duration aLeft,
+                      RetryBudget& aBudget) const
+{
+  const auto delay = Delay();
+  if (!delay || aElapsed < *delay || aLeft < *delay / 2) {
+    return false;
+  }
+  return aBudget.TrySpend();
+}
+
+}
