--- /dev/null
+++ b/src/Document/Section.cpp
@@ -0,0 +1,32 @@
+#include "src/Document/Section.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+bool
+Team::Owns(const SectionName& aSection) const
+{
+  return std::find(sections.begin(), sections.end(), aSection) !=
+         sections.end();
+}
+
+const Team*
+TeamsSection::Find(const TeamName& aName) const
+{
+  const auto found = std::find_if(
+    teams.begin(), teams.end(), [&](const Team& t) { return t.name == aName; });
+  return found == teams.end() ? nullptr : &*found;
+}
+
+const Team*
+TeamsSection::OwnerOf(const SectionName& aSection) const
+{
+  const auto found =
+    std::find_if(teams.begin(), teams.end(), [&](const Team& t) {
+      return t.Owns(aSection);
+    });
+  return found == teams.end() ? nullptr : &*found;
+}
+
+}
