--- /dev/null
+++ b/src/Http/internal/ServerConnection.cpp
@@ -0,0 +1,461 @@
+#include "src/Http/internal/ServerConnection.h"
+
+#include <fmt/format.h>
+
+#include "src/Http/HttpError.h"
+
+namespace pistachioshift::internal {
+namespace {
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+HttpRefusal
+RefusalOf(ParseProblem aProblem)
+{
+  switch (aProblem) {
+    case ParseProblem::kAmbiguousLength:
+      return HttpRefusal::kAmbiguousLength;
+    case ParseProblem::kBadTarget:
+      return HttpRefusal::kBadTarget;
+    case ParseProblem::kBadMethod:
+      return HttpRefusal::kBadMethod;
+    case ParseProblem::kBadVersion:
+      return HttpRefusal::kBadVersion;
+    case ParseProblem::kHeadTooLarge:
+      return HttpRefusal::kHeadTooLarge;
+    case ParseProblem::kMalformed:
+      break;
+  }
+  return HttpRefusal::kMalformed;
+}
+
+int
+StatusOf(HttpRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case HttpRefusal::kBadMethod:
+      return 501;
+    case HttpRefusal::kBadVersion:
+      return 505;
+    case HttpRefusal::kHeadTooLarge:
+      return 431;
+    case HttpRefusal::kHeadTimeout:
+      return 408;
+    default:
+      return 400;
+  }
+}
+
+}
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerCore> aCore,
+                                   evutil_socket_t aSocket)
+  : m_core(std::move(aCore))
+  , m_limits(m_core->Limits())
+  , m_stream(std::make_unique<Stream>(
+      m_core->Base(),
+      aSocket,
+      StreamBounds{ m_limits.inputHighWatermark, m_limits.outputLowWatermark },
+      *this))
+  , m_parser(MessageKind::kRequest,
+             { m_limits.maxHeadBytes, m_limits.maxHeaders })
+{
+  m_stream->SetWriteTimeout(m_limits.writeTimeout);
+  UpdateTimer();
+}
+
+void
+ServerConnection::CloseIfIdle()
+{
+  // A request that waits in the socket is still served.
+  if (m_state == State::kHead && !m_headBegun && !m_stream->HasUnreadBytes()) {
+    Close(AbortReason::kShutdown);
+  }
+}
+
+void
+ServerConnection::Close(AbortReason aReason)
+{
+  if (m_state == State::kClosed) {
+    return;
+  }
+  auto self = shared_from_this();
+  m_state = State::kClosed;
+  m_stream.reset();
+  m_core->Forget(self);
+  AbortExchange(aReason);
+}
+
+void
+ServerConnection::AbortExchange(AbortReason aReason)
+{
+  if (!m_exchange) {
+    return;
+  }
+  std::shared_ptr<ServerListener> listener = m_exchange->m_listener;
+  EndExchange();
+  if (listener) {
+    listener->OnAborted(aReason);
+  }
+}
+
+void
+ServerConnection::EndExchange()
+{
+  m_exchange->m_connection.reset();
+  m_exchange->m_listener.reset();
+  m_exchange.reset();
+  m_core->ExchangeEnded();
+}
+
+bool
+ServerConnection::WantsInput() const
+{
+  switch (m_state) {
+    case State::kHead:
+    case State::kDiscarding:
+    case State::kFlushing:
+    case State::kLingering:
+      return true;
+    case State::kExchange:
+      return m_exchange->m_listener && !m_bodyPaused && !m_bodyEnded;
+    case State::kClosed:
+      break;
+  }
+  return false;
+}
+
+void
+ServerConnection::OnReadable()
+{
+  if (m_reading) {
+    return;
+  }
+  auto self = shared_from_this();
+  m_reading = true;
+  while (WantsInput() && ReadOnce()) {
+  }
+  m_reading = false;
+  UpdateTimer();
+}
+
+bool
+ServerConnection::ReadOnce()
+{
+  std::string_view front = m_stream->Front();
+  if (front.empty()) {
+    return false;
+  }
+  if (m_state == State::kFlushing || m_state == State::kLingering) {
+    m_stream->Drain(front.size());
+    return true;
+  }
+  ParseStep step = m_parser.Step(front);
+  m_headBegun = true;
+  HandleStep(step);
+  if (m_state != State::kClosed) {
+    m_stream->Drain(step.consumed);
+  }
+  return true;
+}
+
+void
+ServerConnection::HandleStep(const ParseStep& aStep)
+{
+  switch (aStep.event) {
+    case ParseEvent::kNeedMore:
+      return;
+    case ParseEvent::kHead:
+      HandleHead();
+      return;
+    case ParseEvent::kBody:
+      HandleBody(aStep.body);
+      return;
+    case ParseEvent::kEnd:
+      HandleBodyEnd();
+      return;
+    case ParseEvent::kError:
+      HandleProblem();
+      return;
+  }
+}
+
+void
+ServerConnection::HandleHead()
+{
+  RequestHead head = m_parser.TakeRequestHead();
+  m_state = State::kExchange;
+  m_bodyPaused = false;
+  m_bodyEnded = false;
+  m_headSent = false;
+  m_outputFull = false;
+  m_discarded = 0;
+  m_keepAlive = m_parser.KeepAlive();
+  m_headRequest = head.method == "HEAD";
+  m_expectsContinue = head.headers.HasToken("Expect", "100-continue");
+  head.headers.Remove("Expect");
+  m_exchange =
+    std::make_shared<ServerExchange>(shared_from_this(), std::move(head));
+  m_core->Handle(m_exchange);
+}
+
+void
+ServerConnection::HandleBody(std::string_view aData)
+{
+  if (m_state == State::kExchange) {
+    std::shared_ptr<ServerListener> listener = m_exchange->m_listener;
+    listener->OnBody(aData);
+    return;
+  }
+  m_discarded += aData.size();
+  if (m_discarded > m_limits.maxDiscardBytes) {
+    FlushAndClose();
+  }
+}
+
+void
+ServerConnection::HandleBodyEnd()
+{
+  m_bodyEnded = true;
+  if (m_state == State::kExchange) {
+    std::shared_ptr<ServerListener> listener = m_exchange->m_listener;
+    listener->OnBodyEnd();
+    return;
+  }
+  NextRequest();
+}
+
+void
+ServerConnection::HandleProblem()
+{
+  if (m_state == State::kHead) {
+    Refuse(RefusalOf(m_parser.Problem()));
+    return;
+  }
+  if (m_state == State::kExchange && !m_headSent) {
+    AbortExchange(AbortReason::kMalformedBody);
+    Refuse(HttpRefusal::kMalformed);
+    return;
+  }
+  Close(AbortReason::kMalformedBody);
+}
+
+void
+ServerConnection::Refuse(HttpRefusal aRefusal)
+{
+  m_core->CountRefusal(aRefusal);
+  std::string text = fmt::format("{}\n", ToString(aRefusal));
+  ResponseHead head{ .status = StatusOf(aRefusal),
+                     .headers = { { "Content-Type", "text/plain" } },
+                     .contentLength = text.size() };
+  text.insert(0,
+              WriteResponseHead(head, Framing::kLength, Persistence::kClose));
+  evbuffer_add(m_stream->Output(), text.data(), text.size());
+  FlushAndClose();
+}
+
+void
+ServerConnection::NextRequest()
+{
+  m_parser.Reset();
+  m_headBegun = false;
+  m_headTimed = false;
+  m_state = State::kHead;
+  if (!m_keepAlive || m_core->Stopping()) {
+    FlushAndClose();
+    return;
+  }
+  m_stream->ScheduleRead(); // A pipelined request may be there already.
+  UpdateTimer();
+}
+
+void
+ServerConnection::FlushAndClose()
+{
+  m_state = State::kFlushing;
+  m_stream->NotifyWhenEmpty();
+  if (m_stream->OutputBytes() == 0) {
+    Linger();
+  }
+  UpdateTimer();
+}
+
+void
+ServerConnection::Linger()
+{
+  // A close with input unread would reset the connection, and the caller
+  // could lose the answer.
+  m_state = State::kLingering;
+  m_stream->ShutdownWrite();
+  m_stream->StartTimer(m_limits.lingerTimeout);
+  m_stream->ScheduleRead();
+}
+
+void
+ServerConnection::OnWritable()
+{
+  auto self = shared_from_this();
+  if (m_state == State::kFlushing) {
+    Linger();
+    return;
+  }
+  if (m_state == State::kExchange && m_outputFull) {
+    m_outputFull = false;
+    if (std::shared_ptr<ServerListener> listener = m_exchange->m_listener) {
+      listener->OnDrained();
+    }
+  }
+}
+
+void
+ServerConnection::OnStreamEnd(StreamEnd aEnd)
+{
+  Close(aEnd == StreamEnd::kWriteStalled ? AbortReason::kTimeout
+                                         : AbortReason::kPeerClosed);
+}
+
+void
+ServerConnection::OnTimer()
+{
+  auto self = shared_from_this();
+  if (m_state == State::kHead && m_headBegun) {
+    Refuse(HttpRefusal::kHeadTimeout);
+    return;
+  }
+  Close(AbortReason::kTimeout);
+}
+
+void
+ServerConnection::UpdateTimer()
+{
+  switch (m_state) {
+    case State::kHead:
+      if (!m_headBegun) {
+        m_stream->StartTimer(m_limits.idleTimeout);
+      } else if (!m_headTimed) {
+        m_headTimed = true;
+        m_stream->StartTimer(m_limits.headTimeout);
+      }
+      return;
+    case State::kExchange:
+      if (WantsInput()) {
+        m_stream->StartTimer(m_limits.bodyTimeout);
+      } else {
+        m_stream->StopTimer();
+      }
+      return;
+    case State::kDiscarding:
+      m_stream->StartTimer(m_limits.bodyTimeout);
+      return;
+    case State::kFlushing: // The write timeout holds.
+      m_stream->StopTimer();
+      return;
+    case State::kLingering: // Set once.
+    case State::kClosed:
+      return;
+  }
+}
+
+void
+ServerConnection::BodyWanted()
+{
+  if (m_expectsContinue && !m_headSent) {
+    m_expectsContinue = false;
+    evbuffer_add(m_stream->Output(), kContinue.data(), kContinue.size());
+  }
+  m_stream->ScheduleRead();
+}
+
+void
+ServerConnection::PauseBody()
+{
+  m_bodyPaused = true;
+  UpdateTimer();
+}
+
+void
+ServerConnection::ResumeBody()
+{
+  m_bodyPaused = false;
+  m_stream->ScheduleRead();
+}
+
+BodyWriter
+ServerConnection::FramingOf(const ResponseHead& aHead, Framing& aFraming)
+{
+  bool bodyless = aHead.status == kNoContent || aHead.status == kNotModified;
+  if (m_headRequest || bodyless) {
+    aFraming = Framing::kOmitted;
+  } else if (aHead.contentLength) {
+    aFraming = Framing::kLength;
+  } else if (m_parser.IsHttp11()) {
+    aFraming = Framing::kChunked;
+  } else {
+    aFraming = Framing::kUntilClose;
+    m_keepAlive = false;
+  }
+  return { aFraming, aHead.contentLength.value_or(0) };
+}
+
+Persistence
+ServerConnection::PersistenceOf() const
+{
+  if (!m_keepAlive) {
+    return Persistence::kClose;
+  }
+  return m_parser.IsHttp11() ? Persistence::kDefault : Persistence::kKeepAlive;
+}
+
+void
+ServerConnection::SendHead(const ResponseHead& aHead)
+{
+  if (m_headSent) {
+    throw HttpError("the head of an answer was sent twice");
+  }
+  // A caller that was not told to continue may leave its body out.
+  m_keepAlive = m_keepAlive && !m_core->Stopping() && !m_expectsContinue;
+  Framing framing = Framing::kNone;
+  m_body = FramingOf(aHead, framing);
+  std::string text = WriteResponseHead(aHead, framing, PersistenceOf());
+  evbuffer_add(m_stream->Output(), text.data(), text.size());
+  m_headSent = true;
+}
+
+bool
+ServerConnection::SendBody(std::string_view aData)
+{
+  if (!m_headSent) {
+    throw HttpError("a body was sent before its head");
+  }
+  if (!m_body.Write(m_stream->Output(), aData)) {
+    throw HttpError("a body exceeds its content length");
+  }
+  m_outputFull = m_stream->OutputBytes() > m_limits.outputHighWatermark;
+  return !m_outputFull;
+}
+
+void
+ServerConnection::Finish()
+{
+  auto self = shared_from_this();
+  if (!m_headSent || !m_body.Finish(m_stream->Output())) {
+    Close(AbortReason::kShutdown);
+    return;
+  }
+  EndExchange();
+  if (m_bodyEnded) {
+    NextRequest();
+    return;
+  }
+  m_state = State::kDiscarding;
+  if (m_expectsContinue) {
+    FlushAndClose();
+    return;
+  }
+  m_stream->ScheduleRead();
+  UpdateTimer();
+}
+
+}
