--- /dev/null
+++ b/src/Ownership/View.cpp
@@ -0,0 +1,279 @@
+#include "src/Ownership/View.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+namespace {
+
+template<class Map, class Key>
+const typename Map::mapped_type*
+Find(const Map& aMap, const Key& aKey)
+{
+  const auto found = aMap.find(aKey);
+  return found == aMap.end() ? nullptr : &found->second;
+}
+
+void
+AddCandidates(const Entry& aEntry,
+              size_t aFirstRank,
+              std::vector<DaemonId>& aCandidates)
+{
+  for (size_t rank = aFirstRank; rank < aEntry.holders.size(); ++rank) {
+    const auto daemon = aEntry.holders[rank];
+    const bool listed = std::ranges::count(aCandidates, daemon) > 0;
+    if (!listed && !aEntry.PassOf(Rank(static_cast<uint8_t>(rank)))) {
+      aCandidates.push_back(daemon);
+    }
+  }
+}
+
+}
+
+const char*
+ToString(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::kNone:
+      return "none";
+    case Refusal::kOldOffset:
+      return "old-offset";
+    case Refusal::kUnknownDaemon:
+      return "unknown-daemon";
+    case Refusal::kDaemonGone:
+      return "daemon-gone";
+    case Refusal::kNotPlanner:
+      return "not-planner";
+    case Refusal::kTermChanged:
+      return "term-changed";
+    case Refusal::kNoSuchEntry:
+      return "no-such-entry";
+    case Refusal::kBaseNotCurrent:
+      return "base-not-current";
+    case Refusal::kBaseNotHeld:
+      return "base-not-held";
+    case Refusal::kBadSuccession:
+      return "bad-succession";
+    case Refusal::kNotInSuccession:
+      return "not-in-succession";
+    case Refusal::kSetChanged:
+      return "set-changed";
+    case Refusal::kBadGuardians:
+      return "bad-guardians";
+    case Refusal::kGuardiansRemain:
+      return "guardians-remain";
+    case Refusal::kNotAlike:
+      return "not-alike";
+  }
+  return "unknown";
+}
+
+std::optional<Rank>
+Entry::RankOf(DaemonId aDaemon) const
+{
+  const auto found = std::ranges::find(holders, aDaemon);
+  if (found == holders.end()) {
+    return std::nullopt;
+  }
+  return Rank(static_cast<uint8_t>(found - holders.begin()));
+}
+
+std::optional<Offset>
+Entry::PassOf(Rank aRank) const
+{
+  for (const auto& pass : passes) {
+    if (pass.rank == aRank) {
+      return pass.at;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+GuardianSet::Contains(DaemonId aDaemon) const
+{
+  return std::ranges::count(guardians, aDaemon) > 0;
+}
+
+size_t
+GuardianSet::Majority() const
+{
+  return guardians.empty() ? 0 : guardians.size() / 2 + 1;
+}
+
+const Member*
+OwnershipView::FindMember(DaemonId aDaemon) const
+{
+  return Find(m_members, aDaemon);
+}
+
+const GoneDaemon*
+OwnershipView::FindGone(DaemonId aDaemon) const
+{
+  return Find(m_gone, aDaemon);
+}
+
+const EntryChain*
+OwnershipView::FindChain(const EntryKey& aKey) const
+{
+  return Find(m_entries, aKey);
+}
+
+const GuardianSets*
+OwnershipView::FindGuardians(DaemonId aWard) const
+{
+  return Find(m_guardians, aWard);
+}
+
+const std::set<EntryKey>&
+OwnershipView::EntriesOf(DaemonId aDaemon) const
+{
+  static const std::set<EntryKey> kEmpty;
+  const auto* found = Find(m_byDaemon, aDaemon);
+  return found == nullptr ? kEmpty : *found;
+}
+
+const std::set<DaemonId>&
+OwnershipView::WardsOf(DaemonId aGuardian) const
+{
+  static const std::set<DaemonId> kEmpty;
+  const auto* found = Find(m_wards, aGuardian);
+  return found == nullptr ? kEmpty : *found;
+}
+
+EntryKey
+OwnershipView::Resolve(const ServiceName& aService,
+                       RangeIndex aRange,
+                       const std::string& aKey) const
+{
+  EntryKey key{ aService, aRange, aKey };
+  if (!m_entries.contains(key)) {
+    key.pinnedKey.clear();
+  }
+  return key;
+}
+
+std::vector<DaemonId>
+OwnershipView::Route(const EntryKey& aKey) const
+{
+  std::vector<DaemonId> candidates;
+  const auto* chain = FindChain(aKey);
+  if (chain == nullptr) {
+    return candidates;
+  }
+  for (const auto& entry : chain->entries) {
+    AddCandidates(entry, entry.held.value_or(Rank()).Value(), candidates);
+  }
+  std::erase_if(candidates, [this](DaemonId aDaemon) {
+    return !m_members.contains(aDaemon);
+  });
+  return candidates;
+}
+
+void
+OwnershipView::Store(const EntryKey& aKey, EntryChain aChain)
+{
+  Erase(aKey);
+  for (const auto& entry : aChain.entries) {
+    for (const auto daemon : entry.holders) {
+      m_byDaemon[daemon].insert(aKey);
+    }
+  }
+  m_entries[aKey] = std::move(aChain);
+}
+
+void
+OwnershipView::Erase(const EntryKey& aKey)
+{
+  const auto found = m_entries.find(aKey);
+  if (found == m_entries.end()) {
+    return;
+  }
+  for (const auto& entry : found->second.entries) {
+    for (const auto daemon : entry.holders) {
+      auto indexed = m_byDaemon.find(daemon);
+      if (indexed == m_byDaemon.end()) {
+        continue;
+      }
+      indexed->second.erase(aKey);
+      if (indexed->second.empty()) {
+        m_byDaemon.erase(indexed);
+      }
+    }
+  }
+  m_entries.erase(found);
+}
+
+void
+OwnershipView::IndexGuardians(DaemonId aWard, bool aAdd)
+{
+  const auto* sets = FindGuardians(aWard);
+  if (sets == nullptr) {
+    return;
+  }
+  auto guardians = sets->current.guardians;
+  if (sets->pending) {
+    guardians.insert(guardians.end(),
+                     sets->pending->guardians.begin(),
+                     sets->pending->guardians.end());
+  }
+  for (const auto guardian : guardians) {
+    if (aAdd) {
+      m_wards[guardian].insert(aWard);
+      continue;
+    }
+    const auto indexed = m_wards.find(guardian);
+    if (indexed == m_wards.end()) {
+      continue;
+    }
+    indexed->second.erase(aWard);
+    if (indexed->second.empty()) {
+      m_wards.erase(indexed);
+    }
+  }
+}
+
+OwnershipSnapshot
+OwnershipView::Snapshot() const
+{
+  OwnershipSnapshot snapshot;
+  snapshot.applied = m_applied;
+  snapshot.term = m_term;
+  for (const auto& [id, member] : m_members) {
+    snapshot.members.push_back(member);
+  }
+  for (const auto& [id, gone] : m_gone) {
+    snapshot.gone.push_back({ id, gone });
+  }
+  for (const auto& [ward, sets] : m_guardians) {
+    snapshot.guardians.push_back({ ward, sets });
+  }
+  for (const auto& [key, chain] : m_entries) {
+    snapshot.entries.push_back({ key, chain });
+  }
+  return snapshot;
+}
+
+OwnershipView
+OwnershipView::FromSnapshot(const OwnershipSnapshot& aSnapshot)
+{
+  OwnershipView view;
+  view.m_applied = aSnapshot.applied;
+  view.m_term = aSnapshot.term;
+  for (const auto& member : aSnapshot.members) {
+    view.m_members[member.id] = member;
+  }
+  for (const auto& keyed : aSnapshot.gone) {
+    view.m_gone[keyed.daemon] = keyed.gone;
+  }
+  for (const auto& keyed : aSnapshot.guardians) {
+    view.m_guardians[keyed.ward] = keyed.sets;
+    view.IndexGuardians(keyed.ward, true);
+  }
+  for (const auto& keyed : aSnapshot.entries) {
+    view.Store(keyed.key, keyed.chain);
+  }
+  return view;
+}
+
+}
--- a/src/Ownership/View.h
+++ b/src/Ownership/View.h
@@ -242,6 +242,7 @@
   Refusal Pass(Offset aOffset, DaemonId aDaemon, const PassedEntry& aPassed);
   Entry* FindEntry(const EntryKey& aKey, Offset aEntry);
   bool NobodyLeft(const Entry& aEntry) const;
+  bool IsLost(const GuardianSet& aSet) const;
   void Remove(DaemonId aDaemon, Offset aOffset, GoneCause aCause);
   void Store(const EntryKey& aKey, EntryChain aChain);
   void Erase(const EntryKey& aKey);
