--- /dev/null
+++ b/src/Daemon/Call.h
@@ -0,0 +1,82 @@
+#ifndef PISTACHIOSHIFT_DAEMON_CALL_H
+#define PISTACHIOSHIFT_DAEMON_CALL_H
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "src/Base/Clock.h"
+#include "src/Base/Ids.h"
+#include "src/Http/Message.h"
+#include "src/Routing/Outcome.h"
+#include "src/Routing/OutcomeTable.h"
+
+namespace pistachioshift {
+
+/** \brief One attempt to have a request served by a key's holder. */
+struct CallRequest
+{
+  RequestId id;
+  ServiceName service;
+  std::string key; ///< Empty for a service not divided by key.
+  RequestHead head;
+  MonoTime deadline; ///< For the head of the answer.
+  bool hasBody = false;
+  std::string idempotencyKey;
+  TablePosition known;
+};
+
+/** \brief An attempt ended without an answer of a backend server. */
+struct CallRefusal
+{
+  Outcome outcome = Outcome::kNotRun;
+  RefusalReason reason = RefusalReason::kNotOwner;
+  Duration retryAfter{};
+  std::optional<DaemonId> holder; ///< Where the refusing daemon would ask.
+};
+
+/** \brief How the way to the holder was lost. */
+enum class CallLoss
+{
+  kNotSent, ///< Nothing left this process.
+  kClosed,
+  kSilent,
+  kTruncated, ///< After a part of the answer.
+};
+
+/** \brief Receives the answer; nothing follows OnEnd, OnRefused, OnLost. */
+class CallListener
+{
+public:
+  virtual ~CallListener() = default;
+  virtual void OnHead(const ResponseHead& aHead, const FenceToken& aToken) = 0;
+  virtual void OnBody(std::string_view aData) = 0;
+  virtual void OnEnd() = 0;
+  virtual void OnDrained() = 0;
+  virtual void OnRefused(const CallRefusal& aRefusal) = 0;
+  virtual void OnLost(CallLoss aLoss) = 0;
+};
+
+/** \brief An attempt in progress; calls after its end do nothing. */
+class Call
+{
+public:
+  virtual ~Call() = default;
+
+  /** \brief Sends body bytes; false: wait for OnDrained. */
+  virtual bool SendBody(std::string_view aData) = 0;
+
+  /** \brief Ends the request body; needed also without one. */
+  virtual void Finish() = 0;
+
+  virtual void PauseBody() = 0;
+  virtual void ResumeBody() = 0;
+
+  /** \brief Gives up; the listener hears nothing more. */
+  virtual void Cancel() = 0;
+};
+
+}
+
+#endif
--- a/src/Document/TableReader.cpp
+++ b/src/Document/TableReader.cpp
@@ -181,6 +181,20 @@
   return readers;
 }
 
+std::optional<TableReader>
+TableReader::Table(std::string_view aField)
+{
+  const auto* node = Take(aField);
+  if (!node) {
+    return std::nullopt;
+  }
+  const auto* table = node->as_table();
+  if (!table) {
+    Fail(aField, "must be a table");
+  }
+  return TableReader(*table, PathOf(aField));
+}
+
 void
 TableReader::Finish() const
 {
--- a/src/Document/TableReader.h
+++ b/src/Document/TableReader.h
@@ -53,6 +53,9 @@
   /** \brief Readers of an array of tables; empty if the field is missing. */
   std::vector<TableReader> Tables(std::string_view aField, size_t aMost);
 
+  /** \brief Reader of a table within; none if the field is missing. */
+  std::optional<TableReader> Table(std::string_view aField);
+
   template<class Value>
   Value Require(std::string_view aField, std::optional<Value> aValue) const
   {
--- /dev/null
+++ b/src/Inner/Datagrams.h
@@ -0,0 +1,55 @@
+#ifndef PISTACHIOSHIFT_INNER_DATAGRAMS_H
+#define PISTACHIOSHIFT_INNER_DATAGRAMS_H
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+#include "src/Base/Ids.h"
+#include "src/Inner/ControlCodec.h"
+
+struct event;
+struct event_base;
+
+namespace pistachioshift {
+
+/** \brief Counts of a datagram socket since its start. */
+struct DatagramCounters
+{
+  uint64_t sent = 0;
+  uint64_t sentBytes = 0;
+  uint64_t received = 0;
+  uint64_t receivedBytes = 0;
+  uint64_t malformed = 0;
+  uint64_t sendFailures = 0;
+};
+
+/** \brief UDP socket that carries control messages between daemons. */
+class Datagrams
+{
+public:
+  using Handler = std::function<void(const ControlDatagram&)>;
+
+  /** \brief Binds; throws InnerError if the endpoint can't be bound. */
+  Datagrams(event_base* aBase, const Endpoint& aEndpoint, Handler aHandler);
+  ~Datagrams();
+  Datagrams(const Datagrams&) = delete;
+  Datagrams& operator=(const Datagrams&) = delete;
+
+  /** \brief Sends at once; a full socket buffer loses the message. */
+  void Send(const Endpoint& aTo, const ControlDatagram& aDatagram);
+
+  const DatagramCounters& Counters() const { return m_counters; }
+
+private:
+  void OnReadable();
+
+  Handler m_handler;
+  int m_socket = -1;
+  event* m_event = nullptr;
+  DatagramCounters m_counters;
+};
+
+}
+
+#endif
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -5,10 +5,12 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "src/Base/Clock.h"
 #include "src/Base/Ids.h"
 #include "src/Http/Message.h"
+#include "src/Log/LogService.h"
 #include "src/Routing/Outcome.h"
 #include "src/Routing/OutcomeTable.h"
 
@@ -27,7 +29,8 @@
 
   BootId boot;
   int32_t protocol = kProtocol;
-  DaemonId daemon; ///< 0 before the daemon's join record was read back.
+  DaemonId daemon;        ///< 0 before the daemon's join record was read back.
+  TablePosition position; ///< Of the sender's outcome table.
 };
 
 /** \brief Opens a stream: a request for the holder of its key. */
@@ -41,6 +44,7 @@
   Duration remaining{}; ///< Time left to the deadline when sent.
   bool hasBody = false;
   std::string idempotencyKey; ///< Empty: none was given.
+  TablePosition known; ///< Position of the owner's table before the request.
 };
 
 /** \brief Piece of a request or response body. */
@@ -90,6 +94,7 @@
 struct Pong
 {
   int64_t sequence = 0;
+  TablePosition position;
 };
 
 /** \brief Asks what became of a request; see OutcomeTable::Ask. */
@@ -97,12 +102,27 @@
 {
   QueryId query;
   RequestId request;
+  TablePosition known;
 };
 
 struct OutcomeReply
 {
   QueryId query;
-  AskReply reply;
+  AskResult result;
+};
+
+/** \brief Asks a peer for records that the log service can't give now. */
+struct RecordsQuery
+{
+  StreamName stream;
+  Offset from;
+};
+
+/** \brief Recent records from the asked offset on; empty if not kept. */
+struct RecordsReply
+{
+  StreamName stream;
+  std::vector<LogEntry> entries;
 };
 
 using Frame = std::variant<Hello,
@@ -115,7 +135,9 @@
                            Ping,
                            Pong,
                            OutcomeQuery,
-                           OutcomeReply>;
+                           OutcomeReply,
+                           RecordsQuery,
+                           RecordsReply>;
 
 }
 
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -374,6 +374,10 @@
 void WireHello::__set_daemon(const int64_t val) {
   this->daemon = val;
 }
+
+void WireHello::__set_position(const int64_t val) {
+  this->position = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHello& obj)
 {
   obj.printTo(out);
@@ -396,6 +400,7 @@
   bool isset_boot = false;
   bool isset_protocol = false;
   bool isset_daemon = false;
+  bool isset_position = false;
 
   while (true)
   {
@@ -429,6 +434,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          isset_position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -444,6 +457,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_daemon)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_position)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -464,6 +479,10 @@
   xfer += oprot->writeI64(this->daemon);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -474,17 +493,20 @@
   swap(a.boot, b.boot);
   swap(a.protocol, b.protocol);
   swap(a.daemon, b.daemon);
+  swap(a.position, b.position);
 }
 
 WireHello::WireHello(const WireHello& other6) noexcept {
   boot = other6.boot;
   protocol = other6.protocol;
   daemon = other6.daemon;
+  position = other6.position;
 }
 WireHello& WireHello::operator=(const WireHello& other7) noexcept {
   boot = other7.boot;
   protocol = other7.protocol;
   daemon = other7.daemon;
+  position = other7.position;
   return *this;
 }
 void WireHello::printTo(std::ostream& out) const {
@@ -493,6 +515,7 @@
   out << "boot=" << to_string(boot);
   out << ", " << "protocol=" << to_string(protocol);
   out << ", " << "daemon=" << to_string(daemon);
+  out << ", " << "position=" << to_string(position);
   out << ")";
 }
 
@@ -546,6 +569,10 @@
   this->idempotencyKey = val;
 __isset.idempotencyKey = true;
 }
+
+void WireRequestOpen::__set_known(const int64_t val) {
+  this->known = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireRequestOpen& obj)
 {
   obj.printTo(out);
@@ -574,6 +601,7 @@
   bool isset_headers = false;
   bool isset_remainingMicros = false;
   bool isset_hasBody = false;
+  bool isset_known = false;
 
   while (true)
   {
@@ -683,6 +711,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known);
+          isset_known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -710,6 +746,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_hasBody)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_known)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -772,6 +810,10 @@
     xfer += oprot->writeString(this->idempotencyKey);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->known);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -790,6 +832,7 @@
   swap(a.contentLength, b.contentLength);
   swap(a.hasBody, b.hasBody);
   swap(a.idempotencyKey, b.idempotencyKey);
+  swap(a.known, b.known);
   swap(a.__isset, b.__isset);
 }
 
@@ -805,6 +848,7 @@
   contentLength = other14.contentLength;
   hasBody = other14.hasBody;
   idempotencyKey = other14.idempotencyKey;
+  known = other14.known;
   __isset = other14.__isset;
 }
 WireRequestOpen& WireRequestOpen::operator=(const WireRequestOpen& other15) {
@@ -819,6 +863,7 @@
   contentLength = other15.contentLength;
   hasBody = other15.hasBody;
   idempotencyKey = other15.idempotencyKey;
+  known = other15.known;
   __isset = other15.__isset;
   return *this;
 }
@@ -836,6 +881,7 @@
   out << ", " << "contentLength="; (__isset.contentLength ? (out << to_string(contentLength)) : (out << "<null>"));
   out << ", " << "hasBody=" << to_string(hasBody);
   out << ", " << "idempotencyKey="; (__isset.idempotencyKey ? (out << to_string(idempotencyKey)) : (out << "<null>"));
+  out << ", " << "known=" << to_string(known);
   out << ")";
 }
 
@@ -1676,6 +1722,10 @@
 void WirePong::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void WirePong::__set_position(const int64_t val) {
+  this->position = val;
+}
 std::ostream& operator<<(std::ostream& out, const WirePong& obj)
 {
   obj.printTo(out);
@@ -1696,6 +1746,7 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_sequence = false;
+  bool isset_position = false;
 
   while (true)
   {
@@ -1713,6 +1764,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          isset_position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1724,6 +1783,8 @@
 
   if (!isset_sequence)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_position)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1736,6 +1797,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1744,19 +1809,23 @@
 void swap(WirePong &a, WirePong &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
+  swap(a.position, b.position);
 }
 
 WirePong::WirePong(const WirePong& other34) noexcept {
   sequence = other34.sequence;
+  position = other34.position;
 }
 WirePong& WirePong::operator=(const WirePong& other35) noexcept {
   sequence = other35.sequence;
+  position = other35.position;
   return *this;
 }
 void WirePong::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "WirePong(";
   out << "sequence=" << to_string(sequence);
+  out << ", " << "position=" << to_string(position);
   out << ")";
 }
 
@@ -1772,6 +1841,10 @@
 void WireOutcomeQuery::__set_request(const WireRequestId& val) {
   this->request = val;
 }
+
+void WireOutcomeQuery::__set_known(const int64_t val) {
+  this->known = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireOutcomeQuery& obj)
 {
   obj.printTo(out);
@@ -1793,6 +1866,7 @@
 
   bool isset_query = false;
   bool isset_request = false;
+  bool isset_known = false;
 
   while (true)
   {
@@ -1818,6 +1892,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known);
+          isset_known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1831,6 +1913,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_request)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_known)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1847,6 +1931,10 @@
   xfer += this->request.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->known);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1856,15 +1944,18 @@
   using ::std::swap;
   swap(a.query, b.query);
   swap(a.request, b.request);
+  swap(a.known, b.known);
 }
 
 WireOutcomeQuery::WireOutcomeQuery(const WireOutcomeQuery& other36) noexcept {
   query = other36.query;
   request = other36.request;
+  known = other36.known;
 }
 WireOutcomeQuery& WireOutcomeQuery::operator=(const WireOutcomeQuery& other37) noexcept {
   query = other37.query;
   request = other37.request;
+  known = other37.known;
   return *this;
 }
 void WireOutcomeQuery::printTo(std::ostream& out) const {
@@ -1872,6 +1963,7 @@
   out << "WireOutcomeQuery(";
   out << "query=" << to_string(query);
   out << ", " << "request=" << to_string(request);
+  out << ", " << "known=" << to_string(known);
   out << ")";
 }
 
@@ -1893,14 +1985,9 @@
 __isset.status = true;
 }
 
-void WireOutcomeReply::__set_headers(const std::vector<WireHeader> & val) {
-  this->headers = val;
-__isset.headers = true;
-}
-
-void WireOutcomeReply::__set_body(const std::string& val) {
-  this->body = val;
-__isset.body = true;
+void WireOutcomeReply::__set_payload(const std::string& val) {
+  this->payload = val;
+__isset.payload = true;
 }
 std::ostream& operator<<(std::ostream& out, const WireOutcomeReply& obj)
 {
@@ -1957,29 +2044,9 @@
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->headers.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->headers.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
-            {
-              xfer += this->headers[_i42].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.headers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->body);
-          this->__isset.body = true;
+          xfer += iprot->readBinary(this->payload);
+          this->__isset.payload = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2018,22 +2085,9 @@
     xfer += oprot->writeI32(this->status);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.headers) {
-    xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-      std::vector<WireHeader> ::const_iterator _iter43;
-      for (_iter43 = this->headers.begin(); _iter43 != this->headers.end(); ++_iter43)
-      {
-        xfer += (*_iter43).write(oprot);
-      }
-      xfer += oprot->writeListEnd();
-    }
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.body) {
-    xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 5);
-    xfer += oprot->writeBinary(this->body);
+  if (this->__isset.payload) {
+    xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->payload);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2046,26 +2100,23 @@
   swap(a.query, b.query);
   swap(a.state, b.state);
   swap(a.status, b.status);
-  swap(a.headers, b.headers);
-  swap(a.body, b.body);
+  swap(a.payload, b.payload);
   swap(a.__isset, b.__isset);
 }
 
-WireOutcomeReply::WireOutcomeReply(const WireOutcomeReply& other44) {
-  query = other44.query;
-  state = other44.state;
-  status = other44.status;
-  headers = other44.headers;
-  body = other44.body;
-  __isset = other44.__isset;
-}
-WireOutcomeReply& WireOutcomeReply::operator=(const WireOutcomeReply& other45) {
-  query = other45.query;
-  state = other45.state;
-  status = other45.status;
-  headers = other45.headers;
-  body = other45.body;
-  __isset = other45.__isset;
+WireOutcomeReply::WireOutcomeReply(const WireOutcomeReply& other38) {
+  query = other38.query;
+  state = other38.state;
+  status = other38.status;
+  payload = other38.payload;
+  __isset = other38.__isset;
+}
+WireOutcomeReply& WireOutcomeReply::operator=(const WireOutcomeReply& other39) {
+  query = other39.query;
+  state = other39.state;
+  status = other39.status;
+  payload = other39.payload;
+  __isset = other39.__isset;
   return *this;
 }
 void WireOutcomeReply::printTo(std::ostream& out) const {
@@ -2074,8 +2125,372 @@
   out << "query=" << to_string(query);
   out << ", " << "state=" << to_string(state);
   out << ", " << "status="; (__isset.status ? (out << to_string(status)) : (out << "<null>"));
-  out << ", " << "headers="; (__isset.headers ? (out << to_string(headers)) : (out << "<null>"));
-  out << ", " << "body="; (__isset.body ? (out << to_string(body)) : (out << "<null>"));
+  out << ", " << "payload="; (__isset.payload ? (out << to_string(payload)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WireLogEntry::~WireLogEntry() noexcept {
+}
+
+
+void WireLogEntry::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void WireLogEntry::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireLogEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireLogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_offset = false;
+  bool isset_payload = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          isset_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->payload);
+          isset_payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_offset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_payload)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireLogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireLogEntry");
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireLogEntry &a, WireLogEntry &b) {
+  using ::std::swap;
+  swap(a.offset, b.offset);
+  swap(a.payload, b.payload);
+}
+
+WireLogEntry::WireLogEntry(const WireLogEntry& other40) {
+  offset = other40.offset;
+  payload = other40.payload;
+}
+WireLogEntry& WireLogEntry::operator=(const WireLogEntry& other41) {
+  offset = other41.offset;
+  payload = other41.payload;
+  return *this;
+}
+void WireLogEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireLogEntry(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "payload=" << to_string(payload);
+  out << ")";
+}
+
+
+WireRecordsQuery::~WireRecordsQuery() noexcept {
+}
+
+
+void WireRecordsQuery::__set_stream(const std::string& val) {
+  this->stream = val;
+}
+
+void WireRecordsQuery::__set_from_(const int64_t val) {
+  this->from_ = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireRecordsQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireRecordsQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_stream = false;
+  bool isset_from_ = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->stream);
+          isset_stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_);
+          isset_from_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_stream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_from_)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireRecordsQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireRecordsQuery");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("from_", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->from_);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireRecordsQuery &a, WireRecordsQuery &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.from_, b.from_);
+}
+
+WireRecordsQuery::WireRecordsQuery(const WireRecordsQuery& other42) {
+  stream = other42.stream;
+  from_ = other42.from_;
+}
+WireRecordsQuery& WireRecordsQuery::operator=(const WireRecordsQuery& other43) {
+  stream = other43.stream;
+  from_ = other43.from_;
+  return *this;
+}
+void WireRecordsQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireRecordsQuery(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "from_=" << to_string(from_);
+  out << ")";
+}
+
+
+WireRecordsReply::~WireRecordsReply() noexcept {
+}
+
+
+void WireRecordsReply::__set_stream(const std::string& val) {
+  this->stream = val;
+}
+
+void WireRecordsReply::__set_entries(const std::vector<WireLogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireRecordsReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireRecordsReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_stream = false;
+  bool isset_entries = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->stream);
+          isset_stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->entries.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->entries[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_stream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireRecordsReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireRecordsReply");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<WireLogEntry> ::const_iterator _iter49;
+    for (_iter49 = this->entries.begin(); _iter49 != this->entries.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireRecordsReply &a, WireRecordsReply &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.entries, b.entries);
+}
+
+WireRecordsReply::WireRecordsReply(const WireRecordsReply& other50) {
+  stream = other50.stream;
+  entries = other50.entries;
+}
+WireRecordsReply& WireRecordsReply::operator=(const WireRecordsReply& other51) {
+  stream = other51.stream;
+  entries = other51.entries;
+  return *this;
+}
+void WireRecordsReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireRecordsReply(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
@@ -2138,6 +2553,16 @@
   this->outcomeReply = val;
 __isset.outcomeReply = true;
 }
+
+void WireFrame::__set_recordsQuery(const WireRecordsQuery& val) {
+  this->recordsQuery = val;
+__isset.recordsQuery = true;
+}
+
+void WireFrame::__set_recordsReply(const WireRecordsReply& val) {
+  this->recordsReply = val;
+__isset.recordsReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireFrame& obj)
 {
   obj.printTo(out);
@@ -2254,6 +2679,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordsQuery.read(iprot);
+          this->__isset.recordsQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordsReply.read(iprot);
+          this->__isset.recordsReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2326,6 +2767,16 @@
     xfer += this->outcomeReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.recordsQuery) {
+    xfer += oprot->writeFieldBegin("recordsQuery", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->recordsQuery.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordsReply) {
+    xfer += oprot->writeFieldBegin("recordsReply", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->recordsReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2344,36 +2795,42 @@
   swap(a.pong, b.pong);
   swap(a.outcomeQuery, b.outcomeQuery);
   swap(a.outcomeReply, b.outcomeReply);
+  swap(a.recordsQuery, b.recordsQuery);
+  swap(a.recordsReply, b.recordsReply);
   swap(a.__isset, b.__isset);
 }
 
-WireFrame::WireFrame(const WireFrame& other46) {
-  hello = other46.hello;
-  requestOpen = other46.requestOpen;
-  body = other46.body;
-  credit = other46.credit;
-  responseOpen = other46.responseOpen;
-  refused = other46.refused;
-  cancel = other46.cancel;
-  ping = other46.ping;
-  pong = other46.pong;
-  outcomeQuery = other46.outcomeQuery;
-  outcomeReply = other46.outcomeReply;
-  __isset = other46.__isset;
-}
-WireFrame& WireFrame::operator=(const WireFrame& other47) {
-  hello = other47.hello;
-  requestOpen = other47.requestOpen;
-  body = other47.body;
-  credit = other47.credit;
-  responseOpen = other47.responseOpen;
-  refused = other47.refused;
-  cancel = other47.cancel;
-  ping = other47.ping;
-  pong = other47.pong;
-  outcomeQuery = other47.outcomeQuery;
-  outcomeReply = other47.outcomeReply;
-  __isset = other47.__isset;
+WireFrame::WireFrame(const WireFrame& other52) {
+  hello = other52.hello;
+  requestOpen = other52.requestOpen;
+  body = other52.body;
+  credit = other52.credit;
+  responseOpen = other52.responseOpen;
+  refused = other52.refused;
+  cancel = other52.cancel;
+  ping = other52.ping;
+  pong = other52.pong;
+  outcomeQuery = other52.outcomeQuery;
+  outcomeReply = other52.outcomeReply;
+  recordsQuery = other52.recordsQuery;
+  recordsReply = other52.recordsReply;
+  __isset = other52.__isset;
+}
+WireFrame& WireFrame::operator=(const WireFrame& other53) {
+  hello = other53.hello;
+  requestOpen = other53.requestOpen;
+  body = other53.body;
+  credit = other53.credit;
+  responseOpen = other53.responseOpen;
+  refused = other53.refused;
+  cancel = other53.cancel;
+  ping = other53.ping;
+  pong = other53.pong;
+  outcomeQuery = other53.outcomeQuery;
+  outcomeReply = other53.outcomeReply;
+  recordsQuery = other53.recordsQuery;
+  recordsReply = other53.recordsReply;
+  __isset = other53.__isset;
   return *this;
 }
 void WireFrame::printTo(std::ostream& out) const {
@@ -2390,6 +2847,8 @@
   out << ", " << "pong="; (__isset.pong ? (out << to_string(pong)) : (out << "<null>"));
   out << ", " << "outcomeQuery="; (__isset.outcomeQuery ? (out << to_string(outcomeQuery)) : (out << "<null>"));
   out << ", " << "outcomeReply="; (__isset.outcomeReply ? (out << to_string(outcomeReply)) : (out << "<null>"));
+  out << ", " << "recordsQuery="; (__isset.recordsQuery ? (out << to_string(recordsQuery)) : (out << "<null>"));
+  out << ", " << "recordsReply="; (__isset.recordsReply ? (out << to_string(recordsReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -49,6 +49,12 @@
 
 class WireOutcomeReply;
 
+class WireLogEntry;
+
+class WireRecordsQuery;
+
+class WireRecordsReply;
+
 class WireFrame;
 
 
@@ -189,13 +195,15 @@
   WireHello() noexcept
             : boot(0),
               protocol(0),
-              daemon(0) {
+              daemon(0),
+              position(0) {
   }
 
   virtual ~WireHello() noexcept;
   int64_t boot;
   int32_t protocol;
   int64_t daemon;
+  int64_t position;
 
   void __set_boot(const int64_t val);
 
@@ -203,6 +211,8 @@
 
   void __set_daemon(const int64_t val);
 
+  void __set_position(const int64_t val);
+
   bool operator == (const WireHello & rhs) const
   {
     if (!(boot == rhs.boot))
@@ -211,6 +221,8 @@
       return false;
     if (!(daemon == rhs.daemon))
       return false;
+    if (!(position == rhs.position))
+      return false;
     return true;
   }
   bool operator != (const WireHello &rhs) const {
@@ -249,7 +261,8 @@
                     remainingMicros(0),
                     contentLength(0),
                     hasBody(0),
-                    idempotencyKey() {
+                    idempotencyKey(),
+                    known(0) {
   }
 
   virtual ~WireRequestOpen() noexcept;
@@ -264,6 +277,7 @@
   int64_t contentLength;
   bool hasBody;
   std::string idempotencyKey;
+  int64_t known;
 
   _WireRequestOpen__isset __isset;
 
@@ -289,6 +303,8 @@
 
   void __set_idempotencyKey(const std::string& val);
 
+  void __set_known(const int64_t val);
+
   bool operator == (const WireRequestOpen & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -317,6 +333,8 @@
       return false;
     else if (__isset.idempotencyKey && !(idempotencyKey == rhs.idempotencyKey))
       return false;
+    if (!(known == rhs.known))
+      return false;
     return true;
   }
   bool operator != (const WireRequestOpen &rhs) const {
@@ -644,18 +662,24 @@
   WirePong(const WirePong&) noexcept;
   WirePong& operator=(const WirePong&) noexcept;
   WirePong() noexcept
-           : sequence(0) {
+           : sequence(0),
+             position(0) {
   }
 
   virtual ~WirePong() noexcept;
   int64_t sequence;
+  int64_t position;
 
   void __set_sequence(const int64_t val);
 
+  void __set_position(const int64_t val);
+
   bool operator == (const WirePong & rhs) const
   {
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(position == rhs.position))
+      return false;
     return true;
   }
   bool operator != (const WirePong &rhs) const {
@@ -681,23 +705,29 @@
   WireOutcomeQuery(const WireOutcomeQuery&) noexcept;
   WireOutcomeQuery& operator=(const WireOutcomeQuery&) noexcept;
   WireOutcomeQuery() noexcept
-                   : query(0) {
+                   : query(0),
+                     known(0) {
   }
 
   virtual ~WireOutcomeQuery() noexcept;
   int64_t query;
   WireRequestId request;
+  int64_t known;
 
   void __set_query(const int64_t val);
 
   void __set_request(const WireRequestId& val);
 
+  void __set_known(const int64_t val);
+
   bool operator == (const WireOutcomeQuery & rhs) const
   {
     if (!(query == rhs.query))
       return false;
     if (!(request == rhs.request))
       return false;
+    if (!(known == rhs.known))
+      return false;
     return true;
   }
   bool operator != (const WireOutcomeQuery &rhs) const {
@@ -717,10 +747,9 @@
 std::ostream& operator<<(std::ostream& out, const WireOutcomeQuery& obj);
 
 typedef struct _WireOutcomeReply__isset {
-  _WireOutcomeReply__isset() : status(false), headers(false), body(false) {}
+  _WireOutcomeReply__isset() : status(false), payload(false) {}
   bool status :1;
-  bool headers :1;
-  bool body :1;
+  bool payload :1;
 } _WireOutcomeReply__isset;
 
 class WireOutcomeReply : public virtual ::apache::thrift::TBase {
@@ -732,15 +761,14 @@
                    : query(0),
                      state(0),
                      status(0),
-                     body() {
+                     payload() {
   }
 
   virtual ~WireOutcomeReply() noexcept;
   int64_t query;
   int32_t state;
   int32_t status;
-  std::vector<WireHeader>  headers;
-  std::string body;
+  std::string payload;
 
   _WireOutcomeReply__isset __isset;
 
@@ -750,9 +778,7 @@
 
   void __set_status(const int32_t val);
 
-  void __set_headers(const std::vector<WireHeader> & val);
-
-  void __set_body(const std::string& val);
+  void __set_payload(const std::string& val);
 
   bool operator == (const WireOutcomeReply & rhs) const
   {
@@ -764,13 +790,9 @@
       return false;
     else if (__isset.status && !(status == rhs.status))
       return false;
-    if (__isset.headers != rhs.__isset.headers)
+    if (__isset.payload != rhs.__isset.payload)
       return false;
-    else if (__isset.headers && !(headers == rhs.headers))
-      return false;
-    if (__isset.body != rhs.__isset.body)
-      return false;
-    else if (__isset.body && !(body == rhs.body))
+    else if (__isset.payload && !(payload == rhs.payload))
       return false;
     return true;
   }
@@ -790,8 +812,136 @@
 
 std::ostream& operator<<(std::ostream& out, const WireOutcomeReply& obj);
 
+
+class WireLogEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireLogEntry(const WireLogEntry&);
+  WireLogEntry& operator=(const WireLogEntry&);
+  WireLogEntry() noexcept
+               : offset(0),
+                 payload() {
+  }
+
+  virtual ~WireLogEntry() noexcept;
+  int64_t offset;
+  std::string payload;
+
+  void __set_offset(const int64_t val);
+
+  void __set_payload(const std::string& val);
+
+  bool operator == (const WireLogEntry & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    return true;
+  }
+  bool operator != (const WireLogEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireLogEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireLogEntry &a, WireLogEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const WireLogEntry& obj);
+
+
+class WireRecordsQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireRecordsQuery(const WireRecordsQuery&);
+  WireRecordsQuery& operator=(const WireRecordsQuery&);
+  WireRecordsQuery() noexcept
+                   : stream(),
+                     from_(0) {
+  }
+
+  virtual ~WireRecordsQuery() noexcept;
+  std::string stream;
+  int64_t from_;
+
+  void __set_stream(const std::string& val);
+
+  void __set_from_(const int64_t val);
+
+  bool operator == (const WireRecordsQuery & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(from_ == rhs.from_))
+      return false;
+    return true;
+  }
+  bool operator != (const WireRecordsQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireRecordsQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireRecordsQuery &a, WireRecordsQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const WireRecordsQuery& obj);
+
+
+class WireRecordsReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireRecordsReply(const WireRecordsReply&);
+  WireRecordsReply& operator=(const WireRecordsReply&);
+  WireRecordsReply() noexcept
+                   : stream() {
+  }
+
+  virtual ~WireRecordsReply() noexcept;
+  std::string stream;
+  std::vector<WireLogEntry>  entries;
+
+  void __set_stream(const std::string& val);
+
+  void __set_entries(const std::vector<WireLogEntry> & val);
+
+  bool operator == (const WireRecordsReply & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const WireRecordsReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireRecordsReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireRecordsReply &a, WireRecordsReply &b);
+
+std::ostream& operator<<(std::ostream& out, const WireRecordsReply& obj);
+
 typedef struct _WireFrame__isset {
-  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false) {}
+  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false) {}
   bool hello :1;
   bool requestOpen :1;
   bool body :1;
@@ -803,6 +953,8 @@
   bool pong :1;
   bool outcomeQuery :1;
   bool outcomeReply :1;
+  bool recordsQuery :1;
+  bool recordsReply :1;
 } _WireFrame__isset;
 
 class WireFrame : public virtual ::apache::thrift::TBase {
@@ -825,6 +977,8 @@
   WirePong pong;
   WireOutcomeQuery outcomeQuery;
   WireOutcomeReply outcomeReply;
+  WireRecordsQuery recordsQuery;
+  WireRecordsReply recordsReply;
 
   _WireFrame__isset __isset;
 
@@ -850,6 +1004,10 @@
 
   void __set_outcomeReply(const WireOutcomeReply& val);
 
+  void __set_recordsQuery(const WireRecordsQuery& val);
+
+  void __set_recordsReply(const WireRecordsReply& val);
+
   bool operator == (const WireFrame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -896,6 +1054,14 @@
       return false;
     else if (__isset.outcomeReply && !(outcomeReply == rhs.outcomeReply))
       return false;
+    if (__isset.recordsQuery != rhs.__isset.recordsQuery)
+      return false;
+    else if (__isset.recordsQuery && !(recordsQuery == rhs.recordsQuery))
+      return false;
+    if (__isset.recordsReply != rhs.__isset.recordsReply)
+      return false;
+    else if (__isset.recordsReply && !(recordsReply == rhs.recordsReply))
+      return false;
     return true;
   }
   bool operator != (const WireFrame &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -21,6 +21,7 @@
   1: required i64 boot
   2: required i32 protocol
   3: required i64 daemon
+  4: required i64 position
 }
 
 struct WireRequestOpen {
@@ -35,6 +36,7 @@
   9: optional i64 contentLength
   10: required bool hasBody
   11: optional string idempotencyKey
+  12: required i64 known
 }
 
 struct WireBody {
@@ -74,19 +76,35 @@
 
 struct WirePong {
   1: required i64 sequence
+  2: required i64 position
 }
 
 struct WireOutcomeQuery {
   1: required i64 query
   2: required WireRequestId request
+  3: required i64 known
 }
 
 struct WireOutcomeReply {
   1: required i64 query
   2: required i32 state
   3: optional i32 status
-  4: optional list<WireHeader> headers
-  5: optional binary body
+  4: optional binary payload
+}
+
+struct WireLogEntry {
+  1: required i64 offset
+  2: required binary payload
+}
+
+struct WireRecordsQuery {
+  1: required string stream
+  2: required i64 from_
+}
+
+struct WireRecordsReply {
+  1: required string stream
+  2: required list<WireLogEntry> entries
 }
 
 union WireFrame {
@@ -101,4 +119,6 @@
   9: WirePong pong
   10: WireOutcomeQuery outcomeQuery
   11: WireOutcomeReply outcomeReply
+  12: WireRecordsQuery recordsQuery
+  13: WireRecordsReply recordsReply
 }
