--- /dev/null
+++ b/src/Log/Follower.cpp
@@ -0,0 +1,53 @@
+#include "src/Log/Follower.h"
+
+#include <optional>
+
+namespace pistachioshift {
+
+namespace {
+
+std::optional<Envelope>
+TryDecode(const std::string& aPayload)
+{
+  try {
+    return DecodeEnvelope(aPayload);
+  } catch (const LogError&) {
+    return std::nullopt;
+  }
+}
+
+}
+
+Follower::Follower(size_t aMaxWriters)
+  : m_writers(aMaxWriters)
+{
+}
+
+FollowResult
+Follower::Take(const LogEntry& aEntry)
+{
+  if (aEntry.offset < m_next) {
+    return FollowSkip::kOld;
+  }
+  if (aEntry.offset > m_next) {
+    return FollowSkip::kGap;
+  }
+  m_next = Offset(m_next.Value() + 1);
+  auto envelope = TryDecode(aEntry.payload);
+  if (!envelope) {
+    return FollowSkip::kMalformed;
+  }
+  if (!m_writers.Admit(envelope->id, aEntry.offset)) {
+    return FollowSkip::kDuplicate;
+  }
+  return FollowedRecord{ aEntry.offset, std::move(*envelope) };
+}
+
+void
+Follower::Load(Offset aThrough, const std::vector<WriterMark>& aMarks)
+{
+  m_next = Offset(aThrough.Value() + 1);
+  m_writers.Load(aMarks);
+}
+
+}
--- /dev/null
+++ b/src/Log/HttpLogService.cpp
@@ -0,0 +1,267 @@
+#include "src/Log/HttpLogService.h"
+
+#include <algorithm>
+#include <map>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <fmt/format.h>
+
+#include "src/Log/LogBodies.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  using std::chrono::microseconds;
+  const auto micros = std::chrono::duration_cast<microseconds>(aDuration);
+  constexpr int64_t kMicrosPerSecond = 1000000;
+  timeval value{};
+  value.tv_sec = micros.count() / kMicrosPerSecond;
+  value.tv_usec = micros.count() % kMicrosPerSecond;
+  return value;
+}
+
+/** How a call ended, before its body is decoded. */
+struct HttpAnswer
+{
+  bool connected = false; ///< False: the request was certainly not sent.
+  int status = 0;         ///< 0: no answer.
+  std::string body;
+};
+
+std::string
+TakeBody(evhttp_request* aRequest)
+{
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+// libevent calls back with a request without status when it could not
+// connect, and without a request when the connection failed afterwards.
+HttpAnswer
+ToAnswer(evhttp_request* aRequest)
+{
+  if (aRequest == nullptr) {
+    return HttpAnswer{ true, 0, {} };
+  }
+  const int status = evhttp_request_get_response_code(aRequest);
+  if (status == 0) {
+    return HttpAnswer{ false, 0, {} };
+  }
+  return HttpAnswer{ true, status, TakeBody(aRequest) };
+}
+
+std::string
+Describe(const HttpAnswer& aAnswer)
+{
+  if (!aAnswer.connected) {
+    return "could not connect";
+  }
+  if (aAnswer.status == 0) {
+    return "connection lost";
+  }
+  return fmt::format("status {}", aAnswer.status);
+}
+
+AppendResult
+ToAppendResult(const HttpAnswer& aAnswer)
+{
+  if (!aAnswer.connected) {
+    return AppendRefused{ Describe(aAnswer) };
+  }
+  if (aAnswer.status == 0) {
+    return AppendAmbiguous{ Describe(aAnswer) };
+  }
+  if (aAnswer.status != kStatusOk) {
+    // Every status but 200 says that nothing was written.
+    return AppendRefused{ Describe(aAnswer) };
+  }
+  try {
+    return internal::DecodeAppended(aAnswer.body);
+  } catch (const LogError& error) {
+    return AppendAmbiguous{ error.what() };
+  }
+}
+
+ReadResult
+ToReadResult(const HttpAnswer& aAnswer)
+{
+  if (aAnswer.status != kStatusOk) {
+    return ReadFailed{ Describe(aAnswer) };
+  }
+  try {
+    return internal::DecodeReadAnswer(aAnswer.body);
+  } catch (const LogError& error) {
+    return ReadFailed{ error.what() };
+  }
+}
+
+}
+
+class HttpLogService::Impl
+{
+public:
+  using AnswerCallback = std::function<void(const HttpAnswer&)>;
+
+  Impl(event_base* aBase, HttpLogOptions aOptions)
+    : m_base(aBase)
+    , m_options(std::move(aOptions))
+    , m_reaper(event_new(aBase, -1, 0, OnReap, this))
+  {
+  }
+
+  ~Impl()
+  {
+    event_free(m_reaper);
+    for (const auto& [number, call] : m_calls) {
+      evhttp_connection_free(call->connection);
+    }
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Start(evhttp_cmd_type aMethod,
+             const std::string& aPath,
+             const std::string& aBody,
+             Duration aTimeout,
+             AnswerCallback aCallback)
+  {
+    auto call = std::make_unique<Call>();
+    call->owner = this;
+    call->callback = std::move(aCallback);
+    call->connection = Connect(aTimeout);
+    evhttp_request* request = evhttp_request_new(OnAnswer, call.get());
+    auto* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", m_options.endpoint.address.c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    evbuffer_add(
+      evhttp_request_get_output_buffer(request), aBody.data(), aBody.size());
+    Call* started = call.get();
+    m_calls.emplace(started, std::move(call));
+    // A failure here reaches OnAnswer as well.
+    evhttp_make_request(started->connection, request, aMethod, aPath.c_str());
+  }
+
+  Duration Timeout() const { return m_options.timeout; }
+
+private:
+  struct Call
+  {
+    Impl* owner = nullptr;
+    evhttp_connection* connection = nullptr;
+    AnswerCallback callback;
+    HttpAnswer answer;
+    bool finished = false;
+  };
+
+  evhttp_connection* Connect(Duration aTimeout)
+  {
+    evhttp_connection* connection =
+      evhttp_connection_base_new(m_base,
+                                 nullptr,
+                                 m_options.endpoint.address.c_str(),
+                                 m_options.endpoint.port);
+    const timeval timeout = ToTimeval(aTimeout);
+    evhttp_connection_set_timeout_tv(connection, &timeout);
+    evhttp_connection_set_retries(connection, 0);
+    evhttp_connection_set_max_body_size(connection, internal::kMaxBodyBytes);
+    return connection;
+  }
+
+  // A connection can't be freed inside its own callback, and callers are
+  // promised no callback within their call: both are left to the reaper.
+  static void OnAnswer(evhttp_request* aRequest, void* aArgument)
+  {
+    auto* call = static_cast<Call*>(aArgument);
+    if (call->finished) {
+      return;
+    }
+    call->answer = ToAnswer(aRequest);
+    call->finished = true;
+    event_active(call->owner->m_reaper, EV_TIMEOUT, 0);
+  }
+
+  static void OnReap(evutil_socket_t, short, void* aArgument)
+  {
+    auto* self = static_cast<Impl*>(aArgument);
+    for (auto& call : self->TakeFinished()) {
+      evhttp_connection_free(call->connection);
+      call->callback(call->answer);
+    }
+  }
+
+  std::vector<std::unique_ptr<Call>> TakeFinished()
+  {
+    std::vector<std::unique_ptr<Call>> finished;
+    for (auto entry = m_calls.begin(); entry != m_calls.end();) {
+      if (entry->second->finished) {
+        finished.push_back(std::move(entry->second));
+        entry = m_calls.erase(entry);
+      } else {
+        ++entry;
+      }
+    }
+    return finished;
+  }
+
+  event_base* m_base;
+  HttpLogOptions m_options;
+  event* m_reaper;
+  std::map<Call*, std::unique_ptr<Call>> m_calls;
+};
+
+HttpLogService::HttpLogService(event_base* aBase, HttpLogOptions aOptions)
+  : m_impl(std::make_unique<Impl>(aBase, std::move(aOptions)))
+{
+}
+
+HttpLogService::~HttpLogService() = default;
+
+void
+HttpLogService::Append(const StreamName& aStream,
+                       std::vector<std::string> aPayloads,
+                       AppendCallback aCallback)
+{
+  internal::CheckAppend(aPayloads);
+  m_impl->Start(EVHTTP_REQ_POST,
+                fmt::format("/streams/{}/records", aStream.Value()),
+                internal::EncodeAppendRequest(aPayloads),
+                m_impl->Timeout(),
+                [callback = std::move(aCallback)](const HttpAnswer& aAnswer) {
+                  callback(ToAppendResult(aAnswer));
+                });
+}
+
+void
+HttpLogService::Read(const StreamName& aStream,
+                     Offset aFrom,
+                     uint32_t aMaxRecords,
+                     Duration aWait,
+                     ReadCallback aCallback)
+{
+  using std::chrono::milliseconds;
+  const auto wait = std::chrono::duration_cast<milliseconds>(aWait);
+  m_impl->Start(EVHTTP_REQ_GET,
+                fmt::format("/streams/{}/records?from={}&max={}&wait_ms={}",
+                            aStream.Value(),
+                            aFrom.Value(),
+                            aMaxRecords,
+                            wait.count()),
+                {},
+                m_impl->Timeout() + aWait,
+                [callback = std::move(aCallback)](const HttpAnswer& aAnswer) {
+                  callback(ToReadResult(aAnswer));
+                });
+}
+
+}
