--- /dev/null
+++ b/src/Daemon/AnswerCodec.cpp
@@ -0,0 +1,36 @@
+#include "src/Daemon/AnswerCodec.h"
+
+#include "src/Inner/FrameCodec.h"
+#include "src/Inner/InnerError.h"
+
+namespace pistachioshift {
+
+KeptAnswer
+EncodeAnswer(const ResponseHead& aHead, const std::string& aBody)
+{
+  ResponseOpen open;
+  open.head = aHead;
+  const auto head = EncodeFrame(open);
+  return KeptAnswer{ static_cast<uint16_t>(aHead.status),
+                     head + EncodeFrame(BodyPiece{ StreamId(), aBody, true }) };
+}
+
+WholeAnswer
+DecodeAnswer(const KeptAnswer& aAnswer)
+{
+  const std::string_view bytes = aAnswer.payload;
+  const auto frames = SplitFrames(bytes);
+  if (frames.size() != 2) {
+    throw InnerError("kept answer is malformed");
+  }
+  const auto head = DecodeFrame(frames[0]);
+  const auto body = DecodeFrame(frames[1]);
+  if (!std::holds_alternative<ResponseOpen>(head) ||
+      !std::holds_alternative<BodyPiece>(body)) {
+    throw InnerError("kept answer is malformed");
+  }
+  return WholeAnswer{ std::get<ResponseOpen>(head).head,
+                      std::get<BodyPiece>(body).data };
+}
+
+}
--- /dev/null
+++ b/src/Daemon/AnswerCodec.h
@@ -0,0 +1,26 @@
+#ifndef PISTACHIOSHIFT_DAEMON_ANSWERCODEC_H
+#define PISTACHIOSHIFT_DAEMON_ANSWERCODEC_H
+
+#include <string>
+
+#include "src/Http/Message.h"
+#include "src/Routing/OutcomeTable.h"
+
+namespace pistachioshift {
+
+/** \brief A whole small answer of a backend server. */
+struct WholeAnswer
+{
+  ResponseHead head;
+  std::string body;
+};
+
+/** \brief Packs an answer for the outcome table. */
+KeptAnswer EncodeAnswer(const ResponseHead& aHead, const std::string& aBody);
+
+/** \brief Unpacks it; throws InnerError if malformed. */
+WholeAnswer DecodeAnswer(const KeptAnswer& aAnswer);
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/BackendTask.cpp
@@ -0,0 +1,492 @@
+#include "src/Daemon/BackendTask.h"
+
+#include <algorithm>
+
+#include "Pistachioshift/Base"
+#include "src/Daemon/OwnerCall.h"
+#include "src/Daemon/Target.h"
+
+namespace pistachioshift {
+
+namespace {
+
+/** Time that a request waits for this daemon to become the holder. */
+constexpr Duration kLongestHold = std::chrono::milliseconds(1500);
+
+constexpr size_t kMostHeld = 4096; // requests
+
+HttpClientLimits
+PoolLimits(const Settings& aSettings)
+{
+  HttpClientLimits limits;
+  limits.maxConnections = aSettings.limits.serverConnections;
+  limits.connectTimeout = std::chrono::milliseconds(500);
+  return limits;
+}
+
+}
+
+BackendTask::BackendTask(event_base* aBase,
+                         const Clock& aClock,
+                         const Settings& aSettings,
+                         MeshTask& aMesh,
+                         const Logger& aLogger,
+                         Metrics& aMetrics)
+  : m_base(aBase)
+  , m_clock(aClock)
+  , m_settings(aSettings)
+  , m_mesh(aMesh)
+  , m_logger(aLogger)
+  , m_metrics(aMetrics)
+  , m_pool(aBase, aSettings.server.endpoint, PoolLimits(aSettings))
+  , m_probe(aBase, aClock, aSettings.server)
+  , m_entering(aBase, [this] { EnterAll(); })
+{
+}
+
+BackendTask::~BackendTask() = default;
+
+std::shared_ptr<Call>
+BackendTask::Start(CallRequest aRequest,
+                   std::shared_ptr<CallListener> aListener)
+{
+  const auto call = std::make_shared<OwnerCall>(
+    m_base, *this, std::move(aRequest), std::move(aListener));
+  m_new.push_back(call);
+  if (!m_entering.Running()) {
+    m_entering.StartOnce(Duration::zero());
+  }
+  return call;
+}
+
+void
+BackendTask::EnterAll()
+{
+  const auto calls = std::move(m_new);
+  m_new.clear();
+  for (const auto& call : calls) {
+    if (call->m_state == OwnerCall::State::kNew) {
+      Enter(call);
+    }
+  }
+}
+
+AskResult
+BackendTask::Ask(const RequestId& aId, TablePosition aKnown)
+{
+  return m_outcomes.Ask(aId, aKnown);
+}
+
+const ServicePolicy*
+BackendTask::FindPolicy(const ServiceName& aService) const
+{
+  const auto found = m_policies.find(aService);
+  return found == m_policies.end() ? nullptr : &found->second;
+}
+
+std::shared_ptr<OwnerCall>
+BackendTask::Find(const RequestId& aId) const
+{
+  const auto found = m_calls.find(aId);
+  return found == m_calls.end() ? nullptr : found->second;
+}
+
+std::optional<DaemonId>
+BackendTask::HolderHint(const EntryKey& aKey) const
+{
+  const auto work = m_entries.find(aKey);
+  if (work != m_entries.end() && work->second.next) {
+    return work->second.next;
+  }
+  for (const auto& candidate : m_mesh.Route(aKey)) {
+    if (candidate.daemon != m_mesh.Self()) {
+      return candidate.daemon;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+BackendTask::Enter(const std::shared_ptr<OwnerCall>& aCall)
+{
+  const auto& request = aCall->Request();
+  const auto* policy = FindPolicy(request.service);
+  const auto target = ParseTarget(request.head);
+  if (policy == nullptr || !target) {
+    aCall->Refuse(RefusalReason::kNoService, Duration::zero());
+    return;
+  }
+  if (m_draining) {
+    aCall->Refuse(RefusalReason::kDraining, Duration::zero());
+    return;
+  }
+  const auto* found = FindClass(*policy, request.head.method, target->path);
+  const auto index = found == nullptr ? 0 : found - policy->classes.data();
+  aCall->m_class = ClassIndex(static_cast<uint32_t>(index));
+  if (policy->division == Division::kAnyInstance) {
+    Admit(aCall, *policy);
+    return;
+  }
+  const auto range = RangeOfKey(request.key, policy->ranges);
+  aCall->m_entry = m_mesh.View().Resolve(request.service, range, request.key);
+  EnterEntry(aCall, *policy);
+}
+
+void
+BackendTask::EnterEntry(const std::shared_ptr<OwnerCall>& aCall,
+                        const ServicePolicy& aPolicy)
+{
+  const auto& key = *aCall->m_entry;
+  aCall->m_token = m_mesh.MayServe(key);
+  if (aCall->m_token && MayStart(*aCall)) {
+    Admit(aCall, aPolicy);
+    return;
+  }
+  const auto work = m_entries.find(key);
+  const bool stopping = work != m_entries.end() && work->second.stopping;
+  if (!stopping && m_mesh.InSuccession(key) && m_held.size() < kMostHeld) {
+    Hold(aCall);
+    return;
+  }
+  aCall->Refuse(RefusalReason::kNotOwner, Duration::zero());
+}
+
+void
+BackendTask::Hold(const std::shared_ptr<OwnerCall>& aCall)
+{
+  aCall->m_state = OwnerCall::State::kHeld;
+  m_calls[aCall->Request().id] = aCall;
+  m_held.emplace(*aCall->m_entry, aCall->Request().id);
+  const auto work = m_entries.find(*aCall->m_entry);
+  const auto now = m_clock.Now();
+  auto longest = kLongestHold;
+  if (work != m_entries.end() && work->second.notBefore > now) {
+    longest += work->second.notBefore - now;
+  }
+  aCall->ArmHold(longest);
+  aCall->ArmDeadline();
+}
+
+void
+BackendTask::Admit(const std::shared_ptr<OwnerCall>& aCall,
+                   const ServicePolicy& aPolicy)
+{
+  const auto& request = aCall->Request();
+  const auto known = m_calls.find(request.id);
+  if (known != m_calls.end() && known->second != aCall) {
+    aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
+    return;
+  }
+  if (!Remember(aCall)) {
+    return;
+  }
+  m_calls[request.id] = aCall;
+  aCall->m_state = OwnerCall::State::kQueued;
+  aCall->ArmDeadline();
+  auto& gate = GateOf(aPolicy);
+  const GateRequest wanted{ request.id, aCall->m_class, request.deadline };
+  Apply(gate, gate.gate.Admit(wanted, m_clock.Now()));
+}
+
+bool
+BackendTask::Remember(const std::shared_ptr<OwnerCall>& aCall)
+{
+  const auto& request = aCall->Request();
+  BeginResult result;
+  if (request.idempotencyKey.empty() || !aCall->m_token) {
+    result = m_outcomes.Begin(request.id, request.known);
+  } else {
+    IdempotencyKey key;
+    key.value = request.idempotencyKey;
+    key.repeat = request.repeat;
+    result =
+      m_outcomes.Begin(request.id, request.known, *aCall->m_token, key);
+  }
+  switch (result.verdict) {
+    case BeginVerdict::kStarted:
+      aCall->m_remembered = true;
+      return true;
+    case BeginVerdict::kDone:
+      if (result.answer) {
+        aCall->AnswerAgain(*result.answer);
+        return false;
+      }
+      aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
+      return false;
+    case BeginVerdict::kRunning:
+      aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
+      return false;
+    case BeginVerdict::kPoisoned:
+      aCall->Refuse(RefusalReason::kPoisoned, Duration::zero());
+      return false;
+    case BeginVerdict::kUndecided:
+      aCall->Refuse(RefusalReason::kUndecided, Duration::zero());
+      return false;
+    case BeginVerdict::kFull:
+      aCall->Refuse(RefusalReason::kTableFull, Duration::zero());
+      return false;
+  }
+  return false;
+}
+
+BackendTask::ServiceGate&
+BackendTask::GateOf(const ServicePolicy& aPolicy)
+{
+  auto& slot = m_gates[aPolicy.name];
+  // Changed settings take effect once the gate is empty.
+  const bool replace = slot && slot->outdated && slot->Empty();
+  if (!slot || replace) {
+    auto settings = GateSettingsOf(aPolicy);
+    settings.slots = std::min(settings.slots, m_settings.server.slots);
+    slot = std::make_unique<ServiceGate>(std::move(settings));
+    auto* gate = slot.get();
+    gate->wakeup = std::make_unique<Timer>(m_base, [this, gate] {
+      Apply(*gate, gate->gate.Expire(m_clock.Now()));
+    });
+  }
+  return *slot;
+}
+
+void
+BackendTask::Apply(ServiceGate& aGate, const GateActions& aActions)
+{
+  for (const auto& id : aActions.starts) {
+    const auto call = Find(id);
+    if (call) {
+      StartCall(call);
+    }
+  }
+  for (const auto& refusal : aActions.refusals) {
+    const auto call = Find(refusal.id);
+    if (call) {
+      call->Refuse(refusal.reason, refusal.retryAfter);
+    }
+  }
+  Arm(aGate);
+}
+
+void
+BackendTask::Arm(ServiceGate& aGate)
+{
+  const auto next = aGate.gate.NextWakeup();
+  if (next) {
+    aGate.wakeup->StartOnce(*next - m_clock.Now());
+  } else {
+    aGate.wakeup->Stop();
+  }
+}
+
+void
+BackendTask::StartCall(const std::shared_ptr<OwnerCall>& aCall)
+{
+  if (!MayStart(*aCall)) {
+    aCall->Refuse(RefusalReason::kLeaseNotHeld, Duration::zero());
+    return;
+  }
+  if (aCall->m_entry) {
+    ++m_entries[*aCall->m_entry].running;
+    aCall->m_entered = true;
+  }
+  aCall->Start(m_pool);
+}
+
+bool
+BackendTask::MayStart(const OwnerCall& aCall) const
+{
+  const auto now = m_clock.Now();
+  if (now >= aCall.Request().deadline) {
+    return false;
+  }
+  if (!aCall.m_entry) {
+    return true;
+  }
+  const auto work = m_entries.find(*aCall.m_entry);
+  if (work == m_entries.end() || work->second.stopping ||
+      now < work->second.notBefore) {
+    return false;
+  }
+  return aCall.m_token && m_mesh.MayServe(*aCall.m_entry) == aCall.m_token;
+}
+
+void
+BackendTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
+{
+  const auto id = aCall.Request().id;
+  const auto known = m_calls.find(id);
+  if (known == m_calls.end() || known->second.get() != &aCall) {
+    return;
+  }
+  m_calls.erase(known);
+  ForgetHeld(aCall);
+  const auto gate = m_gates.find(aCall.Request().service);
+  if (gate != m_gates.end()) {
+    auto& queue = gate->second->gate;
+    const auto now = m_clock.Now();
+    const auto actions = queue.IsRunning(id) ? queue.Finished(id, aResult, now)
+                                             : queue.Cancel(id);
+    Apply(*gate->second, actions);
+  }
+  if (aCall.m_entered) {
+    aCall.m_entered = false;
+    LeaveEntry(*aCall.m_entry);
+  }
+}
+
+void
+BackendTask::ForgetHeld(const OwnerCall& aCall)
+{
+  if (aCall.m_state != OwnerCall::State::kHeld) {
+    return;
+  }
+  const auto [first, last] = m_held.equal_range(*aCall.m_entry);
+  for (auto held = first; held != last; ++held) {
+    if (held->second == aCall.Request().id) {
+      m_held.erase(held);
+      return;
+    }
+  }
+}
+
+void
+BackendTask::LeaveEntry(const EntryKey& aKey)
+{
+  const auto found = m_entries.find(aKey);
+  if (found == m_entries.end()) {
+    return;
+  }
+  if (found->second.running > 0) {
+    --found->second.running;
+  }
+  ReportIdle(aKey);
+}
+
+void
+BackendTask::ReportIdle(const EntryKey& aKey)
+{
+  const auto found = m_entries.find(aKey);
+  if (found == m_entries.end() || !found->second.stopping ||
+      found->second.running > 0) {
+    return;
+  }
+  m_outcomes.EndGrant(found->second.token);
+  m_entries.erase(found);
+  m_mesh.OnEntryIdle(aKey);
+}
+
+void
+BackendTask::OnEntryStarted(const EntryStarted& aStarted)
+{
+  auto& work = m_entries[aStarted.key];
+  work.token = aStarted.token;
+  work.notBefore = aStarted.notBefore;
+  work.stopping = false;
+  work.next.reset();
+  const auto wait = aStarted.notBefore - m_clock.Now();
+  const auto key = aStarted.key;
+  work.release = std::make_unique<Timer>(m_base, [this, key] { Retry(key); });
+  work.release->StartOnce(wait);
+}
+
+void
+BackendTask::Retry(const EntryKey& aKey)
+{
+  std::vector<RequestId> held;
+  const auto [first, last] = m_held.equal_range(aKey);
+  for (auto item = first; item != last; ++item) {
+    held.push_back(item->second);
+  }
+  m_held.erase(first, last);
+  for (const auto& id : held) {
+    const auto call = Find(id);
+    if (call) {
+      call->m_holdTimer.Stop();
+      call->m_state = OwnerCall::State::kNew;
+      Enter(call);
+    }
+  }
+}
+
+void
+BackendTask::OnEntryStopping(const EntryStopping& aStopping)
+{
+  auto& work = m_entries[aStopping.key];
+  work.token = aStopping.token;
+  work.stopping = true;
+  if (aStopping.next != DaemonId()) {
+    work.next = aStopping.next;
+  }
+  RefuseWaiting(aStopping.key, RefusalReason::kNotOwner);
+  ReportIdle(aStopping.key);
+}
+
+void
+BackendTask::RefuseWaiting(const EntryKey& aKey, RefusalReason aReason)
+{
+  std::vector<std::shared_ptr<OwnerCall>> waiting;
+  for (const auto& [id, call] : m_calls) {
+    const bool running = call->m_state == OwnerCall::State::kRunning;
+    if (call->m_entry == aKey && !running) {
+      waiting.push_back(call);
+    }
+  }
+  for (const auto& call : waiting) {
+    call->Refuse(aReason, Duration::zero());
+  }
+}
+
+void
+BackendTask::OnIncarnationEnded()
+{
+  std::vector<std::shared_ptr<OwnerCall>> waiting;
+  for (const auto& [id, call] : m_calls) {
+    const bool running = call->m_state == OwnerCall::State::kRunning;
+    if (call->m_entry && !running) {
+      waiting.push_back(call);
+    }
+  }
+  m_entries.clear();
+  for (const auto& call : waiting) {
+    call->Refuse(RefusalReason::kLeaseNotHeld, Duration::zero());
+  }
+}
+
+void
+BackendTask::SetPolicies(const ServicePolicies& aPolicies)
+{
+  for (const auto& [name, policy] : aPolicies) {
+    const auto known = m_policies.find(name);
+    const auto gate = m_gates.find(name);
+    if (gate != m_gates.end() && known->second != policy) {
+      gate->second->outdated = true;
+    }
+  }
+  m_policies = aPolicies;
+}
+
+void
+BackendTask::BeginDrain()
+{
+  m_draining = true;
+}
+
+size_t
+BackendTask::Running() const
+{
+  size_t running = 0;
+  for (const auto& [name, gate] : m_gates) {
+    running += gate->gate.RunningCount();
+  }
+  return running;
+}
+
+size_t
+BackendTask::Queued() const
+{
+  size_t queued = m_held.size();
+  for (const auto& [name, gate] : m_gates) {
+    queued += gate->gate.QueuedCount();
+  }
+  return queued;
+}
+
+}
--- /dev/null
+++ b/src/Daemon/BackendTask.h
@@ -0,0 +1,142 @@
+#ifndef PISTACHIOSHIFT_DAEMON_BACKENDTASK_H
+#define PISTACHIOSHIFT_DAEMON_BACKENDTASK_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "Pistachioshift/Http"
+#include "Pistachioshift/Routing"
+#include "src/Base/Random.h"
+#include "src/Daemon/Call.h"
+#include "src/Daemon/MeshTask.h"
+#include "src/Daemon/Metrics.h"
+#include "src/Daemon/ServerProbe.h"
+#include "src/Daemon/Settings.h"
+#include "src/Daemon/Timer.h"
+
+namespace pistachioshift {
+
+class OwnerCall;
+
+/**
+ * \brief The holder's side of a request: gate, outcome table and connections
+ * of the backend server beside this daemon.
+ *
+ * \sa OwnerCall
+ */
+class BackendTask : public MeshListener
+{
+public:
+  BackendTask(event_base* aBase,
+              const Clock& aClock,
+              const Settings& aSettings,
+              MeshTask& aMesh,
+              const Logger& aLogger,
+              Metrics& aMetrics);
+  ~BackendTask() override;
+
+  /** \brief Begins an attempt; its listener is called from the loop only. */
+  std::shared_ptr<Call> Start(CallRequest aRequest,
+                              std::shared_ptr<CallListener> aListener);
+
+  /** \brief What became of a request; poisons what was never seen. */
+  AskResult Ask(const RequestId& aId, TablePosition aKnown);
+
+  TablePosition Position() const { return m_outcomes.Position(); }
+
+  /** \brief The document's services changed. */
+  void SetPolicies(const ServicePolicies& aPolicies);
+  const ServicePolicies& Policies() const { return m_policies; }
+
+  /** \brief No new work from now on; held and queued requests are refused. */
+  void BeginDrain();
+
+  /** \brief Requests that have not ended. */
+  size_t InFlight() const { return m_calls.size(); }
+  size_t Running() const;
+  size_t Queued() const;
+  bool ServerReady() const { return m_probe.Ready(); }
+  ServerProbe& Probe() { return m_probe; }
+
+  void OnEntryStarted(const EntryStarted& aStarted) override;
+  void OnEntryStopping(const EntryStopping& aStopping) override;
+  void OnIncarnationEnded() override;
+
+private:
+  friend class OwnerCall;
+
+  struct EntryWork
+  {
+    FenceToken token;
+    MonoTime notBefore;
+    uint32_t running = 0; ///< Written to the backend server, not ended.
+    bool stopping = false;
+    std::optional<DaemonId> next; ///< Likely holder after this daemon.
+    std::unique_ptr<Timer> release;
+  };
+
+  struct ServiceGate
+  {
+    explicit ServiceGate(GateSettings aSettings)
+      : gate(std::move(aSettings))
+    {
+    }
+
+    bool Empty() const
+    {
+      return gate.RunningCount() == 0 && gate.QueuedCount() == 0;
+    }
+
+    Gate gate;
+    std::unique_ptr<Timer> wakeup;
+    bool outdated = false;
+  };
+
+  const ServicePolicy* FindPolicy(const ServiceName& aService) const;
+  std::shared_ptr<OwnerCall> Find(const RequestId& aId) const;
+  std::optional<DaemonId> HolderHint(const EntryKey& aKey) const;
+  void EnterAll();
+  void Enter(const std::shared_ptr<OwnerCall>& aCall);
+  void EnterEntry(const std::shared_ptr<OwnerCall>& aCall,
+                  const ServicePolicy& aPolicy);
+  void Hold(const std::shared_ptr<OwnerCall>& aCall);
+  void ForgetHeld(const OwnerCall& aCall);
+  void Retry(const EntryKey& aKey);
+  void Admit(const std::shared_ptr<OwnerCall>& aCall,
+             const ServicePolicy& aPolicy);
+  bool Remember(const std::shared_ptr<OwnerCall>& aCall);
+  ServiceGate& GateOf(const ServicePolicy& aPolicy);
+  void Apply(ServiceGate& aGate, const GateActions& aActions);
+  void Arm(ServiceGate& aGate);
+  void StartCall(const std::shared_ptr<OwnerCall>& aCall);
+  bool MayStart(const OwnerCall& aCall) const;
+  void OnEnded(OwnerCall& aCall, ServiceResult aResult);
+  void LeaveEntry(const EntryKey& aKey);
+  void ReportIdle(const EntryKey& aKey);
+  void RefuseWaiting(const EntryKey& aKey, RefusalReason aReason);
+
+  event_base* m_base;
+  const Clock& m_clock;
+  const Settings& m_settings;
+  MeshTask& m_mesh;
+  const Logger& m_logger;
+  Metrics& m_metrics;
+  ServicePolicies m_policies;
+  std::map<ServiceName, std::unique_ptr<ServiceGate>> m_gates;
+  std::map<EntryKey, EntryWork> m_entries;
+  std::multimap<EntryKey, RequestId> m_held;
+  std::unordered_map<RequestId, std::shared_ptr<OwnerCall>> m_calls;
+  OutcomeTable m_outcomes;
+  HttpClientPool m_pool;
+  ServerProbe m_probe;
+  Timer m_entering;
+  std::vector<std::shared_ptr<OwnerCall>> m_new;
+  bool m_draining = false;
+};
+
+}
+
+#endif
--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -24,6 +24,7 @@
   MonoTime deadline; ///< For the head of the answer.
   bool hasBody = false;
   std::string idempotencyKey;
+  bool repeat = false; ///< The caller sent this idempotency key before.
   TablePosition known;
 };
 
--- /dev/null
+++ b/src/Daemon/InnerServerTask.cpp
@@ -0,0 +1,62 @@
+#include "src/Daemon/InnerServerTask.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <fmt/format.h>
+
+#include "src/Daemon/InnerSession.h"
+#include "src/Inner/SocketAddress.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr int kBacklog = 512; // connections
+
+}
+
+InnerServerTask::InnerServerTask(event_base* aBase,
+                                 const Clock& aClock,
+                                 const Endpoint& aEndpoint,
+                                 BootId aBoot,
+                                 BackendTask& aBackend,
+                                 InnerServices aServices,
+                                 Metrics& aMetrics)
+  : m_base(aBase)
+  , m_clock(aClock)
+  , m_boot(aBoot)
+  , m_backend(aBackend)
+  , m_services(std::move(aServices))
+  , m_metrics(aMetrics)
+{
+  const auto address = internal::ToSocketAddress(aEndpoint);
+  m_listener = evconnlistener_new_bind(
+    aBase,
+    [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+      static_cast<InnerServerTask*>(aSelf)->OnAccepted(aSocket);
+    },
+    this,
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+    kBacklog,
+    address.Get(),
+    static_cast<int>(address.Length()));
+  if (m_listener == nullptr) {
+    throw InnerError(fmt::format(
+      "can't bind TCP {}:{}", aEndpoint.address, aEndpoint.port));
+  }
+}
+
+InnerServerTask::~InnerServerTask()
+{
+  evconnlistener_free(m_listener);
+}
+
+void
+InnerServerTask::OnAccepted(int aSocket)
+{
+  const auto session = std::make_shared<InnerSession>(*this);
+  m_sessions.insert(session);
+  session->Start(aSocket);
+}
+
+}
--- /dev/null
+++ b/src/Daemon/InnerServerTask.h
@@ -0,0 +1,60 @@
+#ifndef PISTACHIOSHIFT_DAEMON_INNERSERVERTASK_H
+#define PISTACHIOSHIFT_DAEMON_INNERSERVERTASK_H
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "Pistachioshift/Inner"
+#include "src/Daemon/BackendTask.h"
+#include "src/Daemon/Metrics.h"
+
+struct evconnlistener;
+
+namespace pistachioshift {
+
+class InnerSession;
+
+/** \brief What sessions answer besides requests. */
+struct InnerServices
+{
+  std::function<RecordsReply(const RecordsQuery&)> records;
+  std::function<DaemonId()> self;
+};
+
+/** \brief Accepts connections of other daemons and serves their requests. */
+class InnerServerTask
+{
+public:
+  /** \throws InnerError if the endpoint can't be bound. */
+  InnerServerTask(event_base* aBase,
+                  const Clock& aClock,
+                  const Endpoint& aEndpoint,
+                  BootId aBoot,
+                  BackendTask& aBackend,
+                  InnerServices aServices,
+                  Metrics& aMetrics);
+  ~InnerServerTask();
+  InnerServerTask(const InnerServerTask&) = delete;
+  InnerServerTask& operator=(const InnerServerTask&) = delete;
+
+  size_t Sessions() const { return m_sessions.size(); }
+
+private:
+  friend class InnerSession;
+
+  void OnAccepted(int aSocket);
+
+  event_base* m_base;
+  const Clock& m_clock;
+  BootId m_boot;
+  BackendTask& m_backend;
+  InnerServices m_services;
+  Metrics& m_metrics;
+  evconnlistener* m_listener = nullptr;
+  std::set<std::shared_ptr<InnerSession>> m_sessions;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/InnerSession.cpp
@@ -0,0 +1,246 @@
+#include "src/Daemon/InnerSession.h"
+
+namespace pistachioshift {
+
+namespace {
+
+const char*
+ToString(RequestState aState)
+{
+  switch (aState) {
+    case RequestState::kRunning:
+      return "running";
+    case RequestState::kDone:
+      return "done";
+    case RequestState::kNeverSeen:
+      return "never-seen";
+    case RequestState::kForgotten:
+      return "forgotten";
+  }
+  return "forgotten";
+}
+
+}
+
+void
+InnerSession::Start(int aSocket)
+{
+  m_connection = Connection::Accept(m_task.m_base,
+                                    m_task.m_clock,
+                                    aSocket,
+                                    ConnectionSettings(),
+                                    weak_from_this());
+  m_connection->SetPosition(m_task.m_backend.Position());
+  m_connection->Send(Hello{ m_task.m_boot,
+                            Hello::kProtocol,
+                            m_task.m_services.self(),
+                            m_task.m_backend.Position() });
+}
+
+void
+InnerSession::Remove(StreamId aStream)
+{
+  m_streams.erase(aStream);
+}
+
+void
+InnerSession::OnFrame(Connection&, Frame aFrame)
+{
+  m_connection->SetPosition(m_task.m_backend.Position());
+  const auto find = [this](StreamId aStream) -> std::shared_ptr<InnerStream> {
+    const auto found = m_streams.find(aStream);
+    return found == m_streams.end() ? nullptr : found->second;
+  };
+  if (auto* open = std::get_if<RequestOpen>(&aFrame)) {
+    Open(std::move(*open));
+  } else if (const auto* body = std::get_if<BodyPiece>(&aFrame)) {
+    if (const auto stream = find(body->stream)) {
+      stream->OnFrame(*body);
+    }
+  } else if (const auto* credit = std::get_if<Credit>(&aFrame)) {
+    if (const auto stream = find(credit->stream)) {
+      stream->OnFrame(*credit);
+    }
+  } else if (const auto* cancel = std::get_if<CancelStream>(&aFrame)) {
+    if (const auto stream = find(cancel->stream)) {
+      stream->Cancel();
+    }
+  } else if (const auto* query = std::get_if<OutcomeQuery>(&aFrame)) {
+    Answer(*query);
+  } else if (const auto* records = std::get_if<RecordsQuery>(&aFrame)) {
+    Send(m_task.m_services.records(*records));
+  }
+}
+
+void
+InnerSession::Open(RequestOpen aOpen)
+{
+  if (m_streams.contains(aOpen.stream)) {
+    m_connection->Close();
+    return;
+  }
+  CallRequest request;
+  request.id = aOpen.request;
+  request.service = std::move(aOpen.service);
+  request.key = std::move(aOpen.key);
+  request.head = std::move(aOpen.head);
+  request.deadline = m_task.m_clock.Now() + aOpen.remaining;
+  request.hasBody = aOpen.hasBody;
+  request.idempotencyKey = std::move(aOpen.idempotencyKey);
+  request.repeat = aOpen.repeat;
+  request.known = aOpen.known;
+  const auto stream =
+    std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
+  m_streams.emplace(aOpen.stream, stream);
+  const bool hasBody = request.hasBody;
+  const auto call = m_task.m_backend.Start(std::move(request), stream);
+  stream->SetCall(call);
+  if (!hasBody) {
+    call->Finish();
+  }
+}
+
+void
+InnerSession::Answer(const OutcomeQuery& aQuery)
+{
+  const auto result = m_task.m_backend.Ask(aQuery.request, aQuery.known);
+  m_task.m_metrics.CountOutcomeQuery(ToString(result.state));
+  Send(OutcomeReply{ aQuery.query, result });
+}
+
+void
+InnerSession::OnDrained(Connection&)
+{
+}
+
+void
+InnerSession::OnClosed(Connection&, ConnectionEnd aEnd)
+{
+  const auto self = shared_from_this();
+  if (aEnd == ConnectionEnd::kMalformed) {
+    m_task.m_metrics.CountConnectionEnd("malformed");
+  }
+  // A request that started goes on: its requester may ask what became of it.
+  m_streams.clear();
+  m_task.m_sessions.erase(self);
+}
+
+void
+InnerStream::Send(const Frame& aFrame)
+{
+  const auto session = m_session.lock();
+  if (session) {
+    session->Send(aFrame);
+  }
+}
+
+void
+InnerStream::Remove()
+{
+  m_call.reset();
+  const auto session = m_session.lock();
+  if (session) {
+    session->Remove(m_stream);
+  }
+}
+
+void
+InnerStream::Grant(int64_t aBytes)
+{
+  if (aBytes > 0) {
+    Send(Credit{ m_stream, aBytes });
+  }
+}
+
+void
+InnerStream::OnFrame(const BodyPiece& aPiece)
+{
+  if (!m_call) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (!aPiece.data.empty() && !m_call->SendBody(aPiece.data)) {
+    m_receive.Hold();
+  }
+  if (aPiece.last) {
+    m_call->Finish();
+    return;
+  }
+  Grant(m_receive.Take(aPiece.data.size()));
+}
+
+void
+InnerStream::OnFrame(const Credit& aCredit)
+{
+  if (m_send.Grant(aCredit.bytes) && m_call) {
+    m_call->ResumeBody();
+  }
+}
+
+void
+InnerStream::Cancel()
+{
+  const auto self = shared_from_this();
+  if (m_call) {
+    m_call->Cancel();
+  }
+  Remove();
+}
+
+void
+InnerStream::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
+{
+  Send(ResponseOpen{ m_stream, aHead, aToken });
+}
+
+void
+InnerStream::OnBody(std::string_view aData)
+{
+  m_send.Consume(aData.size());
+  while (!aData.empty()) {
+    const auto piece = aData.substr(0, kBodyPieceBytes);
+    Send(BodyPiece{ m_stream, std::string(piece), false });
+    aData.remove_prefix(piece.size());
+  }
+  if (!m_send.Open() && m_call) {
+    m_call->PauseBody();
+  }
+}
+
+void
+InnerStream::OnEnd()
+{
+  const auto self = shared_from_this();
+  Send(BodyPiece{ m_stream, {}, true });
+  Remove();
+}
+
+void
+InnerStream::OnDrained()
+{
+  Grant(m_receive.Release());
+}
+
+void
+InnerStream::OnRefused(const CallRefusal& aRefusal)
+{
+  const auto self = shared_from_this();
+  Send(Refused{ m_stream,
+                aRefusal.outcome,
+                aRefusal.reason,
+                aRefusal.retryAfter,
+                aRefusal.holder });
+  Remove();
+}
+
+void
+InnerStream::OnLost(CallLoss)
+{
+  // The head has gone out, so the requester takes it for a truncated answer.
+  CallRefusal refusal;
+  refusal.outcome = Outcome::kUnknown;
+  refusal.reason = RefusalReason::kBackendDown;
+  OnRefused(refusal);
+}
+
+}
--- /dev/null
+++ b/src/Daemon/InnerSession.h
@@ -0,0 +1,81 @@
+#ifndef PISTACHIOSHIFT_DAEMON_INNERSESSION_H
+#define PISTACHIOSHIFT_DAEMON_INNERSESSION_H
+
+#include <map>
+#include <memory>
+
+#include "src/Daemon/FlowWindow.h"
+#include "src/Daemon/InnerServerTask.h"
+
+namespace pistachioshift {
+
+class InnerStream;
+
+/** \brief One connection of another daemon. */
+class InnerSession
+  : public ConnectionListener
+  , public std::enable_shared_from_this<InnerSession>
+{
+public:
+  explicit InnerSession(InnerServerTask& aTask)
+    : m_task(aTask)
+  {
+  }
+
+  void Start(int aSocket);
+  void Send(const Frame& aFrame) { m_connection->Send(aFrame); }
+  void Remove(StreamId aStream);
+
+  void OnFrame(Connection& aConnection, Frame aFrame) override;
+  void OnDrained(Connection& aConnection) override;
+  void OnClosed(Connection& aConnection, ConnectionEnd aEnd) override;
+
+private:
+  void Open(RequestOpen aOpen);
+  void Answer(const OutcomeQuery& aQuery);
+
+  InnerServerTask& m_task;
+  std::shared_ptr<Connection> m_connection;
+  std::map<StreamId, std::shared_ptr<InnerStream>> m_streams;
+};
+
+/** \brief Passes one request to the backend task and its answer back. */
+class InnerStream
+  : public CallListener
+  , public std::enable_shared_from_this<InnerStream>
+{
+public:
+  InnerStream(std::weak_ptr<InnerSession> aSession, StreamId aStream)
+    : m_session(std::move(aSession))
+    , m_stream(aStream)
+  {
+  }
+
+  void SetCall(std::shared_ptr<Call> aCall) { m_call = std::move(aCall); }
+
+  void OnFrame(const BodyPiece& aPiece);
+  void OnFrame(const Credit& aCredit);
+  void Cancel();
+
+  void OnHead(const ResponseHead& aHead, const FenceToken& aToken) override;
+  void OnBody(std::string_view aData) override;
+  void OnEnd() override;
+  void OnDrained() override;
+  void OnRefused(const CallRefusal& aRefusal) override;
+  void OnLost(CallLoss aLoss) override;
+
+private:
+  void Send(const Frame& aFrame);
+  void Remove();
+  void Grant(int64_t aBytes);
+
+  std::weak_ptr<InnerSession> m_session;
+  StreamId m_stream;
+  std::shared_ptr<Call> m_call;
+  SendWindow m_send;
+  ReceiveWindow m_receive;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/Metrics.cpp
@@ -0,0 +1,167 @@
+#include "src/Daemon/Metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace pistachioshift {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kLatencyBounds{
+  0.0005, 0.001, 0.002, 0.005, 0.010, 0.015, 0.019, 0.025,
+  0.050,  0.100, 0.250, 0.500, 1.0,   2.0,   5.0,   10.0
+}; // seconds
+
+}
+
+Metrics::Metrics()
+  : m_registry(std::make_shared<prometheus::Registry>())
+  , m_answers(AddCounters("pistachio_answers_total",
+                          "Answers to callers by outcome"))
+  , m_refusals(AddCounters("pistachio_refusals_total",
+                           "Refusals told to callers by reason"))
+  , m_gateRefusals(AddCounters("pistachio_gate_refusals_total",
+                               "Refusals by this daemon's gate by reason"))
+  , m_retries(AddCounters("pistachio_retries_total",
+                          "Requests sent again by reason"))
+  , m_httpRefusals(AddCounters("pistachio_http_refusals_total",
+                               "Requests refused as HTTP by reason"))
+  , m_connectionEnds(AddCounters("pistachio_inner_connection_ends_total",
+                                 "Connections to daemons ended by reason"))
+  , m_serverFailures(AddCounters("pistachio_server_failures_total",
+                                 "Failed calls of the backend server"))
+  , m_records(AddCounters("pistachio_log_records_total",
+                          "Log records replayed by verdict"))
+  , m_control(AddCounters("pistachio_control_refusals_total",
+                          "Control messages refused by reason"))
+  , m_entries(AddCounters("pistachio_entry_changes_total",
+                          "Entries started and stopped here"))
+  , m_outcomeQueries(AddCounters("pistachio_outcome_queries_total",
+                                 "Answers to outcome queries by state"))
+  , m_latency(prometheus::BuildHistogram()
+                .Name("pistachio_request_seconds")
+                .Help("Time from request head to the end of the answer")
+                .Register(*m_registry)
+                .Add({}, kLatencyBounds))
+{
+  for (size_t index = 0; index < kRefusalReasonCount; ++index) {
+    const auto name = ToString(static_cast<RefusalReason>(index));
+    m_refusals.Add({ { "reason", std::string(name) } });
+    m_gateRefusals.Add({ { "reason", std::string(name) } });
+  }
+  for (size_t index = 0; index < kRetryReasonCount; ++index) {
+    const auto name = ToString(static_cast<RetryReason>(index));
+    m_retries.Add({ { "reason", std::string(name) } });
+  }
+  for (const auto outcome : kOutcomes) {
+    m_answers.Add({ { "outcome", std::string(ToString(outcome)) } });
+  }
+}
+
+Metrics::Counters&
+Metrics::AddCounters(const char* aName, const char* aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(
+    *m_registry);
+}
+
+void
+Metrics::CountLabel(Counters& aFamily,
+                    const char* aLabel,
+                    std::string_view aValue)
+{
+  aFamily.Add({ { aLabel, std::string(aValue) } }).Increment();
+}
+
+void
+Metrics::CountAnswer(Outcome aOutcome)
+{
+  CountLabel(m_answers, "outcome", ToString(aOutcome));
+}
+
+void
+Metrics::CountRefusal(RefusalReason aReason)
+{
+  CountLabel(m_refusals, "reason", ToString(aReason));
+}
+
+void
+Metrics::CountGateRefusal(RefusalReason aReason)
+{
+  CountLabel(m_gateRefusals, "reason", ToString(aReason));
+}
+
+void
+Metrics::CountRetry(RetryReason aReason)
+{
+  CountLabel(m_retries, "reason", ToString(aReason));
+}
+
+void
+Metrics::CountHttpRefusal(std::string_view aReason)
+{
+  CountLabel(m_httpRefusals, "reason", aReason);
+}
+
+void
+Metrics::CountConnectionEnd(std::string_view aReason)
+{
+  CountLabel(m_connectionEnds, "reason", aReason);
+}
+
+void
+Metrics::CountServerFailure(std::string_view aReason)
+{
+  CountLabel(m_serverFailures, "reason", aReason);
+}
+
+void
+Metrics::CountRecord(std::string_view aStream, std::string_view aVerdict)
+{
+  m_records
+    .Add({ { "stream", std::string(aStream) },
+           { "verdict", std::string(aVerdict) } })
+    .Increment();
+}
+
+void
+Metrics::CountControl(std::string_view aReason)
+{
+  CountLabel(m_control, "reason", aReason);
+}
+
+void
+Metrics::CountEntry(std::string_view aChange)
+{
+  CountLabel(m_entries, "change", aChange);
+}
+
+void
+Metrics::CountOutcomeQuery(std::string_view aState)
+{
+  CountLabel(m_outcomeQueries, "state", aState);
+}
+
+void
+Metrics::ObserveLatency(Duration aLatency)
+{
+  m_latency.Observe(std::chrono::duration<double>(aLatency).count());
+}
+
+void
+Metrics::SetGauge(const std::string& aName, double aValue)
+{
+  prometheus::BuildGauge()
+    .Name(aName)
+    .Help("See docs/OPERATING.md")
+    .Register(*m_registry)
+    .Add({})
+    .Set(aValue);
+}
+
+std::string
+Metrics::Render() const
+{
+  return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+}
--- /dev/null
+++ b/src/Daemon/Metrics.h
@@ -0,0 +1,73 @@
+#ifndef PISTACHIOSHIFT_DAEMON_METRICS_H
+#define PISTACHIOSHIFT_DAEMON_METRICS_H
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "src/Base/Clock.h"
+#include "src/Routing/Outcome.h"
+
+namespace pistachioshift {
+
+/** \brief The daemon's counters; names start with pistachio_. */
+class Metrics
+{
+public:
+  Metrics();
+
+  /** \brief An answer to a caller, refusals included. */
+  void CountAnswer(Outcome aOutcome);
+  /** \brief A refusal told to a caller. */
+  void CountRefusal(RefusalReason aReason);
+  /** \brief A refusal by this daemon's gate, told to a daemon. */
+  void CountGateRefusal(RefusalReason aReason);
+  void CountRetry(RetryReason aReason);
+  void CountHttpRefusal(std::string_view aReason);
+  void CountConnectionEnd(std::string_view aReason);
+  void CountServerFailure(std::string_view aReason);
+  void CountRecord(std::string_view aStream, std::string_view aVerdict);
+  void CountControl(std::string_view aReason);
+  void CountEntry(std::string_view aChange);
+  void CountOutcomeQuery(std::string_view aState);
+  void ObserveLatency(Duration aLatency);
+
+  /** \brief Sets a gauge without labels, such as pistachio_in_flight. */
+  void SetGauge(const std::string& aName, double aValue);
+
+  /** \brief All metrics in the text format of Prometheus. */
+  std::string Render() const;
+
+private:
+  using Counters = prometheus::Family<prometheus::Counter>;
+
+  void CountLabel(Counters& aFamily,
+                  const char* aLabel,
+                  std::string_view aValue);
+  Counters& AddCounters(const char* aName, const char* aHelp);
+
+  std::shared_ptr<prometheus::Registry> m_registry;
+  Counters& m_answers;
+  Counters& m_refusals;
+  Counters& m_gateRefusals;
+  Counters& m_retries;
+  Counters& m_httpRefusals;
+  Counters& m_connectionEnds;
+  Counters& m_serverFailures;
+  Counters& m_records;
+  Counters& m_control;
+  Counters& m_entries;
+  Counters& m_outcomeQueries;
+  prometheus::Histogram& m_latency;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/OwnerCall.cpp
@@ -0,0 +1,368 @@
+#include "src/Daemon/OwnerCall.h"
+
+#include <fmt/format.h>
+
+#include "src/Daemon/AnswerCodec.h"
+#include "src/Daemon/FlowWindow.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr size_t kKeptBodyBytes = 3072;
+constexpr Duration kRetryAfterShed = std::chrono::milliseconds(50);
+
+std::string
+RangeName(const EntryKey& aKey)
+{
+  if (aKey.pinnedKey.empty()) {
+    return fmt::format("{}/{}", aKey.service.Value(), aKey.range.Value());
+  }
+  return fmt::format("{}/{}", aKey.service.Value(), aKey.pinnedKey);
+}
+
+RefusalReason
+ReasonOf(ClientFailure aFailure)
+{
+  switch (aFailure) {
+    case ClientFailure::kNotWritten:
+      return RefusalReason::kLeaseNotHeld;
+    case ClientFailure::kPoolExhausted:
+      return RefusalReason::kQueueFull;
+    default:
+      return RefusalReason::kBackendDown;
+  }
+}
+
+}
+
+OwnerCall::OwnerCall(event_base* aBase,
+                     BackendTask& aTask,
+                     CallRequest aRequest,
+                     std::shared_ptr<CallListener> aListener)
+  : m_task(aTask)
+  , m_request(std::move(aRequest))
+  , m_listener(std::move(aListener))
+  , m_deadlineTimer(aBase, [this] { OnDeadline(); })
+  , m_holdTimer(aBase, [this] { OnHoldExpired(); })
+{
+}
+
+bool
+OwnerCall::SendBody(std::string_view aData)
+{
+  if (m_state == State::kEnded) {
+    return true;
+  }
+  bool open = true;
+  if (m_exchange) {
+    open = m_exchange->SendBody(aData);
+  } else {
+    m_waitingBody.append(aData);
+    open = m_waitingBody.size() < static_cast<size_t>(kStreamWindow);
+  }
+  m_full = !open;
+  return open;
+}
+
+void
+OwnerCall::Finish()
+{
+  if (m_state == State::kEnded || m_finished) {
+    return;
+  }
+  m_finished = true;
+  if (m_exchange) {
+    m_exchange->Finish();
+  }
+}
+
+void
+OwnerCall::PauseBody()
+{
+  m_paused = true;
+  if (m_exchange) {
+    m_exchange->PauseBody();
+  }
+}
+
+void
+OwnerCall::ResumeBody()
+{
+  m_paused = false;
+  if (m_exchange) {
+    m_exchange->ResumeBody();
+  }
+}
+
+void
+OwnerCall::Cancel()
+{
+  if (m_state == State::kEnded) {
+    return;
+  }
+  const auto self = shared_from_this();
+  m_listener.reset();
+  EndWith(ServiceResult::kCancelled);
+}
+
+void
+OwnerCall::ArmDeadline()
+{
+  m_deadlineTimer.StartOnce(m_request.deadline - m_task.m_clock.Now());
+}
+
+void
+OwnerCall::ArmHold(Duration aLongest)
+{
+  m_holdTimer.StartOnce(aLongest);
+}
+
+void
+OwnerCall::OnDeadline()
+{
+  if (m_state == State::kEnded || m_headSeen) {
+    return;
+  }
+  CallRefusal refusal;
+  refusal.reason = RefusalReason::kDeadlineExpired;
+  refusal.outcome =
+    m_state == State::kRunning ? Outcome::kUnknown : Outcome::kNotRun;
+  Refuse(refusal);
+}
+
+void
+OwnerCall::OnHoldExpired()
+{
+  if (m_state == State::kHeld) {
+    Refuse(RefusalReason::kNotOwner, Duration::zero());
+  }
+}
+
+void
+OwnerCall::Start(HttpClientPool& aPool)
+{
+  m_state = State::kRunning;
+  const auto self = shared_from_this();
+  m_exchange = aPool.Start(ServerHead(), self, [this] {
+    return m_state == State::kRunning && m_task.MayStart(*this);
+  });
+  if (!m_waitingBody.empty()) {
+    const bool open = m_exchange->SendBody(m_waitingBody);
+    m_waitingBody.clear();
+    if (open && m_full) {
+      m_full = false;
+      m_listener->OnDrained();
+    }
+  }
+  if (m_finished) {
+    m_exchange->Finish();
+  }
+  if (m_paused) {
+    m_exchange->PauseBody();
+  }
+}
+
+RequestHead
+OwnerCall::ServerHead() const
+{
+  auto head = m_request.head;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_request.deadline - m_task.m_clock.Now());
+  const auto deadline = m_task.m_clock.WallNow() + left;
+  head.headers.Set(fields::kDeadline,
+                   std::to_string(deadline.time_since_epoch().count()));
+  head.headers.Set(
+    fields::kRequest,
+    fmt::format("{:016x}{:016x}", m_request.id.high, m_request.id.low));
+  if (!m_request.key.empty()) {
+    head.headers.Set(fields::kKey, m_request.key);
+  }
+  if (m_entry) {
+    head.headers.Set(fields::kRange, RangeName(*m_entry));
+  }
+  if (m_token) {
+    head.headers.Set(
+      fields::kFence,
+      fmt::format("{}.{}", m_token->entry.Value(), m_token->rank.Value()));
+  }
+  return head;
+}
+
+void
+OwnerCall::Refuse(RefusalReason aReason, Duration aRetryAfter)
+{
+  CallRefusal refusal;
+  refusal.outcome = OutcomeOf(aReason);
+  refusal.reason = aReason;
+  refusal.retryAfter = aRetryAfter;
+  Refuse(refusal);
+}
+
+void
+OwnerCall::Refuse(const CallRefusal& aRefusal)
+{
+  if (m_state == State::kEnded) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const auto listener = std::move(m_listener);
+  auto refusal = aRefusal;
+  if (refusal.reason == RefusalReason::kNotOwner && m_entry) {
+    refusal.holder = m_task.HolderHint(*m_entry);
+  }
+  m_task.m_metrics.CountGateRefusal(refusal.reason);
+  const bool ran = refusal.outcome != Outcome::kNotRun;
+  const bool shed = refusal.reason == RefusalReason::kShed;
+  const auto result = ran || !shed ? ServiceResult::kFailed : ServiceResult::kShed;
+  if (m_remembered && !ran) {
+    m_task.m_outcomes.Withdraw(m_request.id);
+    m_remembered = false;
+  }
+  EndWith(result);
+  if (listener) {
+    listener->OnRefused(refusal);
+  }
+}
+
+void
+OwnerCall::AnswerAgain(const KeptAnswer& aAnswer)
+{
+  const auto self = shared_from_this();
+  const auto listener = std::move(m_listener);
+  const auto answer = DecodeAnswer(aAnswer);
+  EndWith(ServiceResult::kDone);
+  listener->OnHead(answer.head, m_token.value_or(FenceToken()));
+  if (!answer.body.empty()) {
+    listener->OnBody(answer.body);
+  }
+  listener->OnEnd();
+}
+
+void
+OwnerCall::EndWith(ServiceResult aResult)
+{
+  m_deadlineTimer.Stop();
+  m_holdTimer.Stop();
+  const auto exchange = std::move(m_exchange);
+  m_exchange = nullptr;
+  const bool written = m_state == State::kRunning;
+  if (exchange && !exchange->Ended()) {
+    exchange->Cancel();
+  }
+  if (m_remembered) {
+    // A request that was cancelled before it was written did not run.
+    if (aResult == ServiceResult::kCancelled && !written) {
+      m_task.m_outcomes.Withdraw(m_request.id);
+    } else {
+      m_task.m_outcomes.Finish(m_request.id, Kept());
+    }
+    m_remembered = false;
+  }
+  m_task.OnEnded(*this, aResult);
+  m_state = State::kEnded;
+}
+
+bool
+OwnerCall::IsNotRunAnswer(const ResponseHead& aHead) const
+{
+  const auto* outcome = aHead.headers.Find(fields::kOutcome);
+  return outcome != nullptr && *outcome == ToString(Outcome::kNotRun);
+}
+
+void
+OwnerCall::OnHead(const ResponseHead& aHead)
+{
+  if (m_state == State::kEnded) {
+    return;
+  }
+  if (IsNotRunAnswer(aHead)) {
+    m_task.m_metrics.CountServerFailure("shed");
+    Refuse(RefusalReason::kShed, kRetryAfterShed);
+    return;
+  }
+  m_headSeen = true;
+  m_deadlineTimer.Stop();
+  m_answerHead = aHead;
+  StripHopByHop(m_answerHead.headers);
+  m_listener->OnHead(m_answerHead, m_token.value_or(FenceToken()));
+}
+
+void
+OwnerCall::KeepAnswerBytes(std::string_view aData)
+{
+  if (m_answerTooLarge) {
+    return;
+  }
+  if (m_answerBody.size() + aData.size() > kKeptBodyBytes) {
+    m_answerTooLarge = true;
+    m_answerBody.clear();
+    return;
+  }
+  m_answerBody.append(aData);
+}
+
+std::optional<KeptAnswer>
+OwnerCall::Kept() const
+{
+  if (!m_answerSeen || m_answerTooLarge) {
+    return std::nullopt;
+  }
+  return EncodeAnswer(m_answerHead, m_answerBody);
+}
+
+void
+OwnerCall::OnBody(std::string_view aData)
+{
+  if (m_state == State::kEnded) {
+    return;
+  }
+  KeepAnswerBytes(aData);
+  m_listener->OnBody(aData);
+}
+
+void
+OwnerCall::OnEnd()
+{
+  if (m_state == State::kEnded) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const auto listener = std::move(m_listener);
+  m_answerSeen = true;
+  EndWith(ServiceResult::kDone);
+  listener->OnEnd();
+}
+
+void
+OwnerCall::OnDrained()
+{
+  m_full = false;
+  if (m_state != State::kEnded) {
+    m_listener->OnDrained();
+  }
+}
+
+void
+OwnerCall::OnFailed(ClientFailure aFailure)
+{
+  if (m_state == State::kEnded) {
+    return;
+  }
+  m_task.m_metrics.CountServerFailure(ToString(aFailure));
+  if (m_headSeen) {
+    const auto self = shared_from_this();
+    const auto listener = std::move(m_listener);
+    EndWith(ServiceResult::kFailed);
+    listener->OnLost(CallLoss::kTruncated);
+    return;
+  }
+  CallRefusal refusal;
+  refusal.reason = ReasonOf(aFailure);
+  refusal.outcome =
+    MayHaveRun(aFailure) ? Outcome::kUnknown : Outcome::kNotRun;
+  refusal.retryAfter = kRetryAfterShed;
+  Refuse(refusal);
+}
+
+}
--- /dev/null
+++ b/src/Daemon/Peer.cpp
@@ -0,0 +1,195 @@
+#include "src/Daemon/Peer.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+namespace {
+
+/** Time for which a daemon that couldn't be reached is asked last. */
+constexpr Duration kSuspicion = std::chrono::milliseconds(1000);
+
+}
+
+Peer::Peer(PeersTask& aTask, Endpoint aEndpoint)
+  : m_task(aTask)
+  , m_endpoint(std::move(aEndpoint))
+{
+}
+
+PeerLink&
+Peer::Link()
+{
+  if (!Connected()) {
+    m_link = std::make_shared<PeerLink>(*this);
+    m_link->Connect(m_task.m_base,
+                    m_task.m_clock,
+                    m_endpoint,
+                    Hello{ m_task.m_boot });
+  }
+  return *m_link;
+}
+
+std::shared_ptr<PeerLink>
+Peer::NewLink()
+{
+  const auto link = std::make_shared<PeerLink>(*this);
+  m_queryLinks.push_back(link);
+  link->Connect(
+    m_task.m_base, m_task.m_clock, m_endpoint, Hello{ m_task.m_boot });
+  return link;
+}
+
+bool
+Peer::Suspect() const
+{
+  return m_failedAt != MonoTime() &&
+         m_task.m_clock.Now() - m_failedAt < kSuspicion;
+}
+
+void
+Peer::OnHello(const Hello& aHello)
+{
+  if (aHello.boot != m_boot) {
+    // Positions of an earlier process mean nothing to this one.
+    m_boot = aHello.boot;
+    m_known = TablePosition();
+  }
+  OnPosition(aHello.position);
+  m_failedAt = MonoTime();
+}
+
+void
+Peer::OnPosition(TablePosition aPosition)
+{
+  m_known = std::max(m_known, aPosition);
+}
+
+void
+Peer::OnLinkEnded(const PeerLink& aLink, ConnectionEnd aEnd)
+{
+  std::erase_if(m_queryLinks,
+                [&](const auto& aItem) { return aItem.get() == &aLink; });
+  if (aEnd == ConnectionEnd::kLocal) {
+    return;
+  }
+  m_task.m_metrics.CountConnectionEnd(ToString(aEnd));
+  m_failedAt = m_task.m_clock.Now();
+}
+
+void
+PeerLink::Connect(event_base* aBase,
+                  const Clock& aClock,
+                  const Endpoint& aEndpoint,
+                  const Hello& aHello)
+{
+  m_connection = Connection::Connect(
+    aBase, aClock, aEndpoint, ConnectionSettings(), weak_from_this());
+  m_connection->Send(aHello);
+}
+
+StreamId
+PeerLink::Add(const std::shared_ptr<RemoteCall>& aCall)
+{
+  const StreamId stream(++m_lastStream);
+  m_calls.emplace(stream, aCall);
+  UpdateBusy();
+  return stream;
+}
+
+void
+PeerLink::Remove(StreamId aStream)
+{
+  m_calls.erase(aStream);
+  UpdateBusy();
+}
+
+void
+PeerLink::AddQuery(QueryId aQuery, PeersTask::AskCallback aCallback)
+{
+  m_queries.emplace(aQuery, std::move(aCallback));
+  UpdateBusy();
+}
+
+void
+PeerLink::AddRecordsQuery(PeersTask::RecordsCallback aCallback)
+{
+  m_recordsQueries.push_back(std::move(aCallback));
+  UpdateBusy();
+}
+
+bool
+PeerLink::Empty() const
+{
+  return m_calls.empty() && m_queries.empty() && m_recordsQueries.empty();
+}
+
+void
+PeerLink::UpdateBusy()
+{
+  m_connection->SetBusy(!Empty());
+}
+
+void
+PeerLink::OnFrame(Connection&, Frame aFrame)
+{
+  const auto self = shared_from_this();
+  const auto toCall = [&](const auto& aItem) {
+    const auto found = m_calls.find(aItem.stream);
+    if (found != m_calls.end()) {
+      const auto call = found->second;
+      call->OnFrame(aItem);
+    }
+  };
+  if (const auto* body = std::get_if<BodyPiece>(&aFrame)) {
+    toCall(*body);
+  } else if (const auto* open = std::get_if<ResponseOpen>(&aFrame)) {
+    toCall(*open);
+  } else if (const auto* credit = std::get_if<Credit>(&aFrame)) {
+    toCall(*credit);
+  } else if (const auto* refused = std::get_if<Refused>(&aFrame)) {
+    toCall(*refused);
+  } else if (const auto* pong = std::get_if<Pong>(&aFrame)) {
+    m_peer.OnPosition(pong->position);
+  } else if (const auto* hello = std::get_if<Hello>(&aFrame)) {
+    m_peer.OnHello(*hello);
+  } else if (const auto* reply = std::get_if<OutcomeReply>(&aFrame)) {
+    auto query = m_queries.extract(reply->query);
+    if (!query.empty()) {
+      query.mapped()(reply->result);
+      Close();
+    }
+  } else if (const auto* records = std::get_if<RecordsReply>(&aFrame)) {
+    const auto callbacks = std::move(m_recordsQueries);
+    m_recordsQueries.clear();
+    for (const auto& callback : callbacks) {
+      callback(*records);
+    }
+    Close();
+  }
+}
+
+void
+PeerLink::OnDrained(Connection&)
+{
+}
+
+void
+PeerLink::OnClosed(Connection&, ConnectionEnd aEnd)
+{
+  const auto self = shared_from_this();
+  m_peer.OnLinkEnded(*this, aEnd);
+  const auto calls = std::move(m_calls);
+  m_calls.clear();
+  const auto queries = std::move(m_queries);
+  m_queries.clear();
+  m_recordsQueries.clear();
+  for (const auto& [stream, call] : calls) {
+    call->OnLinkEnded(aEnd);
+  }
+  for (const auto& [query, callback] : queries) {
+    callback(AskResult());
+  }
+}
+
+}
--- /dev/null
+++ b/src/Daemon/Peer.h
@@ -0,0 +1,133 @@
+#ifndef PISTACHIOSHIFT_DAEMON_PEER_H
+#define PISTACHIOSHIFT_DAEMON_PEER_H
+
+#include <map>
+#include <memory>
+
+#include "Pistachioshift/Inner"
+#include "src/Daemon/FlowWindow.h"
+#include "src/Daemon/PeersTask.h"
+
+namespace pistachioshift {
+
+class RemoteCall;
+
+/**
+ * \brief One connection incarnation to a daemon and the streams on it.
+ *
+ * Responses are matched by connection and stream, so one that arrives late on
+ * an abandoned connection reaches nobody.
+ */
+class PeerLink
+  : public ConnectionListener
+  , public std::enable_shared_from_this<PeerLink>
+{
+public:
+  explicit PeerLink(Peer& aPeer)
+    : m_peer(aPeer)
+  {
+  }
+
+  void Connect(event_base* aBase,
+               const Clock& aClock,
+               const Endpoint& aEndpoint,
+               const Hello& aHello);
+
+  StreamId Add(const std::shared_ptr<RemoteCall>& aCall);
+  void Remove(StreamId aStream);
+  void Send(const Frame& aFrame) { m_connection->Send(aFrame); }
+  void AddQuery(QueryId aQuery, PeersTask::AskCallback aCallback);
+  void AddRecordsQuery(PeersTask::RecordsCallback aCallback);
+
+  bool Usable() const { return m_connection && !m_connection->Ended(); }
+  bool Empty() const;
+  void Close() { m_connection->Close(); }
+
+  void OnFrame(Connection& aConnection, Frame aFrame) override;
+  void OnDrained(Connection& aConnection) override;
+  void OnClosed(Connection& aConnection, ConnectionEnd aEnd) override;
+
+private:
+  void UpdateBusy();
+
+  Peer& m_peer;
+  std::shared_ptr<Connection> m_connection;
+  std::map<StreamId, std::shared_ptr<RemoteCall>> m_calls;
+  std::map<QueryId, PeersTask::AskCallback> m_queries;
+  std::vector<PeersTask::RecordsCallback> m_recordsQueries;
+  int64_t m_lastStream = 0;
+};
+
+/** \brief One other daemon, by its endpoint. */
+class Peer
+{
+public:
+  Peer(PeersTask& aTask, Endpoint aEndpoint);
+
+  /** \brief The link in use, a new one if it ended. */
+  PeerLink& Link();
+
+  /** \brief A link of its own, for an outcome query. */
+  std::shared_ptr<PeerLink> NewLink();
+
+  TablePosition Known() const { return m_known; }
+  bool Suspect() const;
+  bool Connected() const { return m_link && m_link->Usable(); }
+
+  void OnHello(const Hello& aHello);
+  void OnPosition(TablePosition aPosition);
+  void OnLinkEnded(const PeerLink& aLink, ConnectionEnd aEnd);
+
+private:
+  PeersTask& m_task;
+  Endpoint m_endpoint;
+  std::shared_ptr<PeerLink> m_link;
+  std::vector<std::shared_ptr<PeerLink>> m_queryLinks;
+  BootId m_boot;
+  TablePosition m_known;
+  MonoTime m_failedAt;
+};
+
+/** \brief One request on a link. */
+class RemoteCall
+  : public Call
+  , public std::enable_shared_from_this<RemoteCall>
+{
+public:
+  RemoteCall(std::weak_ptr<PeerLink> aLink,
+             std::shared_ptr<CallListener> aListener);
+
+  void Open(const CallRequest& aRequest, Duration aRemaining);
+
+  bool SendBody(std::string_view aData) override;
+  void Finish() override;
+  void PauseBody() override;
+  void ResumeBody() override;
+  void Cancel() override;
+
+  void OnFrame(const ResponseOpen& aOpen);
+  void OnFrame(const BodyPiece& aPiece);
+  void OnFrame(const Credit& aCredit);
+  void OnFrame(const Refused& aRefused);
+  void OnLinkEnded(ConnectionEnd aEnd);
+
+private:
+  std::shared_ptr<CallListener> End();
+  void Grant(int64_t aBytes);
+  void Flush();
+
+  std::weak_ptr<PeerLink> m_link;
+  std::shared_ptr<CallListener> m_listener;
+  StreamId m_stream;
+  SendWindow m_send;
+  ReceiveWindow m_receive;
+  std::string m_paused; ///< Body that arrived while paused.
+  bool m_isPaused = false;
+  bool m_lastSeen = false;
+  bool m_headSeen = false;
+  bool m_finished = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/PeersTask.cpp
@@ -0,0 +1,88 @@
+#include "src/Daemon/PeersTask.h"
+
+#include "src/Daemon/Peer.h"
+
+namespace pistachioshift {
+
+PeersTask::PeersTask(event_base* aBase,
+                     const Clock& aClock,
+                     BootId aBoot,
+                     Metrics& aMetrics)
+  : m_base(aBase)
+  , m_clock(aClock)
+  , m_boot(aBoot)
+  , m_metrics(aMetrics)
+{
+}
+
+PeersTask::~PeersTask() = default;
+
+std::shared_ptr<Peer>
+PeersTask::Find(const Endpoint& aPeer)
+{
+  auto& peer = m_peers[aPeer];
+  if (!peer) {
+    peer = std::make_shared<Peer>(*this, aPeer);
+  }
+  return peer;
+}
+
+std::shared_ptr<Call>
+PeersTask::Start(const Endpoint& aPeer,
+                 CallRequest aRequest,
+                 std::shared_ptr<CallListener> aListener)
+{
+  auto& link = Find(aPeer)->Link();
+  const auto call = std::make_shared<RemoteCall>(link.weak_from_this(),
+                                                 std::move(aListener));
+  call->Open(aRequest, aRequest.deadline - m_clock.Now());
+  return call;
+}
+
+void
+PeersTask::Ask(const Endpoint& aPeer,
+               const RequestId& aRequest,
+               TablePosition aKnown,
+               AskCallback aCallback)
+{
+  const auto link = Find(aPeer)->NewLink();
+  const QueryId query(1);
+  link->AddQuery(query, std::move(aCallback));
+  link->Send(OutcomeQuery{ query, aRequest, aKnown });
+}
+
+void
+PeersTask::AskRecords(const Endpoint& aPeer,
+                      const RecordsQuery& aQuery,
+                      RecordsCallback aCallback)
+{
+  const auto link = Find(aPeer)->NewLink();
+  link->AddRecordsQuery(std::move(aCallback));
+  link->Send(aQuery);
+}
+
+TablePosition
+PeersTask::Known(const Endpoint& aPeer) const
+{
+  const auto found = m_peers.find(aPeer);
+  return found == m_peers.end() ? TablePosition() : found->second->Known();
+}
+
+bool
+PeersTask::Suspect(const Endpoint& aPeer) const
+{
+  const auto found = m_peers.find(aPeer);
+  return found != m_peers.end() && found->second->Suspect();
+}
+
+size_t
+PeersTask::Connections() const
+{
+  size_t connections = 0;
+  for (const auto& [endpoint, peer] : m_peers) {
+    connections += peer->Connected() ? 1 : 0;
+  }
+  return connections;
+}
+
+}
--- /dev/null
+++ b/src/Daemon/PeersTask.h
@@ -0,0 +1,75 @@
+#ifndef PISTACHIOSHIFT_DAEMON_PEERSTASK_H
+#define PISTACHIOSHIFT_DAEMON_PEERSTASK_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "Pistachioshift/Inner"
+#include "src/Daemon/Call.h"
+#include "src/Daemon/Metrics.h"
+
+namespace pistachioshift {
+
+class Peer;
+
+/**
+ * \brief Connections to other daemons, opened on demand and kept.
+ *
+ * \sa Peer, InnerServerTask
+ */
+class PeersTask
+{
+public:
+  using AskCallback = std::function<void(const AskResult&)>;
+  using RecordsCallback = std::function<void(const RecordsReply&)>;
+
+  PeersTask(event_base* aBase,
+            const Clock& aClock,
+            BootId aBoot,
+            Metrics& aMetrics);
+  ~PeersTask();
+
+  /** \brief Begins an attempt at another daemon. */
+  std::shared_ptr<Call> Start(const Endpoint& aPeer,
+                              CallRequest aRequest,
+                              std::shared_ptr<CallListener> aListener);
+
+  /**
+   * \brief Asks on a new connection what became of a request.
+   * \param aCallback gets kForgotten if the daemon can't be asked.
+   */
+  void Ask(const Endpoint& aPeer,
+           const RequestId& aRequest,
+           TablePosition aKnown,
+           AskCallback aCallback);
+
+  /** \brief Asks a peer for log records; no callback if it can't be asked. */
+  void AskRecords(const Endpoint& aPeer,
+                  const RecordsQuery& aQuery,
+                  RecordsCallback aCallback);
+
+  /** \brief Last position heard from a daemon's outcome table. */
+  TablePosition Known(const Endpoint& aPeer) const;
+
+  /** \brief Whether a connection to it failed a moment ago. */
+  bool Suspect(const Endpoint& aPeer) const;
+
+  size_t Connections() const;
+
+private:
+  friend class Peer;
+
+  std::shared_ptr<Peer> Find(const Endpoint& aPeer);
+
+  event_base* m_base;
+  const Clock& m_clock;
+  BootId m_boot;
+  Metrics& m_metrics;
+  std::map<Endpoint, std::shared_ptr<Peer>> m_peers;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/RemoteCall.cpp
@@ -0,0 +1,210 @@
+#include <algorithm>
+
+#include "src/Daemon/Peer.h"
+
+namespace pistachioshift {
+
+RemoteCall::RemoteCall(std::weak_ptr<PeerLink> aLink,
+                       std::shared_ptr<CallListener> aListener)
+  : m_link(std::move(aLink))
+  , m_listener(std::move(aListener))
+{
+}
+
+void
+RemoteCall::Open(const CallRequest& aRequest, Duration aRemaining)
+{
+  const auto link = m_link.lock();
+  m_stream = link->Add(shared_from_this());
+  RequestOpen open;
+  open.stream = m_stream;
+  open.request = aRequest.id;
+  open.service = aRequest.service;
+  open.key = aRequest.key;
+  open.head = aRequest.head;
+  open.remaining = aRemaining;
+  open.hasBody = aRequest.hasBody;
+  open.idempotencyKey = aRequest.idempotencyKey;
+  open.repeat = aRequest.repeat;
+  open.known = aRequest.known;
+  m_finished = !aRequest.hasBody;
+  link->Send(open);
+}
+
+bool
+RemoteCall::SendBody(std::string_view aData)
+{
+  const auto link = m_link.lock();
+  if (!link || !m_listener || m_finished) {
+    return true;
+  }
+  m_send.Consume(aData.size());
+  while (!aData.empty()) {
+    const auto piece = aData.substr(0, kBodyPieceBytes);
+    link->Send(BodyPiece{ m_stream, std::string(piece), false });
+    aData.remove_prefix(piece.size());
+  }
+  return m_send.Open();
+}
+
+void
+RemoteCall::Finish()
+{
+  const auto link = m_link.lock();
+  if (link && m_listener && !m_finished) {
+    m_finished = true;
+    link->Send(BodyPiece{ m_stream, {}, true });
+  }
+}
+
+void
+RemoteCall::PauseBody()
+{
+  m_isPaused = true;
+  m_receive.Hold();
+}
+
+void
+RemoteCall::ResumeBody()
+{
+  if (!m_isPaused) {
+    return;
+  }
+  m_isPaused = false;
+  const auto self = shared_from_this();
+  Flush();
+  if (!m_isPaused) {
+    Grant(m_receive.Release());
+  }
+}
+
+void
+RemoteCall::Flush()
+{
+  if (!m_paused.empty() && m_listener) {
+    const auto body = std::move(m_paused);
+    m_paused.clear();
+    const auto listener = m_listener;
+    listener->OnBody(body);
+  }
+  if (m_lastSeen && !m_isPaused && m_listener) {
+    End()->OnEnd();
+  }
+}
+
+void
+RemoteCall::Cancel()
+{
+  const auto link = m_link.lock();
+  if (!m_listener) {
+    return;
+  }
+  const auto self = shared_from_this();
+  End();
+  if (link) {
+    link->Send(CancelStream{ m_stream });
+  }
+}
+
+std::shared_ptr<CallListener>
+RemoteCall::End()
+{
+  const auto link = m_link.lock();
+  if (link) {
+    link->Remove(m_stream);
+  }
+  return std::move(m_listener);
+}
+
+void
+RemoteCall::Grant(int64_t aBytes)
+{
+  const auto link = m_link.lock();
+  if (aBytes > 0 && link && m_listener) {
+    link->Send(Credit{ m_stream, aBytes });
+  }
+}
+
+void
+RemoteCall::OnFrame(const ResponseOpen& aOpen)
+{
+  if (m_listener && !m_headSeen) {
+    m_headSeen = true;
+    const auto listener = m_listener;
+    listener->OnHead(aOpen.head, aOpen.token);
+  }
+}
+
+void
+RemoteCall::OnFrame(const BodyPiece& aPiece)
+{
+  if (!m_listener || !m_headSeen) {
+    return;
+  }
+  const auto listener = m_listener;
+  if (m_isPaused) {
+    m_paused.append(aPiece.data);
+  } else if (!aPiece.data.empty()) {
+    listener->OnBody(aPiece.data);
+  }
+  if (!m_listener) {
+    return;
+  }
+  if (aPiece.last) {
+    m_lastSeen = true;
+    if (!m_isPaused) {
+      End()->OnEnd();
+    }
+    return;
+  }
+  Grant(m_receive.Take(aPiece.data.size()));
+}
+
+void
+RemoteCall::OnFrame(const Credit& aCredit)
+{
+  if (m_listener && m_send.Grant(aCredit.bytes)) {
+    const auto listener = m_listener;
+    listener->OnDrained();
+  }
+}
+
+void
+RemoteCall::OnFrame(const Refused& aRefused)
+{
+  if (!m_listener) {
+    return;
+  }
+  CallRefusal refusal;
+  refusal.outcome = aRefused.outcome;
+  refusal.reason = aRefused.reason;
+  refusal.retryAfter = aRefused.retryAfter;
+  refusal.holder = aRefused.holder;
+  const auto listener = End();
+  if (m_headSeen) {
+    listener->OnLost(CallLoss::kTruncated);
+  } else {
+    listener->OnRefused(refusal);
+  }
+}
+
+void
+RemoteCall::OnLinkEnded(ConnectionEnd aEnd)
+{
+  const auto listener = std::move(m_listener);
+  m_listener.reset();
+  if (!listener) {
+    return;
+  }
+  if (m_headSeen) {
+    listener->OnLost(CallLoss::kTruncated);
+  } else if (aEnd == ConnectionEnd::kNotConnected) {
+    listener->OnLost(CallLoss::kNotSent);
+  } else if (aEnd == ConnectionEnd::kSilent) {
+    listener->OnLost(CallLoss::kSilent);
+  } else {
+    listener->OnLost(CallLoss::kClosed);
+  }
+}
+
+}
--- /dev/null
+++ b/src/Daemon/ServerProbe.cpp
@@ -0,0 +1,129 @@
+#include "src/Daemon/ServerProbe.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr uint32_t kFailuresToNotReady = 3;
+constexpr size_t kMaxBodyBytes = 64 * 1024;
+constexpr int kStatusOk = 200;
+
+HttpClientLimits
+ProbeLimits()
+{
+  HttpClientLimits limits;
+  limits.maxConnections = 2;
+  limits.connectTimeout = std::chrono::milliseconds(500);
+  limits.silenceTimeout = std::chrono::seconds(1);
+  return limits;
+}
+
+}
+
+/** Collects one small answer. */
+class ServerProbe::Answer : public ClientListener
+{
+public:
+  using Callback = std::function<void(bool, const std::string&)>;
+
+  explicit Answer(Callback aCallback)
+    : m_callback(std::move(aCallback))
+  {
+  }
+
+  void OnHead(const ResponseHead& aHead) override { m_status = aHead.status; }
+
+  void OnBody(std::string_view aData) override
+  {
+    if (m_body.size() + aData.size() <= kMaxBodyBytes) {
+      m_body.append(aData);
+    }
+  }
+
+  void OnEnd() override { m_callback(m_status == kStatusOk, m_body); }
+  void OnDrained() override {}
+  void OnFailed(ClientFailure) override { m_callback(false, m_body); }
+
+private:
+  Callback m_callback;
+  int m_status = 0;
+  std::string m_body;
+};
+
+ServerProbe::ServerProbe(event_base* aBase,
+                         const Clock& aClock,
+                         const ServerSettings& aSettings)
+  : m_clock(aClock)
+  , m_settings(aSettings)
+  , m_pool(aBase, aSettings.endpoint, ProbeLimits())
+  , m_timer(aBase, [this] { Ask(); })
+{
+}
+
+void
+ServerProbe::Start(ReadyCallback aCallback)
+{
+  m_callback = std::move(aCallback);
+  m_timer.StartEvery(m_settings.healthInterval);
+  Ask();
+}
+
+void
+ServerProbe::Get(const std::string& aTarget,
+                 std::function<void(bool, const std::string&)> aCallback)
+{
+  RequestHead head;
+  head.method = "GET";
+  head.target = aTarget;
+  const auto answer = std::make_shared<Answer>(std::move(aCallback));
+  m_pool.Start(std::move(head), answer)->Finish();
+}
+
+void
+ServerProbe::Ask()
+{
+  if (m_asking) {
+    return;
+  }
+  m_asking = true;
+  Get("/health", [this](bool aHealthy, const std::string&) {
+    m_asking = false;
+    OnHealth(aHealthy);
+  });
+}
+
+void
+ServerProbe::OnHealth(bool aHealthy)
+{
+  m_failures = aHealthy ? 0 : m_failures + 1;
+  // One late or lost answer says little; the probe lags.
+  const bool ready = m_failures == 0 || (m_ready && m_failures < kFailuresToNotReady);
+  if (ready != m_ready) {
+    m_ready = ready;
+    m_callback(ready);
+  }
+  if (aHealthy) {
+    Get("/load", [this](bool aGood, const std::string& aBody) {
+      if (aGood) {
+        OnLoad(aBody);
+      }
+    });
+  }
+}
+
+void
+ServerProbe::OnLoad(const std::string& aBody)
+{
+  const auto json = nlohmann::json::parse(aBody, nullptr, false);
+  if (!json.is_object()) {
+    return;
+  }
+  m_load.inFlight = json.value("inflight", 0U);
+  m_load.slots = json.value("slots", 0U);
+  m_load.draining = json.value("draining", false);
+  m_load.at = m_clock.Now();
+}
+
+}
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -143,6 +143,7 @@
       open.__set_idempotencyKey(aOpen.idempotencyKey);
     }
     open.known = ToWire(aOpen.known);
+    open.isRepeat = aOpen.repeat;
     frame.__set_requestOpen(open);
   }
 
@@ -274,6 +275,7 @@
   open.head.chunked = aOpen.hasBody && !open.head.contentLength;
   open.idempotencyKey = aOpen.idempotencyKey;
   open.known = PositionFromWire(aOpen.known);
+  open.repeat = aOpen.isRepeat;
   return open;
 }
 
@@ -418,4 +420,26 @@
   return internal::FromWire(internal::DecodeWire<wire::WireFrame>(aBytes));
 }
 
+std::vector<std::string_view>
+SplitFrames(std::string_view aBytes)
+{
+  std::vector<std::string_view> frames;
+  while (!aBytes.empty()) {
+    if (aBytes.size() < kFrameLengthBytes) {
+      throw InnerError("frame cut short");
+    }
+    size_t length = 0;
+    for (size_t index = 0; index < kFrameLengthBytes; ++index) {
+      length = length << 8U | static_cast<unsigned char>(aBytes[index]);
+    }
+    aBytes.remove_prefix(kFrameLengthBytes);
+    if (length > aBytes.size()) {
+      throw InnerError("frame cut short");
+    }
+    frames.push_back(aBytes.substr(0, length));
+    aBytes.remove_prefix(length);
+  }
+  return frames;
+}
+
 }
--- a/src/Inner/FrameCodec.h
+++ b/src/Inner/FrameCodec.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/Inner/Frames.h"
 
@@ -22,6 +23,9 @@
 /** \brief Frame without its length; throws InnerError if malformed. */
 Frame DecodeFrame(std::string_view aBytes);
 
+/** \brief Frames without their lengths; throws InnerError if cut short. */
+std::vector<std::string_view> SplitFrames(std::string_view aBytes);
+
 }
 
 #endif
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -573,6 +573,10 @@
 void WireRequestOpen::__set_known(const int64_t val) {
   this->known = val;
 }
+
+void WireRequestOpen::__set_isRepeat(const bool val) {
+  this->isRepeat = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireRequestOpen& obj)
 {
   obj.printTo(out);
@@ -602,6 +606,7 @@
   bool isset_remainingMicros = false;
   bool isset_hasBody = false;
   bool isset_known = false;
+  bool isset_isRepeat = false;
 
   while (true)
   {
@@ -719,6 +724,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRepeat);
+          isset_isRepeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -748,6 +761,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_known)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_isRepeat)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -814,6 +829,10 @@
   xfer += oprot->writeI64(this->known);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isRepeat", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->isRepeat);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -833,6 +852,7 @@
   swap(a.hasBody, b.hasBody);
   swap(a.idempotencyKey, b.idempotencyKey);
   swap(a.known, b.known);
+  swap(a.isRepeat, b.isRepeat);
   swap(a.__isset, b.__isset);
 }
 
@@ -849,6 +869,7 @@
   hasBody = other14.hasBody;
   idempotencyKey = other14.idempotencyKey;
   known = other14.known;
+  isRepeat = other14.isRepeat;
   __isset = other14.__isset;
 }
 WireRequestOpen& WireRequestOpen::operator=(const WireRequestOpen& other15) {
@@ -864,6 +885,7 @@
   hasBody = other15.hasBody;
   idempotencyKey = other15.idempotencyKey;
   known = other15.known;
+  isRepeat = other15.isRepeat;
   __isset = other15.__isset;
   return *this;
 }
@@ -882,6 +904,7 @@
   out << ", " << "hasBody=" << to_string(hasBody);
   out << ", " << "idempotencyKey="; (__isset.idempotencyKey ? (out << to_string(idempotencyKey)) : (out << "<null>"));
   out << ", " << "known=" << to_string(known);
+  out << ", " << "isRepeat=" << to_string(isRepeat);
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -262,7 +262,8 @@
                     contentLength(0),
                     hasBody(0),
                     idempotencyKey(),
-                    known(0) {
+                    known(0),
+                    isRepeat(0) {
   }
 
   virtual ~WireRequestOpen() noexcept;
@@ -278,6 +279,7 @@
   bool hasBody;
   std::string idempotencyKey;
   int64_t known;
+  bool isRepeat;
 
   _WireRequestOpen__isset __isset;
 
@@ -305,6 +307,8 @@
 
   void __set_known(const int64_t val);
 
+  void __set_isRepeat(const bool val);
+
   bool operator == (const WireRequestOpen & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -335,6 +339,8 @@
       return false;
     if (!(known == rhs.known))
       return false;
+    if (!(isRepeat == rhs.isRepeat))
+      return false;
     return true;
   }
   bool operator != (const WireRequestOpen &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -37,6 +37,7 @@
   10: required bool hasBody
   11: optional string idempotencyKey
   12: required i64 known
+  13: required bool isRepeat
 }
 
 struct WireBody {
--- a/src/Routing/ServicePolicy.h
+++ b/src/Routing/ServicePolicy.h
@@ -35,6 +35,8 @@
   double weight = 1.0;     ///< Share of service relative to other classes.
   Duration deadline{};     ///< From arrival; also the longest one accepted.
   uint32_t queueBound = 0; ///< Requests that may wait at the gate.
+
+  bool operator==(const RequestClass&) const = default;
 };
 
 /** \brief What the document says of one service. */
@@ -53,6 +55,8 @@
 
   /** \brief Longest deadline of any class; bounds the wait of an heir. */
   Duration LongestDeadline() const;
+
+  bool operator==(const ServicePolicy&) const = default;
 };
 
 /** \brief The policies in force, by service. */
