Add the adaptive limit and the gate's properties

Cause: the gate had only been compiled. Properties: ids come back exactly once and starts never exceed the limit over random calls; backlogged classes are served by weight; what is queued under steady service starts in time. The wait estimate was changed from half of the expected time for a running request that outran it to half of what it has taken: a server at a tenth of its speed is then seen before its first answer.

--- a/src/Routing/Gate.cpp
+++ b/src/Routing/Gate.cpp
@@ -41,7 +41,8 @@
 
 Gate::Gate(GateSettings aSettings)
   : m_settings(std::move(aSettings))
-  , m_limit(m_settings.slots)
+  , m_slots(m_settings.slots)
+  , m_adaptive(m_settings.slots)
 {
   if (m_settings.classes.empty()) {
     throw RoutingError("gate without request classes");
@@ -87,9 +88,7 @@
   if (found == m_running.end()) {
     return actions;
   }
-  if (aResult == ServiceResult::kDone) {
-    Learn(found->second, aNow);
-  }
+  Learn(found->second, aResult, aNow);
   m_running.erase(found);
   StartNext(actions, aNow);
   return actions;
@@ -133,11 +132,27 @@
 Gate::SetLimit(uint32_t aSlots, MonoTime aNow)
 {
   GateActions actions;
-  m_limit = aSlots;
+  if (aSlots > m_settings.slots) {
+    m_settings.slots = aSlots;
+    m_adaptive = AdaptiveLimit(aSlots);
+  }
+  m_slots = aSlots;
   StartNext(actions, aNow);
   return actions;
 }
 
+void
+Gate::Restarted(MonoTime aNow)
+{
+  m_adaptive.OnRestart(aNow);
+}
+
+uint32_t
+Gate::Limit() const
+{
+  return std::min(m_slots, m_adaptive.Value());
+}
+
 std::optional<MonoTime>
 Gate::NextWakeup() const
 {
@@ -147,6 +162,9 @@
       if (!earliest || waiting.latestStart < *earliest) {
         earliest = waiting.latestStart;
       }
+      if (m_settings.order == QueueOrder::kLaxity) {
+        break;
+      }
     }
   }
   return earliest;
@@ -203,14 +221,14 @@
   if (aWaiting.latestStart < aNow) {
     return RefusalReason::kCannotFinish;
   }
-  if (m_running.size() < m_limit) {
+  if (m_running.size() < Limit() && m_queued.empty()) {
     return std::nullopt;
   }
   const auto& state = m_classes[aRequest.requestClass.Value()];
   if (state.queue.size() >= state.settings.queueBound) {
     return RefusalReason::kQueueFull;
   }
-  if (!FitsQueue(aRequest.requestClass, aWaiting, aNow)) {
+  if (!FitsQueue(state, aWaiting, aNow)) {
     return RefusalReason::kCannotFinish;
   }
   return std::nullopt;
@@ -218,60 +236,68 @@
 
 // Whether the newcomer, and those it would overtake, still start in time.
 bool
-Gate::FitsQueue(ClassIndex aClass, const Waiting& aWaiting, MonoTime aNow) const
+Gate::FitsQueue(const ClassState& aState,
+                const Waiting& aWaiting,
+                MonoTime aNow) const
 {
-  const auto& state = m_classes[aClass.Value()];
-  const auto place = state.queue.lower_bound(aWaiting);
-  auto ahead = static_cast<size_t>(std::distance(state.queue.begin(), place));
-  const auto startsInTime = [&](const Waiting& aOne, size_t aAhead) {
-    const auto wait = WaitSeconds(state, aAhead, aNow);
-    return wait <= Seconds(aOne.latestStart - aNow);
+  const auto backlog = BacklogOf(aState, aNow);
+  const auto service = Seconds(aState.service);
+  const auto place = aState.queue.lower_bound(aWaiting);
+  const auto before = std::distance(aState.queue.begin(), place);
+  double ahead = static_cast<double>(before) * service;
+  const auto startsInTime = [&](const Waiting& aOne) {
+    return backlog.WaitSeconds(ahead) <= Seconds(aOne.latestStart - aNow);
   };
-  if (!startsInTime(aWaiting, ahead)) {
+  if (!startsInTime(aWaiting)) {
     return false;
   }
-  return std::all_of(place, state.queue.end(), [&](const Waiting& aOne) {
-    return startsInTime(aOne, ++ahead);
+  return std::all_of(place, aState.queue.end(), [&](const Waiting& aOne) {
+    ahead += service;
+    return startsInTime(aOne);
   });
 }
 
-// Wait of a request with aAhead requests of its class before it. Other classes
-// hold it up by no more than what they have queued, nor by more than their
-// share of the slots.
-double
-Gate::WaitSeconds(const ClassState& aState, size_t aAhead, MonoTime aNow) const
+Gate::Backlog
+Gate::BacklogOf(const ClassState& aState, MonoTime aNow) const
 {
-  if (m_limit == 0) {
-    return kNever;
+  Backlog backlog;
+  backlog.limit = static_cast<double>(Limit());
+  backlog.running = RunningSeconds(aNow);
+  backlog.share = ShareOf(aState);
+  for (const auto& state : m_classes) {
+    if (&state == &aState || state.queue.empty()) {
+      continue;
+    }
+    const auto service = Seconds(state.service);
+    backlog.otherLargest += service;
+    backlog.otherQueued += static_cast<double>(state.queue.size()) * service;
   }
-  const auto own = static_cast<double>(aAhead) * Seconds(aState.service);
-  const auto whole =
-    static_cast<double>(aState.queue.size()) * Seconds(aState.service);
-  const auto others = QueuedSeconds() - whole;
-  const auto queue = std::min(own + others, own / ShareOf(aState));
-  return (RunningSeconds(aNow) + queue) / static_cast<double>(m_limit);
+  return backlog;
 }
 
+// Other classes hold a request up by no more than what they have queued, nor
+// by more than their share and one request each.
 double
-Gate::RunningSeconds(MonoTime aNow) const
+Gate::Backlog::WaitSeconds(double aOwnAhead) const
 {
-  // Half of the expected time is left for one that has outrun it.
-  constexpr double kLeastLeft = 0.5;
-  double seconds = 0.0;
-  for (const auto& [id, running] : m_running) {
-    const auto expected = Seconds(running.expected);
-    const auto left = expected - Seconds(aNow - running.started);
-    seconds += std::max(left, kLeastLeft * expected);
+  if (limit < 1.0) {
+    return kNever;
   }
-  return seconds;
+  const auto all = aOwnAhead + otherQueued;
+  const auto fair = aOwnAhead / share + otherLargest;
+  return (running + std::min(all, fair)) / limit;
 }
 
 double
-Gate::QueuedSeconds() const
+Gate::RunningSeconds(MonoTime aNow) const
 {
+  // One that has outrun its expected time is taken to need half as long again.
+  constexpr double kOverrun = 0.5;
   double seconds = 0.0;
-  for (const auto& state : m_classes) {
-    seconds += static_cast<double>(state.queue.size()) * Seconds(state.service);
+  for (const auto& [id, running] : m_running) {
+    const auto elapsed = Seconds(aNow - running.started);
+    const auto left = Seconds(running.expected) - elapsed;
+    seconds += left > 0.0 ? left : kOverrun * elapsed;
   }
   return seconds;
 }
@@ -291,7 +317,9 @@
 Duration
 Gate::RetryAfter(const ClassState& aState, MonoTime aNow) const
 {
-  const auto wait = WaitSeconds(aState, aState.queue.size(), aNow);
+  const auto queued = static_cast<double>(aState.queue.size());
+  const auto backlog = BacklogOf(aState, aNow);
+  const auto wait = backlog.WaitSeconds(queued * Seconds(aState.service));
   return FromSeconds(std::min(wait, Seconds(kLongestRetryAfter)));
 }
 
@@ -308,7 +336,7 @@
 Gate::StartNext(GateActions& aActions, MonoTime aNow)
 {
   RefuseLate(aActions, aNow);
-  while (m_running.size() < m_limit && !m_queued.empty()) {
+  while (m_running.size() < Limit() && !m_queued.empty()) {
     const auto next = NextClass();
     const auto id = m_classes[next.Value()].queue.begin()->id;
     Remove(id);
@@ -324,6 +352,9 @@
     auto place = state.queue.begin();
     while (place != state.queue.end()) {
       if (place->latestStart >= aNow) {
+        if (m_settings.order == QueueOrder::kLaxity) {
+          break;
+        }
         ++place;
         continue;
       }
@@ -361,7 +392,26 @@
 }
 
 void
-Gate::Learn(const Running& aRunning, MonoTime aNow)
+Gate::Learn(const Running& aRunning, ServiceResult aResult, MonoTime aNow)
+{
+  switch (aResult) {
+    case ServiceResult::kDone:
+      m_adaptive.OnDone();
+      LearnService(aRunning, aNow);
+      break;
+    case ServiceResult::kShed:
+      m_adaptive.OnShed(aRunning.started, aNow);
+      break;
+    case ServiceResult::kFailed:
+      m_adaptive.OnFailed(aRunning.started, aNow);
+      break;
+    case ServiceResult::kCancelled:
+      break;
+  }
+}
+
+void
+Gate::LearnService(const Running& aRunning, MonoTime aNow)
 {
   auto& state = m_classes[aRunning.requestClass.Value()];
   const auto taken = aNow - aRunning.started;
--- a/src/Routing/Gate.h
+++ b/src/Routing/Gate.h
@@ -8,6 +8,7 @@
 
 #include "src/Base/Clock.h"
 #include "src/Base/Ids.h"
+#include "src/Routing/AdaptiveLimit.h"
 #include "src/Routing/Outcome.h"
 #include "src/Routing/ServicePolicy.h"
 
@@ -119,12 +120,15 @@
   /** \brief Changes the number of slots; 0 lets nothing start. */
   GateActions SetLimit(uint32_t aSlots, MonoTime aNow);
 
+  /** \brief The backend server started anew: slow start from one slot. */
+  void Restarted(MonoTime aNow);
+
   /** \brief When to call Expire() next; none while nothing is queued. */
   std::optional<MonoTime> NextWakeup() const;
 
   bool IsRunning(const RequestId& aId) const { return m_running.contains(aId); }
   bool IsQueued(const RequestId& aId) const { return m_queued.contains(aId); }
-  uint32_t Limit() const { return m_limit; }
+  uint32_t Limit() const;
   size_t RunningCount() const { return m_running.size(); }
   size_t QueuedCount() const { return m_queued.size(); }
 
@@ -167,19 +171,28 @@
     std::set<Waiting>::iterator place;
   };
 
+  // Work before a newcomer of one class, in seconds of one slot.
+  struct Backlog
+  {
+    double running = 0.0;
+    double otherQueued = 0.0;
+    double otherLargest = 0.0; ///< One request of each other waiting class.
+    double share = 1.0;        ///< Of the slots, for the class.
+    double limit = 0.0;
+
+    double WaitSeconds(double aOwnAhead) const;
+  };
+
   ClassState& StateOf(ClassIndex aClass);
   Waiting MakeWaiting(const GateRequest& aRequest);
   std::optional<RefusalReason> Objection(const GateRequest& aRequest,
                                          const Waiting& aWaiting,
                                          MonoTime aNow) const;
-  bool FitsQueue(ClassIndex aClass,
+  bool FitsQueue(const ClassState& aState,
                  const Waiting& aWaiting,
                  MonoTime aNow) const;
-  double WaitSeconds(const ClassState& aState,
-                     size_t aAhead,
-                     MonoTime aNow) const;
+  Backlog BacklogOf(const ClassState& aState, MonoTime aNow) const;
   double RunningSeconds(MonoTime aNow) const;
-  double QueuedSeconds() const;
   double ShareOf(const ClassState& aState) const;
   Duration RetryAfter(const ClassState& aState, MonoTime aNow) const;
   void Start(ClassIndex aClass, const RequestId& aId, MonoTime aNow);
@@ -187,10 +200,12 @@
   void RefuseLate(GateActions& aActions, MonoTime aNow);
   ClassIndex NextClass() const;
   void Remove(const RequestId& aId);
-  void Learn(const Running& aRunning, MonoTime aNow);
+  void Learn(const Running& aRunning, ServiceResult aResult, MonoTime aNow);
+  void LearnService(const Running& aRunning, MonoTime aNow);
 
   GateSettings m_settings;
-  uint32_t m_limit;
+  uint32_t m_slots;
+  AdaptiveLimit m_adaptive;
   std::vector<ClassState> m_classes;
   std::unordered_map<RequestId, Running> m_running;
   std::unordered_map<RequestId, Queued> m_queued;
--- /dev/null
+++ b/test/Routing/GateTest.cpp
@@ -0,0 +1,278 @@
+#include <map>
+#include <queue>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Pistachioshift/Base"
+#include "Pistachioshift/Routing"
+
+namespace pistachioshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+GateSettings
+SettingsOf(uint32_t aSlots, std::vector<double> aWeights, uint32_t aBound)
+{
+  GateSettings settings;
+  settings.slots = aSlots;
+  for (const auto weight : aWeights) {
+    settings.classes.push_back(GateClass{ weight, aBound });
+  }
+  return settings;
+}
+
+class GateTest : public ::testing::Test
+{
+protected:
+  GateRequest Next(uint32_t aClass, Duration aDeadline)
+  {
+    return { RequestId{ 1, ++m_count }, ClassIndex(aClass), m_now + aDeadline };
+  }
+
+  MonoTime m_now{ std::chrono::hours(1) };
+  uint64_t m_count = 0;
+};
+
+// Drives a gate with random calls and checks each action that it returns.
+class GateWalk
+{
+public:
+  explicit GateWalk(GateSettings aSettings)
+    : m_gate(std::move(aSettings))
+    , m_ceiling(m_gate.Limit())
+  {
+  }
+
+  void Step()
+  {
+    m_now += milliseconds(*rc::gen::inRange(0, 4));
+    switch (*rc::gen::inRange(0, 10)) {
+      case 0:
+        return Check(m_gate.Expire(m_now));
+      case 1:
+        return ChangeLimit();
+      case 2:
+        return CancelAny();
+      case 3:
+        return m_gate.Restarted(m_now);
+      case 4:
+      case 5:
+      case 6:
+        return FinishAny();
+      default:
+        return Admit();
+    }
+  }
+
+  void Close()
+  {
+    Check(m_gate.RefuseQueued(RefusalReason::kDraining));
+    RC_ASSERT(m_pending.empty());
+    RC_ASSERT(m_gate.QueuedCount() == 0U);
+  }
+
+private:
+  void Admit()
+  {
+    const RequestId id{ 1, ++m_count };
+    const ClassIndex requestClass(*rc::gen::inRange<uint32_t>(0, 2));
+    const auto deadline = m_now + milliseconds(*rc::gen::inRange(-1, 60));
+    m_pending.insert(id);
+    Check(m_gate.Admit({ id, requestClass, deadline }, m_now));
+    RC_ASSERT(m_pending.contains(id) == m_gate.IsQueued(id));
+  }
+
+  void FinishAny()
+  {
+    if (m_running.empty()) {
+      return;
+    }
+    const auto id = *rc::gen::elementOf(m_running);
+    const auto result = *rc::gen::element(
+      ServiceResult::kDone, ServiceResult::kDone, ServiceResult::kShed);
+    m_running.erase(id);
+    Check(m_gate.Finished(id, result, m_now));
+  }
+
+  void CancelAny()
+  {
+    if (m_count > 0) {
+      const RequestId id{ 1, *rc::gen::inRange<uint64_t>(1, m_count + 1) };
+      Check(m_gate.Cancel(id));
+    }
+  }
+
+  void ChangeLimit()
+  {
+    m_ceiling = *rc::gen::inRange<uint32_t>(0, 5);
+    Check(m_gate.SetLimit(m_ceiling, m_now));
+  }
+
+  void Check(const GateActions& aActions)
+  {
+    for (const auto& id : aActions.starts) {
+      RC_ASSERT(m_pending.erase(id) == 1U);
+      m_running.insert(id);
+    }
+    if (!aActions.starts.empty()) {
+      RC_ASSERT(m_running.size() <= m_gate.Limit());
+      RC_ASSERT(m_running.size() <= m_ceiling);
+    }
+    for (const auto& refusal : aActions.refusals) {
+      RC_ASSERT(m_pending.erase(refusal.id) == 1U);
+    }
+    RC_ASSERT(m_gate.RunningCount() == m_running.size());
+  }
+
+  Gate m_gate;
+  uint32_t m_ceiling;
+  MonoTime m_now{ std::chrono::hours(1) };
+  uint64_t m_count = 0;
+  std::set<RequestId> m_pending;
+  std::set<RequestId> m_running;
+};
+
+RC_GTEST_FIXTURE_PROP(GateTest,
+                      AnyCalls_RandomWalk_StartOnceWithinLimitOrRefuseForGood,
+                      ())
+{
+  auto settings = SettingsOf(*rc::gen::inRange(1, 5), { 1.0, 3.0 }, 6);
+  settings.order = *rc::gen::element(
+    QueueOrder::kLaxity, QueueOrder::kDeadline, QueueOrder::kArrival);
+  GateWalk walk(settings);
+  const auto steps = *rc::gen::inRange(1, 200);
+  for (int step = 0; step < steps; ++step) {
+    walk.Step();
+  }
+  walk.Close();
+}
+
+// Each class always has requests waiting; each gets its weighted share.
+RC_GTEST_FIXTURE_PROP(GateTest, AllClasses_Backlogged_ServedByWeight, ())
+{
+  const auto weights = *rc::gen::container<std::vector<double>>(
+    3, rc::gen::map(rc::gen::inRange(1, 20), [](int aValue) {
+      return static_cast<double>(aValue);
+    }));
+  Gate gate(SettingsOf(1, weights, 1000));
+  constexpr int kRequests = 300;
+  std::map<RequestId, uint32_t> classOf;
+  std::optional<RequestId> running;
+  for (int index = 0; index < 3 * kRequests; ++index) {
+    const auto request =
+      Next(static_cast<uint32_t>(index % 3), std::chrono::hours(1));
+    classOf[request.id] = request.requestClass.Value();
+    for (const auto& id : gate.Admit(request, m_now).starts) {
+      running = id;
+    }
+  }
+  std::vector<double> served(3, 0.0);
+  for (int step = 0; step < kRequests; ++step) {
+    m_now += milliseconds(5);
+    running = gate.Finished(*running, ServiceResult::kDone, m_now).starts.at(0);
+    served[classOf[*running]] += 1.0;
+  }
+  const double total = weights[0] + weights[1] + weights[2];
+  for (size_t index = 0; index < 3; ++index) {
+    const double fair = kRequests * weights[index] / total;
+    RC_ASSERT(served[index] >= fair - 3.0);
+  }
+}
+
+// With service times that are as expected, what was queued is not refused
+// later: the answer comes on arrival.
+RC_GTEST_FIXTURE_PROP(GateTest, Queued_SteadyService_StartsInTime, ())
+{
+  constexpr milliseconds kService(5);
+  const auto slots = *rc::gen::inRange(1, 6);
+  auto settings = SettingsOf(slots, { 1.0 }, 1000);
+  settings.initialService = kService;
+  Gate gate(settings);
+  using Ending = std::pair<MonoTime, RequestId>;
+  std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings;
+  const auto apply = [&](const GateActions& aActions) {
+    for (const auto& id : aActions.starts) {
+      endings.emplace(m_now + kService, id);
+    }
+  };
+  const auto arrivals = *rc::gen::inRange(1, 150);
+  for (int index = 0; index < arrivals; ++index) {
+    const auto next =
+      m_now + std::chrono::microseconds(*rc::gen::inRange(0, 6000 / slots));
+    while (!endings.empty() && endings.top().first <= next) {
+      const auto [end, id] = endings.top();
+      endings.pop();
+      m_now = end;
+      const auto actions = gate.Finished(id, ServiceResult::kDone, m_now);
+      RC_ASSERT(actions.refusals.empty());
+      apply(actions);
+    }
+    m_now = next;
+    apply(gate.Admit(Next(0, milliseconds(*rc::gen::inRange(5, 40))), m_now));
+  }
+}
+
+TEST_F(GateTest, Admit_CannotFinishBehindQueue_RefusedOnArrival)
+{
+  auto settings = SettingsOf(1, { 1.0 }, 100);
+  settings.initialService = milliseconds(10);
+  Gate gate(settings);
+  EXPECT_EQ(gate.Admit(Next(0, milliseconds(100)), m_now).starts.size(), 1U);
+  EXPECT_TRUE(gate.Admit(Next(0, milliseconds(25)), m_now).refusals.empty());
+  const auto actions = gate.Admit(Next(0, milliseconds(25)), m_now);
+  ASSERT_EQ(actions.refusals.size(), 1U);
+  EXPECT_EQ(actions.refusals[0].reason, RefusalReason::kCannotFinish);
+  EXPECT_EQ(actions.refusals[0].retryAfter, milliseconds(20));
+}
+
+TEST_F(GateTest, Admit_LessLaxity_StartsFirst)
+{
+  Gate gate(SettingsOf(1, { 1.0 }, 100));
+  const auto first = Next(0, milliseconds(500));
+  const auto loose = Next(0, milliseconds(400));
+  const auto tight = Next(0, milliseconds(100));
+  gate.Admit(first, m_now);
+  gate.Admit(loose, m_now);
+  gate.Admit(tight, m_now);
+  const auto actions = gate.Finished(first.id, ServiceResult::kDone, m_now);
+  ASSERT_EQ(actions.starts.size(), 1U);
+  EXPECT_EQ(actions.starts[0], tight.id);
+}
+
+TEST_F(GateTest, Admit_QueueAtBound_QueueFull)
+{
+  Gate gate(SettingsOf(1, { 1.0 }, 1));
+  gate.Admit(Next(0, milliseconds(500)), m_now);
+  gate.Admit(Next(0, milliseconds(500)), m_now);
+  const auto actions = gate.Admit(Next(0, milliseconds(500)), m_now);
+  ASSERT_EQ(actions.refusals.size(), 1U);
+  EXPECT_EQ(actions.refusals[0].reason, RefusalReason::kQueueFull);
+}
+
+TEST_F(GateTest, Expire_PastLatestStart_RefusesAtNextWakeup)
+{
+  auto settings = SettingsOf(1, { 1.0 }, 10);
+  settings.initialService = milliseconds(10);
+  Gate gate(settings);
+  gate.Admit(Next(0, milliseconds(500)), m_now);
+  gate.Admit(Next(0, milliseconds(50)), m_now);
+  ASSERT_EQ(gate.NextWakeup(), m_now + milliseconds(40));
+  EXPECT_TRUE(gate.Expire(*gate.NextWakeup()).refusals.empty());
+  const auto late = *gate.NextWakeup() + milliseconds(1);
+  EXPECT_EQ(gate.Expire(late).refusals.size(), 1U);
+  EXPECT_FALSE(gate.NextWakeup().has_value());
+}
+
+TEST_F(GateTest, Settings_NoClassOrNoWeight_Throw)
+{
+  EXPECT_THROW(Gate(SettingsOf(1, {}, 1)), RoutingError);
+  EXPECT_THROW(Gate(SettingsOf(1, { 0.0 }, 1)), RoutingError);
+  Gate gate(SettingsOf(1, { 1.0 }, 1));
+  EXPECT_THROW(gate.Admit(Next(7, milliseconds(1)), m_now), RoutingError);
+}
+
+}
+}
