--- a/src/Routing/OutcomeTable.cpp
+++ b/src/Routing/OutcomeTable.cpp
@@ -121,7 +121,7 @@
     return std::nullopt;
   }
   const bool complete =
-    aKey.triedUnder == aName.grant && !m_keysDropped.contains(aName.grant);
+    aKey.firstGrant == aName.grant && !m_keysDropped.contains(aName.grant);
   if (complete) {
     return std::nullopt;
   }
--- a/src/Routing/OutcomeTable.h
+++ b/src/Routing/OutcomeTable.h
@@ -35,7 +35,7 @@
 {
   std::string value;
   bool repeat = false; ///< The caller says that it sent it before.
-  std::optional<FenceToken> triedUnder; ///< Grant of the earlier attempt.
+  std::optional<FenceToken> firstGrant; ///< Grant of its first attempt.
 };
 
 enum class RequestState : uint8_t
--- a/test/Routing/GateTest.cpp
+++ b/test/Routing/GateTest.cpp
@@ -14,7 +14,9 @@
 using std::chrono::milliseconds;
 
 GateSettings
-SettingsOf(uint32_t aSlots, std::vector<double> aWeights, uint32_t aBound)
+SettingsOf(uint32_t aSlots,
+           const std::vector<double>& aWeights,
+           uint32_t aBound)
 {
   GateSettings settings;
   settings.slots = aSlots;
--- /dev/null
+++ b/test/Routing/OutcomeTableTest.cpp
@@ -0,0 +1,223 @@
+#include <map>
+#include <set>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Pistachioshift/Base"
+#include "Pistachioshift/Routing"
+
+namespace pistachioshift {
+namespace {
+
+class OutcomeTableTest : public ::testing::Test
+{
+protected:
+  static RequestId Id(uint64_t aLow) { return { 7, aLow }; }
+
+  static KeptAnswer Answer(size_t aBytes)
+  {
+    return { 200, std::string(aBytes, 'x') };
+  }
+};
+
+// Remembers everything that a bounded table may forget, and compares.
+class TableWalk
+{
+public:
+  explicit TableWalk(OutcomeTableSettings aSettings)
+    : m_settings(aSettings)
+    , m_table(aSettings)
+  {
+  }
+
+  void Step()
+  {
+    if (m_requests.empty() || *rc::gen::inRange(0, 3) == 0) {
+      m_requests.push_back({ m_table.Position() });
+    }
+    const auto index = *rc::gen::inRange<size_t>(0, m_requests.size());
+    const RequestId id{ 3, index };
+    auto& request = m_requests[index];
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        Finish(id, request);
+        break;
+      case 1:
+        Ask(id, request);
+        break;
+      default:
+        Begin(id, request);
+    }
+    RC_ASSERT(m_table.Size() <= m_settings.capacity);
+    RC_ASSERT(m_table.AnswerBytes() <= m_settings.totalBytes);
+  }
+
+private:
+  struct Request
+  {
+    TablePosition known;
+    bool started = false;
+    bool running = false;
+    bool refusedForGood = false;
+  };
+
+  void Begin(const RequestId& aId, Request& aRequest)
+  {
+    const auto verdict = m_table.Begin(aId, aRequest.known).verdict;
+    if (verdict == BeginVerdict::kStarted) {
+      RC_ASSERT(!aRequest.started);
+      RC_ASSERT(!aRequest.refusedForGood);
+      aRequest.started = true;
+      aRequest.running = true;
+    }
+    if (verdict == BeginVerdict::kPoisoned) {
+      RC_ASSERT(aRequest.refusedForGood);
+    }
+    RC_ASSERT((verdict == BeginVerdict::kRunning) <= aRequest.running);
+  }
+
+  void Finish(const RequestId& aId, Request& aRequest)
+  {
+    if (!aRequest.running) {
+      return;
+    }
+    aRequest.running = false;
+    if (*rc::gen::inRange(0, 4) == 0) {
+      aRequest.refusedForGood = true;
+      aRequest.started = false;
+      return m_table.Withdraw(aId);
+    }
+    m_table.Finish(aId, KeptAnswer{ 200, std::to_string(aId.low) });
+  }
+
+  void Ask(const RequestId& aId, Request& aRequest)
+  {
+    const auto result = m_table.Ask(aId, aRequest.known);
+    RC_ASSERT((result.state == RequestState::kRunning) <= aRequest.running);
+    if (result.state == RequestState::kNeverSeen) {
+      RC_ASSERT(!aRequest.started);
+      aRequest.refusedForGood = true;
+    }
+    if (result.state == RequestState::kDone) {
+      RC_ASSERT(aRequest.started && !aRequest.running);
+    }
+    if (result.answer) {
+      RC_ASSERT(result.answer->payload == std::to_string(aId.low));
+    }
+  }
+
+  OutcomeTableSettings m_settings;
+  OutcomeTable m_table;
+  std::vector<Request> m_requests;
+};
+
+RC_GTEST_FIXTURE_PROP(OutcomeTableTest,
+                      AnyCalls_Bounded_NeverSeenOnlyIfNotRunAndThenNeverRuns,
+                      ())
+{
+  OutcomeTableSettings settings;
+  settings.capacity = *rc::gen::inRange<size_t>(1, 12);
+  settings.totalBytes = *rc::gen::inRange<size_t>(0, 12);
+  TableWalk walk(settings);
+  const auto steps = *rc::gen::inRange(1, 300);
+  for (int step = 0; step < steps; ++step) {
+    walk.Step();
+  }
+}
+
+// Callers repeat keys over changing grants and small tables.
+RC_GTEST_FIXTURE_PROP(OutcomeTableTest,
+                      IdempotencyKey_RepeatedAcrossGrants_RunsAtMostOnce,
+                      ())
+{
+  OutcomeTableSettings settings;
+  settings.capacity = *rc::gen::inRange<size_t>(1, 8);
+  OutcomeTable table(settings);
+  FenceToken grant{ Offset(1), Rank(0) };
+  struct Use
+  {
+    std::optional<FenceToken> firstGrant;
+    int runs = 0;
+  };
+  std::map<int, Use> uses;
+  uint64_t count = 0;
+  const auto steps = *rc::gen::inRange(1, 150);
+  for (int step = 0; step < steps; ++step) {
+    if (*rc::gen::inRange(0, 15) == 0) {
+      table.EndGrant(grant);
+      grant.entry = Offset(grant.entry.Value() + 1);
+    }
+    const auto number = *rc::gen::inRange(0, 10);
+    auto& use = uses[number];
+    IdempotencyKey key{ std::to_string(number) };
+    key.repeat = use.firstGrant.has_value();
+    key.firstGrant = use.firstGrant;
+    const auto id = Id(++count);
+    const auto result = table.Begin(id, table.Position(), grant, key);
+    use.firstGrant = use.firstGrant.value_or(grant);
+    if (result.verdict == BeginVerdict::kStarted) {
+      ++use.runs;
+      RC_ASSERT(use.runs == 1);
+      if (*rc::gen::arbitrary<bool>()) {
+        table.Finish(id, Answer(3));
+      }
+    }
+  }
+}
+
+TEST_F(OutcomeTableTest, Ask_LateCopyAfterNeverSeen_Refused)
+{
+  OutcomeTable table;
+  const auto known = table.Position();
+  EXPECT_EQ(table.Ask(Id(1), known).state, RequestState::kNeverSeen);
+  EXPECT_EQ(table.Begin(Id(1), known).verdict, BeginVerdict::kPoisoned);
+}
+
+TEST_F(OutcomeTableTest, Ask_RoomEnough_NeverForgets)
+{
+  OutcomeTable table;
+  for (uint64_t index = 0; index < 1000; ++index) {
+    ASSERT_EQ(table.Begin(Id(index), {}).verdict, BeginVerdict::kStarted);
+    table.Finish(Id(index), Answer(1));
+  }
+  EXPECT_EQ(table.Ask(Id(0), {}).answer, Answer(1));
+  EXPECT_EQ(table.Ask(Id(5000), {}).state, RequestState::kNeverSeen);
+}
+
+TEST_F(OutcomeTableTest, Finish_LargeAnswer_DoneWithoutAnswer)
+{
+  OutcomeTable table(OutcomeTableSettings{ 10, 100, 1000 });
+  table.Begin(Id(1), {});
+  table.Finish(Id(1), Answer(101));
+  const auto result = table.Ask(Id(1), {});
+  EXPECT_EQ(result.state, RequestState::kDone);
+  EXPECT_FALSE(result.answer.has_value());
+}
+
+TEST_F(OutcomeTableTest, Begin_AllRunning_FullAndNothingForgotten)
+{
+  OutcomeTable table(OutcomeTableSettings{ 2, 100, 1000 });
+  table.Begin(Id(1), {});
+  table.Begin(Id(2), {});
+  EXPECT_EQ(table.Begin(Id(3), {}).verdict, BeginVerdict::kFull);
+  EXPECT_EQ(table.Ask(Id(3), {}).state, RequestState::kForgotten);
+  EXPECT_EQ(table.Ask(Id(1), {}).state, RequestState::kRunning);
+}
+
+TEST_F(OutcomeTableTest, IdempotencyKey_SecondWhileAndAfterFirst_SameRun)
+{
+  OutcomeTable table;
+  const FenceToken grant{ Offset(9), Rank(0) };
+  const IdempotencyKey key{ "order-1" };
+  table.Begin(Id(1), {}, grant, key);
+  EXPECT_EQ(table.Begin(Id(2), {}, grant, key).verdict, BeginVerdict::kRunning);
+  table.Finish(Id(1), Answer(4));
+  const auto result = table.Begin(Id(3), {}, grant, key);
+  EXPECT_EQ(result.verdict, BeginVerdict::kDone);
+  EXPECT_EQ(result.answer, Answer(4));
+}
+
+}
+}
--- /dev/null
+++ b/test/Routing/RetryTest.cpp
@@ -0,0 +1,206 @@
+#include <set>
+#include <string_view>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Pistachioshift/Base"
+#include "Pistachioshift/Routing"
+
+namespace pistachioshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RetryTest : public ::testing::Test
+{
+protected:
+  static AttemptReport AnyReport()
+  {
+    AttemptReport report;
+    report.end = *rc::gen::element(AttemptEnd::kAnswered,
+                                   AttemptEnd::kServerFailed,
+                                   AttemptEnd::kNotRun,
+                                   AttemptEnd::kUnknown,
+                                   AttemptEnd::kConnectionLost,
+                                   AttemptEnd::kConnectionSilent);
+    report.refusal = static_cast<RefusalReason>(
+      *rc::gen::inRange<size_t>(0, kRefusalReasonCount));
+    report.retryAfter = milliseconds(*rc::gen::inRange(0, 50));
+    report.idempotent = *rc::gen::arbitrary<bool>();
+    report.replayable = *rc::gen::arbitrary<bool>();
+    report.answerBegun = *rc::gen::arbitrary<bool>();
+    report.attempts = *rc::gen::inRange<uint32_t>(1, 6);
+    report.left = milliseconds(*rc::gen::inRange(-5, 100));
+    return report;
+  }
+
+  static bool Repeats(const RetryDecision& aDecision)
+  {
+    return aDecision.step == RetryStep::kRetryNow ||
+           aDecision.step == RetryStep::kRetryAfter;
+  }
+};
+
+RC_GTEST_FIXTURE_PROP(RetryTest,
+                      NonIdempotent_AnyEnd_RepeatsOnlyAfterDefiniteNotRun,
+                      ())
+{
+  auto report = AnyReport();
+  report.idempotent = false;
+  RetryBudget budget(1.0);
+  const auto decision = DecideRetry(report, {}, budget);
+  if (Repeats(decision)) {
+    RC_ASSERT(report.end == AttemptEnd::kNotRun);
+    RC_ASSERT(OutcomeOf(report.refusal) == Outcome::kNotRun);
+  }
+  if (decision.step == RetryStep::kGiveUp &&
+      decision.outcome == Outcome::kNotRun) {
+    RC_ASSERT(report.end == AttemptEnd::kNotRun);
+    RC_ASSERT(OutcomeOf(report.refusal) == Outcome::kNotRun);
+  }
+}
+
+RC_GTEST_FIXTURE_PROP(RetryTest, AnyReport_Repeated_WithinDeadlineAndCount, ())
+{
+  const auto report = AnyReport();
+  const RetrySettings settings;
+  RetryBudget budget(1.0);
+  const auto decision = DecideRetry(report, settings, budget);
+  if (Repeats(decision)) {
+    RC_ASSERT(decision.delay + settings.leastLeft <= report.left);
+    RC_ASSERT(report.attempts < settings.maxAttempts);
+    RC_ASSERT(report.replayable && !report.answerBegun);
+  }
+}
+
+RC_GTEST_FIXTURE_PROP(RetryTest,
+                      AfterAsk_AnyState_RepeatsOnlyWhatWasNeverSeen,
+                      ())
+{
+  AskResult result;
+  result.state = *rc::gen::element(RequestState::kRunning,
+                                   RequestState::kDone,
+                                   RequestState::kNeverSeen,
+                                   RequestState::kForgotten);
+  RetryBudget budget(1.0);
+  const auto decision = DecideAfterAsk(result, AnyReport(), {}, budget);
+  const bool neverSeen = result.state == RequestState::kNeverSeen;
+  if (Repeats(decision) || decision.outcome == Outcome::kNotRun) {
+    RC_ASSERT(neverSeen);
+  }
+  if (decision.outcome == Outcome::kDone) {
+    RC_ASSERT(result.answer.has_value());
+  }
+}
+
+RC_GTEST_FIXTURE_PROP(RetryTest, Budget_AnyOrder_SpendsShareOfFirstAttempts, ())
+{
+  const double share = *rc::gen::inRange(0, 11) / 10.0;
+  RetryBudget budget(share);
+  const double start = budget.Tokens();
+  int firsts = 0;
+  int spent = 0;
+  const auto steps = *rc::gen::inRange(1, 400);
+  for (int step = 0; step < steps; ++step) {
+    if (*rc::gen::arbitrary<bool>()) {
+      ++firsts;
+      budget.OnFirstAttempt();
+    } else {
+      spent += budget.TrySpend() ? 1 : 0;
+    }
+    RC_ASSERT(spent <= start + share * firsts + 1e-9);
+  }
+}
+
+TEST_F(RetryTest, NotRun_EveryReason_RepeatedOnlyIfTrulyNotRun)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.left = std::chrono::seconds(10);
+  for (size_t index = 0; index < kRefusalReasonCount; ++index) {
+    report.refusal = static_cast<RefusalReason>(index);
+    RetryBudget budget(1.0);
+    const auto decision = DecideRetry(report, {}, budget);
+    const bool notRun = OutcomeOf(report.refusal) == Outcome::kNotRun;
+    EXPECT_LE(Repeats(decision), notRun) << ToString(report.refusal);
+  }
+}
+
+TEST_F(RetryTest, ConnectionLost_NonIdempotent_AsksOwner)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kConnectionLost;
+  report.left = milliseconds(100);
+  RetryBudget budget(0.1);
+  EXPECT_EQ(DecideRetry(report, {}, budget).step, RetryStep::kAskOwner);
+  report.left = milliseconds(1);
+  const auto decision = DecideRetry(report, {}, budget);
+  EXPECT_EQ(decision.step, RetryStep::kGiveUp);
+  EXPECT_EQ(decision.outcome, Outcome::kUnknown);
+}
+
+TEST_F(RetryTest, Redirect_BudgetSpent_StillRetried)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kNotOwner;
+  report.left = milliseconds(100);
+  RetryBudget budget(0.0);
+  const auto decision = DecideRetry(report, {}, budget);
+  EXPECT_EQ(decision.step, RetryStep::kRetryNow);
+  EXPECT_EQ(decision.reason, RetryReason::kRedirected);
+  report.refusal = RefusalReason::kQueueFull;
+  EXPECT_EQ(DecideRetry(report, {}, budget).step, RetryStep::kGiveUp);
+}
+
+TEST_F(RetryTest, Hedge_UniformLatencies_DelayAtQuantile)
+{
+  HedgePolicy policy(0.95);
+  EXPECT_FALSE(policy.Delay().has_value());
+  for (int latency = 1; latency <= 100; ++latency) {
+    policy.OnLatency(milliseconds(latency));
+  }
+  ASSERT_TRUE(policy.Delay().has_value());
+  EXPECT_GE(*policy.Delay(), milliseconds(95));
+  EXPECT_LE(*policy.Delay(), milliseconds(105)); // Bounds grow by a tenth.
+}
+
+TEST_F(RetryTest, Hedge_SpentBudget_NoSecondCopy)
+{
+  HedgePolicy policy(0.9);
+  for (int count = 0; count < 100; ++count) {
+    policy.OnLatency(milliseconds(10));
+  }
+  RetryBudget none(0.0);
+  RetryBudget some(0.5);
+  EXPECT_FALSE(policy.TryHedge(milliseconds(20), milliseconds(50), none));
+  EXPECT_TRUE(policy.TryHedge(milliseconds(20), milliseconds(50), some));
+  EXPECT_FALSE(policy.TryHedge(milliseconds(5), milliseconds(50), some));
+}
+
+TEST_F(RetryTest, NestedDeadline_ParentLeft_NeverLonger)
+{
+  EXPECT_EQ(NestedDeadline(milliseconds(30), milliseconds(80)),
+            milliseconds(30));
+  EXPECT_EQ(NestedDeadline(milliseconds(90), milliseconds(80)),
+            milliseconds(80));
+  EXPECT_EQ(NestedDeadline(milliseconds(-3), milliseconds(80)), Duration{});
+}
+
+TEST_F(RetryTest, ToString_AllReasons_DistinctNames)
+{
+  std::set<std::string_view> names;
+  for (size_t index = 0; index < kRefusalReasonCount; ++index) {
+    names.insert(ToString(static_cast<RefusalReason>(index)));
+  }
+  EXPECT_EQ(names.size(), kRefusalReasonCount);
+  names.clear();
+  for (size_t index = 0; index < kRetryReasonCount; ++index) {
+    names.insert(ToString(static_cast<RetryReason>(index)));
+  }
+  EXPECT_EQ(names.size(), kRetryReasonCount);
+}
+
+}
+}
