--- /dev/null
+++ b/test/Routing/BalancerTest.cpp
@@ -0,0 +1,158 @@
+#include <map>
+#include <queue>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Pistachioshift/Base"
+#include "Pistachioshift/Routing"
+
+namespace pistachioshift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class BalancerTest : public ::testing::Test
+{
+protected:
+  static std::vector<DaemonId> Ids(int aCount)
+  {
+    std::vector<DaemonId> ids;
+    for (int index = 1; index <= aCount; ++index) {
+      ids.emplace_back(index);
+    }
+    return ids;
+  }
+
+  void SetInstances(int aCount) { m_balancer.SetInstances(Ids(aCount), m_now); }
+
+  void End(DaemonId aId, InstanceResult aResult, Duration aLatency)
+  {
+    m_balancer.OnStart(aId);
+    m_balancer.OnEnd(aId, aResult, aLatency, m_now);
+  }
+
+  // Sends requests one after another and returns how many each one got.
+  std::map<DaemonId, int> Send(int aCount,
+                               const std::map<DaemonId, Duration>& aService)
+  {
+    using Ending = std::pair<MonoTime, DaemonId>;
+    std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings;
+    std::map<DaemonId, int> sent;
+    for (int index = 0; index < aCount; ++index) {
+      m_now += milliseconds(1);
+      while (!endings.empty() && endings.top().first <= m_now) {
+        const auto id = endings.top().second;
+        m_balancer.OnEnd(id, InstanceResult::kDone, aService.at(id), m_now);
+        endings.pop();
+      }
+      if (index % 100 == 0) {
+        for (const auto& [id, service] : aService) {
+          m_balancer.OnReport(id, m_reported[id], m_now);
+        }
+      }
+      const auto id = *m_balancer.Choose(m_random, m_now);
+      m_balancer.OnStart(id);
+      endings.emplace(m_now + aService.at(id), id);
+      ++sent[id];
+    }
+    return sent;
+  }
+
+  Balancer m_balancer;
+  RandomEngine m_random{ 7 };
+  MonoTime m_now{ std::chrono::hours(1) };
+  std::map<DaemonId, double> m_reported;
+};
+
+RC_GTEST_FIXTURE_PROP(BalancerTest,
+                      AnyResults_EjectedShare_BoundedAndNeverChosen,
+                      ())
+{
+  const auto count = *rc::gen::inRange(1, 10);
+  SetInstances(count);
+  const auto steps = *rc::gen::inRange(1, 300);
+  for (int step = 0; step < steps; ++step) {
+    m_now += milliseconds(*rc::gen::inRange(0, 500));
+    const DaemonId id(*rc::gen::inRange(1, count + 1));
+    const auto result = *rc::gen::element(InstanceResult::kDone,
+                                          InstanceResult::kShed,
+                                          InstanceResult::kFailed,
+                                          InstanceResult::kFailed,
+                                          InstanceResult::kFailed);
+    End(id, result, milliseconds(*rc::gen::inRange(1, 100)));
+    RC_ASSERT(m_balancer.EjectedCount(m_now) * 100 <=
+              static_cast<size_t>(count) * 34);
+    const auto chosen = m_balancer.Choose(m_random, m_now, id);
+    RC_ASSERT(chosen.has_value());
+    RC_ASSERT(!m_balancer.IsEjected(*chosen, m_now));
+    RC_ASSERT(chosen != id || count - m_balancer.EjectedCount(m_now) == 1);
+  }
+}
+
+TEST_F(BalancerTest, Choose_EqualInstances_NoneStarves)
+{
+  SetInstances(4);
+  const auto sent = Send(4000,
+                         { { DaemonId(1), milliseconds(10) },
+                           { DaemonId(2), milliseconds(10) },
+                           { DaemonId(3), milliseconds(10) },
+                           { DaemonId(4), milliseconds(10) } });
+  for (const auto& [id, count] : sent) {
+    EXPECT_GT(count, 500) << id.Value();
+  }
+}
+
+// It reports no load while it takes ten times as long as the others.
+TEST_F(BalancerTest, Choose_SlowInstanceLies_LosesTrustAndShare)
+{
+  SetInstances(3);
+  m_reported = { { DaemonId(1), 0.0 },
+                 { DaemonId(2), 8.0 },
+                 { DaemonId(3), 8.0 } };
+  const auto sent = Send(4000,
+                         { { DaemonId(1), milliseconds(100) },
+                           { DaemonId(2), milliseconds(10) },
+                           { DaemonId(3), milliseconds(10) } });
+  EXPECT_LT(sent.at(DaemonId(1)), 4000 / 3 / 4);
+  EXPECT_LT(m_balancer.Trust(DaemonId(1)), 0.4);
+  EXPECT_GT(m_balancer.Trust(DaemonId(2)), 0.6);
+}
+
+TEST_F(BalancerTest, OnEnd_FailuresInRow_EjectedThenBackInSlowStart)
+{
+  SetInstances(4);
+  for (int count = 0; count < 5; ++count) {
+    End(DaemonId(2), InstanceResult::kFailed, milliseconds(1));
+  }
+  EXPECT_TRUE(m_balancer.IsEjected(DaemonId(2), m_now));
+  m_now += seconds(6);
+  EXPECT_FALSE(m_balancer.IsEjected(DaemonId(2), m_now));
+  int chosen = 0;
+  for (int count = 0; count < 1000; ++count) {
+    chosen += m_balancer.Choose(m_random, m_now) == DaemonId(2) ? 1 : 0;
+  }
+  EXPECT_EQ(chosen, 0); // The others are idle as well and not on trial.
+}
+
+TEST_F(BalancerTest, Choose_FreshReport_CountsAndAges)
+{
+  SetInstances(2);
+  End(DaemonId(1), InstanceResult::kDone, milliseconds(10));
+  End(DaemonId(2), InstanceResult::kDone, milliseconds(10));
+  m_balancer.OnReport(DaemonId(1), 3.0, m_now);
+  m_balancer.OnStart(DaemonId(2));
+  EXPECT_EQ(m_balancer.Choose(m_random, m_now), DaemonId(2));
+  m_now += seconds(20);
+  EXPECT_EQ(m_balancer.Choose(m_random, m_now), DaemonId(1));
+}
+
+TEST_F(BalancerTest, Choose_NoInstance_None)
+{
+  EXPECT_FALSE(m_balancer.Choose(m_random, m_now).has_value());
+}
+
+}
+}
