--- /dev/null
+++ b/src/Ownership/Evidence.h
@@ -0,0 +1,103 @@
+#ifndef PISTACHIOSHIFT_OWNERSHIP_EVIDENCE_H
+#define PISTACHIOSHIFT_OWNERSHIP_EVIDENCE_H
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/Base/Clock.h"
+#include "src/Ownership/Messages.h"
+#include "src/Ownership/NodeSettings.h"
+#include "src/Ownership/View.h"
+
+namespace pistachioshift::internal {
+
+/** \brief What is proved of a daemon relative to a change at some offset. */
+enum class Standing
+{
+  kMayHold,    ///< Nothing is proved.
+  kOutBefore,  ///< It holds nothing, and didn't carry the change out.
+  kOutUnknown, ///< It holds nothing; whether it did is not known.
+  kCarriedOut, ///< It carried the change out, or can't but have.
+};
+
+/**
+ * \brief Evidence collected against other daemons (R3, R4, R8).
+ */
+class Evidence
+{
+public:
+  explicit Evidence(const NodeSettings& aSettings);
+
+  /**
+   * \brief A guardian tells of a ward's silence.
+   * \return guardians to ask for seals now; empty: not yet, or all known.
+   */
+  std::vector<DaemonId> OnSilence(const OwnershipView& aView,
+                                  DaemonId aGuardian,
+                                  DaemonId aWard,
+                                  MonoTime aNow);
+
+  void OnSeal(DaemonId aGuardian, DaemonId aWard, Offset aVersion);
+  void OnRelease(DaemonId aDaemon, const ReleaseItem& aItem);
+
+  /** \brief A retire record was read; it counts after L(1+drift). */
+  void OnRetired(DaemonId aWard, MonoTime aNow);
+
+  /** \brief Retired wards that count as out from now on; told once. */
+  std::vector<DaemonId> OnTick(MonoTime aNow);
+
+  /** \brief Forgets daemons that no entry names any more. */
+  void Prune(const OwnershipView& aView);
+
+  /** \brief Wards with a seal above the offset before the one applied. */
+  std::vector<DaemonId> Ripened(Offset aBefore, Offset aApplied) const;
+
+  /** \brief It said that it released the key below that offset. */
+  bool IsReleased(DaemonId aDaemon, const EntryKey& aKey, Offset aBelow) const;
+
+  /** \param aChange the offset of the change; none: of no change. */
+  Standing StandingOf(const OwnershipView& aView,
+                      DaemonId aDaemon,
+                      std::optional<Offset> aChange) const;
+
+  /** \brief By seals alone; what a GoneRecord needs. */
+  Standing SealedStanding(const OwnershipView& aView,
+                          DaemonId aDaemon,
+                          std::optional<Offset> aChange) const;
+
+private:
+  struct Case
+  {
+    std::map<DaemonId, MonoTime> told;
+    std::map<DaemonId, Offset> seals;
+    std::optional<MonoTime> asked;
+  };
+  struct Tally
+  {
+    size_t before = 0;
+    size_t after = 0;
+  };
+
+  Tally CountSeals(const Case& aCase,
+                   const GuardianSet& aSet,
+                   Offset aChange,
+                   Offset aApplied) const;
+  Standing Judge(const Case& aCase,
+                 const GuardianSet& aSet,
+                 std::optional<Offset> aChange,
+                 Offset aApplied) const;
+  size_t Majority(const GuardianSet& aSet) const;
+  bool IsSuspected(const Case& aCase,
+                   const GuardianSets& aSets,
+                   MonoTime aNow) const;
+
+  NodeSettings m_settings;
+  std::map<DaemonId, Case> m_cases;
+  std::map<DaemonId, std::map<EntryKey, Offset>> m_released;
+  std::map<DaemonId, MonoTime> m_retired; ///< Until when it may hold.
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Ownership/Guardian.cpp
@@ -0,0 +1,151 @@
+#include "src/Ownership/Guardian.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pistachioshift::internal {
+
+namespace {
+
+// Silence is told less and less often, as a log outage may keep the ward
+// listed for hours.
+constexpr Duration kMaxTellInterval = std::chrono::seconds(5);
+
+}
+
+Guardian::Guardian(DaemonId aSelf, const NodeSettings& aSettings, MonoTime aNow)
+  : m_self(aSelf)
+  , m_settings(aSettings)
+  , m_lastTick(aNow)
+{
+}
+
+void
+Guardian::Sync(const OwnershipView& aView, MonoTime aNow)
+{
+  const auto& wards = aView.WardsOf(m_self);
+  for (const auto ward : wards) {
+    if (aView.FindMember(ward) == nullptr) {
+      continue;
+    }
+    const auto& sets = *aView.FindGuardians(ward);
+    const bool pending = sets.pending && sets.pending->Contains(m_self);
+    const auto since = pending ? sets.pending->offset : sets.current.offset;
+    const auto [watch, added] = m_watches.try_emplace(ward);
+    if (added) {
+      watch->second.lastHeard = aNow;
+      watch->second.version = since;
+    }
+  }
+  std::erase_if(m_watches, [&](const auto& aWatch) {
+    // A sealed ward stays sealed, also if it is named again later.
+    const bool member = aView.FindMember(aWatch.first) != nullptr;
+    const bool needed = wards.contains(aWatch.first) || aWatch.second.sealed;
+    return !(member && needed) && aView.EntriesOf(aWatch.first).empty();
+  });
+}
+
+std::optional<RenewAck>
+Guardian::OnRenew(DaemonId aWard,
+                  const Renew& aRenew,
+                  bool aFirm,
+                  MonoTime aNow)
+{
+  NoteTick(aNow);
+  const auto found = m_watches.find(aWard);
+  if (found == m_watches.end()) {
+    return std::nullopt;
+  }
+  auto& watch = found->second;
+  RenewAck ack{ aRenew.sequence, watch.version, false, true, {} };
+  if (watch.sealed) {
+    return ack;
+  }
+  watch.lastHeard = std::max(watch.lastHeard, aNow);
+  watch.version = std::max(watch.version, aRenew.version);
+  watch.tellInterval = Duration();
+  ack.version = watch.version;
+  ack.firm = aFirm;
+  ack.sealed = false;
+  return ack;
+}
+
+std::optional<SealReply>
+Guardian::OnSealRequest(DaemonId aWard, MonoTime aNow)
+{
+  NoteTick(aNow);
+  const auto found = m_watches.find(aWard);
+  if (found == m_watches.end()) {
+    return std::nullopt;
+  }
+  auto& watch = found->second;
+  const bool silent =
+    IsSilent(watch, aNow) || m_settings.weakening == Weakening::kSealAtOnce;
+  if (!watch.sealed && !silent) {
+    return std::nullopt;
+  }
+  watch.sealed = true;
+  return SealReply{ aWard, watch.version };
+}
+
+std::vector<DaemonId>
+Guardian::OnTick(MonoTime aNow)
+{
+  NoteTick(aNow);
+  std::vector<DaemonId> silent;
+  for (auto& [ward, watch] : m_watches) {
+    if (!watch.sealed && !IsSilent(watch, aNow)) {
+      continue;
+    }
+    if (watch.tellInterval == Duration()) {
+      watch.tellInterval = m_settings.retryInterval;
+    } else if (aNow < watch.nextTell) {
+      continue;
+    } else {
+      watch.tellInterval = std::min(2 * watch.tellInterval, kMaxTellInterval);
+    }
+    watch.nextTell = aNow + watch.tellInterval;
+    silent.push_back(ward);
+  }
+  return silent;
+}
+
+std::vector<DaemonId>
+Guardian::Listeners(const OwnershipView& aView, DaemonId aWard) const
+{
+  std::set<DaemonId> listeners;
+  for (const auto& key : aView.EntriesOf(aWard)) {
+    for (const auto& entry : aView.FindChain(key)->entries) {
+      listeners.insert(entry.holders.begin(), entry.holders.end());
+    }
+  }
+  if (const auto* sets = aView.FindGuardians(aWard)) {
+    const auto& current = sets->current.guardians;
+    listeners.insert(current.begin(), current.end());
+  }
+  listeners.erase(aWard);
+  std::erase_if(listeners, [&](DaemonId aDaemon) {
+    return aView.FindMember(aDaemon) == nullptr;
+  });
+  return { listeners.begin(), listeners.end() };
+}
+
+bool
+Guardian::IsSilent(const Watch& aWatch, MonoTime aNow) const
+{
+  return aNow - aWatch.lastHeard > m_settings.SilenceToSeal();
+}
+
+void
+Guardian::NoteTick(MonoTime aNow)
+{
+  // After a pause or a jump of the clock, renewals may wait unread.
+  if (aNow - m_lastTick > m_settings.tickGap) {
+    for (auto& [ward, watch] : m_watches) {
+      watch.lastHeard = std::max(watch.lastHeard, aNow);
+    }
+  }
+  m_lastTick = std::max(m_lastTick, aNow);
+}
+
+}
--- /dev/null
+++ b/src/Ownership/Guardian.h
@@ -0,0 +1,63 @@
+#ifndef PISTACHIOSHIFT_OWNERSHIP_GUARDIAN_H
+#define PISTACHIOSHIFT_OWNERSHIP_GUARDIAN_H
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/Base/Clock.h"
+#include "src/Ownership/Messages.h"
+#include "src/Ownership/NodeSettings.h"
+#include "src/Ownership/View.h"
+
+namespace pistachioshift::internal {
+
+/**
+ * \brief Witness side of leases (R3): acks wards and seals silent ones.
+ */
+class Guardian
+{
+public:
+  Guardian(DaemonId aSelf, const NodeSettings& aSettings, MonoTime aNow);
+
+  /** \brief Takes on and drops wards after a record was applied. */
+  void Sync(const OwnershipView& aView, MonoTime aNow);
+
+  /** \brief nullopt: this daemon isn't (yet) a guardian of the sender. */
+  std::optional<RenewAck> OnRenew(DaemonId aWard,
+                                  const Renew& aRenew,
+                                  bool aFirm,
+                                  MonoTime aNow);
+
+  /** \brief Seals if the ward is silent still; nullopt: it isn't. */
+  std::optional<SealReply> OnSealRequest(DaemonId aWard, MonoTime aNow);
+
+  /** \brief Wards whose silence is to be told now. */
+  std::vector<DaemonId> OnTick(MonoTime aNow);
+
+  /** \brief Daemons to tell of a ward's silence. */
+  std::vector<DaemonId> Listeners(const OwnershipView& aView,
+                                  DaemonId aWard) const;
+
+private:
+  struct Watch
+  {
+    MonoTime lastHeard;
+    Offset version;
+    bool sealed = false;
+    MonoTime nextTell{};
+    Duration tellInterval{};
+  };
+
+  bool IsSilent(const Watch& aWatch, MonoTime aNow) const;
+  void NoteTick(MonoTime aNow);
+
+  DaemonId m_self;
+  NodeSettings m_settings;
+  MonoTime m_lastTick;
+  std::map<DaemonId, Watch> m_watches;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Ownership/GuardianSelection.cpp
@@ -0,0 +1,85 @@
+#include "src/Ownership/GuardianSelection.h"
+
+#include <algorithm>
+#include <compare>
+
+namespace pistachioshift {
+
+namespace {
+
+/** \brief Reasons against a candidate, the weightiest first. */
+struct Cost
+{
+  bool avoided = false;
+  bool hostTaken = false;
+  bool otherRegion = false;
+  bool zoneTaken = false;
+  bool ownZone = false;
+  size_t wards = 0;
+  uint64_t draw = 0;
+
+  auto operator<=>(const Cost&) const = default;
+};
+
+Cost
+CostOf(const OwnershipView& aView,
+       const Member& aWard,
+       const Member& aCandidate,
+       const std::vector<const Member*>& aChosen,
+       uint64_t aDraw)
+{
+  const auto& join = aCandidate.join;
+  Cost cost;
+  for (const auto* other : aChosen) {
+    cost.hostTaken |= other->join.host == join.host;
+    cost.zoneTaken |= other->join.zone == join.zone;
+  }
+  cost.otherRegion = join.region != aWard.join.region;
+  cost.ownZone = join.zone == aWard.join.zone;
+  cost.wards = aView.WardsOf(aCandidate.id).size();
+  cost.draw = aDraw;
+  return cost;
+}
+
+}
+
+std::vector<DaemonId>
+SelectGuardians(const OwnershipView& aView,
+                DaemonId aWard,
+                const std::vector<DaemonId>& aKeep,
+                const std::set<DaemonId>& aAvoid,
+                RandomEngine& aRandom)
+{
+  const auto* ward = aView.FindMember(aWard);
+  auto guardians = aKeep;
+  std::vector<const Member*> chosen;
+  for (const auto kept : aKeep) {
+    chosen.push_back(aView.FindMember(kept));
+  }
+  while (ward != nullptr && guardians.size() < kGuardians) {
+    const Member* best = nullptr;
+    Cost lowest;
+    for (const auto& [id, member] : aView.Members()) {
+      // A guardian on the ward's host would fall silent with it.
+      const bool unable = member.leaving || member.join.host == ward->join.host;
+      if (unable || std::ranges::count(guardians, id) > 0) {
+        continue;
+      }
+      auto cost = CostOf(aView, *ward, member, chosen, aRandom());
+      cost.avoided = aAvoid.contains(id);
+      if (best == nullptr || cost < lowest) {
+        best = &member;
+        lowest = cost;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    guardians.push_back(best->id);
+    chosen.push_back(best);
+  }
+  std::ranges::sort(guardians);
+  return guardians;
+}
+
+}
--- /dev/null
+++ b/src/Ownership/GuardianSelection.h
@@ -0,0 +1,28 @@
+#ifndef PISTACHIOSHIFT_OWNERSHIP_GUARDIANSELECTION_H
+#define PISTACHIOSHIFT_OWNERSHIP_GUARDIANSELECTION_H
+
+#include <set>
+#include <vector>
+
+#include "src/Base/Random.h"
+#include "src/Ownership/View.h"
+
+namespace pistachioshift {
+
+/**
+ * \brief Chooses a ward's guardians: other hosts, spread over zones of its
+ *        region, those with the fewest wards first.
+ *
+ * \param aKeep members of the set that stay.
+ * \param aAvoid daemons not to choose while others are left.
+ * \return up to kGuardians members; fewer only in a small mesh.
+ */
+std::vector<DaemonId> SelectGuardians(const OwnershipView& aView,
+                                      DaemonId aWard,
+                                      const std::vector<DaemonId>& aKeep,
+                                      const std::set<DaemonId>& aAvoid,
+                                      RandomEngine& aRandom);
+
+}
+
+#endif
--- a/src/Ownership/Node.h
+++ b/src/Ownership/Node.h
@@ -128,8 +128,8 @@
   /** \brief Highest applied offsets heard of from other daemons. */
   const AppliedOffsets& HighestHeard() const;
 
-  /** \brief Entries held, with their tokens. */
-  const std::map<EntryKey, FenceToken>& Held() const;
+  /** \brief Entries held, also those that are stopping. */
+  std::vector<HeldEntry> Held() const;
 
   DaemonId Self() const;
   const OwnershipView& View() const;
--- /dev/null
+++ b/src/Ownership/NodeEntries.cpp
@@ -0,0 +1,208 @@
+#include <algorithm>
+
+#include "src/Ownership/NodeImpl.h"
+
+namespace pistachioshift {
+
+void
+Node::Impl::Adopt(MonoTime aNow)
+{
+  if (const auto switched = ward.Advance(view.Applied())) {
+    Append(*switched);
+  }
+  const auto adopted = ward.Adopted();
+  while (!m_unadopted.empty() && m_unadopted.begin()->first <= adopted) {
+    const auto key = m_unadopted.begin()->second;
+    m_unadopted.erase(m_unadopted.begin());
+    m_dirty.insert(key);
+    StopEnded(key, aNow);
+  }
+}
+
+void
+Node::Impl::StopEnded(const EntryKey& aKey, MonoTime aNow)
+{
+  const auto end = m_holdings.EndOf(aKey, view);
+  if (end && *end <= ward.Adopted()) {
+    Stop(aKey, aNow);
+  }
+}
+
+void
+Node::Impl::Stop(const EntryKey& aKey, MonoTime aNow)
+{
+  if (!m_holdings.Stop(aKey)) {
+    return;
+  }
+  DaemonId next;
+  for (const auto daemon : view.Route(aKey)) {
+    if (daemon != self) {
+      next = daemon;
+    }
+  }
+  effects.emplace_back(
+    EntryStopping{ aKey, m_holdings.Find(aKey)->token, next });
+  if (m_settings.weakening == internal::Weakening::kReleaseBusy) {
+    OnEntryIdle(aKey, aNow);
+  }
+}
+
+void
+Node::Impl::StopAll(MonoTime aNow)
+{
+  for (const auto& key : m_holdings.Keys()) {
+    Stop(key, aNow);
+  }
+}
+
+void
+Node::Impl::OnEntryIdle(const EntryKey& aKey, MonoTime /*aNow*/)
+{
+  const auto end = m_holdings.EndOf(aKey, view);
+  if (!m_holdings.Release(aKey)) {
+    return;
+  }
+  if (end) {
+    TellReleased(aKey, *end);
+  }
+  m_dirty.insert(aKey);
+}
+
+void
+Node::Impl::TellReleased(const EntryKey& aKey, Offset aEnd)
+{
+  const auto* chain = view.FindChain(aKey);
+  const ReleaseItem item{ aKey, aEnd };
+  if (chain == nullptr || !m_holdings.IsReleased(item, ward.Adopted(), view)) {
+    return;
+  }
+  for (const auto daemon : chain->Current().holders) {
+    if (daemon != self) {
+      Send(daemon, ReleaseReply{ { item } });
+    }
+  }
+}
+
+void
+Node::Impl::EvaluateDirty(MonoTime aNow)
+{
+  const auto dirty = std::exchange(m_dirty, {});
+  for (const auto& key : dirty) {
+    Evaluate(key, aNow);
+  }
+  SendAsks();
+}
+
+bool
+Node::Impl::HoldsOlder(const EntryKey& aKey, Offset aEntry) const
+{
+  return m_holdings.Find(aKey) != nullptr ||
+         !m_holdings.IsReleased({ aKey, aEntry }, aEntry, view);
+}
+
+void
+Node::Impl::Evaluate(const EntryKey& aKey, MonoTime aNow)
+{
+  const auto* chain = view.FindChain(aKey);
+  if (chain == nullptr || !IsActive() || m_departure.HasBegun()) {
+    return;
+  }
+  const auto& current = chain->Current();
+  const internal::OwnPart own{ self,
+                               ward.Adopted(),
+                               HoldsOlder(aKey, current.offset) };
+  const internal::TakeoverRule rule(view, m_evidence, m_settings);
+  const auto takeover = rule.Decide(aKey, own);
+  for (const auto& ask : takeover.asks) {
+    m_asks[ask.daemon].push_back(ask.item);
+    m_waiting.insert(aKey);
+  }
+  if (!takeover.allowed) {
+    return;
+  }
+  const bool ready =
+    own.adopted >= current.offset && aNow < ward.FirmLeaseEnd();
+  if (!ready) {
+    m_waiting.insert(aKey);
+    return;
+  }
+  const FenceToken token{ current.offset, *current.RankOf(self) };
+  Start(aKey, token, takeover.released, aNow);
+}
+
+void
+Node::Impl::Start(const EntryKey& aKey,
+                  FenceToken aToken,
+                  bool aReleased,
+                  MonoTime aNow)
+{
+  auto notBefore = aNow;
+  const auto wait = uncheckedWaits.find(aKey.service);
+  const bool waits = m_settings.weakening != internal::Weakening::kNoFenceWait;
+  if (waits && !aReleased && wait != uncheckedWaits.end()) {
+    notBefore += wait->second;
+  }
+  m_holdings.Start(aKey, aToken, notBefore);
+  effects.emplace_back(EntryStarted{ aKey, aToken, notBefore });
+  m_unrecorded.push_back({ aKey, aToken.entry, aToken.rank });
+  m_flushHeldAt = std::min(m_flushHeldAt, aNow + m_settings.heldBatch);
+}
+
+void
+Node::Impl::SendAsks()
+{
+  for (auto& [daemon, items] : m_asks) {
+    for (size_t first = 0; first < items.size(); first += kMaxReleaseItems) {
+      const auto count = std::min(kMaxReleaseItems, items.size() - first);
+      const auto begin = items.begin() + static_cast<ptrdiff_t>(first);
+      Send(daemon,
+           ReleaseQuery{ { begin, begin + static_cast<ptrdiff_t>(count) } });
+    }
+  }
+  m_asks.clear();
+}
+
+void
+Node::Impl::FlushHeld(MonoTime aNow)
+{
+  if (aNow < m_flushHeldAt) {
+    return;
+  }
+  m_flushHeldAt = MonoTime::max();
+  std::erase_if(m_unrecorded, [this](const HeldEntry& aHeld) {
+    const auto* holding = m_holdings.Find(aHeld.key);
+    return holding == nullptr || holding->token.entry != aHeld.entry;
+  });
+  if (!m_unrecorded.empty()) {
+    Append(HeldRecord{ self, std::exchange(m_unrecorded, {}) });
+  }
+}
+
+std::optional<FenceToken>
+Node::Impl::MayServe(const EntryKey& aKey, MonoTime aNow) const
+{
+  const auto* holding = m_holdings.Find(aKey);
+  if (holding == nullptr || holding->stopping || !IsActive()) {
+    return std::nullopt;
+  }
+  const bool leased =
+    aNow < ward.FirmLeaseEnd() ||
+    m_settings.weakening == internal::Weakening::kServeWithoutLease;
+  if (!leased || aNow < holding->notBefore) {
+    return std::nullopt;
+  }
+  return holding->token;
+}
+
+std::vector<HeldEntry>
+Node::Impl::Held() const
+{
+  std::vector<HeldEntry> held;
+  for (const auto& key : m_holdings.Keys()) {
+    const auto& token = m_holdings.Find(key)->token;
+    held.push_back({ key, token.entry, token.rank });
+  }
+  return held;
+}
+
+}
--- /dev/null
+++ b/src/Ownership/NodeImpl.cpp
@@ -0,0 +1,352 @@
+#include "src/Ownership/NodeImpl.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+Node::Impl::Impl(DaemonId aSelf,
+                 OwnershipView aView,
+                 NodeSettings aSettings,
+                 RandomEngine aRandom,
+                 MonoTime aNow)
+  : self(aSelf)
+  , view(std::move(aView))
+  , ward(aSelf, aSettings)
+  , m_settings(aSettings)
+  , m_random(aRandom)
+  , m_guardian(aSelf, aSettings, aNow)
+  , m_evidence(aSettings)
+  , m_holdings(aSelf)
+  , m_departure(aSelf, aSettings)
+  , m_removal(aSelf)
+{
+  applied.ownership = view.Applied();
+  m_guardian.Sync(view, aNow);
+  ward.Sync(view);
+  for (const auto& [daemon, gone] : view.Gone()) {
+    NoteGone(daemon, aNow);
+  }
+  for (const auto& key : view.EntriesOf(self)) {
+    NoteChange(key, view.FindChain(key)->Current().offset);
+  }
+}
+
+Verdict
+Node::Impl::OnRecord(Offset aOffset,
+                     const OwnershipRecord& aRecord,
+                     MonoTime aNow)
+{
+  const auto before = view.Applied();
+  auto verdict = view.Apply(aOffset, aRecord);
+  if (verdict.refusal == Refusal::kOldOffset) {
+    return verdict;
+  }
+  applied.ownership = view.Applied();
+  const bool pins = std::holds_alternative<PinRecord>(aRecord);
+  for (const auto& key : verdict.changed) {
+    if (pins && m_holdings.Pin(key, view)) {
+      const auto& token = m_holdings.Find(key)->token;
+      m_unrecorded.push_back({ key, token.entry, token.rank });
+      m_flushHeldAt = std::min(m_flushHeldAt, aNow + m_settings.heldBatch);
+    }
+    NoteChange(key, aOffset);
+  }
+  if (verdict.Accepted()) {
+    SyncMembers(aRecord, aNow);
+  }
+  for (const auto daemon : m_evidence.Ripened(before, aOffset)) {
+    MarkEntriesOf(daemon);
+    m_removal.OnSealed(view, m_evidence, daemon, aNow);
+  }
+  Adopt(aNow);
+  EvaluateDirty(aNow);
+  return verdict;
+}
+
+void
+Node::Impl::SyncMembers(const OwnershipRecord& aRecord, MonoTime aNow)
+{
+  if (const auto* join = std::get_if<JoinRecord>(&aRecord)) {
+    if (join->previous) {
+      NoteGone(*join->previous, aNow);
+    }
+  } else if (const auto* gone = std::get_if<GoneRecord>(&aRecord)) {
+    NoteGone(gone->daemon, aNow);
+  } else if (const auto* retire = std::get_if<RetireRecord>(&aRecord)) {
+    NoteGone(retire->ward, aNow);
+  } else if (const auto* set = std::get_if<GuardiansRecord>(&aRecord)) {
+    MarkEntriesOf(set->ward);
+  } else if (const auto* to = std::get_if<GuardiansSwitchedRecord>(&aRecord)) {
+    MarkEntriesOf(to->ward);
+  } else {
+    return;
+  }
+  m_guardian.Sync(view, aNow);
+  ward.Sync(view);
+}
+
+void
+Node::Impl::NoteGone(DaemonId aDaemon, MonoTime aNow)
+{
+  const auto* gone = view.FindGone(aDaemon);
+  if (gone == nullptr) {
+    return;
+  }
+  if (gone->cause == GoneCause::kRetired) {
+    m_evidence.OnRetired(aDaemon, aNow);
+  }
+  m_removal.OnGone(view, aDaemon, aNow);
+  m_evidence.Prune(view);
+  MarkEntriesOf(aDaemon);
+}
+
+void
+Node::Impl::NoteChange(const EntryKey& aKey, Offset aOffset)
+{
+  const EntryKey range{ aKey.service, aKey.range, {} };
+  const auto& mine = view.EntriesOf(self);
+  const bool held =
+    m_holdings.Find(aKey) != nullptr || m_holdings.Find(range) != nullptr;
+  if (!held && !mine.contains(aKey)) {
+    return;
+  }
+  m_dirty.insert(aKey);
+  if (ward.Adopted() < aOffset) {
+    m_unadopted.emplace(aOffset, aKey);
+    ward.Hasten();
+  }
+}
+
+void
+Node::Impl::MarkEntriesOf(DaemonId aDaemon)
+{
+  const auto& mine = view.EntriesOf(self);
+  for (const auto& key : view.EntriesOf(aDaemon)) {
+    if (mine.contains(key)) {
+      m_dirty.insert(key);
+    }
+  }
+}
+
+void
+Node::Impl::NoteHeard(const AppliedOffsets& aApplied)
+{
+  heard.ownership = std::max(heard.ownership, aApplied.ownership);
+  heard.document = std::max(heard.document, aApplied.document);
+}
+
+void
+Node::Impl::OnMessage(DaemonId aFrom,
+                      const ControlMessage& aMessage,
+                      MonoTime aNow)
+{
+  std::visit([&](const auto& aTyped) { Handle(aFrom, aTyped, aNow); },
+             aMessage);
+  EvaluateDirty(aNow);
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom, const Renew& aRenew, MonoTime aNow)
+{
+  NoteHeard(aRenew.applied);
+  // After it left, its promise would be worth nothing.
+  if (!IsActive()) {
+    return;
+  }
+  const bool firm = aNow < ward.PlainLeaseEnd();
+  if (auto ack = m_guardian.OnRenew(aFrom, aRenew, firm, aNow)) {
+    ack->applied = applied;
+    Send(aFrom, *ack);
+  }
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom, const RenewAck& aAck, MonoTime aNow)
+{
+  NoteHeard(aAck.applied);
+  ward.OnAck(aFrom, aAck, aNow);
+  Adopt(aNow);
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom, const Silence& aSilence, MonoTime aNow)
+{
+  NoteHeard(aSilence.applied);
+  const auto guardians = m_evidence.OnSilence(view, aFrom, aSilence.ward, aNow);
+  for (const auto guardian : guardians) {
+    if (guardian == self) {
+      Handle(self, SealRequest{ aSilence.ward }, aNow);
+    } else {
+      Send(guardian, SealRequest{ aSilence.ward });
+    }
+  }
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom, const SealRequest& aRequest, MonoTime aNow)
+{
+  const auto reply = m_guardian.OnSealRequest(aRequest.ward, aNow);
+  if (!reply) {
+    return;
+  }
+  if (aFrom == self) {
+    Handle(self, *reply, aNow);
+  } else {
+    Send(aFrom, *reply);
+  }
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom, const SealReply& aReply, MonoTime aNow)
+{
+  m_evidence.OnSeal(aFrom, aReply.ward, aReply.version);
+  if (view.FindGuardians(aReply.ward) != nullptr) {
+    m_removal.OnSealed(view, m_evidence, aReply.ward, aNow);
+  }
+  MarkEntriesOf(aReply.ward);
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom,
+                   const ReleaseQuery& aQuery,
+                   MonoTime /*aNow*/)
+{
+  ReleaseReply reply;
+  for (const auto& item : aQuery.items) {
+    if (m_holdings.IsReleased(item, ward.Adopted(), view)) {
+      reply.items.push_back(item);
+    }
+  }
+  if (!reply.items.empty()) {
+    Send(aFrom, reply);
+  }
+}
+
+void
+Node::Impl::Handle(DaemonId aFrom,
+                   const ReleaseReply& aReply,
+                   MonoTime /*aNow*/)
+{
+  for (const auto& item : aReply.items) {
+    m_evidence.OnRelease(aFrom, item);
+    m_dirty.insert(item.key);
+  }
+}
+
+void
+Node::Impl::OnTick(MonoTime aNow)
+{
+  TellSilences(aNow);
+  if (!IsActive()) {
+    return;
+  }
+  SendRenewals(aNow);
+  if (!m_departure.HasBegun()) {
+    if (const auto set = ward.Propose(view, m_random, aNow)) {
+      Append(*set);
+    }
+  }
+  for (const auto daemon : m_evidence.OnTick(aNow)) {
+    MarkEntriesOf(daemon);
+  }
+  for (auto& record : m_removal.OnTick(view, m_evidence, aNow)) {
+    Append(std::move(record));
+  }
+  Retry(aNow);
+  EvaluateDirty(aNow);
+  FlushHeld(aNow);
+  Depart(aNow);
+  CheckLost(aNow);
+}
+
+void
+Node::Impl::TellSilences(MonoTime aNow)
+{
+  for (const auto silent : m_guardian.OnTick(aNow)) {
+    for (const auto listener : m_guardian.Listeners(view, silent)) {
+      if (listener == self) {
+        Handle(self, Silence{ silent, applied }, aNow);
+      } else {
+        Send(listener, Silence{ silent, applied });
+      }
+    }
+  }
+}
+
+void
+Node::Impl::SendRenewals(MonoTime aNow)
+{
+  auto renewals = ward.OnTick(view.Applied(), aNow);
+  if (!renewals) {
+    return;
+  }
+  renewals->renew.applied = applied;
+  for (const auto guardian : renewals->guardians) {
+    Send(guardian, renewals->renew);
+  }
+}
+
+void
+Node::Impl::Retry(MonoTime aNow)
+{
+  if (aNow < m_nextRetry) {
+    return;
+  }
+  m_nextRetry = aNow + m_settings.retryInterval;
+  m_dirty.merge(m_waiting);
+  m_waiting.clear();
+}
+
+void
+Node::Impl::BeginLeave(MonoTime aNow)
+{
+  if (!m_departure.HasBegun()) {
+    m_departure.Begin(aNow);
+    Append(LeavingRecord{ self });
+  }
+}
+
+void
+Node::Impl::Depart(MonoTime aNow)
+{
+  if (!m_departure.HasBegun()) {
+    return;
+  }
+  if (m_departure.MustStop(aNow)) {
+    StopAll(aNow);
+  } else {
+    for (auto& record : m_departure.Passes(view, m_holdings, aNow)) {
+      Append(std::move(record));
+    }
+  }
+  if (m_departure.IsDone(view, m_holdings, aNow)) {
+    left = true;
+    Append(GoneRecord{ self, self, GoneCause::kLeft });
+  }
+}
+
+void
+Node::Impl::CheckLost(MonoTime aNow)
+{
+  const bool removed = view.FindMember(self) == nullptr;
+  if (left || !(removed || ward.IsLost(view))) {
+    return;
+  }
+  StopAll(aNow);
+  m_lost = true;
+  effects.emplace_back(RejoinNeeded{});
+}
+
+void
+Node::Impl::Send(DaemonId aTo, ControlMessage aMessage)
+{
+  effects.emplace_back(SendMessage{ aTo, std::move(aMessage) });
+}
+
+void
+Node::Impl::Append(OwnershipRecord aRecord)
+{
+  effects.emplace_back(AppendRecord{ std::move(aRecord) });
+}
+
+}
--- /dev/null
+++ b/src/Ownership/NodeImpl.h
@@ -0,0 +1,113 @@
+#ifndef PISTACHIOSHIFT_OWNERSHIP_NODEIMPL_H
+#define PISTACHIOSHIFT_OWNERSHIP_NODEIMPL_H
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "src/Ownership/Departure.h"
+#include "src/Ownership/Evidence.h"
+#include "src/Ownership/Guardian.h"
+#include "src/Ownership/Holdings.h"
+#include "src/Ownership/Node.h"
+#include "src/Ownership/Removal.h"
+#include "src/Ownership/Takeover.h"
+#include "src/Ownership/Ward.h"
+
+namespace pistachioshift {
+
+/**
+ * \brief Composes the parts of Node and routes inputs between them.
+ *
+ * Only keys in which this daemon has a rank are looked at, and those only
+ * when a record, a message or an adoption may have changed their case.
+ */
+class Node::Impl
+{
+public:
+  Impl(DaemonId aSelf,
+       OwnershipView aView,
+       NodeSettings aSettings,
+       RandomEngine aRandom,
+       MonoTime aNow);
+
+  Verdict OnRecord(Offset aOffset,
+                   const OwnershipRecord& aRecord,
+                   MonoTime aNow);
+  void OnMessage(DaemonId aFrom, const ControlMessage& aMessage, MonoTime aNow);
+  void OnTick(MonoTime aNow);
+  void OnEntryIdle(const EntryKey& aKey, MonoTime aNow);
+  void BeginLeave(MonoTime aNow);
+  std::optional<FenceToken> MayServe(const EntryKey& aKey, MonoTime aNow) const;
+  std::vector<HeldEntry> Held() const;
+
+  DaemonId self;
+  OwnershipView view;
+  AppliedOffsets applied;
+  AppliedOffsets heard;
+  std::map<ServiceName, Duration> uncheckedWaits;
+  std::vector<Effect> effects;
+  internal::Ward ward;
+  bool left = false;
+
+private:
+  void Handle(DaemonId aFrom, const Renew& aRenew, MonoTime aNow);
+  void Handle(DaemonId aFrom, const RenewAck& aAck, MonoTime aNow);
+  void Handle(DaemonId aFrom, const Silence& aSilence, MonoTime aNow);
+  void Handle(DaemonId aFrom, const SealRequest& aRequest, MonoTime aNow);
+  void Handle(DaemonId aFrom, const SealReply& aReply, MonoTime aNow);
+  void Handle(DaemonId aFrom, const ReleaseQuery& aQuery, MonoTime aNow);
+  void Handle(DaemonId aFrom, const ReleaseReply& aReply, MonoTime aNow);
+
+  void SyncMembers(const OwnershipRecord& aRecord, MonoTime aNow);
+  void NoteGone(DaemonId aDaemon, MonoTime aNow);
+  void NoteChange(const EntryKey& aKey, Offset aOffset);
+  void NoteHeard(const AppliedOffsets& aApplied);
+  void MarkEntriesOf(DaemonId aDaemon);
+
+  void Adopt(MonoTime aNow);
+  void StopEnded(const EntryKey& aKey, MonoTime aNow);
+  void Stop(const EntryKey& aKey, MonoTime aNow);
+  void StopAll(MonoTime aNow);
+  void TellReleased(const EntryKey& aKey, Offset aEnd);
+
+  void EvaluateDirty(MonoTime aNow);
+  void Evaluate(const EntryKey& aKey, MonoTime aNow);
+  void Start(const EntryKey& aKey,
+             FenceToken aToken,
+             bool aReleased,
+             MonoTime aNow);
+  bool HoldsOlder(const EntryKey& aKey, Offset aEntry) const;
+
+  void TellSilences(MonoTime aNow);
+  void SendRenewals(MonoTime aNow);
+  void SendAsks();
+  void FlushHeld(MonoTime aNow);
+  void Retry(MonoTime aNow);
+  void Depart(MonoTime aNow);
+  void CheckLost(MonoTime aNow);
+
+  bool IsActive() const { return !left && !m_lost; }
+  void Send(DaemonId aTo, ControlMessage aMessage);
+  void Append(OwnershipRecord aRecord);
+
+  NodeSettings m_settings;
+  RandomEngine m_random;
+  internal::Guardian m_guardian;
+  internal::Evidence m_evidence;
+  internal::Holdings m_holdings;
+  internal::Departure m_departure;
+  internal::Removal m_removal;
+  std::set<EntryKey> m_dirty;   ///< To evaluate now.
+  std::set<EntryKey> m_waiting; ///< To evaluate again after a while.
+  std::multimap<Offset, EntryKey> m_unadopted; ///< Changes to carry out.
+  std::map<DaemonId, std::vector<ReleaseItem>> m_asks;
+  std::vector<HeldEntry> m_unrecorded;
+  MonoTime m_flushHeldAt = MonoTime::max();
+  MonoTime m_nextRetry = MonoTime::min();
+  bool m_lost = false;
+};
+
+}
+
+#endif
--- a/src/Ownership/NodeSettings.h
+++ b/src/Ownership/NodeSettings.h
@@ -11,6 +11,15 @@
 enum class Weakening
 {
   kNone,
+  kServeWithoutLease, ///< R1: requests start after the lease has ended.
+  kAdoptUnwitnessed,  ///< R2: changes are carried out once applied.
+  kSealAtOnce,        ///< R3: seals also a ward that isn't silent.
+  kOneSeal,           ///< R4: one seal is evidence enough.
+  kForgetOldChain,    ///< R5: heirs of a move need no evidence of the base.
+  kNoFenceWait,       ///< R6: unchecked fences get no wait.
+  kReleaseBusy,       ///< R7: released while requests run.
+  kSwitchUnwitnessed, ///< R8: the new guardian set needs no majority.
+  kRetireAtOnce,      ///< R8: a retired ward counts as out when read.
 };
 
 }
@@ -32,8 +41,12 @@
   Duration retryInterval = std::chrono::milliseconds(100);
   /** \brief A guardian that acks nothing for this long is replaced. */
   Duration guardianPatience = std::chrono::seconds(2);
-  /** \brief A planned leave goes on without a successor after this. */
-  Duration leavePatience = std::chrono::seconds(20);
+  /** \brief After this a planned leave lets nothing new start (R7). */
+  Duration leavePatience = std::chrono::seconds(2);
+  /** \brief Further time that a leaving daemon gives its wards. */
+  Duration handOnPatience = std::chrono::seconds(5);
+  /** \brief Entries started within this time share a HeldRecord. */
+  Duration heldBatch = std::chrono::milliseconds(200);
 
   internal::Weakening weakening = internal::Weakening::kNone;
 
--- /dev/null
+++ b/src/Ownership/Removal.cpp
@@ -0,0 +1,100 @@
+#include "src/Ownership/Removal.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace pistachioshift::internal {
+
+namespace {
+
+constexpr Duration kStagger = std::chrono::milliseconds(500);
+constexpr Duration kRepeat = std::chrono::seconds(10);
+
+// Members after the ward, in the order of ids, that may retire it.
+constexpr size_t kRetirers = 4;
+
+/** \brief Place among the members that follow the ward, round the ring. */
+std::optional<size_t>
+PlaceAfter(const OwnershipView& aView, DaemonId aWard, DaemonId aSelf)
+{
+  const auto& members = aView.Members();
+  auto next = members.upper_bound(aWard);
+  for (size_t place = 0; place < std::min(kRetirers, members.size()); ++place) {
+    if (next == members.end()) {
+      next = members.begin();
+    }
+    if (next->first == aSelf) {
+      return place;
+    }
+    ++next;
+  }
+  return std::nullopt;
+}
+
+}
+
+Removal::Removal(DaemonId aSelf)
+  : m_self(aSelf)
+{
+}
+
+void
+Removal::OnSealed(const OwnershipView& aView,
+                  const Evidence& aEvidence,
+                  DaemonId aWard,
+                  MonoTime aNow)
+{
+  if (aEvidence.SealedStanding(aView, aWard, std::nullopt) !=
+      Standing::kOutBefore) {
+    return;
+  }
+  const auto& guardians = aView.FindGuardians(aWard)->current.guardians;
+  const auto own = std::ranges::find(guardians, m_self);
+  if (own != guardians.end()) {
+    m_sealed.emplace(aWard, aNow + (own - guardians.begin()) * kStagger);
+  }
+}
+
+void
+Removal::OnGone(const OwnershipView& aView, DaemonId aGuardian, MonoTime aNow)
+{
+  for (const auto ward : aView.WardsOf(aGuardian)) {
+    const auto place = PlaceAfter(aView, ward, m_self);
+    if (aView.IsRetirable(ward) && place) {
+      const auto wait = static_cast<int64_t>(*place + 1) * kStagger;
+      m_retirable.emplace(ward, aNow + wait);
+    }
+  }
+}
+
+std::vector<OwnershipRecord>
+Removal::OnTick(const OwnershipView& aView,
+                const Evidence& aEvidence,
+                MonoTime aNow)
+{
+  std::vector<OwnershipRecord> records;
+  std::erase_if(m_sealed, [&](const auto& aItem) {
+    return aView.FindMember(aItem.first) == nullptr;
+  });
+  for (auto& [ward, due] : m_sealed) {
+    const bool sealed = aEvidence.SealedStanding(aView, ward, std::nullopt) ==
+                        Standing::kOutBefore;
+    if (aNow >= due && sealed) {
+      records.push_back(GoneRecord{ ward, m_self, GoneCause::kSealed });
+      due = aNow + kRepeat;
+    }
+  }
+  std::erase_if(m_retirable, [&](const auto& aItem) {
+    return !aView.IsRetirable(aItem.first);
+  });
+  for (auto& [ward, due] : m_retirable) {
+    if (aNow >= due) {
+      const auto set = aView.FindGuardians(ward)->current.offset;
+      records.push_back(RetireRecord{ ward, set });
+      due = aNow + kRepeat;
+    }
+  }
+  return records;
+}
+
+}
--- /dev/null
+++ b/src/Ownership/Removal.h
@@ -0,0 +1,45 @@
+#ifndef PISTACHIOSHIFT_OWNERSHIP_REMOVAL_H
+#define PISTACHIOSHIFT_OWNERSHIP_REMOVAL_H
+
+#include <map>
+#include <vector>
+
+#include "src/Base/Clock.h"
+#include "src/Ownership/Evidence.h"
+#include "src/Ownership/View.h"
+
+namespace pistachioshift::internal {
+
+/**
+ * \brief Has lost daemons removed from the log's list of members.
+ *
+ * Several daemons could write the same record; they wait different times, so
+ * that one copy is usual.
+ */
+class Removal
+{
+public:
+  explicit Removal(DaemonId aSelf);
+
+  /** \brief A seal of one of this guardian's wards came in. */
+  void OnSealed(const OwnershipView& aView,
+                const Evidence& aEvidence,
+                DaemonId aWard,
+                MonoTime aNow);
+
+  /** \brief Looks for wards whose guardians are gone. */
+  void OnGone(const OwnershipView& aView, DaemonId aGuardian, MonoTime aNow);
+
+  std::vector<OwnershipRecord> OnTick(const OwnershipView& aView,
+                                      const Evidence& aEvidence,
+                                      MonoTime aNow);
+
+private:
+  DaemonId m_self;
+  std::map<DaemonId, MonoTime> m_sealed;
+  std::map<DaemonId, MonoTime> m_retirable;
+};
+
+}
+
+#endif
--- a/src/Ownership/Replay.cpp
+++ b/src/Ownership/Replay.cpp
@@ -234,13 +234,21 @@
   if (sets == nullptr || sets->current.offset != aRecord.set) {
     return Refused(Refusal::kSetChanged);
   }
-  if (!IsLost(sets->current) || (sets->pending && !IsLost(*sets->pending))) {
+  if (!IsRetirable(aRecord.ward)) {
     return Refused(Refusal::kGuardiansRemain);
   }
   Remove(aRecord.ward, aOffset, GoneCause::kRetired);
   return {};
 }
 
+bool
+OwnershipView::IsRetirable(DaemonId aWard) const
+{
+  const auto* sets = FindGuardians(aWard);
+  return m_members.contains(aWard) && sets != nullptr &&
+         IsLost(sets->current) && (!sets->pending || IsLost(*sets->pending));
+}
+
 bool
 OwnershipView::IsLost(const GuardianSet& aSet) const
 {
--- /dev/null
+++ b/src/Ownership/Takeover.cpp
@@ -0,0 +1,146 @@
+#include "src/Ownership/Takeover.h"
+
+#include <algorithm>
+
+namespace pistachioshift::internal {
+
+TakeoverRule::TakeoverRule(const OwnershipView& aView,
+                           const Evidence& aEvidence,
+                           const NodeSettings& aSettings)
+  : m_view(aView)
+  , m_evidence(aEvidence)
+  , m_settings(aSettings)
+{
+}
+
+Takeover
+TakeoverRule::Decide(const EntryKey& aKey, const OwnPart& aOwn) const
+{
+  Takeover takeover;
+  const auto* chain = m_view.FindChain(aKey);
+  if (chain == nullptr || aOwn.holding) {
+    return takeover;
+  }
+  const auto& current = chain->Current();
+  const auto rank = current.RankOf(aOwn.self);
+  // A higher rank that held it had proof that this one is out.
+  if (!rank || current.PassOf(*rank) || current.held > rank) {
+    return takeover;
+  }
+  takeover.allowed = EarlierRanksOut(aKey, current, *rank, takeover) &&
+                     OldChainDone(aKey, *chain, aOwn, takeover);
+  return takeover;
+}
+
+bool
+TakeoverRule::EarlierRanksOut(const EntryKey& aKey,
+                              const Entry& aEntry,
+                              Rank aRank,
+                              Takeover& aTakeover) const
+{
+  // Ranks below the recorded holder's were proved out before it started.
+  const auto first = aEntry.held.value_or(Rank());
+  for (auto value = first.Value(); value < aRank.Value(); ++value) {
+    const auto daemon = aEntry.holders[value];
+    const auto pass = aEntry.PassOf(Rank(value));
+    if (pass && m_evidence.IsReleased(daemon, aKey, *pass)) {
+      continue;
+    }
+    if (m_evidence.StandingOf(m_view, daemon, std::nullopt) ==
+        Standing::kMayHold) {
+      if (pass) {
+        aTakeover.asks.push_back({ daemon, { aKey, *pass } });
+      }
+      return false;
+    }
+    aTakeover.released = false;
+  }
+  return true;
+}
+
+bool
+TakeoverRule::OldChainDone(const EntryKey& aKey,
+                           const EntryChain& aChain,
+                           const OwnPart& aOwn,
+                           Takeover& aTakeover) const
+{
+  const auto& entries = aChain.entries;
+  if (entries.size() < 2) {
+    return true;
+  }
+  const bool heir = entries.back().holders.front() != aOwn.self;
+  if (m_settings.weakening == Weakening::kForgetOldChain && heir) {
+    return true;
+  }
+  const auto change = entries.back().offset;
+  const auto& base = entries[entries.size() - 2];
+  if (base.held) {
+    return BaseDone(aKey, base, change, aOwn, aTakeover);
+  }
+  // Replaced without ever being held: all that were named must be out.
+  for (size_t index = 0; index + 1 < entries.size(); ++index) {
+    for (const auto daemon : entries[index].holders) {
+      if (m_evidence.StandingOf(m_view, daemon, change) == Standing::kMayHold) {
+        return false;
+      }
+      aTakeover.released = false;
+    }
+  }
+  return true;
+}
+
+bool
+TakeoverRule::BaseDone(const EntryKey& aKey,
+                       const Entry& aBase,
+                       Offset aChange,
+                       const OwnPart& aOwn,
+                       Takeover& aTakeover) const
+{
+  bool unknown = false;
+  for (auto value = aBase.held->Value(); value < aBase.holders.size();
+       ++value) {
+    const Rank rank(value);
+    switch (RankStanding(aKey, aBase, rank, aChange, aOwn, aTakeover)) {
+      case Standing::kMayHold:
+        aTakeover.asks.push_back({ aBase.holders[value], { aKey, aChange } });
+        return false;
+      case Standing::kOutBefore:
+        break;
+      case Standing::kOutUnknown:
+        // Later ranks may know that it didn't carry the change out.
+        unknown = true;
+        break;
+      case Standing::kCarriedOut:
+        if (!unknown && !aBase.PassOf(rank)) {
+          return true;
+        }
+        break;
+    }
+  }
+  return true;
+}
+
+Standing
+TakeoverRule::RankStanding(const EntryKey& aKey,
+                           const Entry& aEntry,
+                           Rank aRank,
+                           Offset aChange,
+                           const OwnPart& aOwn,
+                           Takeover& aTakeover) const
+{
+  const auto daemon = aEntry.holders[aRank.Value()];
+  if (daemon == aOwn.self) {
+    const bool done = aOwn.adopted >= aChange;
+    return done ? Standing::kCarriedOut : Standing::kMayHold;
+  }
+  if (m_evidence.IsReleased(daemon, aKey, aChange)) {
+    return Standing::kCarriedOut;
+  }
+  const auto standing = m_evidence.StandingOf(m_view, daemon, aChange);
+  if (standing != Standing::kMayHold) {
+    aTakeover.released = false;
+  }
+  return standing;
+}
+
+}
--- a/src/Ownership/View.h
+++ b/src/Ownership/View.h
@@ -181,6 +181,7 @@
 
   const PlannerTerm& Term() const { return m_term; }
   const std::map<DaemonId, Member>& Members() const { return m_members; }
+  const std::map<DaemonId, GoneDaemon>& Gone() const { return m_gone; }
   const std::map<EntryKey, EntryChain>& Entries() const { return m_entries; }
   const std::map<DaemonId, GuardianSets>& Guardians() const
   {
@@ -196,6 +197,9 @@
   /** \brief Entries in whose chain a daemon has a rank. */
   const std::set<EntryKey>& EntriesOf(DaemonId aDaemon) const;
 
+  /** \brief Whether a RetireRecord of this ward would be accepted. */
+  bool IsRetirable(DaemonId aWard) const;
+
   /** \brief Wards for which a daemon is a guardian, in force or pending. */
   const std::set<DaemonId>& WardsOf(DaemonId aGuardian) const;
 
--- /dev/null
+++ b/src/Ownership/Ward.cpp
@@ -0,0 +1,239 @@
+#include "src/Ownership/Ward.h"
+
+#include <algorithm>
+
+#include "src/Ownership/GuardianSelection.h"
+
+namespace pistachioshift::internal {
+
+namespace {
+
+// Acks of older renewals can't extend the lease any more.
+constexpr size_t kMaxSent = 16;
+
+/** \brief The value that a majority of the set reaches. */
+template<class T, class ValueOf>
+T
+MajorityValue(const GuardianSet& aSet, T aLowest, ValueOf aValueOf)
+{
+  std::vector<T> values;
+  for (const auto guardian : aSet.guardians) {
+    values.push_back(aValueOf(guardian));
+  }
+  std::ranges::sort(values, std::greater<T>());
+  return values.empty() ? aLowest : values[aSet.Majority() - 1];
+}
+
+}
+
+Ward::Ward(DaemonId aSelf, const NodeSettings& aSettings)
+  : m_self(aSelf)
+  , m_settings(aSettings)
+{
+}
+
+void
+Ward::Sync(const OwnershipView& aView)
+{
+  const auto* sets = aView.FindGuardians(m_self);
+  if (sets == nullptr) {
+    return;
+  }
+  if (!m_counted) {
+    m_counted = sets->current;
+  }
+  // The ward may have switched before its record of it is applied.
+  const bool ahead =
+    sets->pending && sets->pending->offset <= m_counted->offset;
+  m_pending = ahead ? std::nullopt : sets->pending;
+  if (m_pending) {
+    Hasten();
+  }
+  std::erase_if(m_promises, [this](const auto& aPromise) {
+    return !m_counted->Contains(aPromise.first) &&
+           !(m_pending && m_pending->Contains(aPromise.first));
+  });
+}
+
+std::optional<Renewals>
+Ward::OnTick(Offset aApplied, MonoTime aNow)
+{
+  if (!m_counted || aNow < m_nextRenewal) {
+    return std::nullopt;
+  }
+  m_nextRenewal = aNow + m_settings.renewInterval;
+  std::set<DaemonId> guardians(m_counted->guardians.begin(),
+                               m_counted->guardians.end());
+  if (m_pending) {
+    guardians.insert(m_pending->guardians.begin(), m_pending->guardians.end());
+  }
+  m_sent.push_back(Sent{ ++m_sequence, aNow });
+  if (m_sent.size() > kMaxSent) {
+    m_sent.pop_front();
+  }
+  Renewals renewals;
+  renewals.guardians.assign(guardians.begin(), guardians.end());
+  renewals.renew.sequence = m_sequence;
+  renewals.renew.set = m_counted->offset;
+  renewals.renew.version = aApplied;
+  return renewals;
+}
+
+void
+Ward::OnAck(DaemonId aGuardian, const RenewAck& aAck, MonoTime aNow)
+{
+  const bool counted = m_counted && m_counted->Contains(aGuardian);
+  const bool pending = m_pending && m_pending->Contains(aGuardian);
+  if (!counted && !pending) {
+    return;
+  }
+  auto& promise = m_promises[aGuardian];
+  promise.heard = std::max(promise.heard, aNow);
+  promise.sealed |= aAck.sealed;
+  const auto sent = std::ranges::find(m_sent, aAck.sequence, &Sent::sequence);
+  if (aAck.sealed || sent == m_sent.end()) {
+    return;
+  }
+  promise.plain = std::max(promise.plain, sent->at);
+  if (aAck.firm) {
+    promise.firm = std::max(promise.firm, sent->at);
+    promise.version = std::max(promise.version, aAck.version);
+  }
+}
+
+MonoTime
+Ward::LeaseEnd(MonoTime Promise::*aGrade) const
+{
+  if (!m_counted) {
+    return MonoTime::min();
+  }
+  if (m_counted->guardians.empty()) {
+    return MonoTime::max();
+  }
+  const auto sent =
+    MajorityValue(*m_counted, MonoTime::min(), [&](DaemonId aGuardian) {
+      const auto found = m_promises.find(aGuardian);
+      return found == m_promises.end() ? MonoTime::min()
+                                       : found->second.*aGrade;
+    });
+  return sent == MonoTime::min() ? sent : sent + m_settings.lease;
+}
+
+MonoTime
+Ward::PlainLeaseEnd() const
+{
+  return LeaseEnd(&Promise::plain);
+}
+
+MonoTime
+Ward::FirmLeaseEnd() const
+{
+  return LeaseEnd(&Promise::firm);
+}
+
+Offset
+Ward::AckedVersion(const GuardianSet& aSet) const
+{
+  return MajorityValue(aSet, Offset(), [this](DaemonId aGuardian) {
+    const auto found = m_promises.find(aGuardian);
+    return found == m_promises.end() ? Offset() : found->second.version;
+  });
+}
+
+std::optional<GuardiansSwitchedRecord>
+Ward::Advance(Offset aApplied)
+{
+  if (!m_counted) {
+    return std::nullopt;
+  }
+  if (m_settings.weakening == Weakening::kAdoptUnwitnessed) {
+    m_adopted = aApplied;
+  }
+  const bool lone = m_counted->guardians.empty();
+  auto acked = lone ? aApplied : AckedVersion(*m_counted);
+  std::optional<GuardiansSwitchedRecord> switched;
+  if (m_pending && acked >= m_pending->offset) {
+    const bool skip = m_settings.weakening == Weakening::kSwitchUnwitnessed;
+    if (skip || AckedVersion(*m_pending) >= m_pending->offset) {
+      m_counted = m_pending;
+      m_pending.reset();
+      acked = AckedVersion(*m_counted);
+      switched = GuardiansSwitchedRecord{ m_self, m_counted->offset };
+    }
+  }
+  if (m_pending) {
+    // In offset order: the switch comes before any later change.
+    acked = std::min(acked, Offset(m_pending->offset.Value() - 1));
+  }
+  m_adopted = std::max(m_adopted, acked);
+  return switched;
+}
+
+bool
+Ward::NeedsReplacing(const OwnershipView& aView,
+                     DaemonId aGuardian,
+                     MonoTime aNow) const
+{
+  const auto* member = aView.FindMember(aGuardian);
+  if (member == nullptr || member->leaving) {
+    return true;
+  }
+  const auto found = m_promises.find(aGuardian);
+  if (found == m_promises.end()) {
+    return false;
+  }
+  const auto& promise = found->second;
+  return promise.sealed || aNow - promise.heard > m_settings.guardianPatience;
+}
+
+std::optional<GuardiansRecord>
+Ward::Propose(const OwnershipView& aView, RandomEngine& aRandom, MonoTime aNow)
+{
+  const auto* sets = aView.FindGuardians(m_self);
+  if (aNow < m_nextProposal || (sets != nullptr && sets->pending)) {
+    return std::nullopt;
+  }
+  std::vector<DaemonId> keep;
+  std::set<DaemonId> avoid;
+  if (sets != nullptr) {
+    for (const auto guardian : sets->current.guardians) {
+      if (NeedsReplacing(aView, guardian, aNow)) {
+        avoid.insert(guardian);
+      } else {
+        keep.push_back(guardian);
+      }
+    }
+    if (keep.size() == kGuardians) {
+      return std::nullopt;
+    }
+  }
+  const auto guardians = SelectGuardians(aView, m_self, keep, avoid, aRandom);
+  m_nextProposal = aNow + m_settings.guardianPatience;
+  if (sets == nullptr) {
+    return GuardiansRecord{ m_self, Offset(), guardians };
+  }
+  const auto good = std::ranges::count_if(
+    guardians, [&](DaemonId aDaemon) { return !avoid.contains(aDaemon); });
+  if (static_cast<size_t>(good) <= keep.size()) {
+    return std::nullopt;
+  }
+  return GuardiansRecord{ m_self, sets->current.offset, guardians };
+}
+
+bool
+Ward::IsLost(const OwnershipView& aView) const
+{
+  if (!m_counted || m_counted->guardians.empty()) {
+    return false;
+  }
+  const auto useless =
+    std::ranges::count_if(m_counted->guardians, [&](DaemonId aGuardian) {
+      const auto found = m_promises.find(aGuardian);
+      const bool sealed = found != m_promises.end() && found->second.sealed;
+      return sealed || aView.FindMember(aGuardian) == nullptr;
+    });
+  const auto left = m_counted->guardians.size() - static_cast<size_t>(useless);
+  return left < m_counted->Majority();
+}
+
+}
--- /dev/null
+++ b/src/Ownership/Ward.h
@@ -0,0 +1,100 @@
+#ifndef PISTACHIOSHIFT_OWNERSHIP_WARD_H
+#define PISTACHIOSHIFT_OWNERSHIP_WARD_H
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "src/Base/Clock.h"
+#include "src/Base/Random.h"
+#include "src/Ownership/Messages.h"
+#include "src/Ownership/NodeSettings.h"
+#include "src/Ownership/View.h"
+
+namespace pistachioshift::internal {
+
+/** \brief Renewals to send now. */
+struct Renewals
+{
+  std::vector<DaemonId> guardians;
+  Renew renew;
+};
+
+/**
+ * \brief Lease side: renews with guardians, adopts changes (R2), switches
+ *        guardian sets (R8).
+ *
+ * Two grades of lease: the plain one counts every ack, the firm one only
+ * those of guardians that hold a plain lease themselves. Entries are served
+ * under the firm one. So a guardian that was sealed can't uphold a ward that
+ * the log has retired, yet leases come back after all of them lapsed.
+ */
+class Ward
+{
+public:
+  Ward(DaemonId aSelf, const NodeSettings& aSettings);
+
+  /** \brief Takes over set changes after a record was applied. */
+  void Sync(const OwnershipView& aView);
+
+  /** \brief Renews at the next tick, as a change waits for its adoption. */
+  void Hasten() { m_nextRenewal = MonoTime::min(); }
+
+  std::optional<Renewals> OnTick(Offset aApplied, MonoTime aNow);
+  void OnAck(DaemonId aGuardian, const RenewAck& aAck, MonoTime aNow);
+
+  MonoTime PlainLeaseEnd() const;
+  MonoTime FirmLeaseEnd() const;
+
+  /** \brief Highest offset whose changes may be carried out (R2). */
+  Offset Adopted() const { return m_adopted; }
+
+  /** \brief Recomputes Adopted; returns a switch to record, if one was made. */
+  std::optional<GuardiansSwitchedRecord> Advance(Offset aApplied);
+
+  /** \brief A new set to name, if the one in force needs it. */
+  std::optional<GuardiansRecord> Propose(const OwnershipView& aView,
+                                         RandomEngine& aRandom,
+                                         MonoTime aNow);
+
+  /** \brief This incarnation's lease can't come back. */
+  bool IsLost(const OwnershipView& aView) const;
+
+private:
+  struct Promise
+  {
+    MonoTime plain = MonoTime::min();
+    MonoTime firm = MonoTime::min();
+    MonoTime heard = MonoTime::min();
+    Offset version;
+    bool sealed = false;
+  };
+  struct Sent
+  {
+    uint64_t sequence = 0;
+    MonoTime at;
+  };
+
+  MonoTime LeaseEnd(MonoTime Promise::*aGrade) const;
+  Offset AckedVersion(const GuardianSet& aSet) const;
+  bool NeedsReplacing(const OwnershipView& aView,
+                      DaemonId aGuardian,
+                      MonoTime aNow) const;
+
+  DaemonId m_self;
+  NodeSettings m_settings;
+  std::optional<GuardianSet> m_counted;
+  std::optional<GuardianSet> m_pending;
+  std::map<DaemonId, Promise> m_promises;
+  std::deque<Sent> m_sent;
+  uint64_t m_sequence = 0;
+  MonoTime m_nextRenewal = MonoTime::min();
+  MonoTime m_nextProposal = MonoTime::min();
+  Offset m_adopted;
+};
+
+}
+
+#endif
