--- /dev/null
+++ b/src/Inner/Frames.h
@@ -0,0 +1,144 @@
+#ifndef PISTACHIOSHIFT_INNER_FRAMES_H
+#define PISTACHIOSHIFT_INNER_FRAMES_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/Base/Clock.h"
+#include "src/Base/Ids.h"
+#include "src/Http/Message.h"
+#include "src/Log/LogService.h"
+#include "src/Routing/Outcome.h"
+#include "src/Routing/OutcomeTable.h"
+
+namespace pistachioshift {
+
+/** \brief Number of a request on one connection, drawn by the requester. */
+using StreamId = StrongId<struct StreamIdTag, int64_t>;
+
+/** \brief Number of an outcome query on one connection. */
+using QueryId = StrongId<struct QueryIdTag, int64_t>;
+
+/** \brief First frame in each direction of a connection. */
+struct Hello
+{
+  static constexpr int32_t kProtocol = 1;
+
+  BootId boot;
+  int32_t protocol = kProtocol;
+  DaemonId daemon;        ///< 0 before the daemon's join record was read back.
+  TablePosition position; ///< Of the sender's outcome table.
+};
+
+/** \brief Opens a stream: a request for the holder of its key. */
+struct RequestOpen
+{
+  StreamId stream;
+  RequestId request;
+  ServiceName service;
+  std::string key;
+  RequestHead head;
+  Duration remaining{}; ///< Time left to the deadline when sent.
+  bool hasBody = false;
+  std::string idempotencyKey; ///< Empty: none was given.
+  TablePosition known; ///< Position of the owner's table before the request.
+};
+
+/** \brief Piece of a request or response body. */
+struct BodyPiece
+{
+  StreamId stream;
+  std::string data;
+  bool last = false;
+};
+
+/** \brief Permission to send `bytes` more body bytes on the stream. */
+struct Credit
+{
+  StreamId stream;
+  int64_t bytes = 0;
+};
+
+/** \brief Head of the backend server's answer. */
+struct ResponseOpen
+{
+  StreamId stream;
+  ResponseHead head;
+  FenceToken token;
+};
+
+/** \brief The request got no answer from a backend server. */
+struct Refused
+{
+  StreamId stream;
+  Outcome outcome = Outcome::kUnknown;
+  RefusalReason reason{};
+  Duration retryAfter{};
+  std::optional<DaemonId> holder; ///< Where the refusing daemon would ask.
+};
+
+/** \brief The requester no longer wants the answer. */
+struct CancelStream
+{
+  StreamId stream;
+};
+
+struct Ping
+{
+  int64_t sequence = 0;
+};
+
+struct Pong
+{
+  int64_t sequence = 0;
+  TablePosition position;
+};
+
+/** \brief Asks what became of a request; see OutcomeTable::Ask. */
+struct OutcomeQuery
+{
+  QueryId query;
+  RequestId request;
+  TablePosition known;
+};
+
+struct OutcomeReply
+{
+  QueryId query;
+  AskResult result;
+};
+
+/** \brief Asks a peer for records that the log service can't give now. */
+struct RecordsQuery
+{
+  StreamName stream;
+  Offset from;
+};
+
+/** \brief Recent records from the asked offset on; empty if not kept. */
+struct RecordsReply
+{
+  StreamName stream;
+  std::vector<LogEntry> entries;
+};
+
+using Frame = std::variant<Hello,
+                           RequestOpen,
+                           BodyPiece,
+                           Credit,
+                           ResponseOpen,
+                           Refused,
+                           CancelStream,
+                           Ping,
+                           Pong,
+                           OutcomeQuery,
+                           OutcomeReply,
+                           RecordsQuery,
+                           RecordsReply>;
+
+}
+
+#endif
