--- a/src/Http/Server.cpp
+++ b/src/Http/Server.cpp
@@ -97,7 +97,9 @@
 {
   if (m_connection) {
     auto self = shared_from_this();
-    m_connection->Finish();
+    if (!m_connection->Finish()) {
+      Abort();
+    }
   }
 }
 
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -436,26 +436,24 @@
   return !m_outputFull;
 }
 
-void
+bool
 ServerConnection::Finish()
 {
   auto self = shared_from_this();
   if (!m_headSent || !m_body.Finish(m_stream->Output())) {
-    Close(AbortReason::kShutdown);
-    return;
+    return false;
   }
   EndExchange();
   if (m_bodyEnded) {
     NextRequest();
-    return;
-  }
-  m_state = State::kDiscarding;
-  if (m_expectsContinue) {
+  } else if (m_expectsContinue) {
     FlushAndClose();
-    return;
+  } else {
+    m_state = State::kDiscarding;
+    m_stream->ScheduleRead();
+    UpdateTimer();
   }
-  m_stream->ScheduleRead();
-  UpdateTimer();
+  return true;
 }
 
 }
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -30,7 +30,9 @@
   void ResumeBody();
   void SendHead(const ResponseHead& aHead);
   bool SendBody(std::string_view aData);
-  void Finish();
+
+  /** False if the answer isn't whole. */
+  bool Finish();
   size_t BufferedBytes() const { return m_stream->OutputBytes(); }
 
   // From the stream.
