--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -76,6 +76,12 @@
 
   /** \brief Gives up; the listener hears nothing more. */
   virtual void Cancel() = 0;
+
+  /**
+   * \brief The requester is gone: gives up unless the request has started and
+   * its answer can still be kept for an outcome query.
+   */
+  virtual void Abandon() { Cancel(); }
 };
 
 }
--- /dev/null
+++ b/src/Daemon/Daemon.h
@@ -0,0 +1,72 @@
+#ifndef PISTACHIOSHIFT_DAEMON_DAEMON_H
+#define PISTACHIOSHIFT_DAEMON_DAEMON_H
+
+#include <memory>
+
+#include "src/Base/Clock.h"
+#include "src/Base/Logger.h"
+#include "src/Base/Random.h"
+#include "src/Daemon/BackendTask.h"
+#include "src/Daemon/DocumentTask.h"
+#include "src/Daemon/IngressTask.h"
+#include "src/Daemon/InnerServerTask.h"
+#include "src/Daemon/MeshTask.h"
+#include "src/Daemon/OperatorTask.h"
+#include "src/Daemon/PeersTask.h"
+#include "src/Daemon/PlannerTask.h"
+#include "src/Daemon/RelayTask.h"
+#include "src/Daemon/Router.h"
+#include "src/Daemon/Settings.h"
+#include "src/Daemon/Status.h"
+
+namespace pistachioshift {
+
+/** \brief All tasks of pistachiod, on one event loop. */
+class Daemon
+{
+public:
+  /** \throws Error if an endpoint can't be bound. */
+  Daemon(event_base* aBase, const Settings& aSettings);
+
+  void Start();
+
+  /** \brief Planned leave (R7); the loop ends once nothing is left to do. */
+  void BeginLeave();
+
+private:
+  void OnDocument(const DocumentState& aState);
+  void OnServerReady(bool aReady);
+  void OnLeaveTick();
+  void AddPages();
+  OperatorAnswer AnswerMove(const OperatorRequest& aRequest);
+  std::string RenderMetrics();
+  InnerServices MakeInnerServices();
+
+  event_base* m_base;
+  Settings m_settings;
+  SystemClock m_clock;
+  RandomEngine m_random;
+  BootId m_boot;
+  Logger m_logger;
+  Metrics m_metrics;
+  HttpLogService m_logService;
+  MeshTask m_mesh;
+  DocumentTask m_document;
+  BackendTask m_backend;
+  PeersTask m_peers;
+  Router m_router;
+  RelayTask m_relay;
+  PlannerTask m_planner;
+  InnerServerTask m_inner;
+  IngressTask m_ingress;
+  OperatorTask m_operator;
+  StatusSources m_status;
+  Timer m_leaveTimer;
+  MonoTime m_leaveBegan;
+  MonoTime m_idleSince;
+  bool m_leaving = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/IngressSession.cpp
@@ -0,0 +1,511 @@
+#include "src/Daemon/IngressSession.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "src/Daemon/AnswerCodec.h"
+#include "src/Daemon/OwnerCall.h"
+#include "src/Daemon/Target.h"
+
+namespace pistachioshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kReplayBytes = 64 * 1024;
+constexpr uint32_t kMostAttempts = 100;
+constexpr Duration kRedirectDelay = milliseconds(20);
+/** Time after the deadline in which the owner's verdict may still come. */
+constexpr Duration kVerdictGrace = milliseconds(100);
+constexpr int kStatusNotRun = 503;
+constexpr int kStatusUnknown = 504;
+constexpr int kServerErrors = 500;
+
+constexpr const char* kIdempotencyField = "Idempotency-Key";
+constexpr const char* kRepeatField = "Pistachio-Repeat";
+constexpr const char* kTimeoutField = "Pistachio-Timeout-Ms";
+
+RetrySettings
+MakeRetrySettings()
+{
+  RetrySettings settings;
+  settings.maxAttempts = kMostAttempts;
+  settings.redirectDelay = kRedirectDelay;
+  return settings;
+}
+
+std::optional<int64_t>
+ReadNumber(const Headers& aHeaders, const char* aName)
+{
+  const auto* text = aHeaders.Find(aName);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  int64_t number = 0;
+  const auto* end = text->data() + text->size();
+  const auto result = std::from_chars(text->data(), end, number);
+  const bool whole = result.ec == std::errc() && result.ptr == end;
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+std::string
+ReadText(const Headers& aHeaders, const char* aName)
+{
+  const auto* text = aHeaders.Find(aName);
+  return text == nullptr ? std::string() : *text;
+}
+
+}
+
+IngressSession::IngressSession(const IngressContext& aContext,
+                               std::shared_ptr<ServerExchange> aExchange)
+  : m_context(aContext)
+  , m_exchange(std::move(aExchange))
+  , m_arrived(aContext.clock.Now())
+  , m_timer(aContext.base, [this] { OnTimer(); })
+  , m_deadlineTimer(aContext.base, [this] { OnDeadline(); })
+{
+}
+
+void
+IngressSession::Start()
+{
+  m_head = m_exchange->Head();
+  StripHopByHop(m_head.headers);
+  const auto target = ParseTarget(m_head);
+  m_exchange->SetListener(shared_from_this());
+  if (!target) {
+    Refuse(Outcome::kNotRun, RefusalReason::kNoService);
+    return;
+  }
+  const auto& policies = m_context.backend.Policies();
+  const auto policy = policies.find(target->service);
+  if (policy == policies.end()) {
+    Refuse(Outcome::kNotRun, RefusalReason::kNoService);
+    return;
+  }
+  m_policy = policy->second;
+  m_key = target->key;
+  if (m_policy.division == Division::kKeyed && m_key.empty()) {
+    Refuse(Outcome::kNotRun, RefusalReason::kNoKey);
+    return;
+  }
+  if (!ReadPolicy(target->path)) {
+    Refuse(Outcome::kNotRun, RefusalReason::kNoService);
+    return;
+  }
+  const auto allowed = AllowedTime();
+  if (allowed <= Duration::zero()) {
+    Refuse(Outcome::kNotRun, RefusalReason::kDeadlineExpired);
+    return;
+  }
+  m_deadline = m_arrived + allowed;
+  m_deadlineTimer.StartOnce(allowed + kVerdictGrace);
+  m_context.router.BudgetOf(m_policy).OnFirstAttempt();
+  if (!m_head.HasBody()) {
+    m_bodyEnded = true;
+    BeginAttempt();
+  }
+}
+
+bool
+IngressSession::ReadPolicy(const std::string& aPath)
+{
+  const auto* found = FindClass(m_policy, m_head.method, aPath);
+  if (found == nullptr) {
+    return false;
+  }
+  m_class = *found;
+  return true;
+}
+
+Duration
+IngressSession::AllowedTime() const
+{
+  auto allowed = m_class.deadline;
+  const auto timeout = ReadNumber(m_head.headers, kTimeoutField);
+  if (timeout) {
+    allowed = NestedDeadline(milliseconds(std::max<int64_t>(*timeout, 0)),
+                             allowed);
+  }
+  // A backend server of this host passes on the deadline that it was given.
+  const auto deadline = ReadNumber(m_head.headers, fields::kDeadline);
+  if (deadline) {
+    const auto now = m_context.clock.WallNow().time_since_epoch();
+    allowed = NestedDeadline(milliseconds(*deadline) - now, allowed);
+  }
+  return allowed;
+}
+
+void
+IngressSession::OnBody(std::string_view aData)
+{
+  if (m_ended) {
+    return;
+  }
+  if (!m_streaming && m_body.size() + aData.size() <= kReplayBytes) {
+    m_body.append(aData);
+    return;
+  }
+  if (!m_call && !m_streaming) {
+    m_streaming = true;
+    m_body.append(aData);
+    m_exchange->PauseBody();
+    BeginAttempt();
+    return;
+  }
+  // From here on the bytes are gone once they are sent.
+  m_replayable = false;
+  if (m_call && !m_call->SendBody(aData)) {
+    m_exchange->PauseBody();
+  }
+}
+
+void
+IngressSession::OnBodyEnd()
+{
+  if (m_ended) {
+    return;
+  }
+  m_bodyEnded = true;
+  if (m_call) {
+    m_call->Finish();
+  } else if (!m_streaming) {
+    BeginAttempt();
+  }
+}
+
+void
+IngressSession::OnDrained()
+{
+  if (m_call) {
+    m_call->ResumeBody();
+  }
+}
+
+void
+IngressSession::OnAborted(AbortReason)
+{
+  const auto self = shared_from_this();
+  if (m_call) {
+    m_call->Cancel();
+  }
+  m_context.metrics.CountRefusal(RefusalReason::kCancelled);
+  Done(Outcome::kUnknown);
+}
+
+CallRequest
+IngressSession::MakeRequest() const
+{
+  CallRequest request;
+  request.id = m_requestId;
+  request.service = m_policy.name;
+  request.key = m_key;
+  request.head = m_head;
+  request.deadline = m_deadline;
+  request.hasBody = m_head.HasBody();
+  request.idempotencyKey = ReadText(m_head.headers, kIdempotencyField);
+  request.repeat = !ReadText(m_head.headers, kRepeatField).empty();
+  return request;
+}
+
+void
+IngressSession::BeginAttempt()
+{
+  if (m_ended) {
+    return;
+  }
+  m_destination = m_context.router.Choose(m_policy, m_key, m_history);
+  ++m_history.attempts;
+  if (!m_destination) {
+    const bool keyed = m_policy.division == Division::kKeyed;
+    CallRefusal refusal;
+    refusal.reason =
+      keyed ? RefusalReason::kNoOwner : RefusalReason::kNoInstance;
+    OnRefused(refusal);
+    return;
+  }
+  m_history.last = m_destination->daemon;
+  m_requestId = DrawRequestId(m_context.random);
+  m_known = m_context.router.Known(*m_destination);
+  m_attemptStarted = m_context.clock.Now();
+  m_attempt = std::make_shared<IngressAttempt>(shared_from_this());
+  m_call = m_context.router.Start(*m_destination, MakeRequest(), m_attempt);
+  bool open = true;
+  if (!m_body.empty()) {
+    open = m_call->SendBody(m_body);
+  }
+  if (m_bodyEnded) {
+    m_call->Finish();
+  } else if (open) {
+    m_exchange->ResumeBody();
+  }
+}
+
+void
+IngressSession::CloseAttempt()
+{
+  if (m_attempt) {
+    m_attempt->Close();
+    m_attempt.reset();
+  }
+  m_call.reset();
+}
+
+void
+IngressSession::TellBalancer(InstanceResult aResult)
+{
+  if (m_destination) {
+    const auto latency = m_context.clock.Now() - m_attemptStarted;
+    m_context.router.OnEnd(m_policy, *m_destination, aResult, latency);
+  }
+}
+
+AttemptReport
+IngressSession::MakeReport() const
+{
+  AttemptReport report;
+  report.idempotent = m_class.idempotent;
+  report.replayable = m_replayable;
+  report.answerBegun = m_answerBegun;
+  report.attempts = m_history.attempts;
+  report.left = m_deadline - m_context.clock.Now();
+  return report;
+}
+
+void
+IngressSession::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
+{
+  m_answerBegun = true;
+  auto head = aHead;
+  head.headers.Set(fields::kOutcome, std::string(ToString(Outcome::kDone)));
+  const auto* member = m_context.mesh.View().FindMember(m_destination->daemon);
+  if (member != nullptr) {
+    head.headers.Set(fields::kOwner,
+                     fmt::format("{}:{} {}.{}",
+                                 member->join.callers.address,
+                                 member->join.callers.port,
+                                 aToken.entry.Value(),
+                                 aToken.rank.Value()));
+  }
+  m_deadlineTimer.Stop();
+  m_exchange->SendHead(std::move(head));
+  TellBalancer(aHead.status >= kServerErrors ? InstanceResult::kFailed
+                                             : InstanceResult::kDone);
+}
+
+void
+IngressSession::OnAnswerBody(std::string_view aData)
+{
+  if (!m_exchange->SendBody(aData) && m_call) {
+    m_call->PauseBody();
+  }
+}
+
+void
+IngressSession::OnAnswerEnd()
+{
+  const auto self = shared_from_this();
+  m_exchange->Finish();
+  Done(Outcome::kDone);
+}
+
+void
+IngressSession::OnAttemptDrained()
+{
+  if (!m_bodyEnded) {
+    m_exchange->ResumeBody();
+  }
+}
+
+void
+IngressSession::OnRefused(const CallRefusal& aRefusal)
+{
+  const auto self = shared_from_this();
+  CloseAttempt();
+  TellBalancer(InstanceResult::kShed);
+  m_history.hint = aRefusal.holder;
+  m_retryAfter = aRefusal.retryAfter;
+  auto report = MakeReport();
+  report.end = aRefusal.outcome == Outcome::kNotRun ? AttemptEnd::kNotRun
+                                                    : AttemptEnd::kUnknown;
+  report.refusal = aRefusal.reason;
+  report.retryAfter = aRefusal.retryAfter;
+  Decide(report);
+}
+
+void
+IngressSession::OnLost(CallLoss aLoss)
+{
+  const auto self = shared_from_this();
+  CloseAttempt();
+  TellBalancer(InstanceResult::kFailed);
+  m_history.hint.reset();
+  if (aLoss == CallLoss::kTruncated) {
+    m_exchange->Abort();
+    Done(Outcome::kUnknown);
+    return;
+  }
+  auto report = MakeReport();
+  if (aLoss == CallLoss::kNotSent) {
+    report.end = AttemptEnd::kNotRun;
+    report.refusal = RefusalReason::kOwnerUnreachable;
+  } else if (aLoss == CallLoss::kSilent) {
+    report.end = AttemptEnd::kConnectionSilent;
+  } else {
+    report.end = AttemptEnd::kConnectionLost;
+  }
+  Decide(report);
+}
+
+void
+IngressSession::Decide(const AttemptReport& aReport)
+{
+  m_report = aReport;
+  auto& budget = m_context.router.BudgetOf(m_policy);
+  Follow(DecideRetry(aReport, MakeRetrySettings(), budget));
+}
+
+void
+IngressSession::Follow(const RetryDecision& aDecision)
+{
+  switch (aDecision.step) {
+    case RetryStep::kRetryNow:
+      m_context.metrics.CountRetry(aDecision.reason);
+      BeginAttempt();
+      return;
+    case RetryStep::kRetryAfter:
+      m_context.metrics.CountRetry(aDecision.reason);
+      m_timer.StartOnce(aDecision.delay);
+      return;
+    case RetryStep::kAskOwner:
+      if (aDecision.delay > Duration::zero()) {
+        m_askPending = true;
+        m_timer.StartOnce(aDecision.delay);
+        return;
+      }
+      AskOwner();
+      return;
+    case RetryStep::kGiveUp:
+      Refuse(aDecision.outcome, aDecision.refusal);
+      return;
+  }
+}
+
+void
+IngressSession::OnTimer()
+{
+  const auto self = shared_from_this();
+  if (m_ended) {
+    return;
+  }
+  if (m_askPending) {
+    m_askPending = false;
+    AskOwner();
+    return;
+  }
+  BeginAttempt();
+}
+
+void
+IngressSession::AskOwner()
+{
+  const std::weak_ptr<IngressSession> weak = weak_from_this();
+  m_context.router.Ask(
+    *m_destination, m_requestId, m_known, [weak](const AskResult& aResult) {
+      if (const auto session = weak.lock()) {
+        session->OnAsked(aResult);
+      }
+    });
+  m_exchange->PauseBody();
+}
+
+void
+IngressSession::OnAsked(const AskResult& aResult)
+{
+  if (m_ended) {
+    return;
+  }
+  if (aResult.state == RequestState::kDone && aResult.answer) {
+    GiveAnswer(*aResult.answer);
+    return;
+  }
+  m_report.left = m_deadline - m_context.clock.Now();
+  auto& budget = m_context.router.BudgetOf(m_policy);
+  Follow(DecideAfterAsk(aResult, m_report, MakeRetrySettings(), budget));
+}
+
+void
+IngressSession::GiveAnswer(const KeptAnswer& aAnswer)
+{
+  const auto answer = DecodeAnswer(aAnswer);
+  OnHead(answer.head, FenceToken());
+  if (!answer.body.empty()) {
+    m_exchange->SendBody(answer.body);
+  }
+  OnAnswerEnd();
+}
+
+void
+IngressSession::Refuse(Outcome aOutcome, RefusalReason aReason)
+{
+  if (m_ended) {
+    return;
+  }
+  m_context.metrics.CountRefusal(aReason);
+  const bool notRun = aOutcome == Outcome::kNotRun;
+  const auto body = fmt::format(
+    "outcome: {}\nreason: {}\n", ToString(aOutcome), ToString(aReason));
+  ResponseHead head;
+  head.status = notRun ? kStatusNotRun : kStatusUnknown;
+  head.contentLength = body.size();
+  head.headers.Set(fields::kOutcome, std::string(ToString(aOutcome)));
+  head.headers.Set(fields::kReason, std::string(ToString(aReason)));
+  head.headers.Set("Content-Type", "text/plain");
+  if (notRun) {
+    const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(m_retryAfter).count();
+    head.headers.Set("Retry-After",
+                     std::to_string(std::max<int64_t>(seconds, 1)));
+  }
+  m_exchange->SendHead(std::move(head));
+  m_exchange->SendBody(body);
+  m_exchange->Finish();
+  Done(aOutcome);
+}
+
+void
+IngressSession::OnDeadline()
+{
+  const auto self = shared_from_this();
+  if (m_ended || m_answerBegun) {
+    return;
+  }
+  // Without an attempt in progress the last one ended as not run.
+  const bool waits = !m_call && !m_askPending && m_timer.Running();
+  const bool started = m_call != nullptr || m_history.attempts > 0;
+  if (m_call) {
+    m_call->Cancel();
+  }
+  Refuse(waits || !started ? Outcome::kNotRun : Outcome::kUnknown,
+         RefusalReason::kDeadlineExpired);
+}
+
+void
+IngressSession::Done(Outcome aOutcome)
+{
+  if (m_ended) {
+    return;
+  }
+  m_ended = true;
+  CloseAttempt();
+  m_timer.Stop();
+  m_deadlineTimer.Stop();
+  m_context.metrics.CountAnswer(aOutcome);
+  m_context.metrics.ObserveLatency(m_context.clock.Now() - m_arrived);
+}
+
+}
--- /dev/null
+++ b/src/Daemon/IngressSession.h
@@ -0,0 +1,111 @@
+#ifndef PISTACHIOSHIFT_DAEMON_INGRESSSESSION_H
+#define PISTACHIOSHIFT_DAEMON_INGRESSSESSION_H
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/Daemon/IngressTask.h"
+#include "src/Daemon/Timer.h"
+
+namespace pistachioshift {
+
+class IngressAttempt;
+
+/** \brief One request of a caller, over all its attempts. */
+class IngressSession
+  : public ServerListener
+  , public std::enable_shared_from_this<IngressSession>
+{
+public:
+  IngressSession(const IngressContext& aContext,
+                 std::shared_ptr<ServerExchange> aExchange);
+
+  void Start();
+
+  // ServerListener
+  void OnBody(std::string_view aData) override;
+  void OnBodyEnd() override;
+  void OnDrained() override;
+  void OnAborted(AbortReason aReason) override;
+
+  // From the attempt in progress
+  void OnHead(const ResponseHead& aHead, const FenceToken& aToken);
+  void OnAnswerBody(std::string_view aData);
+  void OnAnswerEnd();
+  void OnAttemptDrained();
+  void OnRefused(const CallRefusal& aRefusal);
+  void OnLost(CallLoss aLoss);
+
+private:
+  bool ReadPolicy(const std::string& aPath);
+  Duration AllowedTime() const;
+  void BeginAttempt();
+  CallRequest MakeRequest() const;
+  AttemptReport MakeReport() const;
+  void Decide(const AttemptReport& aReport);
+  void Follow(const RetryDecision& aDecision);
+  void AskOwner();
+  void OnAsked(const AskResult& aResult);
+  void GiveAnswer(const KeptAnswer& aAnswer);
+  void Refuse(Outcome aOutcome, RefusalReason aReason);
+  void OnTimer();
+  void OnDeadline();
+  void CloseAttempt();
+  void TellBalancer(InstanceResult aResult);
+  void Done(Outcome aOutcome);
+
+  const IngressContext& m_context;
+  std::shared_ptr<ServerExchange> m_exchange;
+  ServicePolicy m_policy;
+  RequestClass m_class;
+  std::string m_key;
+  RequestHead m_head;
+  MonoTime m_arrived;
+  MonoTime m_deadline;
+  std::string m_body; ///< First bytes, kept for a repeat.
+  bool m_bodyEnded = false;
+  bool m_streaming = false;  ///< Body bytes go on without being kept.
+  bool m_replayable = true;
+  bool m_answerBegun = false;
+  bool m_ended = false;
+  AttemptHistory m_history;
+  AttemptReport m_report; ///< Of the last attempt, while asking.
+  std::optional<Destination> m_destination;
+  RequestId m_requestId;
+  TablePosition m_known;
+  MonoTime m_attemptStarted;
+  std::shared_ptr<IngressAttempt> m_attempt;
+  std::shared_ptr<Call> m_call;
+  Duration m_retryAfter{};
+  bool m_askPending = false;
+  Timer m_timer;
+  Timer m_deadlineTimer;
+};
+
+/** \brief Passes on what comes from one attempt while it is the current one. */
+class IngressAttempt : public CallListener
+{
+public:
+  explicit IngressAttempt(std::shared_ptr<IngressSession> aSession)
+    : m_session(std::move(aSession))
+  {
+  }
+
+  /** \brief Nothing more is passed on. */
+  void Close() { m_session.reset(); }
+
+  void OnHead(const ResponseHead& aHead, const FenceToken& aToken) override;
+  void OnBody(std::string_view aData) override;
+  void OnEnd() override;
+  void OnDrained() override;
+  void OnRefused(const CallRefusal& aRefusal) override;
+  void OnLost(CallLoss aLoss) override;
+
+private:
+  std::shared_ptr<IngressSession> m_session;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/IngressTask.h
@@ -0,0 +1,46 @@
+#ifndef PISTACHIOSHIFT_DAEMON_INGRESSTASK_H
+#define PISTACHIOSHIFT_DAEMON_INGRESSTASK_H
+
+#include <memory>
+
+#include "Pistachioshift/Http"
+#include "src/Base/Random.h"
+#include "src/Daemon/BackendTask.h"
+#include "src/Daemon/Metrics.h"
+#include "src/Daemon/Router.h"
+#include "src/Daemon/Settings.h"
+
+namespace pistachioshift {
+
+/** \brief What a session needs of its daemon. */
+struct IngressContext
+{
+  event_base* base;
+  const Clock& clock;
+  RandomEngine& random;
+  MeshTask& mesh;
+  BackendTask& backend;
+  Router& router;
+  Metrics& metrics;
+};
+
+/** \brief Takes callers' requests and sees each through to its outcome. */
+class IngressTask
+{
+public:
+  /** \throws HttpError if the endpoint can't be bound. */
+  IngressTask(const IngressContext& aContext, const Settings& aSettings);
+
+  /** \brief No new connections; busy ones finish. */
+  void StopAccepting() { m_server.StopAccepting(); }
+
+  size_t Active() const { return m_server.Active(); }
+
+private:
+  IngressContext m_context;
+  HttpServer m_server;
+};
+
+}
+
+#endif
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -120,8 +120,11 @@
   if (aEnd == ConnectionEnd::kMalformed) {
     m_task.m_metrics.CountConnectionEnd("malformed");
   }
-  // A request that started goes on: its requester may ask what became of it.
+  const auto streams = std::move(m_streams);
   m_streams.clear();
+  for (const auto& [id, stream] : streams) {
+    stream->Abandon();
+  }
   m_task.m_sessions.erase(self);
 }
 
@@ -187,6 +190,15 @@
   Remove();
 }
 
+void
+InnerStream::Abandon()
+{
+  const auto call = std::move(m_call);
+  if (call) {
+    call->Abandon();
+  }
+}
+
 void
 InnerStream::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
 {
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -56,6 +56,7 @@
   void OnFrame(const BodyPiece& aPiece);
   void OnFrame(const Credit& aCredit);
   void Cancel();
+  void Abandon();
 
   void OnHead(const ResponseHead& aHead, const FenceToken& aToken) override;
   void OnBody(std::string_view aData) override;
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -12,6 +12,18 @@
 constexpr size_t kKeptBodyBytes = 3072;
 constexpr Duration kRetryAfterShed = std::chrono::milliseconds(50);
 
+/** Takes the place of a requester that is gone. */
+class NoListener : public CallListener
+{
+public:
+  void OnHead(const ResponseHead&, const FenceToken&) override {}
+  void OnBody(std::string_view) override {}
+  void OnEnd() override {}
+  void OnDrained() override {}
+  void OnRefused(const CallRefusal&) override {}
+  void OnLost(CallLoss) override {}
+};
+
 std::string
 RangeName(const EntryKey& aKey)
 {
@@ -106,6 +118,17 @@
   EndWith(ServiceResult::kCancelled);
 }
 
+void
+OwnerCall::Abandon()
+{
+  // Bytes of an answer in progress have nowhere to go.
+  if (m_state != State::kRunning || m_headSeen || !m_finished) {
+    Cancel();
+    return;
+  }
+  m_listener = std::make_shared<NoListener>();
+}
+
 void
 OwnerCall::ArmDeadline()
 {
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -41,6 +41,7 @@
   void PauseBody() override;
   void ResumeBody() override;
   void Cancel() override;
+  void Abandon() override;
 
   // ClientListener
   void OnHead(const ResponseHead& aHead) override;
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -25,7 +25,7 @@
     m_link->Connect(m_task.m_base,
                     m_task.m_clock,
                     m_endpoint,
-                    Hello{ m_task.m_boot });
+                    Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
   }
   return *m_link;
 }
@@ -36,7 +36,7 @@
   const auto link = std::make_shared<PeerLink>(*this);
   m_queryLinks.push_back(link);
   link->Connect(
-    m_task.m_base, m_task.m_clock, m_endpoint, Hello{ m_task.m_boot });
+    m_task.m_base, m_task.m_clock, m_endpoint, Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
   return link;
 }
 
--- /dev/null
+++ b/src/Daemon/PlannerTask.cpp
@@ -0,0 +1,141 @@
+#include "src/Daemon/PlannerTask.h"
+
+#include "src/Planner/Placement.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr Duration kPlanInterval = std::chrono::milliseconds(250);
+constexpr Duration kClaimPatience = std::chrono::seconds(5);
+constexpr Duration kPendingPatience = std::chrono::seconds(10);
+constexpr size_t kMostAssignments = 128; // per record
+
+}
+
+PlannerTask::PlannerTask(event_base* aBase,
+                         const Clock& aClock,
+                         MeshTask& aMesh,
+                         BackendTask& aBackend,
+                         const Logger& aLogger)
+  : m_clock(aClock)
+  , m_mesh(aMesh)
+  , m_backend(aBackend)
+  , m_logger(aLogger)
+  , m_timer(aBase, [this] { OnTick(); })
+{
+}
+
+void
+PlannerTask::Start()
+{
+  m_timer.StartEvery(kPlanInterval);
+}
+
+bool
+PlannerTask::Planning() const
+{
+  const auto self = m_mesh.Self();
+  return self != DaemonId() && m_mesh.View().Term().planner == self;
+}
+
+void
+PlannerTask::OnTick()
+{
+  if (m_mesh.Self() == DaemonId()) {
+    return;
+  }
+  if (ShouldClaim()) {
+    Claim();
+  }
+  if (Planning()) {
+    PlaceMissing();
+  }
+}
+
+bool
+PlannerTask::ShouldClaim() const
+{
+  const auto& view = m_mesh.View();
+  const auto* planner = view.FindMember(view.Term().planner);
+  if (planner != nullptr && !planner->leaving) {
+    return false;
+  }
+  for (const auto& [daemon, member] : view.Members()) {
+    if (!member.leaving) {
+      return daemon == m_mesh.Self();
+    }
+  }
+  return false;
+}
+
+void
+PlannerTask::Claim()
+{
+  const auto now = m_clock.Now();
+  if (now - m_claimedAt < kClaimPatience) {
+    return;
+  }
+  m_claimedAt = now;
+  m_logger.Info(
+    "planner-claim", "replaces={}", m_mesh.View().Term().term.Value());
+  m_mesh.Append(
+    PlannerTermRecord{ m_mesh.Self(), m_mesh.View().Term().term });
+}
+
+std::set<EntryKey>
+PlannerTask::PendingKeys()
+{
+  const auto now = m_clock.Now();
+  std::erase_if(m_pending, [&](const auto& aItem) {
+    return now - aItem.second > kPendingPatience;
+  });
+  std::set<EntryKey> keys;
+  for (const auto& [key, since] : m_pending) {
+    keys.insert(key);
+  }
+  return keys;
+}
+
+void
+PlannerTask::PlaceMissing()
+{
+  Placement placement(m_mesh.View(), m_backend.Policies());
+  Submit(placement.Plan(kMostAssignments, PendingKeys()));
+}
+
+void
+PlannerTask::Submit(std::vector<Assignment> aAssignments)
+{
+  if (aAssignments.empty()) {
+    return;
+  }
+  for (const auto& assignment : aAssignments) {
+    m_pending[assignment.key] = m_clock.Now();
+  }
+  AssignRecord record;
+  record.term = m_mesh.View().Term().term;
+  record.planner = m_mesh.Self();
+  record.assignments = std::move(aAssignments);
+  m_mesh.Append(record);
+}
+
+bool
+PlannerTask::Move(const EntryKey& aKey, DaemonId aTo)
+{
+  const auto* chain = m_mesh.View().FindChain(aKey);
+  if (!Planning() || chain == nullptr ||
+      m_mesh.View().FindMember(aTo) == nullptr) {
+    return false;
+  }
+  Placement placement(m_mesh.View(), m_backend.Policies());
+  Assignment assignment;
+  assignment.key = aKey;
+  assignment.base = chain->Current().offset;
+  assignment.owner = aTo;
+  assignment.heirs = placement.ChooseHeirs(aKey.service, aTo);
+  Submit({ assignment });
+  return true;
+}
+
+}
--- /dev/null
+++ b/src/Daemon/RelayTask.h
@@ -0,0 +1,46 @@
+#ifndef PISTACHIOSHIFT_DAEMON_RELAYTASK_H
+#define PISTACHIOSHIFT_DAEMON_RELAYTASK_H
+
+#include "src/Base/Random.h"
+#include "src/Daemon/DocumentTask.h"
+#include "src/Daemon/MeshTask.h"
+#include "src/Daemon/PeersTask.h"
+#include "src/Daemon/Timer.h"
+
+namespace pistachioshift {
+
+/**
+ * \brief Fetches log records from other daemons while the log service can't be
+ * reached and others have applied more.
+ */
+class RelayTask
+{
+public:
+  RelayTask(event_base* aBase,
+            RandomEngine& aRandom,
+            MeshTask& aMesh,
+            DocumentTask& aDocument,
+            PeersTask& aPeers,
+            const Settings& aSettings);
+
+  void Start();
+
+  /** \brief Answers another daemon's question. */
+  RecordsReply Answer(const RecordsQuery& aQuery);
+
+private:
+  void OnTick();
+  void AskFor(LogTask& aLog, const std::string& aStream, Offset aHeard);
+  LogTask* FindLog(const StreamName& aStream);
+
+  RandomEngine& m_random;
+  MeshTask& m_mesh;
+  DocumentTask& m_document;
+  PeersTask& m_peers;
+  const Settings& m_settings;
+  Timer m_timer;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Daemon/Router.cpp
@@ -0,0 +1,139 @@
+#include "src/Daemon/Router.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+Router::Router(const Clock& aClock,
+               RandomEngine& aRandom,
+               MeshTask& aMesh,
+               BackendTask& aBackend,
+               PeersTask& aPeers)
+  : m_clock(aClock)
+  , m_random(aRandom)
+  , m_mesh(aMesh)
+  , m_backend(aBackend)
+  , m_peers(aPeers)
+{
+}
+
+std::optional<Destination>
+Router::Choose(const ServicePolicy& aPolicy,
+               const std::string& aKey,
+               const AttemptHistory& aHistory)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    return ChooseInstance(aPolicy, aHistory);
+  }
+  return ChooseHolder(aPolicy, aKey, aHistory);
+}
+
+Destination
+Router::MakeDestination(const Candidate& aCandidate) const
+{
+  const bool local = aCandidate.daemon == m_mesh.Self();
+  return Destination{ aCandidate.daemon, aCandidate.inner, local };
+}
+
+std::optional<Destination>
+Router::ChooseHolder(const ServicePolicy& aPolicy,
+                     const std::string& aKey,
+                     const AttemptHistory& aHistory) const
+{
+  const auto range = RangeOfKey(aKey, aPolicy.ranges);
+  const auto entry = m_mesh.View().Resolve(aPolicy.name, range, aKey);
+  const auto candidates = m_mesh.Route(entry);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const auto usable = [this](const Candidate& aCandidate) {
+    return aCandidate.daemon == m_mesh.Self() ||
+           !m_peers.Suspect(aCandidate.inner);
+  };
+  for (const auto& candidate : candidates) {
+    if (candidate.daemon == aHistory.hint && usable(candidate)) {
+      return MakeDestination(candidate);
+    }
+  }
+  const auto found =
+    std::find_if(candidates.begin(), candidates.end(), usable);
+  // With nobody above suspicion they are tried in turn.
+  const auto turn = aHistory.attempts % candidates.size();
+  return MakeDestination(found == candidates.end() ? candidates[turn]
+                                                   : *found);
+}
+
+std::optional<Destination>
+Router::ChooseInstance(const ServicePolicy& aPolicy,
+                       const AttemptHistory& aHistory)
+{
+  const auto candidates = m_mesh.Instances(aPolicy.name);
+  std::vector<DaemonId> instances;
+  for (const auto& candidate : candidates) {
+    instances.push_back(candidate.daemon);
+  }
+  auto& balancer = m_balancers[aPolicy.name];
+  const auto now = m_clock.Now();
+  balancer.SetInstances(instances, now);
+  const auto chosen = balancer.Choose(m_random, now, aHistory.last);
+  const auto found =
+    std::find_if(candidates.begin(), candidates.end(), [&](const auto& aItem) {
+      return aItem.daemon == chosen;
+    });
+  if (found == candidates.end()) {
+    return std::nullopt;
+  }
+  balancer.OnStart(found->daemon);
+  return MakeDestination(*found);
+}
+
+TablePosition
+Router::Known(const Destination& aDestination) const
+{
+  return aDestination.local ? m_backend.Position()
+                            : m_peers.Known(aDestination.inner);
+}
+
+std::shared_ptr<Call>
+Router::Start(const Destination& aDestination,
+              CallRequest aRequest,
+              std::shared_ptr<CallListener> aListener)
+{
+  aRequest.known = Known(aDestination);
+  if (aDestination.local) {
+    return m_backend.Start(std::move(aRequest), std::move(aListener));
+  }
+  return m_peers.Start(
+    aDestination.inner, std::move(aRequest), std::move(aListener));
+}
+
+void
+Router::Ask(const Destination& aDestination,
+            const RequestId& aRequest,
+            TablePosition aKnown,
+            PeersTask::AskCallback aCallback)
+{
+  m_peers.Ask(aDestination.inner, aRequest, aKnown, std::move(aCallback));
+}
+
+void
+Router::OnEnd(const ServicePolicy& aPolicy,
+              const Destination& aDestination,
+              InstanceResult aResult,
+              Duration aLatency)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    m_balancers[aPolicy.name].OnEnd(
+      aDestination.daemon, aResult, aLatency, m_clock.Now());
+  }
+}
+
+RetryBudget&
+Router::BudgetOf(const ServicePolicy& aPolicy)
+{
+  const auto found =
+    m_budgets.try_emplace(aPolicy.name, RetryBudget(aPolicy.retryShare));
+  return found.first->second;
+}
+
+}
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -43,6 +43,7 @@
     case RefusalReason::kLeaseNotHeld:
     case RefusalReason::kDraining:
     case RefusalReason::kNoOwner:
+    case RefusalReason::kOwnerUnreachable: // It reached no backend server.
       return true;
     default:
       return false;
