--- a/src/Log/Checkpoint.cpp
+++ b/src/Log/Checkpoint.cpp
@@ -79,7 +79,9 @@
 }
 
 std::vector<CheckpointPart>
-SplitCheckpoint(const Checkpoint& aCheckpoint, uint64_t aNumber)
+SplitCheckpoint(const Checkpoint& aCheckpoint,
+                uint64_t aNumber,
+                size_t aChunkBytes)
 {
   const auto bytes = EncodeContent(aCheckpoint);
   if (bytes.size() > kMaxCheckpointBytes) {
@@ -89,12 +91,12 @@
   chunk.checkpoint = aNumber;
   chunk.through = aCheckpoint.through;
   chunk.count =
-    static_cast<uint32_t>((bytes.size() + kChunkBytes - 1) / kChunkBytes);
+    static_cast<uint32_t>((bytes.size() + aChunkBytes - 1) / aChunkBytes);
   chunk.checksum = HashKey(bytes);
   std::vector<CheckpointPart> parts;
   for (; chunk.index < chunk.count; ++chunk.index) {
     parts.push_back(CheckpointPart{
-      chunk, bytes.substr(chunk.index * kChunkBytes, kChunkBytes) });
+      chunk, bytes.substr(chunk.index * aChunkBytes, aChunkBytes) });
   }
   return parts;
 }
--- a/src/Log/Checkpoint.h
+++ b/src/Log/Checkpoint.h
@@ -38,11 +38,13 @@
 /**
  * \brief Splits a checkpoint into the records that carry it.
  * \param aNumber distinguishes the checkpoints of one writer.
+ * \param aChunkBytes longest part, 1 to kChunkBytes.
  * \return at least one part; LogError above kMaxCheckpointBytes.
  * \sa CheckpointReader
  */
 std::vector<CheckpointPart> SplitCheckpoint(const Checkpoint& aCheckpoint,
-                                            uint64_t aNumber);
+                                            uint64_t aNumber,
+                                            size_t aChunkBytes = kChunkBytes);
 
 /**
  * \brief Collects the parts of checkpoints, in any order and repeated.
--- a/src/Log/StreamClient.cpp
+++ b/src/Log/StreamClient.cpp
@@ -292,7 +292,9 @@
   checkpoint.marks = m_follower.Writers().Marks();
   checkpoint.state = m_handlers.saveState();
   ++m_counters.checkpointsWritten;
-  for (auto& part : SplitCheckpoint(checkpoint, ++m_checkpointNumber)) {
+  auto parts =
+    SplitCheckpoint(checkpoint, ++m_checkpointNumber, m_options.chunkBytes);
+  for (auto& part : parts) {
     m_checkpointRecords.push_back(
       m_appender.Submit(std::move(part.body), MonoTime::max(), part.chunk));
   }
--- a/src/Log/StreamClient.h
+++ b/src/Log/StreamClient.h
@@ -26,6 +26,7 @@
   AppenderOptions appender;
   CheckpointScheduleOptions checkpoints;
   bool writesCheckpoints = false;
+  size_t chunkBytes = kChunkBytes; ///< Of a checkpoint, in one record.
   Duration longPoll{};
   uint32_t maxRecords = 1000; ///< Records asked for in one read.
   size_t cachedBytes = 0;     ///< Kept for peers.
