--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -46,7 +46,7 @@
   , m_random(SeededEngine())
   , m_boot(m_random())
   , m_logger("pistachiod", aSettings.logLevel)
-  , m_logService(aBase, aSettings.log.endpoint)
+  , m_logService(aBase, HttpLogOptions{ aSettings.log.endpoint })
   , m_mesh(aBase,
            m_clock,
            m_random,
--- a/src/Daemon/DocumentTask.cpp
+++ b/src/Daemon/DocumentTask.cpp
@@ -26,6 +26,10 @@
   handlers.loadState = [this](const std::string& aState) {
     LoadState(aState);
   };
+  handlers.caughtUp = [this] {
+    m_logger.Info(
+      "document-read", "version={}", m_state.Version().Value());
+  };
   m_log = std::make_unique<LogTask>(aBase,
                                     aLog,
                                     aClock,
--- a/src/Daemon/Status.cpp
+++ b/src/Daemon/Status.cpp
@@ -92,12 +92,13 @@
   if (node == nullptr) {
     return list;
   }
-  for (const auto& [key, token] : node->Held()) {
+  for (const auto& held : node->Held()) {
+    const auto& key = held.key;
     list.push_back({ { "service", key.service.Value() },
                      { "range", key.range.Value() },
                      { "pinned", key.pinnedKey },
-                     { "entry", token.entry.Value() },
-                     { "rank", token.rank.Value() },
+                     { "entry", held.entry.Value() },
+                     { "rank", held.rank.Value() },
                      { "serving", aMesh.MayServe(key).has_value() } });
   }
   return list;
