--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -199,8 +199,7 @@
     IdempotencyKey key;
     key.value = request.idempotencyKey;
     key.repeat = request.repeat;
-    result =
-      m_outcomes.Begin(request.id, request.known, *aCall->m_token, key);
+    result = m_outcomes.Begin(request.id, request.known, *aCall->m_token, key);
   }
   switch (result.verdict) {
     case BeginVerdict::kStarted:
@@ -240,9 +239,8 @@
     settings.slots = std::min(settings.slots, m_settings.server.slots);
     slot = std::make_unique<ServiceGate>(std::move(settings));
     auto* gate = slot.get();
-    gate->wakeup = std::make_unique<Timer>(m_base, [this, gate] {
-      Apply(*gate, gate->gate.Expire(m_clock.Now()));
-    });
+    gate->wakeup = std::make_unique<Timer>(
+      m_base, [this, gate] { Apply(*gate, gate->gate.Expire(m_clock.Now())); });
   }
   return *slot;
 }
@@ -322,8 +320,8 @@
   if (gate != m_gates.end()) {
     auto& queue = gate->second->gate;
     const auto now = m_clock.Now();
-    const auto actions = queue.IsRunning(id) ? queue.Finished(id, aResult, now)
-                                             : queue.Cancel(id);
+    const auto actions =
+      queue.IsRunning(id) ? queue.Finished(id, aResult, now) : queue.Cancel(id);
     Apply(*gate->second, actions);
   }
   if (aCall.m_entered) {
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -210,11 +210,10 @@
   });
   m_operator.OnGet("/explain", [this](const OperatorRequest& aRequest) {
     const ServiceName service(aRequest.Field("service"));
-    return OperatorAnswer{
-      200,
-      "application/json",
-      RenderExplanation(m_status, service, aRequest.Field("key"))
-    };
+    return OperatorAnswer{ 200,
+                           "application/json",
+                           RenderExplanation(
+                             m_status, service, aRequest.Field("key")) };
   });
   m_operator.OnPost("/drain", [this](const OperatorRequest&) {
     BeginLeave();
@@ -249,9 +248,8 @@
   const auto number = ParseNumber(aRequest.Field("range"));
   const auto range = number ? RangeIndex(static_cast<uint32_t>(*number))
                             : RangeOfKey(key, policy->second.ranges);
-  const auto entry =
-    number ? EntryKey{ service, range, {} }
-           : m_mesh.View().Resolve(service, range, key);
+  const auto entry = number ? EntryKey{ service, range, {} }
+                            : m_mesh.View().Resolve(service, range, key);
   if (!m_planner.Move(entry, DaemonId(*to))) {
     return { kStatusConflict,
              "application/json",
--- a/src/Daemon/DocumentTask.cpp
+++ b/src/Daemon/DocumentTask.cpp
@@ -23,12 +23,9 @@
   handlers.saveState = [this] {
     return EncodeDocumentSnapshot(m_state.Snapshot());
   };
-  handlers.loadState = [this](const std::string& aState) {
-    LoadState(aState);
-  };
+  handlers.loadState = [this](const std::string& aState) { LoadState(aState); };
   handlers.caughtUp = [this] {
-    m_logger.Info(
-      "document-read", "version={}", m_state.Version().Value());
+    m_logger.Info("document-read", "version={}", m_state.Version().Value());
   };
   m_log = std::make_unique<LogTask>(aBase,
                                     aLog,
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -128,8 +128,8 @@
   auto allowed = m_class.deadline;
   const auto timeout = ReadNumber(m_head.headers, kTimeoutField);
   if (timeout) {
-    allowed = NestedDeadline(milliseconds(std::max<int64_t>(*timeout, 0)),
-                             allowed);
+    allowed =
+      NestedDeadline(milliseconds(std::max<int64_t>(*timeout, 0)), allowed);
   }
   // A backend server of this host passes on the deadline that it was given.
   const auto deadline = ReadNumber(m_head.headers, fields::kDeadline);
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -65,7 +65,7 @@
   MonoTime m_deadline;
   std::string m_body; ///< First bytes, kept for a repeat.
   bool m_bodyEnded = false;
-  bool m_streaming = false;  ///< Body bytes go on without being kept.
+  bool m_streaming = false; ///< Body bytes go on without being kept.
   bool m_replayable = true;
   bool m_answerBegun = false;
   bool m_ended = false;
--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -41,8 +41,8 @@
     address.Get(),
     static_cast<int>(address.Length()));
   if (m_listener == nullptr) {
-    throw InnerError(fmt::format(
-      "can't bind TCP {}:{}", aEndpoint.address, aEndpoint.port));
+    throw InnerError(
+      fmt::format("can't bind TCP {}:{}", aEndpoint.address, aEndpoint.port));
   }
 }
 
--- a/src/Daemon/Main.cpp
+++ b/src/Daemon/Main.cpp
@@ -39,7 +39,13 @@
       0,
       "check a settings file and exit (0: good, 2: bad)",
       "FILE" },
-    { "version", 'V', POPT_ARG_NONE, &version, 0, "print the version", nullptr },
+    { "version",
+      'V',
+      POPT_ARG_NONE,
+      &version,
+      0,
+      "print the version",
+      nullptr },
     POPT_AUTOHELP POPT_TABLEEND
   };
   const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
@@ -47,9 +53,8 @@
     &poptFreeContext);
   const int result = poptGetNextOpt(context.get());
   if (result < -1) {
-    throw ConfigError(fmt::format("{}: {}",
-                                  poptBadOption(context.get(), 0),
-                                  poptStrerror(result)));
+    throw ConfigError(fmt::format(
+      "{}: {}", poptBadOption(context.get(), 0), poptStrerror(result)));
   }
   if (const auto* rest = poptPeekArg(context.get())) {
     throw ConfigError(fmt::format("unexpected argument '{}'", rest));
--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -15,14 +15,14 @@
 
 Metrics::Metrics()
   : m_registry(std::make_shared<prometheus::Registry>())
-  , m_answers(AddCounters("pistachio_answers_total",
-                          "Answers to callers by outcome"))
+  , m_answers(
+      AddCounters("pistachio_answers_total", "Answers to callers by outcome"))
   , m_refusals(AddCounters("pistachio_refusals_total",
                            "Refusals told to callers by reason"))
   , m_gateRefusals(AddCounters("pistachio_gate_refusals_total",
                                "Refusals by this daemon's gate by reason"))
-  , m_retries(AddCounters("pistachio_retries_total",
-                          "Requests sent again by reason"))
+  , m_retries(
+      AddCounters("pistachio_retries_total", "Requests sent again by reason"))
   , m_httpRefusals(AddCounters("pistachio_http_refusals_total",
                                "Requests refused as HTTP by reason"))
   , m_connectionEnds(AddCounters("pistachio_inner_connection_ends_total",
--- a/src/Daemon/OperatorTask.cpp
+++ b/src/Daemon/OperatorTask.cpp
@@ -54,8 +54,8 @@
       static_cast<OperatorTask*>(aSelf)->Answer(aRequest);
     },
     this);
-  if (evhttp_bind_socket(
-        m_http, aEndpoint.address.c_str(), aEndpoint.port) != 0) {
+  if (evhttp_bind_socket(m_http, aEndpoint.address.c_str(), aEndpoint.port) !=
+      0) {
     evhttp_free(m_http);
     throw DaemonError(fmt::format(
       "can't bind {}:{} for operators", aEndpoint.address, aEndpoint.port));
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -237,7 +237,8 @@
   m_task.m_metrics.CountGateRefusal(refusal.reason);
   const bool ran = refusal.outcome != Outcome::kNotRun;
   const bool shed = refusal.reason == RefusalReason::kShed;
-  const auto result = ran || !shed ? ServiceResult::kFailed : ServiceResult::kShed;
+  const auto result =
+    ran || !shed ? ServiceResult::kFailed : ServiceResult::kShed;
   if (m_remembered && !ran) {
     m_task.m_outcomes.Withdraw(m_request.id);
     m_remembered = false;
@@ -382,8 +383,7 @@
   }
   CallRefusal refusal;
   refusal.reason = ReasonOf(aFailure);
-  refusal.outcome =
-    MayHaveRun(aFailure) ? Outcome::kUnknown : Outcome::kNotRun;
+  refusal.outcome = MayHaveRun(aFailure) ? Outcome::kUnknown : Outcome::kNotRun;
   refusal.retryAfter = kRetryAfterShed;
   Refuse(refusal);
 }
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -22,10 +22,11 @@
 {
   if (!Connected()) {
     m_link = std::make_shared<PeerLink>(*this);
-    m_link->Connect(m_task.m_base,
-                    m_task.m_clock,
-                    m_endpoint,
-                    Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
+    m_link->Connect(
+      m_task.m_base,
+      m_task.m_clock,
+      m_endpoint,
+      Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
   }
   return *m_link;
 }
@@ -36,7 +37,10 @@
   const auto link = std::make_shared<PeerLink>(*this);
   m_queryLinks.push_back(link);
   link->Connect(
-    m_task.m_base, m_task.m_clock, m_endpoint, Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
+    m_task.m_base,
+    m_task.m_clock,
+    m_endpoint,
+    Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
   return link;
 }
 
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -33,8 +33,8 @@
                  std::shared_ptr<CallListener> aListener)
 {
   auto& link = Find(aPeer)->Link();
-  const auto call = std::make_shared<RemoteCall>(link.weak_from_this(),
-                                                 std::move(aListener));
+  const auto call =
+    std::make_shared<RemoteCall>(link.weak_from_this(), std::move(aListener));
   call->Open(aRequest, aRequest.deadline - m_clock.Now());
   return call;
 }
--- a/src/Daemon/PlannerTask.cpp
+++ b/src/Daemon/PlannerTask.cpp
@@ -79,8 +79,7 @@
   m_claimedAt = now;
   m_logger.Info(
     "planner-claim", "replaces={}", m_mesh.View().Term().term.Value());
-  m_mesh.Append(
-    PlannerTermRecord{ m_mesh.Self(), m_mesh.View().Term().term });
+  m_mesh.Append(PlannerTermRecord{ m_mesh.Self(), m_mesh.View().Term().term });
 }
 
 std::set<EntryKey>
--- a/src/Daemon/Router.cpp
+++ b/src/Daemon/Router.cpp
@@ -55,12 +55,10 @@
       return MakeDestination(candidate);
     }
   }
-  const auto found =
-    std::find_if(candidates.begin(), candidates.end(), usable);
+  const auto found = std::find_if(candidates.begin(), candidates.end(), usable);
   // With nobody above suspicion they are tried in turn.
   const auto turn = aHistory.attempts % candidates.size();
-  return MakeDestination(found == candidates.end() ? candidates[turn]
-                                                   : *found);
+  return MakeDestination(found == candidates.end() ? candidates[turn] : *found);
 }
 
 std::optional<Destination>
--- a/src/Daemon/ServerProbe.cpp
+++ b/src/Daemon/ServerProbe.cpp
@@ -99,7 +99,8 @@
 {
   m_failures = aHealthy ? 0 : m_failures + 1;
   // One late or lost answer says little; the probe lags.
-  const bool ready = m_failures == 0 || (m_ready && m_failures < kFailuresToNotReady);
+  const bool ready =
+    m_failures == 0 || (m_ready && m_failures < kFailuresToNotReady);
   if (ready != m_ready) {
     m_ready = ready;
     m_callback(ready);
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -44,7 +44,7 @@
   Duration remaining{}; ///< Time left to the deadline when sent.
   bool hasBody = false;
   std::string idempotencyKey; ///< Empty: none was given.
-  bool repeat = false; ///< The caller sent this idempotency key before.
+  bool repeat = false;        ///< The caller sent this idempotency key before.
   TablePosition known; ///< Position of the owner's table before the request.
 };
 
