--- a/src/Ownership/Evidence.cpp
+++ b/src/Ownership/Evidence.cpp
@@ -87,6 +87,16 @@
   m_retired.emplace(aWard, aNow + silence);
 }
 
+void
+Evidence::Delay(Duration aBy)
+{
+  for (auto& [ward, until] : m_retired) {
+    if (until != MonoTime::min()) {
+      until += aBy;
+    }
+  }
+}
+
 std::vector<DaemonId>
 Evidence::OnTick(MonoTime aNow)
 {
--- a/src/Ownership/Evidence.h
+++ b/src/Ownership/Evidence.h
@@ -44,6 +44,9 @@
   /** \brief A retire record was read; it counts after L(1+drift). */
   void OnRetired(DaemonId aWard, MonoTime aNow);
 
+  /** \brief Moves the ends of these waits by that much. */
+  void Delay(Duration aBy);
+
   /** \brief Retired wards that count as out from now on; told once. */
   std::vector<DaemonId> OnTick(MonoTime aNow);
 
--- a/src/Ownership/Holdings.cpp
+++ b/src/Ownership/Holdings.cpp
@@ -59,6 +59,16 @@
   return true;
 }
 
+void
+Holdings::Delay(MonoTime aSince, Duration aBy)
+{
+  for (auto& [key, holding] : m_held) {
+    if (holding.notBefore > aSince) {
+      holding.notBefore += aBy;
+    }
+  }
+}
+
 const Holding*
 Holdings::Find(const EntryKey& aKey) const
 {
@@ -103,15 +113,21 @@
     const auto* holding = Find(aKey);
     return holding != nullptr && holding->token.entry < aItem.below;
   };
-  if (!aItem.key.pinnedKey.empty()) {
-    return !holds(aItem.key);
+  if (holds(aItem.key)) {
+    return false;
+  }
+  if (aView.FindChain(aItem.key) != nullptr && !aItem.key.pinnedKey.empty()) {
+    return true;
   }
-  // Keys of the range that were unpinned are part of it again.
-  for (auto held = m_held.lower_bound(aItem.key);
-       held != m_held.end() && RangeOf(held->first) == aItem.key;
+  // A key that isn't pinned here, not yet or no more, is part of its range;
+  // so is one pinned since the change: the asker may not know the pin yet.
+  const auto range = RangeOf(aItem.key);
+  for (auto held = m_held.lower_bound(range);
+       held != m_held.end() && RangeOf(held->first) == range;
        ++held) {
-    const bool part =
-      held->first == aItem.key || aView.FindChain(held->first) == nullptr;
+    const bool part = held->first == range ||
+                      aView.FindChain(held->first) == nullptr ||
+                      EndOf(held->first, aView) == aItem.below;
     if (part && holds(held->first)) {
       return false;
     }
--- a/src/Ownership/Holdings.h
+++ b/src/Ownership/Holdings.h
@@ -36,6 +36,9 @@
   /** \brief Ends it once nothing runs; false if it wasn't stopping. */
   bool Release(const EntryKey& aKey);
 
+  /** \brief Moves starts that lay after `aSince` by that much. */
+  void Delay(MonoTime aSince, Duration aBy);
+
   const Holding* Find(const EntryKey& aKey) const;
 
   /** \brief Offset of the change that ends a held entry; none yet: nullopt. */
--- a/src/Ownership/NodeEntries.cpp
+++ b/src/Ownership/NodeEntries.cpp
@@ -34,19 +34,32 @@
   if (!m_holdings.Stop(aKey)) {
     return;
   }
-  DaemonId next;
-  for (const auto daemon : view.Route(aKey)) {
-    if (daemon != self) {
-      next = daemon;
-    }
-  }
   effects.emplace_back(
-    EntryStopping{ aKey, m_holdings.Find(aKey)->token, next });
+    EntryStopping{ aKey, m_holdings.Find(aKey)->token, NextHolder(aKey) });
   if (m_settings.weakening == internal::Weakening::kReleaseBusy) {
     OnEntryIdle(aKey, aNow);
   }
 }
 
+DaemonId
+Node::Impl::NextHolder(const EntryKey& aKey) const
+{
+  const auto* chain = view.FindChain(aKey);
+  if (chain == nullptr) {
+    return {};
+  }
+  const auto& current = chain->Current();
+  for (size_t index = 0; index < current.holders.size(); ++index) {
+    const auto daemon = current.holders[index];
+    const Rank rank(static_cast<uint8_t>(index));
+    const bool able = daemon != self && view.FindMember(daemon) != nullptr;
+    if (able && !current.PassOf(rank)) {
+      return daemon;
+    }
+  }
+  return {};
+}
+
 void
 Node::Impl::StopAll(MonoTime aNow)
 {
@@ -88,6 +101,7 @@
 {
   const auto dirty = std::exchange(m_dirty, {});
   for (const auto& key : dirty) {
+    StopEnded(key, aNow);
     Evaluate(key, aNow);
   }
   SendAsks();
@@ -140,7 +154,7 @@
   const auto wait = uncheckedWaits.find(aKey.service);
   const bool waits = m_settings.weakening != internal::Weakening::kNoFenceWait;
   if (waits && !aReleased && wait != uncheckedWaits.end()) {
-    notBefore += wait->second;
+    notBefore += m_settings.Stretched(wait->second);
   }
   m_holdings.Start(aKey, aToken, notBefore);
   effects.emplace_back(EntryStarted{ aKey, aToken, notBefore });
@@ -188,7 +202,10 @@
   const bool leased =
     aNow < ward.FirmLeaseEnd() ||
     m_settings.weakening == internal::Weakening::kServeWithoutLease;
-  if (!leased || aNow < holding->notBefore) {
+  // A jump of the clock since the last tick may have hidden a wait.
+  const bool waited =
+    holding->notBefore <= m_lastTick || aNow - m_lastTick <= m_settings.tickGap;
+  if (!leased || !waited || aNow < holding->notBefore) {
     return std::nullopt;
   }
   return holding->token;
--- a/src/Ownership/NodeImpl.cpp
+++ b/src/Ownership/NodeImpl.cpp
@@ -19,6 +19,7 @@
   , m_holdings(aSelf)
   , m_departure(aSelf, aSettings)
   , m_removal(aSelf)
+  , m_lastTick(aNow)
 {
   applied.ownership = view.Applied();
   m_guardian.Sync(view, aNow);
@@ -236,6 +237,7 @@
 void
 Node::Impl::OnTick(MonoTime aNow)
 {
+  NoteGap(aNow);
   TellSilences(aNow);
   if (!IsActive()) {
     return;
@@ -259,6 +261,18 @@
   CheckLost(aNow);
 }
 
+void
+Node::Impl::NoteGap(MonoTime aNow)
+{
+  // A clock that jumped doesn't shorten the waits that run.
+  const auto gap = aNow - m_lastTick;
+  if (gap > m_settings.tickGap) {
+    m_holdings.Delay(m_lastTick, gap);
+    m_evidence.Delay(gap);
+  }
+  m_lastTick = std::max(m_lastTick, aNow);
+}
+
 void
 Node::Impl::TellSilences(MonoTime aNow)
 {
--- a/src/Ownership/NodeImpl.h
+++ b/src/Ownership/NodeImpl.h
@@ -69,6 +69,7 @@
   void StopEnded(const EntryKey& aKey, MonoTime aNow);
   void Stop(const EntryKey& aKey, MonoTime aNow);
   void StopAll(MonoTime aNow);
+  DaemonId NextHolder(const EntryKey& aKey) const;
   void TellReleased(const EntryKey& aKey, Offset aEnd);
 
   void EvaluateDirty(MonoTime aNow);
@@ -79,6 +80,7 @@
              MonoTime aNow);
   bool HoldsOlder(const EntryKey& aKey, Offset aEntry) const;
 
+  void NoteGap(MonoTime aNow);
   void TellSilences(MonoTime aNow);
   void SendRenewals(MonoTime aNow);
   void SendAsks();
@@ -105,6 +107,7 @@
   std::vector<HeldEntry> m_unrecorded;
   MonoTime m_flushHeldAt = MonoTime::max();
   MonoTime m_nextRetry = MonoTime::min();
+  MonoTime m_lastTick;
   bool m_lost = false;
 };
 
--- a/src/Ownership/NodeSettings.cpp
+++ b/src/Ownership/NodeSettings.cpp
@@ -2,10 +2,16 @@
 
 namespace pistachioshift {
 
+Duration
+NodeSettings::Stretched(Duration aTime) const
+{
+  return std::chrono::duration_cast<Duration>(aTime * (1.0 + drift));
+}
+
 Duration
 NodeSettings::SilenceToSeal() const
 {
-  return std::chrono::duration_cast<Duration>(lease * (1.0 + drift));
+  return Stretched(lease);
 }
 
 }
--- a/src/Ownership/NodeSettings.h
+++ b/src/Ownership/NodeSettings.h
@@ -50,6 +50,9 @@
 
   internal::Weakening weakening = internal::Weakening::kNone;
 
+  /** \brief A time that is no shorter by any host's clock: t(1+drift). */
+  Duration Stretched(Duration aTime) const;
+
   /** \brief Silence after which a guardian may seal: L(1+drift). */
   Duration SilenceToSeal() const;
 };
--- /dev/null
+++ b/test/Ownership/NodeSupport.cpp
@@ -0,0 +1,594 @@
+#include "test/Ownership/NodeSupport.h"
+
+#include <algorithm>
+
+#include <fmt/ranges.h>
+
+#include "src/Ownership/GuardianSelection.h"
+
+namespace pistachioshift {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::string
+Describe(const EntryKey& aKey)
+{
+  return fmt::format(
+    "{}/{}/{}", aKey.service.Value(), aKey.range.Value(), aKey.pinnedKey);
+}
+
+/** \brief One line on a record for traces. */
+struct DescribeRecord
+{
+  std::string operator()(const JoinRecord& aRecord) const
+  {
+    return fmt::format("join {}", aRecord.host.Value());
+  }
+  std::string operator()(const LeavingRecord& aRecord) const
+  {
+    return fmt::format("leaving {}", aRecord.daemon.Value());
+  }
+  std::string operator()(const GoneRecord& aRecord) const
+  {
+    return fmt::format(
+      "gone {} by {}", aRecord.daemon.Value(), aRecord.by.Value());
+  }
+  std::string operator()(const AssignRecord& aRecord) const
+  {
+    std::string text = "assign";
+    for (const auto& item : aRecord.assignments) {
+      text += fmt::format(" {} base {} to {}",
+                          Describe(item.key),
+                          item.base.value_or(Offset()).Value(),
+                          item.owner.Value());
+      for (const auto heir : item.heirs) {
+        text += fmt::format(",{}", heir.Value());
+      }
+    }
+    return text;
+  }
+  std::string operator()(const HeldRecord& aRecord) const
+  {
+    auto text = fmt::format("held by {}", aRecord.daemon.Value());
+    for (const auto& item : aRecord.entries) {
+      text += fmt::format(" {} ({},{})",
+                          Describe(item.key),
+                          item.entry.Value(),
+                          item.rank.Value());
+    }
+    return text;
+  }
+  std::string operator()(const GuardiansRecord& aRecord) const
+  {
+    auto text = fmt::format("guardians of {}:", aRecord.ward.Value());
+    for (const auto guardian : aRecord.guardians) {
+      text += fmt::format(" {}", guardian.Value());
+    }
+    return text;
+  }
+  std::string operator()(const GuardiansSwitchedRecord& aRecord) const
+  {
+    return fmt::format(
+      "switched {} to {}", aRecord.ward.Value(), aRecord.set.Value());
+  }
+  std::string operator()(const PassRecord& aRecord) const
+  {
+    auto text = fmt::format("pass by {}", aRecord.daemon.Value());
+    for (const auto& item : aRecord.entries) {
+      text += fmt::format(" {} {}", Describe(item.key), item.entry.Value());
+    }
+    return text;
+  }
+  std::string operator()(const RetireRecord& aRecord) const
+  {
+    return fmt::format("retire {}", aRecord.ward.Value());
+  }
+  std::string operator()(const auto& /*aRecord*/) const { return "other"; }
+};
+
+constexpr uint32_t kRanges = 2;
+constexpr const char* kHot = "hot";
+
+// Rates within half the bound either way, so that any two clocks keep it.
+constexpr double kMaxRateError = 0.0049;
+
+}
+
+Mesh::Mesh(const MeshOptions& aOptions)
+  : random(aOptions.seed)
+  , m_options(aOptions)
+  , m_slots(aOptions.daemons)
+{
+  m_settings.weakening = aOptions.weakening;
+  for (uint32_t range = 0; range < kRanges; ++range) {
+    for (const auto& service : { kRegistry, kStamps }) {
+      m_keys.push_back({ service, RangeIndex(range), "cold" });
+    }
+    m_keys.push_back({ kStamps, RangeIndex(range), kHot });
+  }
+  for (auto& slot : m_slots) {
+    slot.rate = 1.0 + kMaxRateError * (2.0 * Chance() - 1.0);
+  }
+  if (aOptions.formed) {
+    Form(aOptions.daemons);
+    return;
+  }
+  for (size_t slot = 0; slot < aOptions.daemons; ++slot) {
+    At(Between({}, milliseconds(600)), [this, slot] { Start(slot, false); });
+  }
+}
+
+void
+Mesh::Form(size_t aDaemons)
+{
+  std::vector<DaemonId> ids;
+  for (size_t slot = 0; slot < aDaemons; ++slot) {
+    AppendToLog(JoinOf(slot));
+    ids.emplace_back(m_view.Applied().Value());
+  }
+  for (const auto id : ids) {
+    AppendToLog(
+      GuardiansRecord{ id, {}, SelectGuardians(m_view, id, {}, {}, random) });
+  }
+  AssignLost();
+  for (size_t slot = 0; slot < aDaemons; ++slot) {
+    Open(slot, ids[slot], m_log.size());
+  }
+}
+
+void
+Mesh::At(Duration aIn, std::function<void()> aRun)
+{
+  m_events.push(Event{ m_now + aIn, ++m_order, std::move(aRun) });
+}
+
+double
+Mesh::Chance()
+{
+  return std::uniform_real_distribution<>(0.0, 1.0)(random);
+}
+
+Duration
+Mesh::Between(Duration aLeast, Duration aMost)
+{
+  return std::chrono::duration_cast<Duration>(aLeast +
+                                              (aMost - aLeast) * Chance());
+}
+
+size_t
+Mesh::Pick(size_t aCount)
+{
+  return std::uniform_int_distribution<size_t>(0, aCount - 1)(random);
+}
+
+void
+Mesh::Run(Duration aFor)
+{
+  const auto end = m_now + aFor;
+  while (!m_violation && !m_events.empty() && m_events.top().at <= end) {
+    const auto event = m_events.top();
+    m_events.pop();
+    m_now = event.at;
+    event.run();
+  }
+  m_now = end;
+}
+
+bool
+Mesh::IsRunning(size_t aSlot) const
+{
+  return m_slots[aSlot].node && !m_slots[aSlot].frozen;
+}
+
+bool
+Mesh::IsUp(size_t aSlot) const
+{
+  return m_slots[aSlot].node.has_value();
+}
+
+MonoTime
+Mesh::ClockOf(size_t aSlot) const
+{
+  const auto& slot = m_slots[aSlot];
+  const auto run = std::chrono::duration_cast<Duration>(m_now * slot.rate);
+  return MonoTime(std::chrono::hours(1)) + run + slot.jumped;
+}
+
+OwnershipRecord
+Mesh::JoinOf(size_t aSlot) const
+{
+  auto join = MakeJoin(aSlot, m_options.zones);
+  join.services = { kRegistry, kStamps };
+  return join;
+}
+
+void
+Mesh::Start(size_t aSlot, bool aNamesPrevious)
+{
+  auto& slot = m_slots[aSlot];
+  if (slot.node || slot.joining) {
+    return;
+  }
+  auto join = std::get<JoinRecord>(JoinOf(aSlot));
+  if (aNamesPrevious) {
+    join.previous = slot.last;
+  }
+  slot = Slot{ .last = slot.last,
+               .joining = true,
+               .cutFromLog = slot.cutFromLog,
+               .rate = slot.rate,
+               .jumped = slot.jumped,
+               .life = slot.life + 1 };
+  slot.outbox.emplace_back(join);
+  const auto life = slot.life;
+  At({}, [this, aSlot, life] { Tick(aSlot, life); });
+}
+
+void
+Mesh::Open(size_t aSlot, DaemonId aId, size_t aRead)
+{
+  // The view as of the records read; all of them, at the join.
+  OwnershipView view;
+  for (size_t index = 0; index < aRead; ++index) {
+    view.Apply(Offset(static_cast<int64_t>(index + 1)), m_log[index].second);
+  }
+  auto& slot = m_slots[aSlot];
+  slot.joining = false;
+  slot.last = aId;
+  slot.node.emplace(aId, view, m_settings, random, ClockOf(aSlot));
+  slot.node->SetUncheckedWaits({ { kStamps, kLongestRequest } });
+  if (slot.life == 0) {
+    const auto life = slot.life = 1;
+    At(Between({}, m_settings.tickInterval),
+       [this, aSlot, life] { Tick(aSlot, life); });
+  }
+}
+
+void
+Mesh::Tick(size_t aSlot, uint64_t aLife)
+{
+  auto& slot = m_slots[aSlot];
+  if (slot.life != aLife) {
+    return;
+  }
+  At(m_settings.tickInterval, [this, aSlot, aLife] { Tick(aSlot, aLife); });
+  if (slot.frozen) {
+    return;
+  }
+  slot.readLag = logSlow ? Between(milliseconds(300), milliseconds(1500))
+                         : Between(milliseconds(2), milliseconds(40));
+  Write(aSlot);
+  if (!slot.node) {
+    return;
+  }
+  Read(aSlot);
+  slot.node->OnTick(ClockOf(aSlot));
+  CarryOut(aSlot);
+  EndRequests(aSlot);
+  Check(aSlot);
+  StartRequests(aSlot);
+  Rejoin(aSlot);
+}
+
+void
+Mesh::Read(size_t aSlot)
+{
+  auto& slot = m_slots[aSlot];
+  auto next = static_cast<size_t>(slot.node->View().Applied().Value());
+  while (!logDown && !slot.cutFromLog && next < m_log.size() &&
+         m_log[next].first + slot.readLag <= m_now) {
+    const Offset offset(static_cast<int64_t>(next + 1));
+    slot.node->OnRecord(offset, m_log[next].second, ClockOf(aSlot));
+    CarryOut(aSlot);
+    ++next;
+  }
+}
+
+void
+Mesh::Write(size_t aSlot)
+{
+  auto& slot = m_slots[aSlot];
+  if (slot.outbox.empty() || slot.writing || logDown || slot.cutFromLog) {
+    return;
+  }
+  slot.writing = true;
+  const auto latency = logSlow ? Between(milliseconds(200), seconds(1))
+                               : Between(milliseconds(1), milliseconds(30));
+  const auto life = slot.life;
+  At(latency, [this, aSlot, life, record = slot.outbox.front()] {
+    auto& writer = m_slots[aSlot];
+    const bool lives = writer.life == life;
+    if (lives) {
+      writer.writing = false;
+    }
+    if (logDown) {
+      return; // The writer tries again.
+    }
+    AppendToLog(record);
+    if (!lives) {
+      return;
+    }
+    writer.outbox.pop_front();
+    if (writer.joining) {
+      Open(aSlot, DaemonId(m_view.Applied().Value()), m_log.size());
+    }
+    if (!writer.frozen) {
+      Write(aSlot);
+    }
+  });
+}
+
+void
+Mesh::AppendToLog(const OwnershipRecord& aRecord)
+{
+  m_log.emplace_back(m_now, aRecord);
+  const auto verdict =
+    m_view.Apply(Offset(static_cast<int64_t>(m_log.size())), aRecord);
+  if (m_options.trace) {
+    Trace(fmt::format("log {} {}: {}",
+                      m_log.size(),
+                      std::visit(DescribeRecord(), aRecord),
+                      ToString(verdict.refusal)));
+  }
+  CheckLog(aRecord);
+}
+
+void
+Mesh::CarryOut(size_t aSlot)
+{
+  auto& slot = m_slots[aSlot];
+  for (auto& effect : slot.node->TakeEffects()) {
+    if (const auto* send = std::get_if<SendMessage>(&effect)) {
+      Send(aSlot, *send);
+    } else if (const auto* append = std::get_if<AppendRecord>(&effect)) {
+      slot.outbox.push_back(append->record);
+    } else if (const auto* stop = std::get_if<EntryStopping>(&effect)) {
+      Trace(fmt::format("slot {} ({}) stops {}",
+                        aSlot,
+                        slot.node->Self().Value(),
+                        Describe(stop->key)));
+      slot.stopping.insert(stop->key);
+    } else if (const auto* start = std::get_if<EntryStarted>(&effect)) {
+      Trace(fmt::format("slot {} ({}) starts {} ({},{})",
+                        aSlot,
+                        slot.node->Self().Value(),
+                        Describe(start->key),
+                        start->token.entry.Value(),
+                        start->token.rank.Value()));
+    } else if (std::holds_alternative<RejoinNeeded>(effect)) {
+      Trace(fmt::format("slot {} must rejoin", aSlot));
+      slot.rejoin = true;
+    }
+  }
+}
+
+void
+Mesh::Send(size_t aSlot, const SendMessage& aSend)
+{
+  const auto to = SlotOf(aSend.to);
+  if (!to || m_cuts.contains({ aSlot, *to }) || Chance() < network.lost) {
+    return;
+  }
+  const Delivery delivery{ m_slots[aSlot].node->Self(),
+                           aSend.to,
+                           aSend.message };
+  const int copies = Chance() < network.doubled ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    const auto latency = Chance() < network.late
+                           ? Between({}, seconds(2))
+                           : Between(microseconds(300), milliseconds(3));
+    At(latency, [this, delivery] { Deliver(delivery); });
+  }
+}
+
+void
+Mesh::Deliver(const Delivery& aDelivery)
+{
+  const auto to = SlotOf(aDelivery.to);
+  if (!to) {
+    return;
+  }
+  auto& slot = m_slots[*to];
+  if (slot.frozen) {
+    slot.inbox.push_back(aDelivery);
+    return;
+  }
+  slot.node->OnMessage(aDelivery.from, aDelivery.message, ClockOf(*to));
+  CarryOut(*to);
+  EndRequests(*to);
+  Check(*to);
+}
+
+std::optional<size_t>
+Mesh::SlotOf(DaemonId aDaemon) const
+{
+  for (size_t slot = 0; slot < m_slots.size(); ++slot) {
+    if (m_slots[slot].node && m_slots[slot].node->Self() == aDaemon) {
+      return slot;
+    }
+  }
+  return std::nullopt;
+}
+
+EntryKey
+Mesh::Resolve(size_t aSlot, const AppKey& aKey) const
+{
+  const auto& view = m_slots[aSlot].node->View();
+  return view.Resolve(aKey.service, aKey.range, aKey.name);
+}
+
+std::optional<FenceToken>
+Mesh::Serves(size_t aSlot, const AppKey& aKey) const
+{
+  return m_slots[aSlot].node->MayServe(Resolve(aSlot, aKey), ClockOf(aSlot));
+}
+
+std::vector<size_t>
+Mesh::Servers(const AppKey& aKey) const
+{
+  std::vector<size_t> servers;
+  for (size_t slot = 0; slot < m_slots.size(); ++slot) {
+    if (m_slots[slot].node && Serves(slot, aKey)) {
+      servers.push_back(slot);
+    }
+  }
+  return servers;
+}
+
+size_t
+Mesh::Unserved() const
+{
+  const auto unserved = std::ranges::count_if(
+    m_keys, [this](const AppKey& aKey) { return Servers(aKey).empty(); });
+  return static_cast<size_t>(unserved);
+}
+
+void
+Mesh::StartRequests(size_t aSlot)
+{
+  for (const auto& key : m_keys) {
+    if (Chance() > 0.3 || !Serves(aSlot, key)) {
+      continue;
+    }
+    for (const auto& other : m_requests) {
+      const bool same =
+        other.slot == aSlot && other.life == m_slots[aSlot].life;
+      const bool runs = other.end > m_now && other.key == key;
+      if (runs && !same && key.service == kStamps) {
+        Fail(fmt::format("slots {} and {} run requests of unfenced {}/{}",
+                         aSlot,
+                         other.slot,
+                         key.range.Value(),
+                         key.name));
+      }
+    }
+    const auto end = m_now + Between(milliseconds(1), kLongestRequest);
+    m_requests.push_back(
+      Request{ aSlot, m_slots[aSlot].life, key, Resolve(aSlot, key), end });
+    const auto life = m_slots[aSlot].life;
+    At(end - m_now, [this, aSlot, life] {
+      if (m_slots[aSlot].life == life && IsRunning(aSlot)) {
+        EndRequests(aSlot);
+      }
+    });
+  }
+}
+
+void
+Mesh::EndRequests(size_t aSlot)
+{
+  std::erase_if(m_requests, [this](const Request& aRequest) {
+    return aRequest.end <= m_now;
+  });
+  auto& slot = m_slots[aSlot];
+  const auto stopping = slot.stopping;
+  for (const auto& key : stopping) {
+    const bool busy = std::ranges::any_of(m_requests, [&](auto& aRequest) {
+      const bool own = aRequest.slot == aSlot && aRequest.life == slot.life;
+      // Started under the range before the key was pinned.
+      const bool pinned =
+        !key.pinnedKey.empty() && aRequest.key.service == key.service &&
+        aRequest.key.range == key.range && aRequest.key.name == key.pinnedKey;
+      return own && (aRequest.entry == key || pinned);
+    });
+    if (!busy) {
+      slot.stopping.erase(key);
+      Trace(fmt::format("slot {} releases {}", aSlot, Describe(key)));
+      slot.node->OnEntryIdle(key, ClockOf(aSlot));
+      CarryOut(aSlot);
+    }
+  }
+}
+
+void
+Mesh::Rejoin(size_t aSlot)
+{
+  auto& slot = m_slots[aSlot];
+  if (slot.node->Left() && slot.outbox.empty()) {
+    Kill(aSlot);
+    return;
+  }
+  if (slot.rejoin && slot.stopping.empty()) {
+    slot.node.reset();
+    Start(aSlot, true);
+  }
+}
+
+void
+Mesh::Trace(const std::string& aWhat) const
+{
+  if (m_options.trace) {
+    fmt::print("{:5} {}\n", m_now / milliseconds(1), aWhat);
+  }
+}
+
+void
+Mesh::Fail(const std::string& aWhat)
+{
+  if (!m_violation) {
+    m_violation = fmt::format(
+      "{} at {} ms, seed {}", aWhat, m_now / milliseconds(1), m_options.seed);
+  }
+}
+
+void
+Mesh::Check(size_t aSlot)
+{
+  if (!m_slots[aSlot].node) {
+    return;
+  }
+  for (const auto& key : m_keys) {
+    const auto token = Serves(aSlot, key);
+    if (!token) {
+      continue;
+    }
+    for (const auto other : Servers(key)) {
+      if (other != aSlot) {
+        Fail(fmt::format("slots {} and {} hold {}/{}/{}",
+                         aSlot,
+                         other,
+                         key.service.Value(),
+                         key.range.Value(),
+                         key.name));
+      }
+    }
+    const auto last = m_serving.find(key);
+    if (last != m_serving.end() && last->second.second != aSlot &&
+        *token <= last->second.first) {
+      Fail("a later holder has no higher fence token");
+    }
+    m_serving[key] = { *token, aSlot };
+  }
+}
+
+void
+Mesh::CheckLog(const OwnershipRecord& /*aRecord*/)
+{
+  for (const auto& [key, held] : m_held) {
+    const auto* chain = m_view.FindChain(key);
+    if (chain == nullptr) {
+      // Unpinned: its range's entry is newer.
+      chain = m_view.FindChain({ key.service, key.range, {} });
+    }
+    const bool kept =
+      chain != nullptr && std::ranges::any_of(chain->entries, [&](auto& e) {
+        return FenceToken{ e.offset, e.held.value_or(Rank(kMaxHeirs)) } >= held;
+      });
+    if (!kept) {
+      Fail("an entry recorded as held is lost");
+    }
+  }
+  for (const auto& [key, chain] : m_view.Entries()) {
+    for (const auto& entry : chain.entries) {
+      if (entry.held) {
+        m_held[key] = FenceToken{ entry.offset, *entry.held };
+      }
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/test/Ownership/ScheduleSupport.cpp
@@ -0,0 +1,334 @@
+#include <algorithm>
+
+#include <fmt/ranges.h>
+
+#include "test/Ownership/NodeSupport.h"
+
+// Faults, the planner's part and whole schedules of Mesh.
+
+namespace pistachioshift {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void
+Mesh::Kill(size_t aSlot)
+{
+  auto& slot = m_slots[aSlot];
+  if (!slot.node) {
+    return;
+  }
+  Trace(fmt::format("kill {}", aSlot));
+  // What was written already may still arrive at the log.
+  slot.node.reset();
+  slot.frozen = false;
+  ++slot.life;
+  slot.outbox.clear();
+  slot.inbox.clear();
+  slot.stopping.clear();
+}
+
+void
+Mesh::Freeze(size_t aSlot)
+{
+  if (m_slots[aSlot].node) {
+    Trace(fmt::format("freeze {}", aSlot));
+    m_slots[aSlot].frozen = true;
+  }
+}
+
+void
+Mesh::Resume(size_t aSlot)
+{
+  auto& slot = m_slots[aSlot];
+  if (!slot.frozen) {
+    return;
+  }
+  Trace(fmt::format("resume {}", aSlot));
+  slot.frozen = false;
+  // At once, before it hears of anything, it may try to serve.
+  Check(aSlot);
+  StartRequests(aSlot);
+  auto inbox = std::exchange(slot.inbox, {});
+  std::ranges::shuffle(inbox, random);
+  for (const auto& delivery : inbox) {
+    At(Between({}, milliseconds(60)), [this, delivery] { Deliver(delivery); });
+  }
+}
+
+void
+Mesh::Jump(size_t aSlot, Duration aBy)
+{
+  Trace(fmt::format("jump {}", aSlot));
+  m_slots[aSlot].jumped += aBy;
+}
+
+void
+Mesh::Leave(size_t aSlot)
+{
+  if (IsRunning(aSlot)) {
+    Trace(fmt::format("leave {}", aSlot));
+    m_slots[aSlot].node->BeginLeave(ClockOf(aSlot));
+    CarryOut(aSlot);
+  }
+}
+
+void
+Mesh::Cut(const std::set<size_t>& aSide, bool aFromLog)
+{
+  for (size_t from = 0; from < Size(); ++from) {
+    for (size_t to = 0; to < Size(); ++to) {
+      if (aSide.contains(from) != aSide.contains(to)) {
+        m_cuts.emplace(from, to);
+      }
+    }
+  }
+  Trace(fmt::format("cut {} log {}", fmt::join(aSide, ","), aFromLog));
+  for (const auto slot : aSide) {
+    m_slots[slot].cutFromLog |= aFromLog;
+  }
+}
+
+void
+Mesh::CutLink(size_t aFrom, size_t aTo)
+{
+  Trace(fmt::format("cut link {} {}", aFrom, aTo));
+  m_cuts.emplace(aFrom, aTo);
+}
+
+void
+Mesh::Heal()
+{
+  Trace("heal");
+  m_cuts.clear();
+  network = Network();
+  logDown = false;
+  logSlow = false;
+  for (size_t slot = 0; slot < Size(); ++slot) {
+    m_slots[slot].cutFromLog = false;
+    Resume(slot);
+  }
+}
+
+bool
+Mesh::EnsurePlanner()
+{
+  if (m_view.Members().empty()) {
+    return false;
+  }
+  const auto& term = m_view.Term();
+  if (m_view.FindMember(term.planner) == nullptr) {
+    const auto planner = m_view.Members().rbegin()->first;
+    AppendToLog(PlannerTermRecord{ planner, term.term });
+  }
+  return true;
+}
+
+std::vector<DaemonId>
+Mesh::DrawHolders()
+{
+  std::vector<DaemonId> holders;
+  for (const auto& [id, member] : m_view.Members()) {
+    if (!member.leaving) {
+      holders.push_back(id);
+    }
+  }
+  std::ranges::shuffle(holders, random);
+  const auto most = 1 + Pick(kMaxHeirs + 1);
+  holders.resize(std::min({ holders.size(), most, kMaxHeirs + 1 }));
+  return holders;
+}
+
+void
+Mesh::MoveSome()
+{
+  if (logDown || !EnsurePlanner()) {
+    return;
+  }
+  AssignRecord record{ m_view.Term().term, m_view.Term().planner, {} };
+  for (const auto& [key, chain] : m_view.Entries()) {
+    const auto holders = DrawHolders();
+    if (Chance() < 0.5 && !holders.empty()) {
+      Assignment move{ key, chain.Current().offset, holders.front(), {} };
+      move.heirs.assign(holders.begin() + 1, holders.end());
+      record.assignments.push_back(move);
+    }
+  }
+  AppendToLog(record);
+}
+
+void
+Mesh::PinSome()
+{
+  if (logDown || !EnsurePlanner()) {
+    return;
+  }
+  const auto& key = m_keys[Pick(m_keys.size())];
+  AppendToLog(PinRecord{ m_view.Term().term,
+                         m_view.Term().planner,
+                         { { key.service, key.range, key.name } } });
+}
+
+void
+Mesh::UnpinSome()
+{
+  if (logDown || !EnsurePlanner()) {
+    return;
+  }
+  UnpinRecord record{ m_view.Term().term, m_view.Term().planner, {} };
+  for (const auto& [key, chain] : m_view.Entries()) {
+    if (!key.pinnedKey.empty()) {
+      record.keys.push_back(key);
+    }
+  }
+  AppendToLog(record);
+}
+
+void
+Mesh::AssignLost()
+{
+  if (logDown || !EnsurePlanner()) {
+    return;
+  }
+  AssignRecord record{ m_view.Term().term, m_view.Term().planner, {} };
+  const auto add = [&](const EntryKey& aKey, std::optional<Offset> aBase) {
+    const auto holders = DrawHolders();
+    if (!holders.empty()) {
+      Assignment assignment{ aKey, aBase, holders.front(), {} };
+      assignment.heirs.assign(holders.begin() + 1, holders.end());
+      record.assignments.push_back(assignment);
+    }
+  };
+  for (const auto& app : m_keys) {
+    const EntryKey key{ app.service, app.range, {} };
+    const bool listed = std::ranges::any_of(
+      record.assignments, [&](auto& aItem) { return aItem.key == key; });
+    if (m_view.FindChain(key) == nullptr && !listed) {
+      add(key, std::nullopt);
+    }
+  }
+  for (const auto& [key, chain] : m_view.Entries()) {
+    if (m_view.Route(key).empty()) {
+      add(key, chain.Current().offset);
+    }
+  }
+  if (!record.assignments.empty()) {
+    AppendToLog(record);
+  }
+}
+
+namespace {
+
+/** \brief Draws one fault or change and, for most, when it ends. */
+class Faults
+{
+public:
+  explicit Faults(Mesh& aMesh)
+    : m_mesh(aMesh)
+  {
+  }
+
+  void Strike()
+  {
+    const auto slot = Draw(m_mesh.Size());
+    switch (Draw(18)) {
+      case 0:
+        m_mesh.Kill(slot);
+        break;
+      case 1:
+        m_mesh.Start(slot, Draw(2) == 0);
+        break;
+      case 2:
+      case 3:
+        m_mesh.Freeze(slot);
+        break;
+      case 4:
+      case 5:
+        m_mesh.Resume(slot);
+        break;
+      case 6:
+        m_mesh.Jump(slot, milliseconds(300 + Draw(3000)));
+        break;
+      case 7:
+        m_mesh.Leave(slot);
+        break;
+      case 8:
+        m_mesh.Cut(DrawSide(), Draw(2) == 0);
+        break;
+      case 9:
+        m_mesh.CutLink(slot, Draw(m_mesh.Size()));
+        break;
+      case 10:
+        m_mesh.Heal();
+        break;
+      case 11:
+        m_mesh.logDown = !m_mesh.logDown;
+        break;
+      case 12:
+        m_mesh.logSlow = !m_mesh.logSlow;
+        break;
+      case 13:
+        m_mesh.network = Network{ 0.1 * static_cast<double>(Draw(4)),
+                                  0.1 * static_cast<double>(Draw(3)),
+                                  0.1 * static_cast<double>(Draw(3)) };
+        break;
+      case 14:
+        m_mesh.PinSome();
+        break;
+      case 15:
+        m_mesh.UnpinSome();
+        break;
+      default:
+        m_mesh.MoveSome();
+        break;
+    }
+  }
+
+  size_t Draw(size_t aCount)
+  {
+    return std::uniform_int_distribution<size_t>(0, aCount - 1)(m_mesh.random);
+  }
+
+private:
+  std::set<size_t> DrawSide()
+  {
+    std::set<size_t> side;
+    for (size_t slot = 0; slot < m_mesh.Size(); ++slot) {
+      if (Draw(2) == 0) {
+        side.insert(slot);
+      }
+    }
+    return side;
+  }
+
+  Mesh& m_mesh;
+};
+
+}
+
+std::optional<std::string>
+RunSchedule(uint64_t aSeed, internal::Weakening aWeakening, bool aTrace)
+{
+  RandomEngine shape(aSeed);
+  MeshOptions options;
+  options.seed = aSeed;
+  options.daemons = 2 + shape() % 6;
+  options.zones = 1 + shape() % 4;
+  options.formed = shape() % 8 != 0;
+  options.weakening = aWeakening;
+  options.trace = aTrace;
+  Mesh mesh(options);
+  Faults faults(mesh);
+  mesh.Run(milliseconds(options.formed ? 400 : 1500));
+  mesh.AssignLost();
+  const auto strikes = 4 + faults.Draw(12);
+  for (size_t strike = 0; strike < strikes && !mesh.Violation(); ++strike) {
+    mesh.Run(milliseconds(10 + faults.Draw(600)));
+    faults.Strike();
+  }
+  mesh.Heal();
+  mesh.Run(seconds(2));
+  return mesh.Violation();
+}
+
+}
