Name the document's tests apart from those of ownership, mend lint

test/Ownership has a ReplayTest too, and programs are named by file, so that the configure step failed once both were merged. Lint found short parameter names; the step generator is now a plain function.

--- a/src/Daemon/MeshTask.cpp
+++ b/src/Daemon/MeshTask.cpp
@@ -34,9 +34,7 @@
   handlers.saveState = [this] {
     return EncodeOwnershipSnapshot(View().Snapshot());
   };
-  handlers.loadState = [this](const std::string& aState) {
-    LoadState(aState);
-  };
+  handlers.loadState = [this](const std::string& aState) { LoadState(aState); };
   handlers.caughtUp = [this] {
     m_caughtUp = true;
     TryJoin();
--- a/src/Daemon/Settings.cpp
+++ b/src/Daemon/Settings.cpp
@@ -48,8 +48,7 @@
 uint16_t
 ReadPort(TableReader& aTable, std::string_view aField)
 {
-  const auto port =
-    aTable.Require(aField, aTable.Integer(aField, kPortBounds));
+  const auto port = aTable.Require(aField, aTable.Integer(aField, kPortBounds));
   return static_cast<uint16_t>(port);
 }
 
@@ -82,8 +81,7 @@
   }
   server.slots = aTable.Require("slots", aTable.Integer("slots", kSlotBounds));
   server.checksFences = aTable.Flag("checks_fences").value_or(true);
-  const auto interval =
-    aTable.Integer("health_interval_ms", kHealthBoundsMs);
+  const auto interval = aTable.Integer("health_interval_ms", kHealthBoundsMs);
   if (interval) {
     server.healthInterval = std::chrono::milliseconds(*interval);
   }
@@ -114,8 +112,7 @@
 ReadLimits(TableReader aTable)
 {
   LimitSettings limits;
-  const auto callers =
-    aTable.Integer("caller_connections", kConnectionBounds);
+  const auto callers = aTable.Integer("caller_connections", kConnectionBounds);
   limits.callerConnections = callers.value_or(limits.callerConnections);
   const auto server = aTable.Integer("server_connections", kConnectionBounds);
   limits.serverConnections = server.value_or(limits.serverConnections);
--- a/src/Document/EditCheck.cpp
+++ b/src/Document/EditCheck.cpp
@@ -177,9 +177,9 @@
 FindRanges(const DocumentSnapshot& aData, const ServiceName& aService)
 {
   const auto found = std::find_if(
-    aData.ranges.begin(), aData.ranges.end(), [&](const DeclaredRanges& r) {
-      return r.service == aService;
-    });
+    aData.ranges.begin(),
+    aData.ranges.end(),
+    [&](const DeclaredRanges& aRanges) { return aRanges.service == aService; });
   return found == aData.ranges.end() ? nullptr : &found->ranges;
 }
 
@@ -364,10 +364,10 @@
 const SectionState*
 FindSection(const DocumentSnapshot& aData, const SectionName& aSection)
 {
-  const auto found =
-    std::find_if(aData.sections.begin(),
-                 aData.sections.end(),
-                 [&](const SectionState& s) { return s.name == aSection; });
+  const auto found = std::find_if(
+    aData.sections.begin(),
+    aData.sections.end(),
+    [&](const SectionState& aState) { return aState.name == aSection; });
   return found == aData.sections.end() ? nullptr : &*found;
 }
 
--- a/src/Document/Parser.cpp
+++ b/src/Document/Parser.cpp
@@ -43,6 +43,12 @@
                                                            "HEAD",
                                                            "OPTIONS" };
 
+bool
+IsNameStart(char aByte)
+{
+  return (aByte >= 'a' && aByte <= 'z') || (aByte >= '0' && aByte <= '9');
+}
+
 bool
 IsSafe(const std::string& aMethod)
 {
@@ -67,8 +73,8 @@
 IsMethod(const std::string& aText)
 {
   return !aText.empty() && aText.size() <= kMaxMethodLength &&
-         std::all_of(aText.begin(), aText.end(), [](char c) {
-           return c >= 'A' && c <= 'Z';
+         std::all_of(aText.begin(), aText.end(), [](char aByte) {
+           return aByte >= 'A' && aByte <= 'Z';
          });
 }
 
@@ -76,8 +82,8 @@
 IsPathPrefix(const std::string& aText)
 {
   return aText.starts_with('/') && aText.size() <= kMaxPrefixLength &&
-         std::all_of(aText.begin(), aText.end(), [](char c) {
-           return c > ' ' && c <= '~' && c != '?' && c != '#';
+         std::all_of(aText.begin(), aText.end(), [](char aByte) {
+           return aByte > ' ' && aByte <= '~' && aByte != '?' && aByte != '#';
          });
 }
 
@@ -341,13 +347,10 @@
 bool
 IsDocumentName(std::string_view aText)
 {
-  const auto letter = [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
-  };
   return !aText.empty() && aText.size() <= kMaxNameLength &&
-         letter(aText.front()) &&
-         std::all_of(aText.begin(), aText.end(), [&](char c) {
-           return letter(c) || c == '-';
+         IsNameStart(aText.front()) &&
+         std::all_of(aText.begin(), aText.end(), [](char aByte) {
+           return IsNameStart(aByte) || aByte == '-';
          });
 }
 
--- a/src/Document/Section.cpp
+++ b/src/Document/Section.cpp
@@ -14,8 +14,10 @@
 const Team*
 TeamsSection::Find(const TeamName& aName) const
 {
-  const auto found = std::find_if(
-    teams.begin(), teams.end(), [&](const Team& t) { return t.name == aName; });
+  const auto found =
+    std::find_if(teams.begin(), teams.end(), [&](const Team& aTeam) {
+      return aTeam.name == aName;
+    });
   return found == teams.end() ? nullptr : &*found;
 }
 
@@ -23,8 +25,8 @@
 TeamsSection::OwnerOf(const SectionName& aSection) const
 {
   const auto found =
-    std::find_if(teams.begin(), teams.end(), [&](const Team& t) {
-      return t.Owns(aSection);
+    std::find_if(teams.begin(), teams.end(), [&](const Team& aTeam) {
+      return aTeam.Owns(aSection);
     });
   return found == teams.end() ? nullptr : &*found;
 }
--- a/test/Document/ReplayTest.cpp
+++ b/test/Document/DocumentReplayTest.cpp
@@ -12,15 +12,15 @@
 namespace pistachioshift {
 namespace {
 
+using test::AnySteps;
 using test::FoundedDocument;
 using test::MakeEdit;
 using test::ScriptedLog;
 using test::ServiceText;
 using test::Signed;
-using test::Step;
 using test::WriteLog;
 
-class ReplayTest : public ::testing::Test
+class DocumentReplayTest : public ::testing::Test
 {
 protected:
   /** \brief Replays the records after the state's offset. */
@@ -49,11 +49,11 @@
   }
 };
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       Replicas_AnyCheckpointRacingWithEdits_AgreeOnEverything,
-                      (const std::vector<Step>& aSteps))
+                      ())
 {
-  const auto log = WriteLog(aSteps);
+  const auto log = WriteLog(*AnySteps());
   const auto start = *rc::gen::inRange<size_t>(0, log.records.size() + 1);
   auto replica =
     DocumentState::FromSnapshot(StateBefore(log, start).Snapshot());
@@ -66,11 +66,11 @@
   }
 }
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       Replica_RecordsDeliveredAgain_IgnoresThem,
-                      (const std::vector<Step>& aSteps))
+                      ())
 {
-  const auto log = WriteLog(aSteps);
+  const auto log = WriteLog(*AnySteps());
   DocumentState replica;
   for (size_t at = 0; at < log.records.size(); ++at) {
     replica.Apply(log.records[at].offset, log.records[at].edit);
@@ -81,11 +81,11 @@
   }
 }
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       AcceptedEdit_AnyLaterRecords_StaysUntilTheNextAccepted,
-                      (const std::vector<Step>& aSteps))
+                      ())
 {
-  const auto log = WriteLog(aSteps);
+  const auto log = WriteLog(*AnySteps());
   std::map<SectionName, SectionText> expected;
   for (size_t at = 0; at < log.records.size(); ++at) {
     const auto& [offset, edit] = log.records[at];
@@ -102,11 +102,11 @@
   }
 }
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       LaggingReplica_RecordsExpired_NeverGoesBackAndCatchesUp,
-                      (const std::vector<Step>& aSteps))
+                      ())
 {
-  const auto log = WriteLog(aSteps);
+  const auto log = WriteLog(*AnySteps());
   const auto any = rc::gen::inRange<size_t>(0, log.records.size() + 1);
   auto replica = StateBefore(log, *any);
   // Checkpoints found in any order, some older than the replica.
@@ -124,7 +124,7 @@
   RC_ASSERT(replica == log.states.back());
 }
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       RacingEdits_AnyOrderWithCopies_ExactlyOneWins,
                       ())
 {
@@ -152,7 +152,7 @@
             racing.front().text);
 }
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       RefusedEdit_CopyAfterAnyNumberOfEdits_IsNeverAccepted,
                       ())
 {
@@ -185,7 +185,7 @@
   RC_ASSERT(state.Apply(Offset(5001), Signed(refused)).IsAccepted());
 }
 
-RC_GTEST_FIXTURE_PROP(ReplayTest,
+RC_GTEST_FIXTURE_PROP(DocumentReplayTest,
                       SignedEdit_AnyFieldChanged_IsRefusedAsWronglySigned,
                       ())
 {
--- a/test/Document/DocumentSupport.cpp
+++ b/test/Document/DocumentSupport.cpp
@@ -26,7 +26,7 @@
 std::string
 TextFor(const std::string& aSection, uint8_t aChoice, uint64_t aId)
 {
-  const auto mark = fmt::format("# {}\n", aId);
+  auto mark = fmt::format("# {}\n", aId);
   switch (aChoice % 7) {
     case 0:
       return mark;
--- a/test/Document/VerdictTest.cpp
+++ b/test/Document/EditVerdictTest.cpp
@@ -12,7 +12,7 @@
 using test::Signed;
 using test::TeamsText;
 
-class VerdictTest : public ::testing::Test
+class EditVerdictTest : public ::testing::Test
 {
 protected:
   /** \brief Judges a proper edit of the owner at the next offset. */
@@ -44,13 +44,13 @@
   uint64_t m_nextId = 1;
 };
 
-TEST_F(VerdictTest, Founding_KeyOfItsOwnText_IsAccepted)
+TEST_F(EditVerdictTest, Founding_KeyOfItsOwnText_IsAccepted)
 {
   EXPECT_EQ(m_state.VersionOf(kTeamsSection), Offset(1));
   EXPECT_NE(m_state.Teams().Find(TeamName("alpha")), nullptr);
 }
 
-TEST_F(VerdictTest, Founding_WrongKeyOrOtherSection_IsRefused)
+TEST_F(EditVerdictTest, Founding_WrongKeyOrOtherSection_IsRefused)
 {
   DocumentState empty;
   const auto text = TeamsText(DefaultTeams());
@@ -62,14 +62,14 @@
   EXPECT_EQ(empty.Apply(Offset(3), other).result, EditResult::kNotFounded);
 }
 
-TEST_F(VerdictTest, Founding_SecondOne_IsRefusedAsStale)
+TEST_F(EditVerdictTest, Founding_SecondOne_IsRefusedAsStale)
 {
   const auto text = TeamsText({ { "ops", { "teams" } } });
   const auto second = Signed(MakeEdit(9, "teams", Offset(0), "ops", text));
   EXPECT_EQ(Judge(second).result, EditResult::kStaleBase);
 }
 
-TEST_F(VerdictTest, StaleEdit_OtherEditCameFirst_NamesSectionVersionAndLine)
+TEST_F(EditVerdictTest, StaleEdit_OtherEditCameFirst_NamesSectionVersionAndLine)
 {
   const auto late =
     Signed(Compose("alpha", "alpha", ServiceText("alpha-own") + "# late\n"));
@@ -84,7 +84,7 @@
             "text from line 6 on");
 }
 
-TEST_F(VerdictTest, Edit_InvalidText_NamesSectionLineAndField)
+TEST_F(EditVerdictTest, Edit_InvalidText_NamesSectionLineAndField)
 {
   const auto verdict = Edit("alpha", "\n[[service]]\nname = \"a\"\nslot = 9\n");
   EXPECT_EQ(verdict.result, EditResult::kInvalidText);
@@ -94,7 +94,7 @@
     "section 'alpha', line 2, column 1: service[0].division: is required");
 }
 
-TEST_F(VerdictTest, Edit_UnknownTeamForeignOrUnsigned_IsRefused)
+TEST_F(EditVerdictTest, Edit_UnknownTeamForeignOrUnsigned_IsRefused)
 {
   EXPECT_EQ(Judge(Signed(Compose("alpha", "gamma", ""))).result,
             EditResult::kUnknownTeam);
@@ -104,14 +104,14 @@
             EditResult::kBadSignature);
 }
 
-TEST_F(VerdictTest, Edit_OffsetsThatCantPrecedeIt_IsMalformed)
+TEST_F(EditVerdictTest, Edit_OffsetsThatCantPrecedeIt_IsMalformed)
 {
   auto edit = Compose("alpha", "alpha", "");
   edit.readThrough = Offset(2);
   EXPECT_EQ(Judge(Signed(edit)).result, EditResult::kMalformed);
 }
 
-TEST_F(VerdictTest, Edit_ServiceOfOtherSection_NamesBothLines)
+TEST_F(EditVerdictTest, Edit_ServiceOfOtherSection_NamesBothLines)
 {
   ASSERT_TRUE(Edit("alpha", "\n" + ServiceText("shared")).IsAccepted());
   const auto verdict = Edit("beta", ServiceText("shared"));
@@ -121,7 +121,7 @@
             "'alpha', line 2");
 }
 
-TEST_F(VerdictTest, Edit_RangesChanged_IsRefusedEvenAfterRemoval)
+TEST_F(EditVerdictTest, Edit_RangesChanged_IsRefusedEvenAfterRemoval)
 {
   ASSERT_TRUE(Edit("alpha", ServiceText("moving", 16)).IsAccepted());
   EXPECT_EQ(Edit("alpha", ServiceText("moving", 32)).result,
@@ -132,7 +132,7 @@
   EXPECT_TRUE(Edit("beta", ServiceText("moving", 16)).IsAccepted());
 }
 
-TEST_F(VerdictTest, TeamsEdit_SectionWithServicesWithoutOwner_IsRefused)
+TEST_F(EditVerdictTest, TeamsEdit_SectionWithServicesWithoutOwner_IsRefused)
 {
   ASSERT_TRUE(Edit("beta", ServiceText("beta-own")).IsAccepted());
   auto teams = DefaultTeams();
@@ -142,7 +142,7 @@
   EXPECT_TRUE(Edit("teams", TeamsText(teams)).IsAccepted());
 }
 
-TEST_F(VerdictTest, TeamsEdit_NewKey_OldOneNoLongerSigns)
+TEST_F(EditVerdictTest, TeamsEdit_NewKey_OldOneNoLongerSigns)
 {
   auto teams = DefaultTeams();
   teams[1].generation = 1;
--- a/test/Document/ParserTest.cpp
+++ b/test/Document/SectionParserTest.cpp
@@ -10,7 +10,7 @@
 using test::ServiceText;
 using test::TeamsText;
 
-class ParserTest : public ::testing::Test
+class SectionParserTest : public ::testing::Test
 {
 protected:
   static ServicePolicy ParseOne(const std::string& aText)
@@ -37,7 +37,7 @@
   }
 };
 
-TEST_F(ParserTest, Service_AllFields_AreRead)
+TEST_F(SectionParserTest, Service_AllFields_AreRead)
 {
   const auto policy = ParseOne("[[service]]\n"
                                "name = \"registry\"\n"
@@ -66,7 +66,8 @@
   EXPECT_EQ(order.queueBound, 32U);
 }
 
-TEST_F(ParserTest, Service_NoClassForAll_GetsDefaultsNonIdempotentIfUnsafe)
+TEST_F(SectionParserTest,
+       Service_NoClassForAll_GetsDefaultsNonIdempotentIfUnsafe)
 {
   const auto policy = ParseOne(ServiceText("a"));
   EXPECT_TRUE(FindClass(policy, "GET", "/x")->idempotent);
@@ -75,7 +76,7 @@
   EXPECT_EQ(policy.fencing, Fencing::kUnchecked);
 }
 
-TEST_F(ParserTest, Class_WithoutIdempotent_IsSoOnlyForSafeMethods)
+TEST_F(SectionParserTest, Class_WithoutIdempotent_IsSoOnlyForSafeMethods)
 {
   const auto idempotent = [](const std::string& aFields) {
     return ParseOne(WithClass(aFields)).classes.at(0).idempotent;
@@ -86,12 +87,12 @@
   EXPECT_TRUE(idempotent("methods = [\"PUT\"]\nidempotent = true\n"));
 }
 
-TEST_F(ParserTest, Text_NoToml_NamesLineAndColumn)
+TEST_F(SectionParserTest, Text_NoToml_NamesLineAndColumn)
 {
   EXPECT_TRUE(RefusalOf("a = 1\nb = = 2\n").starts_with("line 2, column 5: "));
 }
 
-TEST_F(ParserTest, Field_UnknownMissingOrOutOfBounds_IsNamed)
+TEST_F(SectionParserTest, Field_UnknownMissingOrOutOfBounds_IsNamed)
 {
   EXPECT_EQ(RefusalOf(ServiceText("a") + "slotz = 3\n"),
             "line 6, column 1: service[0].slotz: is no field of this table");
@@ -108,7 +109,7 @@
             "method in capital letters");
 }
 
-TEST_F(ParserTest, Field_WrongType_IsRefused)
+TEST_F(SectionParserTest, Field_WrongType_IsRefused)
 {
   EXPECT_NE(RefusalOf(WithClass("idempotent = 1\n")), "");
   EXPECT_NE(RefusalOf(WithClass("deadline_ms = 1.5\n")), "");
@@ -119,7 +120,7 @@
   EXPECT_NE(RefusalOf("[service]\nname = \"a\"\n"), "");
 }
 
-TEST_F(ParserTest, Declarations_TwiceOrUnreachable_AreRefused)
+TEST_F(SectionParserTest, Declarations_TwiceOrUnreachable_AreRefused)
 {
   EXPECT_NE(RefusalOf(ServiceText("a") + ServiceText("a")), "");
   EXPECT_NE(RefusalOf(WithClass("[[service.class]]\nname = \"d\"\n")), "");
@@ -127,7 +128,7 @@
   EXPECT_NE(RefusalOf(WithClass(twice)), "");
 }
 
-TEST_F(ParserTest, Ranges_OfAnyInstanceService_AreRefused)
+TEST_F(SectionParserTest, Ranges_OfAnyInstanceService_AreRefused)
 {
   const std::string head = "[[service]]\nname = \"a\"\nslots = 1\n"
                            "division = \"any-instance\"\n";
@@ -135,7 +136,7 @@
   EXPECT_NE(RefusalOf(head + "ranges = 4\n"), "");
 }
 
-TEST_F(ParserTest, Teams_SectionTwiceBadKeyOrNoOwnerOfTeams_AreRefused)
+TEST_F(SectionParserTest, Teams_SectionTwiceBadKeyOrNoOwnerOfTeams_AreRefused)
 {
   auto teams = DefaultTeams();
   EXPECT_EQ(RefusalOf(TeamsText(teams), "teams"), "");
@@ -148,7 +149,7 @@
             "");
 }
 
-RC_GTEST_FIXTURE_PROP(ParserTest,
+RC_GTEST_FIXTURE_PROP(SectionParserTest,
                       Text_AnyBytesInsertedAnywhere_IsReadOrRefusedWithLine,
                       (const std::string& aInserted))
 {
--- a/test/Document/StepGenerator.h
+++ b/test/Document/StepGenerator.h
@@ -1,35 +1,34 @@
 #ifndef PISTACHIOSHIFT_TEST_DOCUMENT_STEPGENERATOR_H
 #define PISTACHIOSHIFT_TEST_DOCUMENT_STEPGENERATOR_H
 
+#include <ostream>
+#include <vector>
+
 #include <rapidcheck/gtest.h>
 
 #include "test/Document/DocumentSupport.h"
 
-namespace rc {
+namespace pistachioshift::test {
 
-template<>
-struct Arbitrary<pistachioshift::test::Step>
+inline std::ostream&
+operator<<(std::ostream& aOut, const Step& aStep)
 {
-  static Gen<pistachioshift::test::Step> arbitrary()
-  {
-    using pistachioshift::test::Step;
-    return gen::build<Step>(gen::set(&Step::kind, gen::inRange(0, 256)),
-                            gen::set(&Step::section, gen::inRange(0, 256)),
-                            gen::set(&Step::text, gen::inRange(0, 256)),
-                            gen::set(&Step::lag, gen::inRange(0, 256)),
-                            gen::set(&Step::gap, gen::inRange(0, 256)));
-  }
-};
-
+  return aOut << "{kind " << +aStep.kind << " section " << +aStep.section
+              << " text " << +aStep.text << " lag " << +aStep.lag << " gap "
+              << +aStep.gap << "}";
 }
 
-namespace pistachioshift::test {
-
-inline void
-showValue(const Step& aStep, std::ostream& aOut)
+/** \brief Steps of any length; they shrink one by one. */
+inline rc::Gen<std::vector<Step>>
+AnySteps()
 {
-  aOut << "{kind " << +aStep.kind << " section " << +aStep.section << " text "
-       << +aStep.text << " lag " << +aStep.lag << " gap " << +aStep.gap << "}";
+  const auto any = rc::gen::arbitrary<uint8_t>();
+  return rc::gen::container<std::vector<Step>>(
+    rc::gen::build<Step>(rc::gen::set(&Step::kind, any),
+                         rc::gen::set(&Step::section, any),
+                         rc::gen::set(&Step::text, any),
+                         rc::gen::set(&Step::lag, any),
+                         rc::gen::set(&Step::gap, any)));
 }
 
 }
