Http: stop reading while a paused body fills its input

Cause: libevent calls a read callback again and again while the input is at its high watermark and nobody takes from it; a paused body made the loop spin. StreamingTest hung on it for its whole time-out of 300 s. Ruled out: a lost resume, and a source that never stops (its sent bytes did not grow). Change: reading is switched off at that point and on again by the first drain.

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -141,6 +141,9 @@
   if (m_end && WantsInput()) {
     HandleEof();
   }
+  if (m_state != State::kClosed) {
+    m_stream->HoldWhenFull();
+  }
   UpdateTimer();
 }
 
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -138,6 +138,9 @@
   while (WantsInput() && ReadOnce()) {
   }
   m_reading = false;
+  if (m_state != State::kClosed) {
+    m_stream->HoldWhenFull();
+  }
   UpdateTimer();
 }
 
--- a/src/Http/internal/Stream.cpp
+++ b/src/Http/internal/Stream.cpp
@@ -65,7 +65,7 @@
                evutil_socket_t aSocket,
                const StreamBounds& aBounds,
                StreamHandler& aHandler)
-  : m_handler(aHandler)
+  : m_bounds(aBounds)
   , m_stream(bufferevent_socket_new(aBase, aSocket, BEV_OPT_CLOSE_ON_FREE))
   , m_timer(event_new(aBase, -1, 0, HandleTimer, &aHandler))
   , m_readAgain(event_new(aBase, -1, 0, HandleReadAgain, &aHandler))
@@ -130,6 +130,19 @@
 Stream::Drain(size_t aBytes)
 {
   evbuffer_drain(bufferevent_get_input(m_stream.get()), aBytes);
+  if (m_held && InputBytes() < m_bounds.inputHighWatermark) {
+    m_held = false;
+    bufferevent_enable(m_stream.get(), EV_READ);
+  }
+}
+
+void
+Stream::HoldWhenFull()
+{
+  if (!m_held && InputBytes() >= m_bounds.inputHighWatermark) {
+    m_held = true;
+    bufferevent_disable(m_stream.get(), EV_READ);
+  }
 }
 
 size_t
--- a/src/Http/internal/Stream.h
+++ b/src/Http/internal/Stream.h
@@ -55,6 +55,13 @@
   void Drain(size_t aBytes);
   size_t InputBytes() const;
 
+  /**
+   * Stops reading while the input stays at its high watermark. To be called
+   * when no more input is taken for now: libevent would call OnReadable over
+   * and over. A close of the peer goes unnoticed until input was drained.
+   */
+  void HoldWhenFull();
+
   /** Whether the socket or the input holds bytes. */
   bool HasUnreadBytes() const;
 
@@ -82,7 +89,8 @@
 private:
   static void HandleEvent(bufferevent* aStream, short aWhat, void* aHandler);
 
-  StreamHandler& m_handler;
+  StreamBounds m_bounds;
+  bool m_held = false;
   BufferEventPtr m_stream;
   EventPtr m_timer;
   EventPtr m_readAgain;
