--- a/src/Daemon/FlowWindow.h
+++ b/src/Daemon/FlowWindow.h
@@ -7,10 +7,10 @@
 namespace pistachioshift {
 
 /** \brief Body bytes that may be on their way on one stream. */
-inline constexpr int64_t kStreamWindow = 256 * 1024;
+inline constexpr int64_t kStreamWindow = int64_t{ 256 } * 1024;
 
 /** \brief Body bytes in one frame at most. */
-inline constexpr size_t kBodyPieceBytes = 64 * 1024;
+inline constexpr size_t kBodyPieceBytes = size_t{ 64 } * 1024;
 
 /** \brief Sender's side of a stream's flow control. */
 class SendWindow
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -15,7 +15,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr size_t kReplayBytes = 64 * 1024;
+constexpr size_t kReplayBytes = size_t{ 64 } * 1024;
 constexpr uint32_t kMostAttempts = 100;
 constexpr Duration kRedirectDelay = milliseconds(20);
 /** Time after the deadline in which the owner's verdict may still come. */
--- a/src/Daemon/OperatorTask.cpp
+++ b/src/Daemon/OperatorTask.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr ev_ssize_t kMaxHeaderBytes = 16 * 1024;
-constexpr ev_ssize_t kMaxBodyBytes = 64 * 1024;
+constexpr ev_ssize_t kMaxHeaderBytes = ev_ssize_t{ 16 } * 1024;
+constexpr ev_ssize_t kMaxBodyBytes = ev_ssize_t{ 64 } * 1024;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusFailed = 500;
 
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -34,7 +34,7 @@
 std::shared_ptr<PeerLink>
 Peer::NewLink()
 {
-  const auto link = std::make_shared<PeerLink>(*this);
+  auto link = std::make_shared<PeerLink>(*this);
   m_queryLinks.push_back(link);
   link->Connect(
     m_task.m_base,
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -29,7 +29,7 @@
 
 std::shared_ptr<Call>
 PeersTask::Start(const Endpoint& aPeer,
-                 CallRequest aRequest,
+                 const CallRequest& aRequest,
                  std::shared_ptr<CallListener> aListener)
 {
   auto& link = Find(aPeer)->Link();
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -33,7 +33,7 @@
 
   /** \brief Begins an attempt at another daemon. */
   std::shared_ptr<Call> Start(const Endpoint& aPeer,
-                              CallRequest aRequest,
+                              const CallRequest& aRequest,
                               std::shared_ptr<CallListener> aListener);
 
   /**
--- a/src/Daemon/RelayTask.cpp
+++ b/src/Daemon/RelayTask.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration kRelayInterval = std::chrono::milliseconds(500);
-constexpr size_t kReplyBytes = 512 * 1024;
+constexpr size_t kReplyBytes = size_t{ 512 } * 1024;
 
 }
 
--- a/src/Daemon/Router.cpp
+++ b/src/Daemon/Router.cpp
@@ -67,6 +67,7 @@
 {
   const auto candidates = m_mesh.Instances(aPolicy.name);
   std::vector<DaemonId> instances;
+  instances.reserve(candidates.size());
   for (const auto& candidate : candidates) {
     instances.push_back(candidate.daemon);
   }
@@ -101,8 +102,7 @@
   if (aDestination.local) {
     return m_backend.Start(std::move(aRequest), std::move(aListener));
   }
-  return m_peers.Start(
-    aDestination.inner, std::move(aRequest), std::move(aListener));
+  return m_peers.Start(aDestination.inner, aRequest, std::move(aListener));
 }
 
 void
--- a/src/Daemon/ServerProbe.cpp
+++ b/src/Daemon/ServerProbe.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr uint32_t kFailuresToNotReady = 3;
-constexpr size_t kMaxBodyBytes = 64 * 1024;
+constexpr size_t kMaxBodyBytes = size_t{ 64 } * 1024;
 constexpr int kStatusOk = 200;
 
 HttpClientLimits
--- a/src/Daemon/Settings.cpp
+++ b/src/Daemon/Settings.cpp
@@ -40,7 +40,7 @@
 std::string
 ReadAddress(TableReader& aTable)
 {
-  const auto address = aTable.Require("address", aTable.Text("address"));
+  auto address = aTable.Require("address", aTable.Text("address"));
   CheckAddress(aTable, "address", address);
   return address;
 }
--- a/src/Inner/Connection.cpp
+++ b/src/Inner/Connection.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr size_t kOutputLowWatermark = 64 * 1024; // bytes
+constexpr size_t kOutputLowWatermark = size_t{ 64 } * 1024; // bytes
 constexpr int kFramesPerRead = 64;
 
 void
@@ -83,7 +83,7 @@
   const auto address = internal::ToSocketAddress(aPeer);
   // A failure is reported through the event callback as well.
   bufferevent_socket_connect(
-    connection->m_events, address.Get(), address.Length());
+    connection->m_events, address.Get(), static_cast<int>(address.Length()));
   return connection;
 }
 
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -296,13 +296,13 @@
 Refused
 FromWire(const wire::WireRefused& aRefused)
 {
-  constexpr int32_t lastReason = static_cast<int32_t>(kRefusalReasonCount) - 1;
+  constexpr int32_t kLastReason = static_cast<int32_t>(kRefusalReasonCount) - 1;
   Refused refused;
   refused.stream = StreamId(aRefused.stream);
   refused.outcome =
     EnumFromWire<Outcome>(aRefused.outcome, kLastOutcome, "outcome");
   refused.reason =
-    EnumFromWire<RefusalReason>(aRefused.reason, lastReason, "reason");
+    EnumFromWire<RefusalReason>(aRefused.reason, kLastReason, "reason");
   refused.retryAfter = DurationFromWire(aRefused.retryAfterMicros);
   if (aRefused.__isset.holder) {
     refused.holder = DaemonId(aRefused.holder);
