Resume broken downloads by Range and ETag; read requests in a pure Intake

Cause: an answer whose head had been passed on broke off with the holder's daemon (seen with kill -9: IncompleteRead at the caller). Now the head waits for the first body byte, so an attempt that broke before it can be repeated, and a GET with a strong ETag continues by Range and If-Range.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -1,13 +1,11 @@
 #include "src/Daemon/IngressSession.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 
 #include "src/Daemon/AnswerCodec.h"
 #include "src/Daemon/OwnerCall.h"
-#include "src/Daemon/Target.h"
 
 namespace pistachioshift {
 
@@ -24,10 +22,6 @@
 constexpr int kStatusUnknown = 504;
 constexpr int kServerErrors = 500;
 
-constexpr const char* kIdempotencyField = "Idempotency-Key";
-constexpr const char* kRepeatField = "Pistachio-Repeat";
-constexpr const char* kTimeoutField = "Pistachio-Timeout-Ms";
-
 RetrySettings
 MakeRetrySettings()
 {
@@ -37,27 +31,6 @@
   return settings;
 }
 
-std::optional<int64_t>
-ReadNumber(const Headers& aHeaders, const char* aName)
-{
-  const auto* text = aHeaders.Find(aName);
-  if (text == nullptr) {
-    return std::nullopt;
-  }
-  int64_t number = 0;
-  const auto* end = text->data() + text->size();
-  const auto result = std::from_chars(text->data(), end, number);
-  const bool whole = result.ec == std::errc() && result.ptr == end;
-  return whole ? std::optional(number) : std::nullopt;
-}
-
-std::string
-ReadText(const Headers& aHeaders, const char* aName)
-{
-  const auto* text = aHeaders.Find(aName);
-  return text == nullptr ? std::string() : *text;
-}
-
 }
 
 IngressSession::IngressSession(const IngressContext& aContext,
@@ -75,71 +48,23 @@
 {
   m_head = m_exchange->Head();
   StripHopByHop(m_head.headers);
-  const auto target = ParseTarget(m_head);
   m_exchange->SetListener(shared_from_this());
-  if (!target) {
-    Refuse(Outcome::kNotRun, RefusalReason::kNoService);
-    return;
-  }
-  const auto& policies = m_context.backend.Policies();
-  const auto policy = policies.find(target->service);
-  if (policy == policies.end()) {
-    Refuse(Outcome::kNotRun, RefusalReason::kNoService);
-    return;
-  }
-  m_policy = policy->second;
-  m_key = target->key;
-  if (m_policy.division == Division::kKeyed && m_key.empty()) {
-    Refuse(Outcome::kNotRun, RefusalReason::kNoKey);
-    return;
-  }
-  if (!ReadPolicy(target->path)) {
-    Refuse(Outcome::kNotRun, RefusalReason::kNoService);
-    return;
-  }
-  const auto allowed = AllowedTime();
-  if (allowed <= Duration::zero()) {
-    Refuse(Outcome::kNotRun, RefusalReason::kDeadlineExpired);
+  auto read = ReadRequest(
+    m_head, m_context.backend.Policies(), m_context.clock.WallNow());
+  if (const auto* reason = std::get_if<RefusalReason>(&read)) {
+    Refuse(Outcome::kNotRun, *reason);
     return;
   }
-  m_deadline = m_arrived + allowed;
-  m_deadlineTimer.StartOnce(allowed + kVerdictGrace);
-  m_context.router.BudgetOf(m_policy).OnFirstAttempt();
+  m_intake = std::move(std::get<Intake>(read));
+  m_deadline = m_arrived + m_intake.allowed;
+  m_deadlineTimer.StartOnce(m_intake.allowed + kVerdictGrace);
+  m_context.router.BudgetOf(m_intake.policy).OnFirstAttempt();
   if (!m_head.HasBody()) {
     m_bodyEnded = true;
     BeginAttempt();
   }
 }
 
-bool
-IngressSession::ReadPolicy(const std::string& aPath)
-{
-  const auto* found = FindClass(m_policy, m_head.method, aPath);
-  if (found == nullptr) {
-    return false;
-  }
-  m_class = *found;
-  return true;
-}
-
-Duration
-IngressSession::AllowedTime() const
-{
-  auto allowed = m_class.deadline;
-  const auto timeout = ReadNumber(m_head.headers, kTimeoutField);
-  if (timeout) {
-    allowed =
-      NestedDeadline(milliseconds(std::max<int64_t>(*timeout, 0)), allowed);
-  }
-  // A backend server of this host passes on the deadline that it was given.
-  const auto deadline = ReadNumber(m_head.headers, fields::kDeadline);
-  if (deadline) {
-    const auto now = m_context.clock.WallNow().time_since_epoch();
-    allowed = NestedDeadline(milliseconds(*deadline) - now, allowed);
-  }
-  return allowed;
-}
-
 void
 IngressSession::OnBody(std::string_view aData)
 {
@@ -202,13 +127,16 @@
 {
   CallRequest request;
   request.id = m_requestId;
-  request.service = m_policy.name;
-  request.key = m_key;
+  request.service = m_intake.policy.name;
+  request.key = m_intake.key;
   request.head = m_head;
   request.deadline = m_deadline;
   request.hasBody = m_head.HasBody();
-  request.idempotencyKey = ReadText(m_head.headers, kIdempotencyField);
-  request.repeat = !ReadText(m_head.headers, kRepeatField).empty();
+  request.idempotencyKey = m_intake.idempotencyKey;
+  request.repeat = m_intake.repeat;
+  if (m_resuming) {
+    m_resume.AskForRest(request.head);
+  }
   return request;
 }
 
@@ -218,10 +146,11 @@
   if (m_ended) {
     return;
   }
-  m_destination = m_context.router.Choose(m_policy, m_key, m_history);
+  m_destination =
+    m_context.router.Choose(m_intake.policy, m_intake.key, m_history);
   ++m_history.attempts;
   if (!m_destination) {
-    const bool keyed = m_policy.division == Division::kKeyed;
+    const bool keyed = m_intake.policy.division == Division::kKeyed;
     CallRefusal refusal;
     refusal.reason =
       keyed ? RefusalReason::kNoOwner : RefusalReason::kNoInstance;
@@ -252,7 +181,10 @@
     m_attempt->Close();
     m_attempt.reset();
   }
-  m_call.reset();
+  if (m_call) {
+    m_call->Cancel();
+    m_call.reset();
+  }
 }
 
 void
@@ -260,7 +192,7 @@
 {
   if (m_destination) {
     const auto latency = m_context.clock.Now() - m_attemptStarted;
-    m_context.router.OnEnd(m_policy, *m_destination, aResult, latency);
+    m_context.router.OnEnd(m_intake.policy, *m_destination, aResult, latency);
   }
 }
 
@@ -268,7 +200,7 @@
 IngressSession::MakeReport() const
 {
   AttemptReport report;
-  report.idempotent = m_class.idempotent;
+  report.idempotent = m_intake.requestClass.idempotent;
   report.replayable = m_replayable;
   report.answerBegun = m_answerBegun;
   report.attempts = m_history.attempts;
@@ -279,7 +211,13 @@
 void
 IngressSession::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
 {
-  m_answerBegun = true;
+  if (m_resuming) {
+    if (!m_resume.IsRest(aHead)) {
+      OnTruncated();
+    }
+    return;
+  }
+  m_resume.OnHead(m_head, aHead);
   auto head = aHead;
   head.headers.Set(fields::kOutcome, std::string(ToString(Outcome::kDone)));
   const auto* member = m_context.mesh.View().FindMember(m_destination->daemon);
@@ -291,15 +229,28 @@
                                  aToken.entry.Value(),
                                  aToken.rank.Value()));
   }
+  m_pendingHead = std::move(head);
+}
+
+void
+IngressSession::SendPendingHead()
+{
+  if (!m_pendingHead) {
+    return;
+  }
+  m_answerBegun = true;
   m_deadlineTimer.Stop();
-  m_exchange->SendHead(std::move(head));
-  TellBalancer(aHead.status >= kServerErrors ? InstanceResult::kFailed
-                                             : InstanceResult::kDone);
+  const bool failed = m_pendingHead->status >= kServerErrors;
+  TellBalancer(failed ? InstanceResult::kFailed : InstanceResult::kDone);
+  m_exchange->SendHead(*std::move(m_pendingHead));
+  m_pendingHead.reset();
 }
 
 void
 IngressSession::OnAnswerBody(std::string_view aData)
 {
+  SendPendingHead();
+  m_resume.OnBytes(aData.size());
   if (!m_exchange->SendBody(aData) && m_call) {
     m_call->PauseBody();
   }
@@ -309,10 +260,45 @@
 IngressSession::OnAnswerEnd()
 {
   const auto self = shared_from_this();
+  SendPendingHead();
   m_exchange->Finish();
   Done(Outcome::kDone);
 }
 
+void
+IngressSession::OnTruncated()
+{
+  if (m_answerBegun) {
+    TryResume();
+    return;
+  }
+  // The caller has seen nothing of it yet.
+  m_pendingHead.reset();
+  auto report = MakeReport();
+  report.end = AttemptEnd::kConnectionLost;
+  Decide(report);
+}
+
+void
+IngressSession::TryResume()
+{
+  CloseAttempt();
+  auto& budget = m_context.router.BudgetOf(m_intake.policy);
+  const bool allowed = m_intake.requestClass.idempotent &&
+                       m_resume.Possible() &&
+                       m_history.attempts < kMostAttempts;
+  if (!allowed || !budget.TrySpend()) {
+    m_exchange->Abort();
+    Done(Outcome::kUnknown);
+    return;
+  }
+  m_resuming = true;
+  // The deadline counts for the head of the answer, which the caller has.
+  m_deadline = m_context.clock.Now() + m_intake.requestClass.deadline;
+  m_context.metrics.CountRetry(RetryReason::kConnectionLost);
+  m_timer.StartOnce(kRedirectDelay);
+}
+
 void
 IngressSession::OnAttemptDrained()
 {
@@ -329,6 +315,10 @@
   TellBalancer(InstanceResult::kShed);
   m_history.hint = aRefusal.holder;
   m_retryAfter = aRefusal.retryAfter;
+  if (m_resuming) {
+    TryResume();
+    return;
+  }
   auto report = MakeReport();
   report.end = aRefusal.outcome == Outcome::kNotRun ? AttemptEnd::kNotRun
                                                     : AttemptEnd::kUnknown;
@@ -344,9 +334,8 @@
   CloseAttempt();
   TellBalancer(InstanceResult::kFailed);
   m_history.hint.reset();
-  if (aLoss == CallLoss::kTruncated) {
-    m_exchange->Abort();
-    Done(Outcome::kUnknown);
+  if (m_resuming || aLoss == CallLoss::kTruncated) {
+    OnTruncated();
     return;
   }
   auto report = MakeReport();
@@ -365,7 +354,7 @@
 IngressSession::Decide(const AttemptReport& aReport)
 {
   m_report = aReport;
-  auto& budget = m_context.router.BudgetOf(m_policy);
+  auto& budget = m_context.router.BudgetOf(m_intake.policy);
   Follow(DecideRetry(aReport, MakeRetrySettings(), budget));
 }
 
@@ -434,7 +423,7 @@
     return;
   }
   m_report.left = m_deadline - m_context.clock.Now();
-  auto& budget = m_context.router.BudgetOf(m_policy);
+  auto& budget = m_context.router.BudgetOf(m_intake.policy);
   Follow(DecideAfterAsk(aResult, m_report, MakeRetrySettings(), budget));
 }
 
@@ -444,7 +433,7 @@
   const auto answer = DecodeAnswer(aAnswer);
   OnHead(answer.head, FenceToken());
   if (!answer.body.empty()) {
-    m_exchange->SendBody(answer.body);
+    OnAnswerBody(answer.body);
   }
   OnAnswerEnd();
 }
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -5,7 +5,9 @@
 #include <optional>
 #include <string>
 
+#include "src/Daemon/DownloadResume.h"
 #include "src/Daemon/IngressTask.h"
+#include "src/Daemon/Intake.h"
 #include "src/Daemon/Timer.h"
 
 namespace pistachioshift {
@@ -38,8 +40,6 @@
   void OnLost(CallLoss aLoss);
 
 private:
-  bool ReadPolicy(const std::string& aPath);
-  Duration AllowedTime() const;
   void BeginAttempt();
   CallRequest MakeRequest() const;
   AttemptReport MakeReport() const;
@@ -52,14 +52,15 @@
   void OnTimer();
   void OnDeadline();
   void CloseAttempt();
+  void SendPendingHead();
+  void OnTruncated();
+  void TryResume();
   void TellBalancer(InstanceResult aResult);
   void Done(Outcome aOutcome);
 
   const IngressContext& m_context;
   std::shared_ptr<ServerExchange> m_exchange;
-  ServicePolicy m_policy;
-  RequestClass m_class;
-  std::string m_key;
+  Intake m_intake;
   RequestHead m_head;
   MonoTime m_arrived;
   MonoTime m_deadline;
@@ -68,6 +69,9 @@
   bool m_streaming = false; ///< Body bytes go on without being kept.
   bool m_replayable = true;
   bool m_answerBegun = false;
+  bool m_resuming = false;
+  std::optional<ResponseHead> m_pendingHead; ///< Until a body byte follows.
+  DownloadResume m_resume;
   bool m_ended = false;
   AttemptHistory m_history;
   AttemptReport m_report; ///< Of the last attempt, while asking.
--- /dev/null
+++ b/src/Daemon/Intake.cpp
@@ -0,0 +1,90 @@
+#include "src/Daemon/Intake.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include "src/Daemon/Fields.h"
+#include "src/Daemon/Target.h"
+#include "src/Routing/Retry.h"
+
+namespace pistachioshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::optional<int64_t>
+ReadNumber(const Headers& aHeaders, const char* aName)
+{
+  const auto* text = aHeaders.Find(aName);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  int64_t number = 0;
+  const auto* end = text->data() + text->size();
+  const auto result = std::from_chars(text->data(), end, number);
+  const bool whole = result.ec == std::errc() && result.ptr == end;
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+std::string
+ReadText(const Headers& aHeaders, const char* aName)
+{
+  const auto* text = aHeaders.Find(aName);
+  return text == nullptr ? std::string() : *text;
+}
+
+Duration
+AllowedTime(const RequestHead& aHead, const RequestClass& aClass, WallTime aNow)
+{
+  auto allowed = aClass.deadline;
+  const auto timeout = ReadNumber(aHead.headers, fields::kTimeout);
+  if (timeout) {
+    const milliseconds left(std::max<int64_t>(*timeout, 0));
+    allowed = NestedDeadline(left, allowed);
+  }
+  const auto deadline = ReadNumber(aHead.headers, fields::kDeadline);
+  if (deadline) {
+    const auto left = milliseconds(*deadline) - aNow.time_since_epoch();
+    allowed = NestedDeadline(left, allowed);
+  }
+  return allowed;
+}
+
+}
+
+std::variant<Intake, RefusalReason>
+ReadRequest(const RequestHead& aHead,
+            const ServicePolicies& aPolicies,
+            WallTime aNow)
+{
+  const auto target = ParseTarget(aHead);
+  if (!target) {
+    return RefusalReason::kNoService;
+  }
+  const auto policy = aPolicies.find(target->service);
+  if (policy == aPolicies.end()) {
+    return RefusalReason::kNoService;
+  }
+  Intake intake;
+  intake.policy = policy->second;
+  intake.key = target->key;
+  if (intake.policy.division == Division::kKeyed && intake.key.empty()) {
+    return RefusalReason::kNoKey;
+  }
+  const auto* found = FindClass(policy->second, aHead.method, target->path);
+  if (found == nullptr) {
+    return RefusalReason::kNoService;
+  }
+  intake.requestClass = *found;
+  intake.allowed = AllowedTime(aHead, *found, aNow);
+  if (intake.allowed <= Duration::zero()) {
+    return RefusalReason::kDeadlineExpired;
+  }
+  intake.idempotencyKey = ReadText(aHead.headers, fields::kIdempotencyKey);
+  intake.repeat = !ReadText(aHead.headers, fields::kRepeat).empty();
+  return intake;
+}
+
+}
--- /dev/null
+++ b/src/Daemon/Intake.h
@@ -0,0 +1,39 @@
+#ifndef PISTACHIOSHIFT_DAEMON_INTAKE_H
+#define PISTACHIOSHIFT_DAEMON_INTAKE_H
+
+#include <string>
+#include <variant>
+
+#include "src/Base/Clock.h"
+#include "src/Http/Message.h"
+#include "src/Routing/Outcome.h"
+#include "src/Routing/ServicePolicy.h"
+
+namespace pistachioshift {
+
+/** \brief What the document says of one request. */
+struct Intake
+{
+  ServicePolicy policy;
+  RequestClass requestClass;
+  std::string key;
+  Duration allowed{}; ///< Time until the head of the answer is due.
+  std::string idempotencyKey;
+  bool repeat = false; ///< The caller sent the idempotency key before.
+};
+
+/**
+ * \brief Finds service, key, class and deadline of a request. Pure.
+ *
+ * The deadline is the class's, or less if the request says so: in
+ * `Pistachio-Timeout-Ms`, or in `Pistachio-Deadline`, which a backend server
+ * of this host passes on with a nested call.
+ */
+std::variant<Intake, RefusalReason> ReadRequest(
+  const RequestHead& aHead,
+  const ServicePolicies& aPolicies,
+  WallTime aNow);
+
+}
+
+#endif
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -7,22 +7,11 @@
 #include "Pistachioshift/Http"
 #include "src/Daemon/BackendTask.h"
 #include "src/Daemon/Call.h"
+#include "src/Daemon/Fields.h"
 #include "src/Daemon/Timer.h"
 
 namespace pistachioshift {
 
-/** \brief Names of the header fields between daemon and backend server. */
-namespace fields {
-inline constexpr const char* kFence = "Pistachio-Fence";
-inline constexpr const char* kRange = "Pistachio-Range";
-inline constexpr const char* kRequest = "Pistachio-Request";
-inline constexpr const char* kKey = "Pistachio-Key";
-inline constexpr const char* kDeadline = "Pistachio-Deadline";
-inline constexpr const char* kOutcome = "Pistachio-Outcome";
-inline constexpr const char* kReason = "Pistachio-Reason";
-inline constexpr const char* kOwner = "Pistachio-Owner";
-}
-
 /** \brief One request at the daemon of its key's holder. */
 class OwnerCall
   : public Call
--- a/src/Daemon/Target.cpp
+++ b/src/Daemon/Target.cpp
@@ -6,12 +6,12 @@
 
 #include <event2/http.h>
 
+#include "src/Daemon/Fields.h"
+
 namespace pistachioshift {
 
 namespace {
 
-constexpr const char* kKeyField = "Pistachio-Key";
-
 bool
 GoodEscapes(std::string_view aText)
 {
@@ -64,7 +64,7 @@
   if (target.service.Value().empty()) {
     return std::nullopt;
   }
-  const auto* key = aHead.headers.Find(kKeyField);
+  const auto* key = aHead.headers.Find(fields::kKey);
   if (key != nullptr) {
     target.key = *key;
   } else if (!path.empty()) {
