--- /dev/null
+++ b/test/Inner/CodecTest.cpp
@@ -0,0 +1,179 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Pistachioshift/Inner"
+
+namespace pistachioshift {
+namespace {
+
+class CodecTest : public ::testing::Test
+{
+protected:
+  static EntryKey Key()
+  {
+    return { ServiceName("registry"), RangeIndex(7), {} };
+  }
+
+  static EntryKey Pinned()
+  {
+    return { ServiceName("registry"), RangeIndex(7), "outlet-1" };
+  }
+
+  static JoinRecord Join()
+  {
+    JoinRecord join;
+    join.boot = BootId(0xfedcba9876543210ULL);
+    join.previous = DaemonId(4);
+    join.inner = { "127.0.0.1", 65535 };
+    join.callers = { "::1", 2 };
+    join.server = { "10.0.0.1", 3 };
+    join.host = HostName("host");
+    join.zone = ZoneName("zone");
+    join.region = RegionName("region");
+    join.services = { ServiceName("registry"), ServiceName("archive") };
+    join.slots = 9;
+    join.checksFences = false;
+    return join;
+  }
+
+  static std::vector<OwnershipRecord> Records()
+  {
+    const Assignment move{ Pinned(), Offset(5), DaemonId(1), { DaemonId(2) } };
+    const Assignment first{ Key(), {}, DaemonId(1), {} };
+    return { Join(),
+             LeavingRecord{ DaemonId(1) },
+             GoneRecord{ DaemonId(1), DaemonId(2), GoneCause::kRetired },
+             PlannerTermRecord{ DaemonId(1), Offset(9) },
+             AssignRecord{ Offset(3), DaemonId(1), { move, first } },
+             PinRecord{ Offset(3), DaemonId(1), { Pinned() } },
+             UnpinRecord{ Offset(3), DaemonId(1), { Pinned() } },
+             HeldRecord{ DaemonId(1), { { Key(), Offset(5), Rank(3) } } },
+             GuardiansRecord{ DaemonId(1), Offset(2), { DaemonId(3) } },
+             GuardiansSwitchedRecord{ DaemonId(1), Offset(2) },
+             PassRecord{ DaemonId(1), { { Pinned(), Offset(5) } } },
+             RetireRecord{ DaemonId(1), Offset(2) } };
+  }
+
+  static std::vector<ControlMessage> Messages()
+  {
+    const AppliedOffsets applied{ Offset(1), Offset(2) };
+    return { Renew{ 1, Offset(2), Offset(3), applied },
+             RenewAck{ 1, Offset(3), true, false, applied },
+             Silence{ DaemonId(4), applied },
+             SealRequest{ DaemonId(4) },
+             SealReply{ DaemonId(4), Offset(5) },
+             ReleaseQuery{ { { Key(), Offset(5) } } },
+             ReleaseReply{ { { Pinned(), Offset(5) } } } };
+  }
+};
+
+TEST_F(CodecTest, OwnershipRecord_EveryType_ComesBackEqual)
+{
+  const auto records = Records();
+  EXPECT_EQ(records.size(), std::variant_size_v<OwnershipRecord>);
+  for (const auto& record : records) {
+    EXPECT_TRUE(DecodeOwnershipRecord(EncodeOwnershipRecord(record)) == record)
+      << record.index();
+  }
+}
+
+TEST_F(CodecTest, ControlMessage_EveryType_ComesBackEqual)
+{
+  const auto messages = Messages();
+  EXPECT_EQ(messages.size(), std::variant_size_v<ControlMessage>);
+  for (const auto& message : messages) {
+    const ControlDatagram datagram{ DaemonId(1), DaemonId(2), message };
+    EXPECT_TRUE(DecodeControl(EncodeControl(datagram)) == datagram)
+      << message.index();
+  }
+}
+
+TEST_F(CodecTest, OwnershipSnapshot_ReplayedRecords_ComesBackEqual)
+{
+  OwnershipView view;
+  view.Apply(Offset(1), Join());
+  view.Apply(Offset(2), PlannerTermRecord{ DaemonId(1), Offset(0) });
+  const Assignment first{ Key(), {}, DaemonId(1), {} };
+  view.Apply(Offset(3), AssignRecord{ Offset(2), DaemonId(1), { first } });
+  const auto snapshot = view.Snapshot();
+  EXPECT_FALSE(snapshot.entries.empty());
+  const auto back = DecodeOwnershipSnapshot(EncodeOwnershipSnapshot(snapshot));
+  EXPECT_TRUE(back == snapshot);
+  EXPECT_TRUE(OwnershipView::FromSnapshot(back) == view);
+}
+
+/** Decoding either works or throws the package's own error. */
+template<class Decode>
+void
+DecodeAnything(Decode aDecode, const std::string& aBytes)
+{
+  try {
+    aDecode(aBytes);
+  } catch (const InnerError& error) {
+    RC_ASSERT(error.what() != std::string());
+  }
+}
+
+RC_GTEST_FIXTURE_PROP(CodecTest,
+                      Decode_RandomBytes_NeverCrashes,
+                      (const std::string& aBytes))
+{
+  DecodeAnything(DecodeOwnershipRecord, aBytes);
+  DecodeAnything(DecodeDocumentEdit, aBytes);
+  DecodeAnything(DecodeOwnershipSnapshot, aBytes);
+  DecodeAnything(DecodeDocumentSnapshot, aBytes);
+  DecodeAnything(DecodeControl, aBytes);
+  DecodeAnything(DecodeFrame, aBytes);
+}
+
+RC_GTEST_FIXTURE_PROP(CodecTest, Decode_DamagedRecord_NeverCrashes, ())
+{
+  const auto records = Records();
+  const auto which = *rc::gen::inRange<size_t>(0, records.size());
+  auto bytes = EncodeOwnershipRecord(records[which]);
+  const auto place = *rc::gen::inRange<size_t>(0, bytes.size());
+  bytes[place] = *rc::gen::arbitrary<char>();
+  bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
+  DecodeAnything(DecodeOwnershipRecord, bytes);
+}
+
+RC_GTEST_FIXTURE_PROP(CodecTest, Decode_DamagedFrame_NeverCrashes, ())
+{
+  RequestOpen open;
+  open.service = ServiceName("registry");
+  open.head.headers.Add("A", "b");
+  auto bytes = EncodeFrame(open).substr(kFrameLengthBytes);
+  const auto place = *rc::gen::inRange<size_t>(0, bytes.size());
+  bytes[place] = *rc::gen::arbitrary<char>();
+  DecodeAnything(DecodeFrame, bytes);
+}
+
+TEST_F(CodecTest, RequestOpen_RoundTrip_KeepsFields)
+{
+  RequestOpen open;
+  open.stream = StreamId(5);
+  open.request = { ~0ULL, 1 };
+  open.service = ServiceName("registry");
+  open.key = std::string("a\0b", 3);
+  open.head.method = "POST";
+  open.head.target = "/registry/a";
+  open.head.contentLength = 12;
+  open.remaining = std::chrono::milliseconds(250);
+  open.hasBody = true;
+  open.idempotencyKey = "k";
+  open.repeat = true;
+  open.known = TablePosition(9);
+  const auto bytes = EncodeFrame(open);
+  const auto frames = SplitFrames(bytes);
+  const auto frame = DecodeFrame(frames.at(0));
+  const auto& back = std::get<RequestOpen>(frame);
+  EXPECT_EQ(back.request, open.request);
+  EXPECT_EQ(back.key, open.key);
+  EXPECT_EQ(back.head.contentLength, open.head.contentLength);
+  EXPECT_EQ(back.remaining, open.remaining);
+  EXPECT_EQ(back.known, open.known);
+  EXPECT_TRUE(back.repeat);
+}
+
+}
+}
