--- a/src/Ownership/Evidence.cpp
+++ b/src/Ownership/Evidence.cpp
@@ -197,6 +197,9 @@
     return Judge(ward, sets->current, aChange, applied);
   }
   if (majority > 0 && tally.after >= majority) {
+    if (m_settings.weakening == Weakening::kFirstSetAlone) {
+      return Judge(ward, sets->current, aChange, applied);
+    }
     return Judge(ward, *sets->pending, aChange, applied);
   }
   return Standing::kMayHold;
@@ -216,10 +219,11 @@
     }
     // A guardian's version starts at the offset that named it.
     const auto version = std::max(seal->second, aSet.offset);
-    if (version > aApplied) {
+    if (version > aApplied && m_settings.weakening != Weakening::kNoCatchUp) {
       continue;
     }
-    ++(version < aChange ? tally.before : tally.after);
+    const bool ignore = m_settings.weakening == Weakening::kIgnoreVersion;
+    ++(ignore || version < aChange ? tally.before : tally.after);
   }
   return tally;
 }
--- a/src/Ownership/NodeSettings.h
+++ b/src/Ownership/NodeSettings.h
@@ -13,12 +13,16 @@
   kNone,
   kServeWithoutLease, ///< R1: requests start after the lease has ended.
   kAdoptUnwitnessed,  ///< R2: changes are carried out once applied.
+  kFirstSetAlone,     ///< R2: seals of the old set alone are evidence.
   kSealAtOnce,        ///< R3: seals also a ward that isn't silent.
   kOneSeal,           ///< R4: one seal is evidence enough.
+  kNoCatchUp,         ///< R4: seals above the offset applied count too.
+  kIgnoreVersion,     ///< R5: a sealed holder counts as out before a move.
   kForgetOldChain,    ///< R5: heirs of a move need no evidence of the base.
   kNoFenceWait,       ///< R6: unchecked fences get no wait.
   kReleaseBusy,       ///< R7: released while requests run.
   kSwitchUnwitnessed, ///< R8: the old guardian set needs no majority.
+  kPlainLease,        ///< R8: acks of guardians without a lease count.
   kRetireAtOnce,      ///< R8: a retired ward counts as out when read.
 };
 
--- a/src/Ownership/Ward.cpp
+++ b/src/Ownership/Ward.cpp
@@ -95,7 +95,7 @@
     return;
   }
   promise.plain = std::max(promise.plain, sent->at);
-  if (aAck.firm) {
+  if (aAck.firm || m_settings.weakening == Weakening::kPlainLease) {
     promise.firm = std::max(promise.firm, sent->at);
     promise.version = std::max(promise.version, aAck.version);
   }
--- a/test/Ownership/MutationTest.cpp
+++ b/test/Ownership/MutationTest.cpp
@@ -25,17 +25,58 @@
   FAIL() << "no property fails";
 }
 
+std::string
+NameOf(const ::testing::TestParamInfo<Weakening>& aInfo)
+{
+  switch (aInfo.param) {
+    case Weakening::kNone:
+      return "None";
+    case Weakening::kServeWithoutLease:
+      return "R1ServeWithoutLease";
+    case Weakening::kAdoptUnwitnessed:
+      return "R2AdoptUnwitnessed";
+    case Weakening::kFirstSetAlone:
+      return "R2FirstSetAlone";
+    case Weakening::kSealAtOnce:
+      return "R3SealAtOnce";
+    case Weakening::kOneSeal:
+      return "R4OneSeal";
+    case Weakening::kNoCatchUp:
+      return "R4NoCatchUp";
+    case Weakening::kIgnoreVersion:
+      return "R5IgnoreVersion";
+    case Weakening::kForgetOldChain:
+      return "R5ForgetOldChain";
+    case Weakening::kNoFenceWait:
+      return "R6NoFenceWait";
+    case Weakening::kReleaseBusy:
+      return "R7ReleaseBusy";
+    case Weakening::kSwitchUnwitnessed:
+      return "R8SwitchUnwitnessed";
+    case Weakening::kPlainLease:
+      return "R8PlainLease";
+    case Weakening::kRetireAtOnce:
+      return "R8RetireAtOnce";
+  }
+  return "Unknown";
+}
+
 INSTANTIATE_TEST_SUITE_P(Rules,
                          MutationTest,
                          ::testing::Values(Weakening::kServeWithoutLease,
                                            Weakening::kAdoptUnwitnessed,
+                                           Weakening::kFirstSetAlone,
                                            Weakening::kSealAtOnce,
                                            Weakening::kOneSeal,
+                                           Weakening::kNoCatchUp,
+                                           Weakening::kIgnoreVersion,
                                            Weakening::kForgetOldChain,
                                            Weakening::kNoFenceWait,
                                            Weakening::kReleaseBusy,
                                            Weakening::kSwitchUnwitnessed,
-                                           Weakening::kRetireAtOnce));
+                                           Weakening::kPlainLease,
+                                           Weakening::kRetireAtOnce),
+                         NameOf);
 
 }
 }
--- a/test/Ownership/NodeSupport.h
+++ b/test/Ownership/NodeSupport.h
@@ -66,6 +66,7 @@
   void Jump(size_t aSlot, Duration aBy);
   void Leave(size_t aSlot);
   void Cut(const std::set<size_t>& aSide, bool aFromLog);
+  void CutFromLog(size_t aSlot);
   void CutLink(size_t aFrom, size_t aTo);
   void CutPair(size_t aOne, size_t aOther);
   void Heal();
--- a/test/Ownership/ScheduleSupport.cpp
+++ b/test/Ownership/ScheduleSupport.cpp
@@ -89,6 +89,13 @@
   }
 }
 
+void
+Mesh::CutFromLog(size_t aSlot)
+{
+  Trace(fmt::format("cut {} from log", aSlot));
+  m_slots[aSlot].cutFromLog = true;
+}
+
 void
 Mesh::CutLink(size_t aFrom, size_t aTo)
 {
@@ -255,7 +262,7 @@
   void Strike()
   {
     const auto slot = Draw(m_mesh.Size());
-    switch (Draw(18)) {
+    switch (Draw(20)) {
       case 0:
         m_mesh.Kill(slot);
         break;
@@ -302,6 +309,10 @@
       case 15:
         m_mesh.UnpinSome();
         break;
+      case 16:
+      case 17:
+        m_mesh.CutFromLog(slot);
+        break;
       default:
         m_mesh.MoveSome();
         break;
@@ -362,6 +373,31 @@
   }
 }
 
+/** \brief Daemons lag behind the log while holders of moved keys are lost. */
+void
+StrikeLag(Mesh& aMesh, Faults& aFaults)
+{
+  for (int step = 0; step < 8 && !aMesh.Violation(); ++step) {
+    const auto slot = aFaults.Draw(aMesh.Size());
+    switch (aFaults.Draw(5)) {
+      case 0:
+        aMesh.Freeze(slot);
+        break;
+      case 1:
+        aMesh.Heal();
+        break;
+      case 2:
+        aMesh.CutFromLog(slot);
+        break;
+      default:
+        aMesh.CutFromLog(slot);
+        aMesh.MoveSome();
+        break;
+    }
+    aMesh.Run(milliseconds(10 + aFaults.Draw(500)));
+  }
+}
+
 /** \brief A ward is cut off together with a majority of its guardians. */
 void
 StrikeRetire(Mesh& aMesh, Faults& aFaults)
@@ -405,7 +441,7 @@
   auto options = DrawOptions(aSeed);
   options.settings.weakening = aWeakening;
   options.trace = aTrace;
-  const auto family = aSeed % 4;
+  const auto family = aSeed % 5;
   if (family == 3) {
     options.daemons += 4; // So that guardians differ from ward to ward.
   }
@@ -420,6 +456,9 @@
     case 3:
       StrikeRetire(mesh, faults);
       break;
+    case 4:
+      StrikeLag(mesh, faults);
+      break;
     default:
       StrikeAny(mesh, faults);
       break;
