--- a/src/Log/Checkpoint.cpp
+++ b/src/Log/Checkpoint.cpp
@@ -31,7 +31,8 @@
 Checkpoint
 DecodeContent(const std::string& aBytes, Offset aThrough)
 {
-  auto content = internal::DecodeStruct<log_idl::CheckpointContent>(aBytes);
+  auto content = internal::DecodeStruct<log_idl::CheckpointContent>(
+    aBytes, WriterMarks::kMaxWriters);
   Checkpoint checkpoint;
   checkpoint.through = aThrough;
   checkpoint.state = std::move(content.state);
--- a/src/Log/Checkpoint.h
+++ b/src/Log/Checkpoint.h
@@ -33,7 +33,7 @@
 constexpr size_t kChunkBytes = size_t{ 64 } * 1024;
 
 /** \brief Longest encoded checkpoint, in bytes. */
-constexpr size_t kMaxCheckpointBytes = size_t{ 64 } * 1024 * 1024;
+constexpr size_t kMaxCheckpointBytes = size_t{ 16 } * 1024 * 1024;
 
 /**
  * \brief Splits a checkpoint into the records that carry it.
--- a/src/Log/LogBodies.cpp
+++ b/src/Log/LogBodies.cpp
@@ -49,7 +49,7 @@
 DecodeAppendRequest(std::string_view aBody)
 {
   CheckBody(aBody);
-  auto request = DecodeStruct<log_idl::AppendRequest>(aBody);
+  auto request = DecodeStruct<log_idl::AppendRequest>(aBody, kMaxAppendRecords);
   CheckAppend(request.payloads);
   return std::move(request.payloads);
 }
@@ -68,7 +68,8 @@
 DecodeAppended(std::string_view aBody)
 {
   CheckBody(aBody);
-  const auto decoded = DecodeStruct<log_idl::AppendAnswer>(aBody);
+  const auto decoded =
+    DecodeStruct<log_idl::AppendAnswer>(aBody, kMaxAppendRecords);
   Appended answer;
   for (const auto offset : decoded.offsets) {
     answer.offsets.emplace_back(offset);
@@ -94,7 +95,7 @@
 DecodeReadAnswer(std::string_view aBody)
 {
   CheckBody(aBody);
-  auto decoded = DecodeStruct<log_idl::ReadAnswer>(aBody);
+  auto decoded = DecodeStruct<log_idl::ReadAnswer>(aBody, kMaxReadRecords);
   ReadAnswer answer;
   answer.first = Offset(decoded.firstOffset);
   answer.end = Offset(decoded.endOffset);
--- a/src/Log/LogCodec.h
+++ b/src/Log/LogCodec.h
@@ -28,12 +28,13 @@
 }
 
 /**
- * Decodes a generated struct; LogError if malformed. Lengths inside are
- * checked against the bytes at hand before anything is allocated for them.
+ * Decodes a generated struct; LogError if malformed, or if a list has more
+ * than aMaxItems. Lengths inside are checked against this and against the
+ * bytes at hand before anything is allocated for them.
  */
 template<class Struct>
 Struct
-DecodeStruct(std::string_view aBytes)
+DecodeStruct(std::string_view aBytes, size_t aMaxItems)
 {
   using apache::thrift::transport::TMemoryBuffer;
   // The buffer only observes; Thrift's interface lacks the const.
@@ -41,7 +42,7 @@
   const auto size = static_cast<uint32_t>(aBytes.size());
   const auto buffer = std::make_shared<TMemoryBuffer>(bytes, size);
   CompactProtocol protocol(
-    buffer, static_cast<int32_t>(size), static_cast<int32_t>(size));
+    buffer, static_cast<int32_t>(size), static_cast<int32_t>(aMaxItems));
   Struct value;
   try {
     value.read(&protocol);
--- a/src/Log/LogRecord.cpp
+++ b/src/Log/LogRecord.cpp
@@ -60,7 +60,7 @@
   if (aPayload.size() > kMaxPayloadBytes) {
     throw LogError("record is above the limit");
   }
-  auto decoded = internal::DecodeStruct<log_idl::Envelope>(aPayload);
+  auto decoded = internal::DecodeStruct<log_idl::Envelope>(aPayload, 0);
   Envelope envelope;
   envelope.id.writer = BootId(static_cast<uint64_t>(decoded.writer));
   envelope.id.sequence = static_cast<uint64_t>(decoded.sequence);
--- a/src/Log/LogService.h
+++ b/src/Log/LogService.h
@@ -30,6 +30,9 @@
 /** \brief Most records in one append. */
 constexpr size_t kMaxAppendRecords = 256;
 
+/** \brief Most records in one read's answer. */
+constexpr size_t kMaxReadRecords = 1000;
+
 /** \brief Most payload bytes in one append or in one read's answer. */
 constexpr size_t kMaxBatchBytes = size_t{ 1024 } * 1024;
 
@@ -110,6 +113,7 @@
    *
    * Starts at the first retained offset when aFrom has expired. Waits up to
    * aWait for a record when there is none at aFrom yet.
+   * \param aMaxRecords up to kMaxReadRecords.
    */
   virtual void Read(const StreamName& aStream,
                     Offset aFrom,
--- a/src/Log/LogTask.h
+++ b/src/Log/LogTask.h
@@ -72,7 +72,8 @@
   void Start();
 
   /**
-   * \brief Writes a record; retried until it is read back.
+   * \brief Writes a record; retried until it is read back. LogError if it
+   * is too large.
    * \param aGiveUp after this time the record counts as not written, if no
    * attempt may have written it; never for MonoTime::max().
    * \param aCallback called once, after the record handler had the record.
@@ -96,7 +97,7 @@
    */
   std::vector<LogEntry> RecordsFrom(Offset aFrom, size_t aMaxBytes) const;
 
-  /** \brief Records that a peer's RecordsFrom gave. */
+  /** \brief Records that a peer's RecordsFrom gave; calls the handlers. */
   void TakeFromPeer(const std::vector<LogEntry>& aEntries);
 
   /** \brief Counts since the start. */
--- a/src/Log/RecordCache.cpp
+++ b/src/Log/RecordCache.cpp
@@ -2,6 +2,19 @@
 
 namespace pistachioshift {
 
+namespace {
+
+// Memory of an entry beside its payload.
+constexpr size_t kEntryBytes = sizeof(LogEntry);
+
+size_t
+BytesOf(const LogEntry& aEntry)
+{
+  return aEntry.payload.size() + kEntryBytes;
+}
+
+}
+
 RecordCache::RecordCache(size_t aMaxBytes)
   : m_maxBytes(aMaxBytes)
 {
@@ -15,9 +28,9 @@
     m_bytes = 0;
   }
   m_entries.push_back(aEntry);
-  m_bytes += aEntry.payload.size();
+  m_bytes += BytesOf(aEntry);
   while (m_bytes > m_maxBytes) {
-    m_bytes -= m_entries.front().payload.size();
+    m_bytes -= BytesOf(m_entries.front());
     m_entries.pop_front();
   }
 }
@@ -32,7 +45,7 @@
   const auto skipped = aFrom.Value() - m_entries.front().offset.Value();
   size_t bytes = 0;
   for (auto at = static_cast<size_t>(skipped); at < m_entries.size(); ++at) {
-    bytes += m_entries[at].payload.size();
+    bytes += BytesOf(m_entries[at]);
     if (bytes > aMaxBytes && !records.empty()) {
       break;
     }
--- a/src/Log/RecordCache.h
+++ b/src/Log/RecordCache.h
@@ -19,7 +19,7 @@
 class RecordCache
 {
 public:
-  /** \param aMaxBytes bound on the payloads kept. */
+  /** \param aMaxBytes bound on the memory of the entries kept. */
   explicit RecordCache(size_t aMaxBytes);
 
   /** \brief Adds the next entry; starts anew if offsets were left out. */
@@ -28,7 +28,7 @@
   /**
    * \brief Entries from aFrom on, without gaps.
    * \return empty if aFrom is not held; else at least one, then as many as
-   * fit into aMaxBytes of payload.
+   * fit into aMaxBytes.
    */
   std::vector<LogEntry> RecordsFrom(Offset aFrom, size_t aMaxBytes) const;
 
--- a/src/Log/StreamClient.h
+++ b/src/Log/StreamClient.h
@@ -28,8 +28,8 @@
   bool writesCheckpoints = false;
   size_t chunkBytes = kChunkBytes; ///< Of a checkpoint, in one record.
   Duration longPoll{};
-  uint32_t maxRecords = 1000; ///< Records asked for in one read.
-  size_t cachedBytes = 0;     ///< Kept for peers.
+  uint32_t maxRecords = kMaxReadRecords; ///< Records asked for in one read.
+  size_t cachedBytes = 0;                ///< Kept for peers.
 };
 
 /** \brief What a StreamClient calls; see LogTaskHandlers. */
--- a/standin/log/LogServer.cpp
+++ b/standin/log/LogServer.cpp
@@ -22,7 +22,6 @@
 constexpr int kStatusUnavailable = 503;
 constexpr ev_ssize_t kMaxHeaderBytes = 16384;
 constexpr auto kTick = std::chrono::milliseconds(20);
-constexpr size_t kDefaultMaxRecords = 1000;
 
 timeval
 ToTimeval(Duration aDuration)
@@ -268,8 +267,8 @@
   waiting.exchange = Exchange::Start(aRequest);
   waiting.stream = aStream;
   waiting.from = Offset(query.Number("from", 1));
-  waiting.maxRecords =
-    static_cast<size_t>(query.Number("max", kDefaultMaxRecords));
+  waiting.maxRecords = std::min(
+    kMaxReadRecords, static_cast<size_t>(query.Number("max", kMaxReadRecords)));
   waiting.until =
     m_clock.Now() + std::chrono::milliseconds(query.Number("wait_ms", 0));
   const Duration delay = m_fault.delay;
--- a/test/Log/WorldSupport.cpp
+++ b/test/Log/WorldSupport.cpp
@@ -73,6 +73,14 @@
   Start(m_processes.emplace_back());
 }
 
+void
+World::RestartAll()
+{
+  for (auto& process : m_processes) {
+    Start(process);
+  }
+}
+
 void
 World::Run(const std::vector<Step>& aScript)
 {
--- a/test/Log/WorldSupport.h
+++ b/test/Log/WorldSupport.h
@@ -50,6 +50,11 @@
   /** \brief Starts one more process. */
   void AddProcess();
 
+  /** \brief Retention takes all that was written. */
+  void ExpireAll() { m_log.Expire(m_log.End().Value()); }
+
+  void RestartAll();
+
   void Run(const std::vector<Step>& aScript);
 
   /** \brief Ends all faults and runs until nothing happens any more. */
@@ -64,6 +69,8 @@
   /** \brief Whether some process can go on without a checkpoint. */
   bool SomeHoldState() const;
 
+  const FakeLog& Log() const { return m_log; }
+
   /** \brief By the processes that run now. */
   uint64_t CheckpointsLoaded() const;
 
