--- a/src/Document/EditCheck.cpp
+++ b/src/Document/EditCheck.cpp
@@ -258,6 +258,8 @@
   return std::nullopt;
 }
 
+}
+
 MaybeRefusal
 CheckServices(const CheckContext& aContext,
               const SectionName& aSection,
@@ -274,6 +276,8 @@
   return CheckServiceCount(aContext.data, aSection, aServices);
 }
 
+namespace {
+
 MaybeRefusal
 CheckRoom(const DocumentSnapshot& aData, const DocumentEdit& aEdit)
 {
--- a/src/Document/EditCheck.h
+++ b/src/Document/EditCheck.h
@@ -32,6 +32,11 @@
                        Offset aOffset,
                        const DocumentEdit& aEdit);
 
+/** \brief Checks a section against the rest of the document. */
+MaybeRefusal CheckServices(const CheckContext& aContext,
+                           const SectionName& aSection,
+                           const ServicesSection& aServices);
+
 /** \brief First line, from 1, in which two texts differ; 0 if they're equal. */
 uint32_t FirstDifferentLine(std::string_view aLeft, std::string_view aRight);
 
