--- a/src/Ctl/Mesh.cpp
+++ b/src/Ctl/Mesh.cpp
@@ -35,6 +35,7 @@
 AskStatus(const std::vector<Endpoint>& aEndpoints, Duration aTimeout)
 {
   std::vector<HttpQuestion> questions;
+  questions.reserve(aEndpoints.size());
   for (const auto& endpoint : aEndpoints) {
     questions.push_back({ endpoint, HttpVerb::kGet, "/status" });
   }
--- a/src/Ctl/Options.cpp
+++ b/src/Ctl/Options.cpp
@@ -239,7 +239,7 @@
       fmt::format("'{}' is no ADDRESS:PORT by IP number", aText));
   }
   address.SetLength(static_cast<socklen_t>(length));
-  const auto endpoint = internal::ToEndpoint(address);
+  auto endpoint = internal::ToEndpoint(address);
   if (endpoint.port == 0) {
     throw ConfigError(fmt::format("'{}' has no port", aText));
   }
--- /dev/null
+++ b/test/process/DocumentEditTest.cpp
@@ -0,0 +1,204 @@
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <thread>
+
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "test/process/HttpSupport.h"
+#include "test/process/ProcessSupport.h"
+
+namespace pistachioshift {
+namespace {
+
+using test::ChildProcess;
+
+constexpr int kAccepted = 0;
+constexpr int kRefused = 1;
+constexpr int kBadInput = 2;
+constexpr int kUnreachable = 3;
+
+/** \brief pistachioctl as an operator uses it, with the stand-in log. */
+class DocumentEditTest : public ::testing::Test
+{
+protected:
+  using Words = std::vector<std::string>;
+
+  DocumentEditTest()
+    : m_folder(std::filesystem::path(::testing::TempDir()) /
+               ("document-edit-" + std::to_string(getpid())))
+    , m_log("standin_log")
+    , m_port(m_log.WaitForPort())
+  {
+    std::filesystem::create_directories(m_folder);
+    Write("demo.toml", Service("orders", 64));
+  }
+
+  ~DocumentEditTest() override { std::filesystem::remove_all(m_folder); }
+
+  static std::string Service(const std::string& aName, int aRanges)
+  {
+    return "[[service]]\nname = \"" + aName + "\"\ndivision = \"keyed\"\n" +
+           "ranges = " + std::to_string(aRanges) + "\nslots = 9\n";
+  }
+
+  std::string Path(const std::string& aName) const
+  {
+    return (m_folder / aName).string();
+  }
+
+  void Write(const std::string& aName, const std::string& aText) const
+  {
+    std::ofstream(Path(aName)) << aText;
+  }
+
+  /** \brief A key for the team and the file `teams.toml` that names it. */
+  void MakeTeam()
+  {
+    ChildProcess keygen("pistachioctl",
+                        { "document",
+                          "keygen",
+                          "--team=ops",
+                          "--sections=teams,demo",
+                          "--out=" + Path("ops.key") });
+    std::string teams;
+    for (const auto* prefix : { "[[team]]", "name", "keys", "sections" }) {
+      teams += keygen.WaitForLine(prefix).value_or("") + "\n";
+    }
+    ASSERT_EQ(keygen.Wait(), 0);
+    Write("teams.toml", teams);
+  }
+
+  Words EditWords(const std::string& aSection, const Words& aMore) const
+  {
+    Words words{ "document",
+                 "edit",
+                 "--team=ops",
+                 "--log=127.0.0.1:" + std::to_string(m_port),
+                 "--section=" + aSection,
+                 "--file=" + Path(aSection + ".toml"),
+                 "--key=" + Path("ops.key") };
+    words.insert(words.end(), aMore.begin(), aMore.end());
+    return words;
+  }
+
+  /** \brief Edits; keeps the verdict's line in m_line. */
+  int Edit(const std::string& aSection, const Words& aMore = {})
+  {
+    ChildProcess edit("pistachioctl", EditWords(aSection, aMore));
+    m_line = edit.WaitForLine("").value_or("");
+    return edit.Wait();
+  }
+
+  void Found()
+  {
+    MakeTeam();
+    ASSERT_EQ(Edit("teams"), kAccepted);
+  }
+
+  void SetFault(const std::string& aQuery) const
+  {
+    ASSERT_EQ(test::HttpPost(m_port, "/faults?" + aQuery).status, 200);
+  }
+
+  int WrittenRecords() const
+  {
+    const auto stats = test::HttpGet(m_port, "/stats").body;
+    return nlohmann::json::parse(stats)["records"].get<int>();
+  }
+
+  std::filesystem::path m_folder;
+  ChildProcess m_log;
+  uint16_t m_port;
+  std::string m_line;
+};
+
+TEST_F(DocumentEditTest, Edit_Valid_IsAcceptedWithItsVersion)
+{
+  Found();
+  EXPECT_EQ(Edit("demo"), kAccepted);
+  EXPECT_EQ(m_line, "accepted: section 'demo': version 2 is in force");
+}
+
+TEST_F(DocumentEditTest, Edit_StaleBase_IsRefusedWithTheNewerVersion)
+{
+  Found();
+  ASSERT_EQ(Edit("demo"), kAccepted);
+  Write("demo.toml", Service("orders", 64) + "# late\n");
+  EXPECT_EQ(Edit("demo", { "--base=0" }), kRefused);
+  EXPECT_EQ(m_line,
+            "refused: stale-base: section 'demo': the edit was written against "
+            "version 0, but version 2 by team 'ops' is in force, which differs "
+            "from this text from line 6 on");
+}
+
+TEST_F(DocumentEditTest, Edit_WithoutBaseOfAKnownSection_IsBadInput)
+{
+  Found();
+  ASSERT_EQ(Edit("demo"), kAccepted);
+  EXPECT_EQ(Edit("demo"), kBadInput);
+}
+
+TEST_F(DocumentEditTest, Edit_InvalidText_IsBadInputAndNotWritten)
+{
+  Found();
+  Write("demo.toml", Service("orders", 0));
+  EXPECT_EQ(Edit("demo"), kBadInput);
+  EXPECT_EQ(WrittenRecords(), 1);
+}
+
+TEST_F(DocumentEditTest, Edit_ForeignKey_IsRefused)
+{
+  Found();
+  std::filesystem::remove(Path("ops.key"));
+  MakeTeam();
+  EXPECT_EQ(Edit("demo"), kRefused);
+  EXPECT_EQ(m_line,
+            "refused: bad-signature: section 'demo': the signature is missing "
+            "or not by a key of team 'ops'");
+}
+
+TEST_F(DocumentEditTest, Edit_AnswerLostAfterTheWrite_IsAcceptedOnce)
+{
+  Found();
+  SetFault("mode=lose-answer&count=1");
+  EXPECT_EQ(Edit("demo"), kAccepted);
+  EXPECT_EQ(m_line, "accepted: section 'demo': version 2 is in force");
+}
+
+TEST_F(DocumentEditTest, Edit_LogDown_IsUnreachable)
+{
+  Found();
+  SetFault("mode=down");
+  EXPECT_EQ(Edit("demo", { "--timeout=1" }), kUnreachable);
+}
+
+TEST_F(DocumentEditTest, Edits_RacingProcesses_ExactlyOneIsAccepted)
+{
+  Found();
+  // Slow reads and writes make all of them read the same version first.
+  SetFault("mode=slow&ms=200");
+  std::vector<std::unique_ptr<ChildProcess>> racing;
+  for (int index = 0; index < 6; ++index) {
+    Write("demo.toml", Service("orders-" + std::to_string(index), 64));
+    racing.push_back(
+      std::make_unique<ChildProcess>("pistachioctl", EditWords("demo", {})));
+    // The file is read before the log is asked.
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  int accepted = 0;
+  for (auto& edit : racing) {
+    const int code = edit->Wait();
+    accepted += code == kAccepted ? 1 : 0;
+    EXPECT_TRUE(code == kAccepted || code == kRefused) << code;
+  }
+  EXPECT_EQ(accepted, 1);
+  RecordProperty("written", WrittenRecords());
+}
+
+}
+}
