--- a/src/Inner/RecordCodec.cpp
+++ b/src/Inner/RecordCodec.cpp
@@ -193,7 +193,8 @@
 OwnershipSnapshot
 DecodeOwnershipSnapshot(std::string_view aBytes)
 {
-  return FromWire(DecodeWire<wire::WireOwnershipSnapshot>(aBytes));
+  return FromWire(DecodeWire<wire::WireOwnershipSnapshot>(
+    aBytes, internal::kMaxSnapshotItems));
 }
 
 std::string
@@ -205,7 +206,8 @@
 DocumentSnapshot
 DecodeDocumentSnapshot(std::string_view aBytes)
 {
-  return internal::FromWire(DecodeWire<wire::WireDocumentSnapshot>(aBytes));
+  return internal::FromWire(DecodeWire<wire::WireDocumentSnapshot>(
+    aBytes, internal::kMaxSnapshotItems));
 }
 
 }
