--- a/src/Http/Client.h
+++ b/src/Http/Client.h
@@ -24,12 +24,13 @@
 struct HttpClientLimits
 {
   size_t maxConnections = 64;
-  size_t maxWaiting = 1024;                ///< Requests without a connection.
-  size_t maxHeadBytes = 64 * 1024;         ///< Of an answer.
-  size_t maxHeaders = 128;                 ///< Of an answer.
-  size_t inputHighWatermark = 64 * 1024;   ///< Bytes read ahead.
-  size_t outputHighWatermark = 256 * 1024; ///< SendBody answers false above.
-  size_t outputLowWatermark = 64 * 1024;   ///< OnDrained at or below.
+  size_t maxWaiting = 1024;                  ///< Requests without a connection.
+  size_t maxHeadBytes = 64 * internal::kKiB; ///< Of an answer.
+  size_t maxHeaders = 128;                   ///< Of an answer.
+  size_t inputHighWatermark = 64 * internal::kKiB; ///< Bytes read ahead.
+  size_t outputHighWatermark =
+    256 * internal::kKiB; ///< SendBody answers false above.
+  size_t outputLowWatermark = 64 * internal::kKiB; ///< OnDrained at or below.
   Duration connectTimeout = std::chrono::seconds(1);
   Duration silenceTimeout = std::chrono::seconds(60); ///< Without a byte read
                                                       ///< or written.
--- a/src/Http/Message.h
+++ b/src/Http/Message.h
@@ -11,6 +11,10 @@
 
 namespace pistachioshift {
 
+namespace internal {
+constexpr size_t kKiB = 1024; ///< Bytes.
+}
+
 /** \brief One header field as received or to be sent. */
 struct Header
 {
--- a/src/Http/Server.cpp
+++ b/src/Http/Server.cpp
@@ -79,7 +79,7 @@
 }
 
 void
-ServerExchange::SendHead(ResponseHead aHead)
+ServerExchange::SendHead(const ResponseHead& aHead)
 {
   if (m_connection) {
     m_connection->SendHead(aHead);
--- a/src/Http/Server.h
+++ b/src/Http/Server.h
@@ -23,13 +23,15 @@
 /** \brief Bounds of a server and of each of its connections. */
 struct HttpLimits
 {
-  size_t maxHeadBytes = 32 * 1024;         ///< Above: 431.
-  size_t maxHeaders = 128;                 ///< Above: 431.
-  size_t maxConnections = 4096;            ///< Above: closed at accept.
-  size_t inputHighWatermark = 64 * 1024;   ///< Bytes read ahead.
-  size_t outputHighWatermark = 256 * 1024; ///< SendBody answers false above.
-  size_t outputLowWatermark = 64 * 1024;   ///< OnDrained at or below.
-  size_t maxDiscardBytes = 64 * 1024; ///< Of an unread body, before closing.
+  size_t maxHeadBytes = 32 * internal::kKiB;       ///< Above: 431.
+  size_t maxHeaders = 128;                         ///< Above: 431.
+  size_t maxConnections = 4096;                    ///< Above: closed at accept.
+  size_t inputHighWatermark = 64 * internal::kKiB; ///< Bytes read ahead.
+  size_t outputHighWatermark =
+    256 * internal::kKiB; ///< SendBody answers false above.
+  size_t outputLowWatermark = 64 * internal::kKiB; ///< OnDrained at or below.
+  size_t maxDiscardBytes =
+    64 * internal::kKiB; ///< Of an unread body, before closing.
   Duration headTimeout = std::chrono::seconds(10);  ///< First byte to last.
   Duration idleTimeout = std::chrono::seconds(60);  ///< Between requests.
   Duration bodyTimeout = std::chrono::seconds(30);  ///< Without a body byte.
@@ -105,7 +107,7 @@
   void ResumeBody();
 
   /** \brief Sends status and headers; once per exchange. */
-  void SendHead(ResponseHead aHead);
+  void SendHead(const ResponseHead& aHead);
 
   /**
    * \brief Sends a part of the body.
