--- a/src/Http/Client.cpp
+++ b/src/Http/Client.cpp
@@ -154,7 +154,7 @@
 }
 
 std::shared_ptr<ClientExchange>
-HttpClientPool::Start(RequestHead aHead,
+HttpClientPool::Start(const RequestHead& aHead,
                       std::shared_ptr<ClientListener> aListener,
                       BeforeWrite aBeforeWrite)
 {
--- a/src/Http/Client.h
+++ b/src/Http/Client.h
@@ -146,7 +146,7 @@
    * \throws HttpError if the head can't be written as HTTP.
    */
   std::shared_ptr<ClientExchange> Start(
-    RequestHead aHead,
+    const RequestHead& aHead,
     std::shared_ptr<ClientListener> aListener,
     BeforeWrite aBeforeWrite = {});
 
--- a/test/Http/ClientTest.cpp
+++ b/test/Http/ClientTest.cpp
@@ -86,7 +86,9 @@
   m_clientLimits.maxConnections = 2;
   StartEcho();
   std::vector<std::shared_ptr<AnswerRecorder>> answers;
-  for (int i = 0; i < 10; ++i) {
+  constexpr int kRequests = 10;
+  answers.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
     answers.push_back(Get("/x"));
   }
   size_t most = 0;
--- a/test/Http/HostileInputTest.cpp
+++ b/test/Http/HostileInputTest.cpp
@@ -15,19 +15,27 @@
 using internal::ParseEvent;
 using internal::ParseStep;
 
-constexpr internal::HeadBounds kBounds{ 32 * 1024, 128 };
+constexpr internal::HeadBounds kBounds{ 32 * internal::kKiB, 128 };
 
-const std::vector<std::string> kRequests = {
-  "GET /a?b=c HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n",
-  "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+const std::string kGet = "GET /a?b=c HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n";
+const std::string kPost =
+  "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+const std::string kChunked =
   "PUT /q HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-  "3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n",
-  "GET http://h/abs HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+  "3;x=1\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n";
+const std::string kClose =
+  "GET http://h/abs HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+const std::string kExpect =
   "PUT /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
-  "Content-Length: 1\r\n\r\nx",
-  "GET /u HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
-  "GET /old HTTP/1.0\r\n\r\n",
-};
+  "Content-Length: 1\r\n\r\nx";
+const std::string kUpgrade =
+  "GET /u HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+  "Upgrade: h2c\r\n\r\n";
+const std::string kHttp10 = "GET /old HTTP/1.0\r\n\r\n";
+
+const std::vector<std::string> kRequests = { kGet,   kPost,   kChunked,
+                                             kClose, kExpect, kUpgrade,
+                                             kHttp10 };
 
 const std::vector<std::string> kTokens = {
   "\r\n",        "\r",      "\n",           " ",
--- a/test/Http/StreamingTest.cpp
+++ b/test/Http/StreamingTest.cpp
@@ -8,10 +8,10 @@
 
 using ExchangePtr = std::shared_ptr<ServerExchange>;
 
-constexpr size_t kPart = 16 * 1024;
-constexpr size_t kTotal = 64 * 1024 * 1024;
+constexpr size_t kPart = 16 * internal::kKiB;
+constexpr size_t kTotal = 64 * internal::kKiB * internal::kKiB;
 // Send and receive buffer of a loopback socket, each at most 6 MiB by default.
-constexpr size_t kSocketBytes = 12 * 1024 * 1024;
+constexpr size_t kSocketBytes = 12 * internal::kKiB * internal::kKiB;
 
 char
 ByteAt(size_t aPosition)
