--- a/test/Ownership/NodeSupport.cpp
+++ b/test/Ownership/NodeSupport.cpp
@@ -509,6 +509,10 @@
 {
   auto& slot = m_slots[aSlot];
   if (slot.node->Left() && slot.outbox.empty()) {
+    m_cutRequests += static_cast<size_t>(
+      std::ranges::count_if(m_requests, [&](const Request& aRequest) {
+        return aRequest.slot == aSlot && aRequest.life == slot.life;
+      }));
     Kill(aSlot);
     return;
   }
--- a/test/Ownership/NodeSupport.h
+++ b/test/Ownership/NodeSupport.h
@@ -89,6 +89,9 @@
   const OwnershipView& Log() const { return m_view; }
   const std::vector<AppKey>& Keys() const { return m_keys; }
 
+  /** \brief Requests that a leaving daemon's exit cut short. */
+  size_t CutRequests() const { return m_cutRequests; }
+
   /** \brief Slot of a running daemon. */
   std::optional<size_t> SlotOf(DaemonId aDaemon) const;
 
@@ -187,6 +190,7 @@
   std::vector<Request> m_requests;
   std::map<AppKey, std::pair<FenceToken, size_t>> m_serving;
   std::map<EntryKey, FenceToken> m_held;
+  size_t m_cutRequests = 0;
   std::optional<std::string> m_violation;
 };
 
