Replace an unheld entry whose holders are gone; adopt without new records

Two recovery properties failed: an entry moved to a daemon that was lost before it recorded the entry as held could not be assigned again while heirs of its base lived, and a lone daemon waited for a record to adopt its first entries. The base now ends with the first change after it and the unheld entries between count as out once their holders are gone; ticks adopt.

--- a/src/Ownership/NodeImpl.cpp
+++ b/src/Ownership/NodeImpl.cpp
@@ -254,6 +254,7 @@
   for (auto& record : m_removal.OnTick(view, m_evidence, aNow)) {
     Append(std::move(record));
   }
+  Adopt(aNow);
   Retry(aNow);
   EvaluateDirty(aNow);
   FlushHeld(aNow);
--- a/src/Ownership/Replay.cpp
+++ b/src/Ownership/Replay.cpp
@@ -315,9 +315,12 @@
   if (aAssignment.base != chain->Current().offset) {
     return Refusal::kBaseNotCurrent;
   }
+  // An entry that was never held may be replaced once nobody can hold it.
   const bool replaceable =
     chain->Current().held ||
-    std::ranges::all_of(chain->entries, [&](auto& e) { return NobodyLeft(e); });
+    std::ranges::all_of(chain->entries, [this](const Entry& aEntry) {
+      return aEntry.held || NobodyLeft(aEntry);
+    });
   return replaceable ? Refusal::kNone : Refusal::kBaseNotHeld;
 }
 
@@ -432,6 +435,13 @@
   return found == entries.end() ? nullptr : &*found;
 }
 
+bool
+OwnershipView::NeedsHolder(const EntryKey& aKey) const
+{
+  const auto* chain = FindChain(aKey);
+  return chain != nullptr && NobodyLeft(chain->Current());
+}
+
 bool
 OwnershipView::NobodyLeft(const Entry& aEntry) const
 {
--- a/src/Ownership/Takeover.cpp
+++ b/src/Ownership/Takeover.cpp
@@ -72,21 +72,28 @@
   if (m_settings.weakening == Weakening::kForgetOldChain && heir) {
     return true;
   }
-  const auto change = entries.back().offset;
-  const auto& base = entries[entries.size() - 2];
-  if (base.held) {
-    return BaseDone(aKey, base, change, aOwn, aTakeover);
-  }
-  // Replaced without ever being held: all that were named must be out.
-  for (size_t index = 0; index + 1 < entries.size(); ++index) {
-    for (const auto daemon : entries[index].holders) {
-      if (m_evidence.StandingOf(m_view, daemon, change) == Standing::kMayHold) {
-        return false;
-      }
-      aTakeover.released = false;
+  const auto& base = entries.front();
+  const size_t firstUnheld = base.held ? 1 : 0;
+  for (size_t index = firstUnheld; index + 1 < entries.size(); ++index) {
+    // Replaced without ever being recorded as held: nobody was left for it.
+    if (!AllOut(entries[index], entries.back().offset, aTakeover)) {
+      return false;
     }
   }
-  return true;
+  // The base ended with the first change after it.
+  return !base.held || BaseDone(aKey, base, entries[1].offset, aOwn, aTakeover);
+}
+
+bool
+TakeoverRule::AllOut(const Entry& aEntry,
+                     Offset aChange,
+                     Takeover& aTakeover) const
+{
+  aTakeover.released = false;
+  return std::ranges::none_of(aEntry.holders, [&](DaemonId aDaemon) {
+    return m_evidence.StandingOf(m_view, aDaemon, aChange) ==
+           Standing::kMayHold;
+  });
 }
 
 bool
--- a/src/Ownership/Takeover.h
+++ b/src/Ownership/Takeover.h
@@ -50,6 +50,7 @@
                     const EntryChain& aChain,
                     const OwnPart& aOwn,
                     Takeover& aTakeover) const;
+  bool AllOut(const Entry& aEntry, Offset aChange, Takeover& aTakeover) const;
   bool BaseDone(const EntryKey& aKey,
                 const Entry& aBase,
                 Offset aChange,
--- a/src/Ownership/View.h
+++ b/src/Ownership/View.h
@@ -216,6 +216,9 @@
    */
   std::vector<DaemonId> Route(const EntryKey& aKey) const;
 
+  /** \brief All holders of the current entry are gone: assign it anew. */
+  bool NeedsHolder(const EntryKey& aKey) const;
+
   OwnershipSnapshot Snapshot() const;
   static OwnershipView FromSnapshot(const OwnershipSnapshot& aSnapshot);
 
--- a/test/Ownership/ScheduleSupport.cpp
+++ b/test/Ownership/ScheduleSupport.cpp
@@ -239,7 +239,7 @@
     }
   }
   for (const auto& [key, chain] : m_view.Entries()) {
-    if (m_view.Route(key).empty()) {
+    if (m_view.NeedsHolder(key)) {
       add(key, chain.Current().offset);
     }
   }
