Sharpen tests of the log parts that mutations survived

Of 14 mutations of single parts five survived: schedule not restarted by a checkpoint, marks not cleared on load, batch count, list bound, and a cache look-up below its first entry. The first four are now caught; the last is equivalent (the index wraps and the answer is empty anyway).

--- a/test/Log/AppenderTest.cpp
+++ b/test/Log/AppenderTest.cpp
@@ -124,8 +124,9 @@
                       ())
 {
   const auto count = *rc::gen::inRange(1, 600);
+  const auto largest = *rc::gen::element<size_t>(1, 5000, 100000);
   for (int sent = 0; sent < count; ++sent) {
-    const auto size = *rc::gen::inRange<size_t>(0, 40000);
+    const auto size = *rc::gen::inRange<size_t>(0, largest);
     m_appender.Submit(std::string(size, 'x'), MonoTime::max());
   }
   uint64_t next = 1;
--- a/test/Log/CheckpointScheduleTest.cpp
+++ b/test/Log/CheckpointScheduleTest.cpp
@@ -75,6 +75,7 @@
     for (const auto& schedule : schedules) {
       due = std::min(due, schedule.NextDue());
     }
+    RC_ASSERT(due - last >= kInterval);
     RC_ASSERT(due - last <= kInterval + kInterval / 4);
     for (auto& schedule : schedules) {
       written += schedule.IsDue(due + kLatency) ? 1 : 0;
--- a/test/Log/FollowerTest.cpp
+++ b/test/Log/FollowerTest.cpp
@@ -82,6 +82,7 @@
   WriterMarks all(kBound);
   const auto split = *rc::gen::inRange<size_t>(0, aWriters.size() + 1);
   WriterMarks loaded(kBound);
+  loaded.Admit(RecordId{ BootId(1), 1000 }, Offset(1));
   for (size_t at = 0; at < aWriters.size(); ++at) {
     if (at == split) {
       loaded.Load(all.Marks());
--- a/test/Log/LogRecordTest.cpp
+++ b/test/Log/LogRecordTest.cpp
@@ -53,6 +53,17 @@
     LogError);
 }
 
+TEST_F(LogRecordTest, DecodeRead_TooManyRecords_IsLogError)
+{
+  ReadAnswer answer;
+  answer.entries.resize(kMaxReadRecords);
+  EXPECT_NO_THROW(
+    internal::DecodeReadAnswer(internal::EncodeReadAnswer(answer)));
+  answer.entries.resize(kMaxReadRecords + 1);
+  EXPECT_THROW(internal::DecodeReadAnswer(internal::EncodeReadAnswer(answer)),
+               LogError);
+}
+
 TEST_F(LogRecordTest, DecodeRead_EncodedAnswer_GivesItBack)
 {
   const ReadAnswer answer{ { { Offset(5), "five" }, { Offset(6), "six" } },
