--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -151,6 +151,7 @@
   m_leaveBegan = m_clock.Now();
   m_logger.Info("leave-begin", "in_flight={}", m_backend.InFlight());
   m_mesh.BeginLeave();
+  m_ingress.BeginClosing();
   m_leaveTimer.StartEvery(kLeaveInterval);
 }
 
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -31,6 +31,9 @@
   /** \throws HttpError if the endpoint can't be bound. */
   IngressTask(const IngressContext& aContext, const Settings& aSettings);
 
+  /** \brief Callers are told to open their next connection elsewhere. */
+  void BeginClosing() { m_server.BeginClosing(); }
+
   /** \brief No new connections; busy ones finish. */
   void StopAccepting() { m_server.StopAccepting(); }
 
--- a/src/Http/Server.cpp
+++ b/src/Http/Server.cpp
@@ -145,6 +145,12 @@
   return m_core->LocalEndpoint();
 }
 
+void
+HttpServer::BeginClosing()
+{
+  m_core->BeginClosing();
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/Http/Server.h
+++ b/src/Http/Server.h
@@ -165,6 +165,12 @@
   /** \brief The bound endpoint, with the port that was picked. */
   Endpoint LocalEndpoint() const;
 
+  /**
+   * \brief Answers with `Connection: close` from now on, so that callers go
+   * elsewhere before an idle connection has to be closed under them.
+   */
+  void BeginClosing();
+
   /**
    * \brief Closes the listening socket and idle connections; busy ones finish
    * with `Connection: close`.
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -21,6 +21,7 @@
              HttpServer::RefusalCounter aOnRefusal);
 
   void Listen(const Endpoint& aEndpoint);
+  void BeginClosing() { m_stopping = true; }
   void StopAccepting();
   void CloseAll();
   Endpoint LocalEndpoint() const { return m_endpoint; }
--- a/tools/mesh_demo.py
+++ b/tools/mesh_demo.py
@@ -41,12 +41,16 @@
                 answer = self.connection.getresponse()
                 answer.read()
                 outcome = answer.getheader("Pistachio-Outcome", "none")
+                reason = answer.getheader("Pistachio-Reason")
+                if reason:
+                    self.tally.reason(f"{outcome}: {reason}")
                 if answer.will_close:
                     self.connection = None
                 return outcome
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as error:
                 self.connection = None
                 self.turn += 1
+                self.tally.reason(f"lost: {method} {error!r}")
                 return "connection lost"
 
     def run(self):
@@ -77,10 +81,15 @@
         self.stopped = False
         self.phase = "start"
         self.counts = collections.defaultdict(collections.Counter)
+        self.reasons = collections.defaultdict(collections.Counter)
         self.gaps = collections.defaultdict(lambda: (0.0, ""))
         self.served = {}
         self.orders = {}
 
+    def reason(self, text):
+        with self.lock:
+            self.reasons[self.phase][text] += 1
+
     def lookup(self, key, outcome):
         now = time.monotonic()
         with self.lock:
@@ -124,30 +133,25 @@
 def run_phases(demo, tally):
     first, second, third, fourth = demo.hosts[0:4]
 
-    def phase(name, seconds):
+    def phase(name, seconds, act=lambda: None):
         tally.phase = name
         print(f"{name} ({seconds} s)", flush=True)
+        act()
         time.sleep(seconds)
 
     phase("all well", 3)
     print("  entries by holder:", owners(first))
-    second.daemon.kill()
-    phase("daemon killed (-9)", 4)
+    phase("daemon killed (-9)", 4, second.daemon.kill)
     print("  entries by holder:", owners(first))
-    second.start_daemon()
-    phase("daemon back", 3)
-    print(demo.ctl("drain", f"127.0.0.1:{third.operators}"), end="")
-    phase("planned drain", 6)
+    phase("daemon back", 3, second.start_daemon)
+    phase("planned drain", 6, lambda: demo.ctl(
+        "drain", f"127.0.0.1:{third.operators}"))
     drained = not third.daemon.alive()
     print("  drained daemon has exited:", drained)
-    third.start_daemon()
-    phase("daemon back again", 4)
-    demo.log_fault("down")
-    phase("log service down", 2)
-    fourth.daemon.kill()
-    phase("log down, daemon killed", 4)
-    demo.log_fault("none")
-    phase("log service back", 4)
+    phase("daemon back again", 4, third.start_daemon)
+    phase("log service down", 2, lambda: demo.log_fault("down"))
+    phase("log down, daemon killed", 4, fourth.daemon.kill)
+    phase("log service back", 4, lambda: demo.log_fault("none"))
     print("  entries by holder:", owners(first))
     return drained
 
@@ -161,6 +165,9 @@
                    if outcome not in ("done", "not-run", "unknown"))
         print(f"{name:26}{counts['done']:8}{counts['not-run']:9}"
               f"{counts['unknown']:9}{lost:6}{gap * 1000:14.0f} ms {key}")
+    for name, reasons in tally.reasons.items():
+        for text, count in reasons.items():
+            print(f"  {name}: {count} x {text}")
 
 
 def find_problems(demo, tally, drained):
