--- a/bench/HttpBench.cpp
+++ b/bench/HttpBench.cpp
@@ -18,10 +18,7 @@
 class Counter final : public ClientListener
 {
 public:
-  explicit Counter(size_t& aDone)
-    : m_done(aDone)
-  {
-  }
+  size_t Done() const { return m_done; }
 
   void OnHead(const ResponseHead& /*aHead*/) override {}
   void OnBody(std::string_view /*aData*/) override {}
@@ -30,7 +27,7 @@
   void OnFailed(ClientFailure /*aFailure*/) override { std::abort(); }
 
 private:
-  size_t& m_done;
+  size_t m_done = 0;
 };
 
 /** Batches of requests at once, one to a connection, answers of 100 bytes. */
@@ -51,12 +48,11 @@
   HttpClientLimits limits{ .maxConnections = atOnce };
   HttpClientPool pool(base.get(), server.LocalEndpoint(), limits);
   for (auto _ : aState) {
-    size_t done = 0;
-    auto counter = std::make_shared<Counter>(done);
+    auto counter = std::make_shared<Counter>();
     for (size_t i = 0; i < atOnce; ++i) {
       pool.Start({ .method = "GET", .target = "/key/item" }, counter)->Finish();
     }
-    while (done < atOnce) {
+    while (counter->Done() < atOnce) {
       event_base_loop(base.get(), EVLOOP_ONCE);
     }
   }
