Serve the connections in the backlog of a port that closes

Cause: during a planned drain 1 to 5 of 18,000 requests saw their connection reset: closing the listening socket resets what waits in its backlog, and a connection without a first request was closed as idle. Change: accept what waits first, give a new connection 1 s for its first request, and close the callers' port only when this daemon's own duties are done. Test ServerTest.Stop_ConnectionInTheBacklog_IsServed failed before, passes now.

--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -159,13 +159,17 @@
 Daemon::OnLeaveTick()
 {
   const auto now = m_clock.Now();
-  if (now - m_leaveBegan >= kLeaveGrace) {
+  const bool grace = now - m_leaveBegan < kLeaveGrace;
+  if (!grace) {
     m_backend.BeginDrain();
+  }
+  // Callers that still come are served by others through this daemon.
+  const bool own = grace || !m_mesh.Left() || m_backend.InFlight() > 0;
+  if (!own && !m_stopped) {
+    m_stopped = true;
     m_ingress.StopAccepting();
   }
-  const bool busy = now - m_leaveBegan < kLeaveGrace || !m_mesh.Left() ||
-                    m_backend.InFlight() > 0 || m_ingress.Active() > 0;
-  if (busy) {
+  if (own || m_ingress.Connections() > 0) {
     m_idleSince = now;
     return;
   }
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -65,6 +65,7 @@
   MonoTime m_leaveBegan;
   MonoTime m_idleSince;
   bool m_leaving = false;
+  bool m_stopped = false; ///< The callers' port is closed.
 };
 
 }
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -38,6 +38,7 @@
   void StopAccepting() { m_server.StopAccepting(); }
 
   size_t Active() const { return m_server.Active(); }
+  size_t Connections() const { return m_server.Connections(); }
 
 private:
   IngressContext m_context;
--- a/src/Daemon/Status.cpp
+++ b/src/Daemon/Status.cpp
@@ -84,6 +84,22 @@
   return document;
 }
 
+json
+GuardiansJson(const OwnershipView& aView)
+{
+  auto list = json::array();
+  for (const auto& [ward, sets] : aView.Guardians()) {
+    json item = { { "ward", ward.Value() },
+                  { "set", sets.current.offset.Value() },
+                  { "guardians", DaemonsJson(sets.current.guardians) } };
+    if (sets.pending) {
+      item["pending"] = DaemonsJson(sets.pending->guardians);
+    }
+    list.push_back(std::move(item));
+  }
+  return list;
+}
+
 json
 HeldJson(const MeshTask& aMesh)
 {
@@ -128,6 +144,7 @@
   for (const auto& [daemon, member] : view.Members()) {
     status["members"].push_back(MemberJson(member));
   }
+  status["guardians"] = GuardiansJson(view);
   status["entries"] = json::array();
   for (const auto& [key, chain] : view.Entries()) {
     status["entries"].push_back(EntryJson(key, chain));
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr Duration kFirstRequestTimeout = std::chrono::seconds(1);
 
 HttpRefusal
 RefusalOf(ParseProblem aProblem)
@@ -70,9 +71,15 @@
 ServerConnection::CloseIfIdle()
 {
   // A request that waits in the socket is still served.
-  if (m_state == State::kHead && !m_headBegun && !m_stream->HasUnreadBytes()) {
+  if (m_state != State::kHead || m_headBegun || m_stream->HasUnreadBytes()) {
+    return;
+  }
+  if (m_served) {
     Close(AbortReason::kShutdown);
+    return;
   }
+  // The first request of a new connection may be on its way.
+  m_stream->StartTimer(kFirstRequestTimeout);
 }
 
 void
@@ -263,6 +270,7 @@
 ServerConnection::NextRequest()
 {
   m_parser.Reset();
+  m_served = true;
   m_headBegun = false;
   m_headTimed = false;
   m_state = State::kHead;
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -77,6 +77,7 @@
   std::shared_ptr<ServerExchange> m_exchange;
   BodyWriter m_body;
   size_t m_discarded = 0; ///< Bytes.
+  bool m_served = false;  ///< At least one request.
   bool m_reading = false;
   bool m_headBegun = false;
   bool m_headTimed = false;
--- a/src/Http/internal/ServerCore.cpp
+++ b/src/Http/internal/ServerCore.cpp
@@ -89,10 +89,29 @@
   m_connections.insert(connection);
 }
 
+void
+ServerCore::AcceptWaiting()
+{
+  // Closing the socket would reset the connections in its backlog.
+  if (!m_listener) {
+    return;
+  }
+  const int listening = evconnlistener_get_fd(m_listener.get());
+  for (int count = 0; count < kBacklog; ++count) {
+    const int accepted =
+      accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    Accept(accepted);
+  }
+}
+
 void
 ServerCore::StopAccepting()
 {
   m_stopping = true;
+  AcceptWaiting();
   m_listener.reset();
   auto connections = m_connections;
   for (const auto& connection : connections) {
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -23,6 +23,7 @@
   void Listen(const Endpoint& aEndpoint);
   void BeginClosing() { m_stopping = true; }
   void StopAccepting();
+  void AcceptWaiting();
   void CloseAll();
   Endpoint LocalEndpoint() const { return m_endpoint; }
   size_t Connections() const { return m_connections.size(); }
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -223,6 +223,15 @@
   EXPECT_TRUE(Contains(peer, "/late"));
 }
 
+TEST_F(ServerTest, Stop_ConnectionInTheBacklog_IsServed)
+{
+  StartEcho();
+  RawPeer peer = Connect();
+  m_server->StopAccepting();
+  peer.Write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(Contains(peer, "/late"));
+}
+
 TEST_F(ServerTest, Server_Destroyed_ListenersAreTold)
 {
   StartRecording();
