--- a/src/Ownership/Evidence.cpp
+++ b/src/Ownership/Evidence.cpp
@@ -39,8 +39,8 @@
     guardians.insert(guardians.end(), pending.begin(), pending.end());
   }
   std::ranges::sort(guardians);
-  const auto repeated = std::ranges::unique(guardians);
-  guardians.erase(repeated.begin(), repeated.end());
+  guardians.erase(std::unique(guardians.begin(), guardians.end()),
+                  guardians.end());
   std::erase_if(guardians,
                 [&](DaemonId aDaemon) { return ward.seals.contains(aDaemon); });
   ward.asked = aNow;
--- a/src/Ownership/GuardianSelection.cpp
+++ b/src/Ownership/GuardianSelection.cpp
@@ -53,6 +53,7 @@
   const auto* ward = aView.FindMember(aWard);
   auto guardians = aKeep;
   std::vector<const Member*> chosen;
+  chosen.reserve(kGuardians);
   for (const auto kept : aKeep) {
     chosen.push_back(aView.FindMember(kept));
   }
--- a/src/Ownership/Takeover.cpp
+++ b/src/Ownership/Takeover.cpp
@@ -104,9 +104,9 @@
                        Takeover& aTakeover) const
 {
   bool unknown = false;
-  for (auto value = aBase.held->Value(); value < aBase.holders.size();
+  for (size_t value = aBase.held->Value(); value < aBase.holders.size();
        ++value) {
-    const Rank rank(value);
+    const Rank rank(static_cast<uint8_t>(value));
     switch (RankStanding(aKey, aBase, rank, aChange, aOwn, aTakeover)) {
       case Standing::kMayHold:
         aTakeover.asks.push_back({ aBase.holders[value], { aKey, aChange } });
--- a/test/Ownership/NodeSupport.cpp
+++ b/test/Ownership/NodeSupport.cpp
@@ -2,9 +2,8 @@
 
 #include <algorithm>
 
-#include <fmt/ranges.h>
-
 #include "src/Ownership/GuardianSelection.h"
+#include "test/Ownership/TraceSupport.h"
 
 namespace pistachioshift {
 
@@ -14,82 +13,6 @@
 
 namespace {
 
-std::string
-Describe(const EntryKey& aKey)
-{
-  return fmt::format(
-    "{}/{}/{}", aKey.service.Value(), aKey.range.Value(), aKey.pinnedKey);
-}
-
-/** \brief One line on a record for traces. */
-struct DescribeRecord
-{
-  std::string operator()(const JoinRecord& aRecord) const
-  {
-    return fmt::format("join {}", aRecord.host.Value());
-  }
-  std::string operator()(const LeavingRecord& aRecord) const
-  {
-    return fmt::format("leaving {}", aRecord.daemon.Value());
-  }
-  std::string operator()(const GoneRecord& aRecord) const
-  {
-    return fmt::format(
-      "gone {} by {}", aRecord.daemon.Value(), aRecord.by.Value());
-  }
-  std::string operator()(const AssignRecord& aRecord) const
-  {
-    std::string text = "assign";
-    for (const auto& item : aRecord.assignments) {
-      text += fmt::format(" {} base {} to {}",
-                          Describe(item.key),
-                          item.base.value_or(Offset()).Value(),
-                          item.owner.Value());
-      for (const auto heir : item.heirs) {
-        text += fmt::format(",{}", heir.Value());
-      }
-    }
-    return text;
-  }
-  std::string operator()(const HeldRecord& aRecord) const
-  {
-    auto text = fmt::format("held by {}", aRecord.daemon.Value());
-    for (const auto& item : aRecord.entries) {
-      text += fmt::format(" {} ({},{})",
-                          Describe(item.key),
-                          item.entry.Value(),
-                          item.rank.Value());
-    }
-    return text;
-  }
-  std::string operator()(const GuardiansRecord& aRecord) const
-  {
-    auto text = fmt::format("guardians of {}:", aRecord.ward.Value());
-    for (const auto guardian : aRecord.guardians) {
-      text += fmt::format(" {}", guardian.Value());
-    }
-    return text;
-  }
-  std::string operator()(const GuardiansSwitchedRecord& aRecord) const
-  {
-    return fmt::format(
-      "switched {} to {}", aRecord.ward.Value(), aRecord.set.Value());
-  }
-  std::string operator()(const PassRecord& aRecord) const
-  {
-    auto text = fmt::format("pass by {}", aRecord.daemon.Value());
-    for (const auto& item : aRecord.entries) {
-      text += fmt::format(" {} {}", Describe(item.key), item.entry.Value());
-    }
-    return text;
-  }
-  std::string operator()(const RetireRecord& aRecord) const
-  {
-    return fmt::format("retire {}", aRecord.ward.Value());
-  }
-  std::string operator()(const auto& /*aRecord*/) const { return "other"; }
-};
-
 constexpr uint32_t kRanges = 2;
 constexpr const char* kHot = "hot";
 
@@ -331,7 +254,7 @@
   if (m_options.trace) {
     Trace(fmt::format("log {} {}: {}",
                       m_log.size(),
-                      std::visit(DescribeRecord(), aRecord),
+                      Describe(aRecord),
                       ToString(verdict.refusal)));
   }
   CheckLog(aRecord);
--- a/test/Ownership/ReplayTest.cpp
+++ b/test/Ownership/ReplayTest.cpp
@@ -14,170 +14,174 @@
   ReplayTest()
   {
     for (uint64_t index = 0; index < 5; ++index) {
-      daemons.push_back(stream.Join(index));
+      m_daemons.push_back(m_stream.Join(index));
     }
-    stream.ClaimTerm(daemons[0]);
+    m_stream.ClaimTerm(m_daemons[0]);
   }
 
   Offset Current() const
   {
-    return stream.view.FindChain(key)->Current().offset;
+    return m_stream.view.FindChain(m_key)->Current().offset;
   }
 
-  Stream stream;
-  std::vector<DaemonId> daemons;
-  EntryKey key = RangeKey(0);
+  Stream m_stream;
+  std::vector<DaemonId> m_daemons;
+  EntryKey m_key = RangeKey(0);
 };
 
 TEST_F(ReplayTest, Assign_OldTerm_IsRefused)
 {
-  const auto old = stream.view.Term();
-  stream.ClaimTerm(daemons[1]);
+  const auto old = m_stream.view.Term();
+  m_stream.ClaimTerm(m_daemons[1]);
   const AssignRecord record{ old.term,
                              old.planner,
-                             { { key, {}, daemons[0], {} } } };
-  EXPECT_EQ(stream.Append(record).refusal, Refusal::kNotPlanner);
+                             { { m_key, {}, m_daemons[0], {} } } };
+  EXPECT_EQ(m_stream.Append(record).refusal, Refusal::kNotPlanner);
 }
 
 TEST_F(ReplayTest, PlannerTerm_AgainstOldTerm_IsRefused)
 {
-  const PlannerTermRecord late{ daemons[2], Offset(0) };
-  EXPECT_EQ(stream.Append(late).refusal, Refusal::kTermChanged);
+  const PlannerTermRecord late{ m_daemons[2], Offset(0) };
+  EXPECT_EQ(m_stream.Append(late).refusal, Refusal::kTermChanged);
 }
 
 TEST_F(ReplayTest, Assign_BaseNotHeld_IsRefused)
 {
-  ASSERT_TRUE(stream.Assign(key, {}, { daemons[0], daemons[1] }).Accepted());
+  ASSERT_TRUE(
+    m_stream.Assign(m_key, {}, { m_daemons[0], m_daemons[1] }).Accepted());
   const auto base = Current();
-  const auto move = stream.Assign(key, base, { daemons[2], daemons[1] });
+  const auto move =
+    m_stream.Assign(m_key, base, { m_daemons[2], m_daemons[1] });
   EXPECT_EQ(move.refusal, Refusal::kBaseNotHeld);
-  stream.Hold(key, daemons[0]);
-  EXPECT_TRUE(stream.Assign(key, base, { daemons[2], daemons[1] }).Accepted());
-  EXPECT_EQ(stream.view.FindChain(key)->entries.size(), 2U);
+  m_stream.Hold(m_key, m_daemons[0]);
+  EXPECT_TRUE(
+    m_stream.Assign(m_key, base, { m_daemons[2], m_daemons[1] }).Accepted());
+  EXPECT_EQ(m_stream.view.FindChain(m_key)->entries.size(), 2U);
 }
 
 TEST_F(ReplayTest, Assign_BaseReplaced_IsRefused)
 {
-  stream.Assign(key, {}, { daemons[0] });
+  m_stream.Assign(m_key, {}, { m_daemons[0] });
   const auto base = Current();
-  stream.Hold(key, daemons[0]);
-  stream.Assign(key, base, { daemons[1] });
-  EXPECT_EQ(stream.Assign(key, base, { daemons[2] }).refusal,
+  m_stream.Hold(m_key, m_daemons[0]);
+  m_stream.Assign(m_key, base, { m_daemons[1] });
+  EXPECT_EQ(m_stream.Assign(m_key, base, { m_daemons[2] }).refusal,
             Refusal::kBaseNotCurrent);
 }
 
 TEST_F(ReplayTest, Assign_AllHoldersGone_NeedsNoHeldBase)
 {
-  stream.Assign(key, {}, { daemons[3], daemons[4] });
-  for (const auto gone : { daemons[3], daemons[4] }) {
-    stream.Append(GoneRecord{ gone, daemons[0], GoneCause::kSealed });
+  m_stream.Assign(m_key, {}, { m_daemons[3], m_daemons[4] });
+  for (const auto gone : { m_daemons[3], m_daemons[4] }) {
+    m_stream.Append(GoneRecord{ gone, m_daemons[0], GoneCause::kSealed });
   }
-  EXPECT_TRUE(stream.Assign(key, Current(), { daemons[1] }).Accepted());
+  EXPECT_TRUE(m_stream.Assign(m_key, Current(), { m_daemons[1] }).Accepted());
 }
 
 TEST_F(ReplayTest, Assign_LeavingDaemon_IsRefused)
 {
-  stream.Append(LeavingRecord{ daemons[3] });
-  EXPECT_EQ(stream.Assign(key, {}, { daemons[3] }).refusal,
+  m_stream.Append(LeavingRecord{ m_daemons[3] });
+  EXPECT_EQ(m_stream.Assign(m_key, {}, { m_daemons[3] }).refusal,
             Refusal::kBadSuccession);
 }
 
 TEST_F(ReplayTest, Held_CurrentEntry_EndsOldChain)
 {
-  stream.Assign(key, {}, { daemons[0], daemons[1] });
-  stream.Hold(key, daemons[0]);
-  stream.Assign(key, Current(), { daemons[2], daemons[1] });
-  ASSERT_TRUE(stream.Hold(key, daemons[2]).Accepted());
-  EXPECT_EQ(stream.view.FindChain(key)->entries.size(), 1U);
-  EXPECT_FALSE(stream.view.EntriesOf(daemons[0]).contains(key));
-  EXPECT_TRUE(stream.view.EntriesOf(daemons[1]).contains(key));
+  m_stream.Assign(m_key, {}, { m_daemons[0], m_daemons[1] });
+  m_stream.Hold(m_key, m_daemons[0]);
+  m_stream.Assign(m_key, Current(), { m_daemons[2], m_daemons[1] });
+  ASSERT_TRUE(m_stream.Hold(m_key, m_daemons[2]).Accepted());
+  EXPECT_EQ(m_stream.view.FindChain(m_key)->entries.size(), 1U);
+  EXPECT_FALSE(m_stream.view.EntriesOf(m_daemons[0]).contains(m_key));
+  EXPECT_TRUE(m_stream.view.EntriesOf(m_daemons[1]).contains(m_key));
 }
 
 TEST_F(ReplayTest, Held_LowerRankLater_KeepsHigherRank)
 {
-  stream.Assign(key, {}, { daemons[0], daemons[1] });
-  stream.Hold(key, daemons[1]);
-  stream.Hold(key, daemons[0]);
-  EXPECT_EQ(stream.view.FindChain(key)->Current().held, Rank(1));
+  m_stream.Assign(m_key, {}, { m_daemons[0], m_daemons[1] });
+  m_stream.Hold(m_key, m_daemons[1]);
+  m_stream.Hold(m_key, m_daemons[0]);
+  EXPECT_EQ(m_stream.view.FindChain(m_key)->Current().held, Rank(1));
 }
 
 TEST_F(ReplayTest, Gone_ByGoneDaemon_IsRefused)
 {
-  stream.Append(GoneRecord{ daemons[1], daemons[0], GoneCause::kSealed });
-  const GoneRecord back{ daemons[0], daemons[1], GoneCause::kSealed };
-  EXPECT_EQ(stream.Append(back).refusal, Refusal::kDaemonGone);
+  m_stream.Append(GoneRecord{ m_daemons[1], m_daemons[0], GoneCause::kSealed });
+  const GoneRecord back{ m_daemons[0], m_daemons[1], GoneCause::kSealed };
+  EXPECT_EQ(m_stream.Append(back).refusal, Refusal::kDaemonGone);
 }
 
 TEST_F(ReplayTest, Join_WithPrevious_RemovesPrevious)
 {
   auto join = MakeJoin(1);
-  join.previous = daemons[1];
-  stream.Append(join);
-  EXPECT_EQ(stream.view.FindMember(daemons[1]), nullptr);
-  EXPECT_EQ(stream.view.FindGone(daemons[1])->cause, GoneCause::kLeft);
+  join.previous = m_daemons[1];
+  m_stream.Append(join);
+  EXPECT_EQ(m_stream.view.FindMember(m_daemons[1]), nullptr);
+  EXPECT_EQ(m_stream.view.FindGone(m_daemons[1])->cause, GoneCause::kLeft);
 }
 
 TEST_F(ReplayTest, Guardians_PendingSet_BlocksNext)
 {
-  const auto ward = daemons[0];
-  stream.Append(GuardiansRecord{ ward, Offset(), { daemons[1] } });
-  const auto first = Offset(stream.offset);
-  stream.Append(GuardiansRecord{ ward, first, { daemons[2] } });
-  const auto second = Offset(stream.offset);
-  const GuardiansRecord third{ ward, first, { daemons[3] } };
-  EXPECT_EQ(stream.Append(third).refusal, Refusal::kSetChanged);
-  EXPECT_TRUE(stream.view.WardsOf(daemons[1]).contains(ward));
+  const auto ward = m_daemons[0];
+  m_stream.Append(GuardiansRecord{ ward, Offset(), { m_daemons[1] } });
+  const auto first = Offset(m_stream.offset);
+  m_stream.Append(GuardiansRecord{ ward, first, { m_daemons[2] } });
+  const auto second = Offset(m_stream.offset);
+  const GuardiansRecord third{ ward, first, { m_daemons[3] } };
+  EXPECT_EQ(m_stream.Append(third).refusal, Refusal::kSetChanged);
+  EXPECT_TRUE(m_stream.view.WardsOf(m_daemons[1]).contains(ward));
   EXPECT_TRUE(
-    stream.Append(GuardiansSwitchedRecord{ ward, second }).Accepted());
-  EXPECT_FALSE(stream.view.WardsOf(daemons[1]).contains(ward));
-  EXPECT_TRUE(stream.view.WardsOf(daemons[2]).contains(ward));
+    m_stream.Append(GuardiansSwitchedRecord{ ward, second }).Accepted());
+  EXPECT_FALSE(m_stream.view.WardsOf(m_daemons[1]).contains(ward));
+  EXPECT_TRUE(m_stream.view.WardsOf(m_daemons[2]).contains(ward));
 }
 
 TEST_F(ReplayTest, Guardians_EmptySetInCompany_IsRefused)
 {
-  const GuardiansRecord lone{ daemons[0], Offset(), {} };
-  EXPECT_EQ(stream.Append(lone).refusal, Refusal::kBadGuardians);
+  const GuardiansRecord lone{ m_daemons[0], Offset(), {} };
+  EXPECT_EQ(m_stream.Append(lone).refusal, Refusal::kBadGuardians);
 }
 
 TEST_F(ReplayTest, Retire_MajorityOfGuardiansGone_IsAccepted)
 {
-  const auto ward = daemons[0];
-  const std::vector set{ daemons[1], daemons[2], daemons[3] };
-  stream.Append(GuardiansRecord{ ward, Offset(), set });
-  const RetireRecord retire{ ward, Offset(stream.offset) };
-  stream.Append(GoneRecord{ daemons[1], daemons[4], GoneCause::kSealed });
-  EXPECT_EQ(stream.Append(retire).refusal, Refusal::kGuardiansRemain);
-  stream.Append(GoneRecord{ daemons[2], daemons[4], GoneCause::kSealed });
-  EXPECT_TRUE(stream.Append(retire).Accepted());
+  const auto ward = m_daemons[0];
+  const std::vector set{ m_daemons[1], m_daemons[2], m_daemons[3] };
+  m_stream.Append(GuardiansRecord{ ward, Offset(), set });
+  const RetireRecord retire{ ward, Offset(m_stream.offset) };
+  m_stream.Append(GoneRecord{ m_daemons[1], m_daemons[4], GoneCause::kSealed });
+  EXPECT_EQ(m_stream.Append(retire).refusal, Refusal::kGuardiansRemain);
+  m_stream.Append(GoneRecord{ m_daemons[2], m_daemons[4], GoneCause::kSealed });
+  EXPECT_TRUE(m_stream.Append(retire).Accepted());
 }
 
 TEST_F(ReplayTest, Pin_ThenMove_LeavesRangeInPlace)
 {
-  stream.Assign(key, {}, { daemons[0], daemons[1] });
-  stream.Hold(key, daemons[0]);
-  const EntryKey pin{ key.service, key.range, "outlet-7" };
-  const auto& term = stream.view.Term();
+  m_stream.Assign(m_key, {}, { m_daemons[0], m_daemons[1] });
+  m_stream.Hold(m_key, m_daemons[0]);
+  const EntryKey pin{ m_key.service, m_key.range, "outlet-7" };
+  const auto& term = m_stream.view.Term();
   ASSERT_TRUE(
-    stream.Append(PinRecord{ term.term, term.planner, { pin } }).Accepted());
-  EXPECT_EQ(*stream.view.FindChain(pin), *stream.view.FindChain(key));
-  ASSERT_TRUE(stream.Assign(pin, Current(), { daemons[2] }).Accepted());
-  EXPECT_EQ(stream.view.Route(pin),
-            (std::vector{ daemons[0], daemons[1], daemons[2] }));
-  EXPECT_EQ(stream.view.Resolve(key.service, key.range, "outlet-7"), pin);
-  EXPECT_EQ(stream.view.Resolve(key.service, key.range, "outlet-8"), key);
+    m_stream.Append(PinRecord{ term.term, term.planner, { pin } }).Accepted());
+  EXPECT_EQ(*m_stream.view.FindChain(pin), *m_stream.view.FindChain(m_key));
+  ASSERT_TRUE(m_stream.Assign(pin, Current(), { m_daemons[2] }).Accepted());
+  EXPECT_EQ(m_stream.view.Route(pin),
+            (std::vector{ m_daemons[0], m_daemons[1], m_daemons[2] }));
+  EXPECT_EQ(m_stream.view.Resolve(m_key.service, m_key.range, "outlet-7"), pin);
+  EXPECT_EQ(m_stream.view.Resolve(m_key.service, m_key.range, "outlet-8"),
+            m_key);
 }
 
 TEST_F(ReplayTest, Unpin_SameSuccession_CreatesNewRangeEntry)
 {
-  stream.Assign(key, {}, { daemons[0] });
-  stream.Hold(key, daemons[0]);
-  const EntryKey pin{ key.service, key.range, "outlet-7" };
-  const auto term = stream.view.Term();
-  stream.Append(PinRecord{ term.term, term.planner, { pin } });
+  m_stream.Assign(m_key, {}, { m_daemons[0] });
+  m_stream.Hold(m_key, m_daemons[0]);
+  const EntryKey pin{ m_key.service, m_key.range, "outlet-7" };
+  const auto term = m_stream.view.Term();
+  m_stream.Append(PinRecord{ term.term, term.planner, { pin } });
   const UnpinRecord unpin{ term.term, term.planner, { pin } };
-  ASSERT_TRUE(stream.Append(unpin).Accepted());
-  EXPECT_EQ(stream.view.FindChain(pin), nullptr);
-  EXPECT_EQ(Current(), Offset(stream.offset));
+  ASSERT_TRUE(m_stream.Append(unpin).Accepted());
+  EXPECT_EQ(m_stream.view.FindChain(pin), nullptr);
+  EXPECT_EQ(Current(), Offset(m_stream.offset));
 }
 
 /** \brief Draws records that are often, not always, valid in a view. */
@@ -229,18 +233,18 @@
   const auto before = *rc::gen::inRange(0, 40);
   const auto after = *rc::gen::inRange(0, 40);
   for (int count = 0; count < before; ++count) {
-    stream.Append(DrawRecord(stream.view));
+    m_stream.Append(DrawRecord(m_stream.view));
   }
-  auto restored = OwnershipView::FromSnapshot(stream.view.Snapshot());
-  RC_ASSERT(restored == stream.view);
+  auto restored = OwnershipView::FromSnapshot(m_stream.view.Snapshot());
+  RC_ASSERT(restored == m_stream.view);
   for (int count = 0; count < after; ++count) {
-    const auto record = DrawRecord(stream.view);
-    const auto verdict = stream.Append(record);
-    const auto copy = restored.Apply(Offset(stream.offset), record);
+    const auto record = DrawRecord(m_stream.view);
+    const auto verdict = m_stream.Append(record);
+    const auto copy = restored.Apply(Offset(m_stream.offset), record);
     RC_ASSERT(copy.refusal == verdict.refusal);
     RC_ASSERT(copy.changed == verdict.changed);
   }
-  RC_ASSERT(restored == stream.view);
+  RC_ASSERT(restored == m_stream.view);
 }
 
 RC_GTEST_FIXTURE_PROP(ReplayTest, Apply_AnyRecords_KeepsHeldBase, ())
@@ -248,13 +252,13 @@
   // A chain of more than one entry starts with a held one, or all before
   // the current entry are recorded as gone.
   for (int count = 0; count < 60; ++count) {
-    stream.Append(DrawRecord(stream.view));
-    for (const auto& [key, chain] : stream.view.Entries()) {
+    m_stream.Append(DrawRecord(m_stream.view));
+    for (const auto& [key, chain] : m_stream.view.Entries()) {
       for (size_t index = 0; index + 1 < chain.entries.size(); ++index) {
         const auto& entry = chain.entries[index];
         const bool nobody =
           std::ranges::none_of(entry.holders, [&](DaemonId aDaemon) {
-            return stream.view.FindMember(aDaemon) != nullptr;
+            return m_stream.view.FindMember(aDaemon) != nullptr;
           });
         RC_ASSERT(entry.held || nobody);
         RC_ASSERT(entry.offset < chain.entries[index + 1].offset);
