--- a/bench/OwnershipBench.cpp
+++ b/bench/OwnershipBench.cpp
@@ -119,7 +119,7 @@
 }
 
 void
-Replay_FullMesh(benchmark::State& aState)
+ReplayFullMesh(benchmark::State& aState)
 {
   const auto& records = FullStream().records;
   for (auto _ : aState) {
@@ -134,10 +134,10 @@
                            static_cast<int64_t>(records.size()));
   aState.counters["records"] = static_cast<double>(records.size());
 }
-BENCHMARK(Replay_FullMesh)->Unit(benchmark::kMillisecond);
+BENCHMARK(ReplayFullMesh)->Unit(benchmark::kMillisecond);
 
 void
-View_Memory(benchmark::State& aState)
+ViewMemory(benchmark::State& aState)
 {
   Stream members;
   AddMembers(members);
@@ -157,7 +157,7 @@
   aState.counters["bytes/member"] = perMember;
   aState.counters["bytes/entry"] = perEntry;
 }
-BENCHMARK(View_Memory)->Unit(benchmark::kMillisecond)->Iterations(3);
+BENCHMARK(ViewMemory)->Unit(benchmark::kMillisecond)->Iterations(3);
 
 Node
 MakeNode(DaemonId aSelf)
@@ -170,7 +170,7 @@
 }
 
 void
-Guardian_HandlesRenewal(benchmark::State& aState)
+GuardianHandlesRenewal(benchmark::State& aState)
 {
   auto now = MonoTime(std::chrono::hours(1));
   auto node = MakeNode(Member(5));
@@ -183,10 +183,10 @@
     benchmark::DoNotOptimize(node.TakeEffects());
   }
 }
-BENCHMARK(Guardian_HandlesRenewal);
+BENCHMARK(GuardianHandlesRenewal);
 
 void
-Node_Tick(benchmark::State& aState)
+NodeTick(benchmark::State& aState)
 {
   auto now = MonoTime(std::chrono::hours(1));
   auto node = MakeNode(Member(5));
@@ -210,7 +210,7 @@
   }
   aState.counters["held"] = static_cast<double>(node.Held().size());
 }
-BENCHMARK(Node_Tick);
+BENCHMARK(NodeTick);
 
 /** \brief A mesh where one owner's 64 entries all have the same first heir. */
 Stream
@@ -238,7 +238,7 @@
 }
 
 void
-Heir_TakesOver64Entries(benchmark::State& aState)
+HeirTakesOver64Entries(benchmark::State& aState)
 {
   const auto stream = SmallStream();
   const auto applied = stream.view.Applied();
@@ -266,10 +266,10 @@
   }
   aState.counters["started"] = static_cast<double>(started);
 }
-BENCHMARK(Heir_TakesOver64Entries);
+BENCHMARK(HeirTakesOver64Entries);
 
 void
-SelectGuardians_FullMesh(benchmark::State& aState)
+SelectGuardiansFullMesh(benchmark::State& aState)
 {
   const auto& view = FullStream().view;
   RandomEngine random(4);
@@ -277,7 +277,7 @@
     benchmark::DoNotOptimize(SelectGuardians(view, Member(9), {}, {}, random));
   }
 }
-BENCHMARK(SelectGuardians_FullMesh)->Unit(benchmark::kMicrosecond);
+BENCHMARK(SelectGuardiansFullMesh)->Unit(benchmark::kMicrosecond);
 
 }
 }
--- a/src/Ownership/NodeImpl.cpp
+++ b/src/Ownership/NodeImpl.cpp
@@ -114,7 +114,10 @@
   m_dirty.insert(aKey);
   if (ward.Adopted() < aOffset) {
     m_unadopted.emplace(aOffset, aKey);
-    ward.Hasten();
+    const auto* chain = view.FindChain(aKey);
+    if (held || chain->Current().holders.front() == self) {
+      ward.Hasten();
+    }
   }
 }
 
--- /dev/null
+++ b/test/Ownership/CheckSupport.cpp
@@ -0,0 +1,142 @@
+#include <algorithm>
+
+#include "test/Ownership/NodeSupport.h"
+#include "test/Ownership/TraceSupport.h"
+
+// Requests and the properties of Mesh.
+
+namespace pistachioshift {
+
+using std::chrono::milliseconds;
+
+void
+Mesh::StartRequests(size_t aSlot)
+{
+  for (const auto& key : m_keys) {
+    if (Chance() > 0.3 || !Serves(aSlot, key)) {
+      continue;
+    }
+    for (const auto& other : m_requests) {
+      const bool same =
+        other.slot == aSlot && other.life == m_slots[aSlot].life;
+      const bool runs = other.end > m_now && other.key == key;
+      if (runs && !same && key.service == kStamps) {
+        Fail(fmt::format("slots {} and {} run requests of unfenced {}/{}",
+                         aSlot,
+                         other.slot,
+                         key.range.Value(),
+                         key.name));
+      }
+    }
+    const auto end = m_now + Between(milliseconds(1), kLongestRequest);
+    m_requests.push_back(
+      Request{ aSlot, m_slots[aSlot].life, key, Resolve(aSlot, key), end });
+    const auto life = m_slots[aSlot].life;
+    At(end - m_now, [this, aSlot, life] {
+      if (m_slots[aSlot].life == life && IsRunning(aSlot)) {
+        EndRequests(aSlot);
+      }
+    });
+  }
+}
+
+void
+Mesh::EndRequests(size_t aSlot)
+{
+  std::erase_if(m_requests, [this](const Request& aRequest) {
+    return aRequest.end <= m_now;
+  });
+  auto& slot = m_slots[aSlot];
+  const auto stopping = slot.stopping;
+  for (const auto& key : stopping) {
+    const bool busy = std::ranges::any_of(m_requests, [&](auto& aRequest) {
+      const bool own = aRequest.slot == aSlot && aRequest.life == slot.life;
+      // Started under the range before the key was pinned.
+      const bool pinned =
+        !key.pinnedKey.empty() && aRequest.key.service == key.service &&
+        aRequest.key.range == key.range && aRequest.key.name == key.pinnedKey;
+      return own && (aRequest.entry == key || pinned);
+    });
+    if (!busy) {
+      slot.stopping.erase(key);
+      Trace(fmt::format("slot {} releases {}", aSlot, Describe(key)));
+      slot.node->OnEntryIdle(key, ClockOf(aSlot));
+      CarryOut(aSlot);
+    }
+  }
+}
+
+void
+Mesh::Trace(const std::string& aWhat) const
+{
+  if (m_options.trace) {
+    fmt::print("{:5} {}\n", m_now / milliseconds(1), aWhat);
+  }
+}
+
+void
+Mesh::Fail(const std::string& aWhat)
+{
+  if (!m_violation) {
+    m_violation = fmt::format(
+      "{} at {} ms, seed {}", aWhat, m_now / milliseconds(1), m_options.seed);
+  }
+}
+
+void
+Mesh::Check(size_t aSlot)
+{
+  if (!m_slots[aSlot].node) {
+    return;
+  }
+  for (const auto& key : m_keys) {
+    const auto token = Serves(aSlot, key);
+    if (!token) {
+      continue;
+    }
+    for (const auto other : Servers(key)) {
+      if (other != aSlot) {
+        Fail(fmt::format("slots {} and {} hold {}/{}/{}",
+                         aSlot,
+                         other,
+                         key.service.Value(),
+                         key.range.Value(),
+                         key.name));
+      }
+    }
+    const auto last = m_serving.find(key);
+    if (last != m_serving.end() && last->second.second != aSlot &&
+        *token <= last->second.first) {
+      Fail("a later holder has no higher fence token");
+    }
+    m_serving[key] = { *token, aSlot };
+  }
+}
+
+void
+Mesh::CheckLog(const OwnershipRecord& /*aRecord*/)
+{
+  for (const auto& [key, held] : m_held) {
+    const auto* chain = m_view.FindChain(key);
+    if (chain == nullptr) {
+      // Unpinned: its range's entry is newer.
+      chain = m_view.FindChain({ key.service, key.range, {} });
+    }
+    const bool kept =
+      chain != nullptr && std::ranges::any_of(chain->entries, [&](auto& e) {
+        return FenceToken{ e.offset, e.held.value_or(Rank(kMaxHeirs)) } >= held;
+      });
+    if (!kept) {
+      Fail("an entry recorded as held is lost");
+    }
+  }
+  for (const auto& [key, chain] : m_view.Entries()) {
+    for (const auto& entry : chain.entries) {
+      if (entry.held) {
+        m_held[key] = FenceToken{ entry.offset, *entry.held };
+      }
+    }
+  }
+}
+
+}
