--- a/test/Ownership/NodeSupport.cpp
+++ b/test/Ownership/NodeSupport.cpp
@@ -2,9 +2,8 @@
 
 #include <algorithm>
 
-#include <fmt/ranges.h>
-
 #include "src/Ownership/GuardianSelection.h"
+#include "test/Ownership/TraceSupport.h"
 
 namespace pistachioshift {
 
@@ -14,82 +13,6 @@
 
 namespace {
 
-std::string
-Describe(const EntryKey& aKey)
-{
-  return fmt::format(
-    "{}/{}/{}", aKey.service.Value(), aKey.range.Value(), aKey.pinnedKey);
-}
-
-/** \brief One line on a record for traces. */
-struct DescribeRecord
-{
-  std::string operator()(const JoinRecord& aRecord) const
-  {
-    return fmt::format("join {}", aRecord.host.Value());
-  }
-  std::string operator()(const LeavingRecord& aRecord) const
-  {
-    return fmt::format("leaving {}", aRecord.daemon.Value());
-  }
-  std::string operator()(const GoneRecord& aRecord) const
-  {
-    return fmt::format(
-      "gone {} by {}", aRecord.daemon.Value(), aRecord.by.Value());
-  }
-  std::string operator()(const AssignRecord& aRecord) const
-  {
-    std::string text = "assign";
-    for (const auto& item : aRecord.assignments) {
-      text += fmt::format(" {} base {} to {}",
-                          Describe(item.key),
-                          item.base.value_or(Offset()).Value(),
-                          item.owner.Value());
-      for (const auto heir : item.heirs) {
-        text += fmt::format(",{}", heir.Value());
-      }
-    }
-    return text;
-  }
-  std::string operator()(const HeldRecord& aRecord) const
-  {
-    auto text = fmt::format("held by {}", aRecord.daemon.Value());
-    for (const auto& item : aRecord.entries) {
-      text += fmt::format(" {} ({},{})",
-                          Describe(item.key),
-                          item.entry.Value(),
-                          item.rank.Value());
-    }
-    return text;
-  }
-  std::string operator()(const GuardiansRecord& aRecord) const
-  {
-    auto text = fmt::format("guardians of {}:", aRecord.ward.Value());
-    for (const auto guardian : aRecord.guardians) {
-      text += fmt::format(" {}", guardian.Value());
-    }
-    return text;
-  }
-  std::string operator()(const GuardiansSwitchedRecord& aRecord) const
-  {
-    return fmt::format(
-      "switched {} to {}", aRecord.ward.Value(), aRecord.set.Value());
-  }
-  std::string operator()(const PassRecord& aRecord) const
-  {
-    auto text = fmt::format("pass by {}", aRecord.daemon.Value());
-    for (const auto& item : aRecord.entries) {
-      text += fmt::format(" {} {}", Describe(item.key), item.entry.Value());
-    }
-    return text;
-  }
-  std::string operator()(const RetireRecord& aRecord) const
-  {
-    return fmt::format("retire {}", aRecord.ward.Value());
-  }
-  std::string operator()(const auto& /*aRecord*/) const { return "other"; }
-};
-
 constexpr uint32_t kRanges = 2;
 constexpr const char* kHot = "hot";
 
@@ -331,7 +254,7 @@
   if (m_options.trace) {
     Trace(fmt::format("log {} {}: {}",
                       m_log.size(),
-                      std::visit(DescribeRecord(), aRecord),
+                      Describe(aRecord),
                       ToString(verdict.refusal)));
   }
   CheckLog(aRecord);
@@ -447,63 +370,6 @@
   return static_cast<size_t>(unserved);
 }
 
-void
-Mesh::StartRequests(size_t aSlot)
-{
-  for (const auto& key : m_keys) {
-    if (Chance() > 0.3 || !Serves(aSlot, key)) {
-      continue;
-    }
-    for (const auto& other : m_requests) {
-      const bool same =
-        other.slot == aSlot && other.life == m_slots[aSlot].life;
-      const bool runs = other.end > m_now && other.key == key;
-      if (runs && !same && key.service == kStamps) {
-        Fail(fmt::format("slots {} and {} run requests of unfenced {}/{}",
-                         aSlot,
-                         other.slot,
-                         key.range.Value(),
-                         key.name));
-      }
-    }
-    const auto end = m_now + Between(milliseconds(1), kLongestRequest);
-    m_requests.push_back(
-      Request{ aSlot, m_slots[aSlot].life, key, Resolve(aSlot, key), end });
-    const auto life = m_slots[aSlot].life;
-    At(end - m_now, [this, aSlot, life] {
-      if (m_slots[aSlot].life == life && IsRunning(aSlot)) {
-        EndRequests(aSlot);
-      }
-    });
-  }
-}
-
-void
-Mesh::EndRequests(size_t aSlot)
-{
-  std::erase_if(m_requests, [this](const Request& aRequest) {
-    return aRequest.end <= m_now;
-  });
-  auto& slot = m_slots[aSlot];
-  const auto stopping = slot.stopping;
-  for (const auto& key : stopping) {
-    const bool busy = std::ranges::any_of(m_requests, [&](auto& aRequest) {
-      const bool own = aRequest.slot == aSlot && aRequest.life == slot.life;
-      // Started under the range before the key was pinned.
-      const bool pinned =
-        !key.pinnedKey.empty() && aRequest.key.service == key.service &&
-        aRequest.key.range == key.range && aRequest.key.name == key.pinnedKey;
-      return own && (aRequest.entry == key || pinned);
-    });
-    if (!busy) {
-      slot.stopping.erase(key);
-      Trace(fmt::format("slot {} releases {}", aSlot, Describe(key)));
-      slot.node->OnEntryIdle(key, ClockOf(aSlot));
-      CarryOut(aSlot);
-    }
-  }
-}
-
 void
 Mesh::Rejoin(size_t aSlot)
 {
@@ -522,77 +388,4 @@
   }
 }
 
-void
-Mesh::Trace(const std::string& aWhat) const
-{
-  if (m_options.trace) {
-    fmt::print("{:5} {}\n", m_now / milliseconds(1), aWhat);
-  }
-}
-
-void
-Mesh::Fail(const std::string& aWhat)
-{
-  if (!m_violation) {
-    m_violation = fmt::format(
-      "{} at {} ms, seed {}", aWhat, m_now / milliseconds(1), m_options.seed);
-  }
-}
-
-void
-Mesh::Check(size_t aSlot)
-{
-  if (!m_slots[aSlot].node) {
-    return;
-  }
-  for (const auto& key : m_keys) {
-    const auto token = Serves(aSlot, key);
-    if (!token) {
-      continue;
-    }
-    for (const auto other : Servers(key)) {
-      if (other != aSlot) {
-        Fail(fmt::format("slots {} and {} hold {}/{}/{}",
-                         aSlot,
-                         other,
-                         key.service.Value(),
-                         key.range.Value(),
-                         key.name));
-      }
-    }
-    const auto last = m_serving.find(key);
-    if (last != m_serving.end() && last->second.second != aSlot &&
-        *token <= last->second.first) {
-      Fail("a later holder has no higher fence token");
-    }
-    m_serving[key] = { *token, aSlot };
-  }
-}
-
-void
-Mesh::CheckLog(const OwnershipRecord& /*aRecord*/)
-{
-  for (const auto& [key, held] : m_held) {
-    const auto* chain = m_view.FindChain(key);
-    if (chain == nullptr) {
-      // Unpinned: its range's entry is newer.
-      chain = m_view.FindChain({ key.service, key.range, {} });
-    }
-    const bool kept =
-      chain != nullptr && std::ranges::any_of(chain->entries, [&](auto& e) {
-        return FenceToken{ e.offset, e.held.value_or(Rank(kMaxHeirs)) } >= held;
-      });
-    if (!kept) {
-      Fail("an entry recorded as held is lost");
-    }
-  }
-  for (const auto& [key, chain] : m_view.Entries()) {
-    for (const auto& entry : chain.entries) {
-      if (entry.held) {
-        m_held[key] = FenceToken{ entry.offset, *entry.held };
-      }
-    }
-  }
-}
-
 }
