Keep a slow log service usable: the timeout grows while it is slow

Cause: with a fixed timeout a log service that answers later than that never serves; Submit_LogSlowerThanTimeoutForLong_IsWrittenMeanwhile failed first (nothing written within 20 s). Ruled out: one long fixed timeout, as a silent connection would then cost that long.

--- a/src/Log/HttpLogService.cpp
+++ b/src/Log/HttpLogService.cpp
@@ -16,6 +16,10 @@
 
 constexpr int kStatusOk = 200;
 
+// Divisor of the part by which an answer lowers the timeout: a small part, or
+// a service slower than the first timeout would lose every other call.
+constexpr int kTimeoutDecay = 8;
+
 timeval
 ToTimeval(Duration aDuration)
 {
@@ -115,6 +119,7 @@
   Impl(event_base* aBase, HttpLogOptions aOptions)
     : m_base(aBase)
     , m_options(std::move(aOptions))
+    , m_timeout(m_options.timeout)
     , m_reaper(event_new(aBase, -1, 0, OnReap, this))
   {
   }
@@ -152,7 +157,7 @@
     evhttp_make_request(started->connection, request, aMethod, aPath.c_str());
   }
 
-  Duration Timeout() const { return m_options.timeout; }
+  Duration Timeout() const { return m_timeout; }
 
 private:
   struct Call
@@ -196,10 +201,21 @@
     auto* self = static_cast<Impl*>(aArgument);
     for (auto& call : self->TakeFinished()) {
       evhttp_connection_free(call->connection);
+      self->AdaptTimeout(call->answer);
       call->callback(call->answer);
     }
   }
 
+  void AdaptTimeout(const HttpAnswer& aAnswer)
+  {
+    if (aAnswer.connected && aAnswer.status == 0) {
+      m_timeout = std::min(m_options.maxTimeout, 2 * m_timeout);
+    } else {
+      m_timeout =
+        std::max(m_options.timeout, m_timeout - m_timeout / kTimeoutDecay);
+    }
+  }
+
   std::vector<std::unique_ptr<Call>> TakeFinished()
   {
     std::vector<std::unique_ptr<Call>> finished;
@@ -216,6 +232,7 @@
 
   event_base* m_base;
   HttpLogOptions m_options;
+  Duration m_timeout;
   event* m_reaper;
   std::map<Call*, std::unique_ptr<Call>> m_calls;
 };
--- a/test/process/LogServiceTest.cpp
+++ b/test/process/LogServiceTest.cpp
@@ -242,6 +242,16 @@
   EXPECT_EQ(reader.task->Counters().duplicates, again);
 }
 
+TEST_F(LogServiceTest, Submit_LogSlowerThanTimeoutForLong_IsWrittenMeanwhile)
+{
+  StartServer({}, 100ms);
+  Client& writer = StartClient(1);
+  SetFault("mode=slow&ms=400");
+  Submit(writer, "one");
+  ASSERT_TRUE(RunUntilWritten(writer, 1));
+  EXPECT_TRUE(std::holds_alternative<SubmitWritten>(writer.results[0]));
+}
+
 TEST_F(LogServiceTest, Submit_AboveAppendLimit_IsWrittenLater)
 {
   StartServer({ "--appends-per-second", "5" });
