--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -2,6 +2,7 @@
 // CSV to the path given, by default policy.csv.
 
 #include "bench/policy/GateRun.h"
+#include "bench/policy/KeyedRunImpl.h"
 
 int
 main(int argc, char** argv)
@@ -11,6 +12,7 @@
   Table table;
   for (const auto& deployment : Deployments()) {
     RunGates(table, deployment);
+    RunKeyed(table, deployment);
   }
   if (!table.WriteCsv(path)) {
     fmt::print(stderr, "can't write {}\n", path);
