--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -2,6 +2,7 @@
 // CSV to the path given, by default policy.csv.
 
 #include "bench/policy/GateRun.h"
+#include "bench/policy/InstanceRun.h"
 #include "bench/policy/KeyedRunImpl.h"
 
 int
@@ -13,6 +14,7 @@
   for (const auto& deployment : Deployments()) {
     RunGates(table, deployment);
     RunKeyed(table, deployment);
+    RunInstances(table, deployment);
   }
   if (!table.WriteCsv(path)) {
     fmt::print(stderr, "can't write {}\n", path);
