Count silent daemons and those before their join in document status

A daemon that hasn't joined has id 0, so three of them were counted as one, and a silent daemon given by address wasn't counted at all. Daemons are now told apart by boot, named by host before they join, and asked endpoints without an answer are listed, once if they are a member's.

process_DocumentEditTest freezes one of three daemons during an edit: 2 of 3, exit 1; thawed, 3 of 3.

--- a/src/Ctl/DaemonStatus.cpp
+++ b/src/Ctl/DaemonStatus.cpp
@@ -85,6 +85,7 @@
 {
   DaemonStatus status;
   status.daemon = DaemonAt(aRoot, "daemon");
+  status.boot = TextAt(aRoot, "boot");
   status.host = HostName(TextAt(aRoot, "host"));
   status.zone = ZoneName(TextAt(aRoot, "zone"));
   status.planner = DaemonAt(aRoot, "planner");
--- a/src/Ctl/DaemonStatus.h
+++ b/src/Ctl/DaemonStatus.h
@@ -36,7 +36,8 @@
 /** \brief What a daemon's status page says. */
 struct DaemonStatus
 {
-  DaemonId daemon; ///< 0 before it joined.
+  DaemonId daemon;  ///< 0 before it joined.
+  std::string boot; ///< Tells processes apart that haven't joined.
   HostName host;
   ZoneName zone;
   DaemonId planner;
@@ -47,6 +48,13 @@
   std::vector<EntryStatus> entries;
 };
 
+/** \brief What asking many daemons gave. */
+struct MeshAnswers
+{
+  std::vector<DaemonStatus> answers;
+  std::vector<Endpoint> silent; ///< Asked, but without an answer.
+};
+
 /** \brief Reads a status page; throws UnreachableError if it is none. */
 DaemonStatus ParseDaemonStatus(const std::string& aJson);
 
--- a/src/Ctl/Mesh.cpp
+++ b/src/Ctl/Mesh.cpp
@@ -23,27 +23,33 @@
   return aOptions.daemons;
 }
 
-Endpoint
-OperatorsPort(const Options& aOptions, const MemberStatus& aMember)
+// Members whose operators' port isn't told get the usual one.
+void
+FillPorts(const Options& aOptions, DaemonStatus& aStatus)
 {
   const auto usual = RequireDaemons(aOptions).front().port;
-  return Endpoint{ aMember.address,
-                   aMember.operatorsPort ? aMember.operatorsPort : usual };
+  for (auto& member : aStatus.members) {
+    member.operatorsPort = member.operatorsPort ? member.operatorsPort : usual;
+  }
 }
 
-std::vector<DaemonStatus>
-AskStatus(const std::vector<Endpoint>& aEndpoints, Duration aTimeout)
+MeshAnswers
+AskStatus(const Options& aOptions, const std::vector<Endpoint>& aEndpoints)
 {
   std::vector<HttpQuestion> questions;
   questions.reserve(aEndpoints.size());
   for (const auto& endpoint : aEndpoints) {
     questions.push_back({ endpoint, HttpVerb::kGet, "/status" });
   }
-  std::vector<DaemonStatus> found;
-  for (const auto& answer : FetchAll(questions, aTimeout)) {
-    if (answer.status == kStatusOk) {
-      found.push_back(ParseDaemonStatus(answer.body));
+  const auto answers = FetchAll(questions, aOptions.timeout);
+  MeshAnswers found;
+  for (size_t at = 0; at < answers.size(); ++at) {
+    if (answers[at].status != kStatusOk) {
+      found.silent.push_back(aEndpoints[at]);
+      continue;
     }
+    found.answers.push_back(ParseDaemonStatus(answers[at].body));
+    FillPorts(aOptions, found.answers.back());
   }
   return found;
 }
@@ -60,7 +66,7 @@
   std::vector<Endpoint> unasked;
   for (const auto& status : aAnswers) {
     for (const auto& member : status.members) {
-      const auto endpoint = OperatorsPort(aOptions, member);
+      const Endpoint endpoint{ member.address, member.operatorsPort };
       const bool isNew =
         !answered.contains(member.daemon) && asked.insert(endpoint).second;
       if (isNew) {
@@ -77,32 +83,32 @@
 AskOneDaemon(const Options& aOptions)
 {
   for (const auto& endpoint : RequireDaemons(aOptions)) {
-    const auto answers = AskStatus({ endpoint }, aOptions.timeout);
-    if (!answers.empty()) {
-      return answers.front();
+    const auto found = AskStatus(aOptions, { endpoint });
+    if (!found.answers.empty()) {
+      return found.answers.front();
     }
   }
   throw UnreachableError("no daemon of --daemon gave an answer");
 }
 
-std::vector<DaemonStatus>
+MeshAnswers
 AskAllDaemons(const Options& aOptions)
 {
-  auto answers = AskStatus(RequireDaemons(aOptions), aOptions.timeout);
-  if (answers.empty()) {
+  auto found = AskStatus(aOptions, RequireDaemons(aOptions));
+  if (found.answers.empty()) {
     throw UnreachableError("no daemon of --daemon gave an answer");
   }
-  const auto unasked = UnaskedMembers(aOptions, answers);
-  for (auto& status : AskStatus(unasked, aOptions.timeout)) {
-    answers.push_back(std::move(status));
-  }
-  return answers;
+  const auto unasked = UnaskedMembers(aOptions, found.answers);
+  const auto others = AskStatus(aOptions, unasked);
+  found.answers.insert(
+    found.answers.end(), others.answers.begin(), others.answers.end());
+  found.silent.insert(
+    found.silent.end(), others.silent.begin(), others.silent.end());
+  return found;
 }
 
 Endpoint
-EndpointOf(const Options& aOptions,
-           const DaemonStatus& aStatus,
-           DaemonId aDaemon)
+EndpointOf(const DaemonStatus& aStatus, DaemonId aDaemon)
 {
   const auto& members = aStatus.members;
   const auto member =
@@ -113,7 +119,7 @@
     throw ConfigError(
       fmt::format("no member of the mesh is daemon {}", aDaemon.Value()));
   }
-  return OperatorsPort(aOptions, *member);
+  return Endpoint{ member->address, member->operatorsPort };
 }
 
 Endpoint
@@ -123,7 +129,7 @@
     return ParseEndpoint(aDaemon);
   }
   const DaemonId daemon(ParseWholeNumber("DAEMON", aDaemon));
-  return EndpointOf(aOptions, AskOneDaemon(aOptions), daemon);
+  return EndpointOf(AskOneDaemon(aOptions), daemon);
 }
 
 }
--- a/src/Ctl/Mesh.h
+++ b/src/Ctl/Mesh.h
@@ -12,14 +12,14 @@
 DaemonStatus AskOneDaemon(const Options& aOptions);
 
 /**
- * \brief Status of every daemon that can be found and answers.
+ * \brief Status of every daemon that can be found.
  *
  * Beside those of `--daemon` the members that they name are asked, at the
  * operators' port they told, else at that of the first daemon.
  *
  * \throws UnreachableError if none answers.
  */
-std::vector<DaemonStatus> AskAllDaemons(const Options& aOptions);
+MeshAnswers AskAllDaemons(const Options& aOptions);
 
 /**
  * \brief Operators' port of a daemon, given by id or as ADDRESS:PORT.
@@ -29,9 +29,7 @@
 
 /** \brief Operators' port of a member; throws ConfigError if none has the id.
  */
-Endpoint EndpointOf(const Options& aOptions,
-                    const DaemonStatus& aStatus,
-                    DaemonId aDaemon);
+Endpoint EndpointOf(const DaemonStatus& aStatus, DaemonId aDaemon);
 
 }
 
--- a/src/Ctl/MeshCommands.cpp
+++ b/src/Ctl/MeshCommands.cpp
@@ -187,7 +187,7 @@
   if (status.planner == DaemonId(0)) {
     throw RefusedError("no daemon plans at the moment; try again");
   }
-  const auto planner = EndpointOf(aOptions, status, status.planner);
+  const auto planner = EndpointOf(status, status.planner);
   auto answer = Fetch({ planner, HttpVerb::kPost, target }, aOptions.timeout);
   if (answer.status == kStatusConflict) {
     throw RefusedError(
--- a/src/Ctl/VersionReport.cpp
+++ b/src/Ctl/VersionReport.cpp
@@ -1,5 +1,6 @@
 #include "src/Ctl/VersionReport.h"
 
+#include <map>
 #include <set>
 
 #include <fmt/format.h>
@@ -20,38 +21,67 @@
 }
 
 std::string
-ListDaemons(const std::vector<DaemonId>& aDaemons)
+NameOf(const DaemonStatus& aStatus)
 {
-  std::string list;
-  for (const auto daemon : aDaemons) {
-    list += fmt::format("{}{}", list.empty() ? "" : ", ", daemon.Value());
-  }
-  return list;
+  return aStatus.daemon == DaemonId(0)
+           ? "host " + aStatus.host.Value()
+           : fmt::format("{}", aStatus.daemon.Value());
 }
 
+void
+CountAnswers(const MeshAnswers& aAnswers,
+             const std::optional<SectionName>& aSection,
+             VersionReport& aReport)
+{
+  std::set<std::string> boots;
+  for (const auto& status : aAnswers.answers) {
+    if (boots.insert(status.boot).second) {
+      aReport.daemons[VersionIn(status, aSection)].push_back(NameOf(status));
+    }
+  }
 }
 
-VersionReport
-CountVersions(const std::vector<DaemonStatus>& aAnswers,
-              const std::optional<SectionName>& aSection)
+std::map<DaemonId, Endpoint>
+SilentMembers(const MeshAnswers& aAnswers)
 {
-  VersionReport report;
-  std::set<DaemonId> answered;
-  std::set<DaemonId> members;
-  for (const auto& status : aAnswers) {
-    if (!answered.insert(status.daemon).second) {
-      continue;
-    }
-    report.daemons[VersionIn(status, aSection)].push_back(status.daemon);
+  std::map<DaemonId, Endpoint> silent;
+  for (const auto& status : aAnswers.answers) {
     for (const auto& member : status.members) {
-      members.insert(member.daemon);
+      silent[member.daemon] = Endpoint{ member.address, member.operatorsPort };
     }
   }
-  for (const auto member : members) {
-    if (!answered.contains(member)) {
-      report.silent.push_back(member);
+  for (const auto& status : aAnswers.answers) {
+    silent.erase(status.daemon);
+  }
+  return silent;
+}
+
+// A silent endpoint that is a silent member's counts once, as the member.
+void
+CountSilent(const MeshAnswers& aAnswers, VersionReport& aReport)
+{
+  std::set<Endpoint> ofMembers;
+  for (const auto& [daemon, endpoint] : SilentMembers(aAnswers)) {
+    aReport.silent.push_back(fmt::format("{}", daemon.Value()));
+    ofMembers.insert(endpoint);
+  }
+  for (const auto& endpoint : aAnswers.silent) {
+    if (!ofMembers.contains(endpoint)) {
+      aReport.silent.push_back(
+        fmt::format("{}:{}", endpoint.address, endpoint.port));
     }
   }
+}
+
+}
+
+VersionReport
+CountVersions(const MeshAnswers& aAnswers,
+              const std::optional<SectionName>& aSection)
+{
+  VersionReport report;
+  CountAnswers(aAnswers, aSection, report);
+  CountSilent(aAnswers, report);
   return report;
 }
 
@@ -70,14 +100,14 @@
                         at->second.size(),
                         total);
     const bool newest = at == versions.rbegin();
-    text +=
-      newest ? "\n" : fmt::format(", behind: {}\n", ListDaemons(at->second));
+    text += newest ? "\n"
+                   : fmt::format(", behind: {}\n", fmt::join(at->second, ", "));
   }
   if (!aReport.silent.empty()) {
     text += fmt::format("no answer: {} of {} daemons: {}\n",
                         aReport.silent.size(),
                         total,
-                        ListDaemons(aReport.silent));
+                        fmt::join(aReport.silent, ", "));
   }
   return text;
 }
--- a/test/Ctl/VersionReportTest.cpp
+++ b/test/Ctl/VersionReportTest.cpp
@@ -16,54 +16,75 @@
   {
     DaemonStatus status;
     status.daemon = DaemonId(aDaemon);
+    status.boot = std::to_string(aDaemon);
     status.documentVersion = Offset(aVersion);
     if (aSectionVersion > 0) {
       status.sections[SectionName("demo")] = Offset(aSectionVersion);
     }
     for (int64_t member = 1; member <= 4; ++member) {
-      status.members.push_back(MemberStatus{ DaemonId(member) });
+      MemberStatus other{ DaemonId(member) };
+      other.address = "10.0.0." + std::to_string(member);
+      other.operatorsPort = 70;
+      status.members.push_back(other);
     }
     return status;
   }
 
-  static std::string Report(const std::vector<DaemonStatus>& aAnswers)
+  static VersionReport Count(std::vector<DaemonStatus> aAnswers,
+                             std::vector<Endpoint> aSilent = {})
   {
-    return FormatReport(CountVersions(aAnswers, std::nullopt));
+    return CountVersions(MeshAnswers{ std::move(aAnswers), std::move(aSilent) },
+                         std::nullopt);
   }
 };
 
 TEST_F(VersionReportTest, AllDaemons_SameVersion_AreUniform)
 {
-  const std::vector<DaemonStatus> answers{
-    Status(1, 9), Status(2, 9), Status(3, 9), Status(4, 9)
-  };
-  EXPECT_TRUE(CountVersions(answers, std::nullopt).IsUniform());
-  EXPECT_EQ(Report(answers), "version 9: 4 of 4 daemons\n");
+  const auto report =
+    Count({ Status(1, 9), Status(2, 9), Status(3, 9), Status(4, 9) });
+  EXPECT_TRUE(report.IsUniform());
+  EXPECT_EQ(FormatReport(report), "version 9: 4 of 4 daemons\n");
 }
 
 TEST_F(VersionReportTest, SomeDaemons_BehindOrSilent_AreNamed)
 {
-  const std::vector<DaemonStatus> answers{ Status(1, 9),
-                                           Status(2, 7),
-                                           Status(3, 9) };
-  EXPECT_FALSE(CountVersions(answers, std::nullopt).IsUniform());
-  EXPECT_EQ(Report(answers),
+  const auto report = Count({ Status(1, 9), Status(2, 7), Status(3, 9) });
+  EXPECT_FALSE(report.IsUniform());
+  EXPECT_EQ(FormatReport(report),
             "version 9: 2 of 4 daemons\n"
             "version 7: 1 of 4 daemons, behind: 2\n"
             "no answer: 1 of 4 daemons: 4\n");
 }
 
+TEST_F(VersionReportTest, SilentEndpoint_OfAMember_CountsOnce)
+{
+  const auto report = Count({ Status(1, 9), Status(2, 9), Status(3, 9) },
+                            { { "10.0.0.4", 70 }, { "10.0.0.9", 70 } });
+  EXPECT_EQ(report.silent, (std::vector<std::string>{ "4", "10.0.0.9:70" }));
+}
+
 TEST_F(VersionReportTest, Daemon_AskedTwice_CountsOnce)
 {
-  const auto report =
-    CountVersions({ Status(1, 9), Status(1, 9) }, std::nullopt);
+  const auto report = Count({ Status(1, 9), Status(1, 9) });
   EXPECT_EQ(report.daemons.at(Offset(9)).size(), 1U);
 }
 
+TEST_F(VersionReportTest, DaemonsBeforeTheyJoin_CountEachByHost)
+{
+  DaemonStatus first;
+  first.boot = "a";
+  first.host = HostName("h1");
+  auto second = first;
+  second.boot = "b";
+  const auto report = Count({ first, second });
+  EXPECT_EQ(report.daemons.at(Offset(0)).size(), 2U);
+  EXPECT_EQ(report.daemons.at(Offset(0)).front(), "host h1");
+}
+
 TEST_F(VersionReportTest, Section_NotInForce_CountsAsVersionZero)
 {
-  const auto report =
-    CountVersions({ Status(1, 9, 5), Status(2, 4) }, SectionName("demo"));
+  const MeshAnswers answers{ { Status(1, 9, 5), Status(2, 4) }, {} };
+  const auto report = CountVersions(answers, SectionName("demo"));
   EXPECT_EQ(report.daemons.at(Offset(5)).size(), 1U);
   EXPECT_EQ(report.daemons.at(Offset(0)).size(), 1U);
 }
--- a/test/process/DocumentEditTest.cpp
+++ b/test/process/DocumentEditTest.cpp
@@ -1,4 +1,4 @@
-#include <cstdlib>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -111,6 +111,55 @@
     return nlohmann::json::parse(stats)["records"].get<int>();
   }
 
+  /** \brief A daemon without a backend server; it only follows the log. */
+  std::unique_ptr<ChildProcess> StartDaemon(int aNumber) const
+  {
+    const auto name = "h" + std::to_string(aNumber);
+    Write(name + ".toml",
+          "[daemon]\nhost = \"" + name +
+            "\"\nzone = \"z1\"\nregion = \"r1\"\naddress = \"" +
+            AddressOf(aNumber) +
+            "\"\ninner_port = 26001\ncallers_port = 26002\n"
+            "operators_port = 26003\n[server]\naddress = \"" +
+            AddressOf(aNumber) +
+            "\"\nport = 26004\nservices = [\"orders\"]\nslots = 9\n"
+            "[log]\naddress = \"127.0.0.1\"\nport = " +
+            std::to_string(m_port) + "\n");
+    return std::make_unique<ChildProcess>(
+      "pistachiod", Words{ "--settings=" + Path(name + ".toml") });
+  }
+
+  // Loopback addresses of this process, so that ports can be fixed.
+  static std::string AddressOf(int aNumber)
+  {
+    const int process = getpid();
+    return "127." + std::to_string(1 + process % 200) + "." +
+           std::to_string(process / 200 % 250) + "." + std::to_string(aNumber);
+  }
+
+  /** \brief Asks daemons 1 to 3 until their report starts like this. */
+  bool WaitForReport(const std::string& aStart)
+  {
+    std::string daemons;
+    for (int number = 1; number <= 3; ++number) {
+      daemons += (number > 1 ? "," : "") + AddressOf(number) + ":26003";
+    }
+    const auto until = std::chrono::steady_clock::now() + test::kPatience;
+    while (std::chrono::steady_clock::now() < until) {
+      ChildProcess status(
+        "pistachioctl",
+        { "document", "status", "--daemon=" + daemons, "--timeout=1" });
+      m_line = status.WaitForLine("").value_or("");
+      m_code = status.Wait();
+      if (m_line.starts_with(aStart)) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return false;
+  }
+
+  int m_code = 0;
   std::filesystem::path m_folder;
   ChildProcess m_log;
   uint16_t m_port;
@@ -200,5 +249,21 @@
   RecordProperty("written", WrittenRecords());
 }
 
+TEST_F(DocumentEditTest, Status_DaemonFrozen_IsCountedAsSilentThenCatchesUp)
+{
+  const auto first = StartDaemon(1);
+  const auto second = StartDaemon(2);
+  const auto third = StartDaemon(3);
+  Found();
+  EXPECT_TRUE(WaitForReport("version 1: 3 of 3 daemons")) << m_line;
+  EXPECT_EQ(m_code, kAccepted);
+  third->Signal(SIGSTOP);
+  ASSERT_EQ(Edit("demo"), kAccepted);
+  EXPECT_TRUE(WaitForReport("version 2: 2 of 3 daemons")) << m_line;
+  EXPECT_EQ(m_code, kRefused);
+  third->Signal(SIGCONT);
+  EXPECT_TRUE(WaitForReport("version 2: 3 of 3 daemons")) << m_line;
+}
+
 }
 }
