--- a/src/Inner/ThriftCodec.h
+++ b/src/Inner/ThriftCodec.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_INNER_THRIFTCODEC_H
 #define PISTACHIOSHIFT_INNER_THRIFTCODEC_H
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -17,13 +18,19 @@
   return EncodeStruct(aStruct);
 }
 
+/** Items in one list of a frame, datagram or record. */
+constexpr size_t kMaxItems = 8192;
+
+/** Items in one list of a checkpoint's state. */
+constexpr size_t kMaxSnapshotItems = 1U << 20U;
+
 /** Decodes a generated struct; InnerError if malformed. */
 template<class Struct>
 Struct
-DecodeWire(std::string_view aBytes)
+DecodeWire(std::string_view aBytes, size_t aMaxItems = kMaxItems)
 {
   try {
-    return DecodeStruct<Struct>(aBytes);
+    return DecodeStruct<Struct>(aBytes, aMaxItems);
   } catch (const LogError& error) {
     throw InnerError(error.what());
   }
--- a/src/Ownership/NodeSettings.h
+++ b/src/Ownership/NodeSettings.h
@@ -13,12 +13,16 @@
   kNone,
   kServeWithoutLease, ///< R1: requests start after the lease has ended.
   kAdoptUnwitnessed,  ///< R2: changes are carried out once applied.
+  kFirstSetAlone,     ///< R2: seals of the old set alone are evidence.
   kSealAtOnce,        ///< R3: seals also a ward that isn't silent.
   kOneSeal,           ///< R4: one seal is evidence enough.
+  kNoCatchUp,         ///< R4: seals above the offset applied count too.
+  kIgnoreVersion,     ///< R5: a sealed holder counts as out before a move.
   kForgetOldChain,    ///< R5: heirs of a move need no evidence of the base.
   kNoFenceWait,       ///< R6: unchecked fences get no wait.
   kReleaseBusy,       ///< R7: released while requests run.
-  kSwitchUnwitnessed, ///< R8: the new guardian set needs no majority.
+  kSwitchUnwitnessed, ///< R8: the old guardian set needs no majority.
+  kPlainLease,        ///< R8: acks of guardians without a lease count.
   kRetireAtOnce,      ///< R8: a retired ward counts as out when read.
 };
 
@@ -45,6 +49,8 @@
   Duration leavePatience = std::chrono::seconds(2);
   /** \brief Further time that a leaving daemon gives its wards. */
   Duration handOnPatience = std::chrono::seconds(5);
+  /** \brief Steps by which daemons wait that could write the same record. */
+  Duration removalStagger = std::chrono::milliseconds(500);
   /** \brief Entries started within this time share a HeldRecord. */
   Duration heldBatch = std::chrono::milliseconds(200);
 
