Test that the document outlives the log's retention

A stand-in that keeps four records, one daemon that writes checkpoints, six edits: a fresh pistachioctl reads both sections, the first record being gone, and a stale base is still refused.

--- a/test/process/DocumentEditTest.cpp
+++ b/test/process/DocumentEditTest.cpp
@@ -28,10 +28,10 @@
 protected:
   using Words = std::vector<std::string>;
 
-  DocumentEditTest()
+  explicit DocumentEditTest(const Words& aLogFlags = {})
     : m_folder(std::filesystem::path(::testing::TempDir()) /
                ("document-edit-" + std::to_string(getpid())))
-    , m_log("standin_log")
+    , m_log("standin_log", aLogFlags)
     , m_port(m_log.WaitForPort())
   {
     std::filesystem::create_directories(m_folder);
@@ -124,7 +124,7 @@
             AddressOf(aNumber) +
             "\"\nport = 26004\nservices = [\"orders\"]\nslots = 9\n"
             "[log]\naddress = \"127.0.0.1\"\nport = " +
-            std::to_string(m_port) + "\n");
+            std::to_string(m_port) + "\ncheckpoint_interval_s = 1\n");
     return std::make_unique<ChildProcess>(
       "pistachiod", Words{ "--settings=" + Path(name + ".toml") });
   }
@@ -137,6 +137,28 @@
            std::to_string(process / 200 % 250) + "." + std::to_string(aNumber);
   }
 
+  /** \brief Reads the document until its list has this line. */
+  bool WaitForLine(const std::string& aLine) const
+  {
+    const auto log = "--log=127.0.0.1:" + std::to_string(m_port);
+    const auto until = std::chrono::steady_clock::now() + test::kPatience;
+    while (std::chrono::steady_clock::now() < until) {
+      ChildProcess show("pistachioctl", { "document", "show", log });
+      if (show.WaitForLine(aLine)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** \brief Whether the log still has the record at offset 1. */
+  bool HasFirstRecord() const
+  {
+    const auto log = "--log=127.0.0.1:" + std::to_string(m_port);
+    ChildProcess tail("pistachioctl", { "log", "tail", "document", log });
+    return tail.WaitForLine("1 ").has_value();
+  }
+
   /** \brief Asks daemons 1 to 3 until their report starts like this. */
   bool WaitForReport(const std::string& aStart)
   {
@@ -265,5 +287,34 @@
   EXPECT_TRUE(WaitForReport("version 2: 3 of 3 daemons")) << m_line;
 }
 
+/** \brief A log service that keeps four records. */
+class DocumentRetentionTest : public DocumentEditTest
+{
+protected:
+  DocumentRetentionTest()
+    : DocumentEditTest({ "--retention-records=4" })
+  {
+  }
+};
+
+TEST_F(DocumentRetentionTest, Document_RecordsExpired_LivesOnInCheckpoints)
+{
+  const auto daemon = StartDaemon(1);
+  Found();
+  ASSERT_EQ(Edit("demo"), kAccepted);
+  for (int slots = 10; slots < 14; ++slots) {
+    Write("demo.toml",
+          Service("orders", 64) + "# slots " + std::to_string(slots) + "\n");
+    ASSERT_EQ(Edit("demo", { "--base=current" }), kAccepted) << m_line;
+  }
+  const auto version = m_line.substr(m_line.find("version"));
+  const auto number = version.substr(8, version.find(" is") - 8);
+  EXPECT_TRUE(WaitForLine("section demo version " + number));
+  EXPECT_TRUE(WaitForLine("section teams version 1 "));
+  EXPECT_FALSE(HasFirstRecord());
+  EXPECT_EQ(Edit("demo", { "--base=2" }), kRefused);
+  EXPECT_NE(m_line.find("but version " + number), std::string::npos) << m_line;
+}
+
 }
 }
