--- a/test/process/DocumentEditTest.cpp
+++ b/test/process/DocumentEditTest.cpp
@@ -1,4 +1,4 @@
-#include <cstdlib>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -28,10 +28,10 @@
 protected:
   using Words = std::vector<std::string>;
 
-  DocumentEditTest()
+  explicit DocumentEditTest(const Words& aLogFlags = {})
     : m_folder(std::filesystem::path(::testing::TempDir()) /
                ("document-edit-" + std::to_string(getpid())))
-    , m_log("standin_log")
+    , m_log("standin_log", aLogFlags)
     , m_port(m_log.WaitForPort())
   {
     std::filesystem::create_directories(m_folder);
@@ -111,6 +111,77 @@
     return nlohmann::json::parse(stats)["records"].get<int>();
   }
 
+  /** \brief A daemon without a backend server; it only follows the log. */
+  std::unique_ptr<ChildProcess> StartDaemon(int aNumber) const
+  {
+    const auto name = "h" + std::to_string(aNumber);
+    Write(name + ".toml",
+          "[daemon]\nhost = \"" + name +
+            "\"\nzone = \"z1\"\nregion = \"r1\"\naddress = \"" +
+            AddressOf(aNumber) +
+            "\"\ninner_port = 26001\ncallers_port = 26002\n"
+            "operators_port = 26003\n[server]\naddress = \"" +
+            AddressOf(aNumber) +
+            "\"\nport = 26004\nservices = [\"orders\"]\nslots = 9\n"
+            "[log]\naddress = \"127.0.0.1\"\nport = " +
+            std::to_string(m_port) + "\ncheckpoint_interval_s = 1\n");
+    return std::make_unique<ChildProcess>(
+      "pistachiod", Words{ "--settings=" + Path(name + ".toml") });
+  }
+
+  // Loopback addresses of this process, so that ports can be fixed.
+  static std::string AddressOf(int aNumber)
+  {
+    const int process = getpid();
+    return "127." + std::to_string(1 + process % 200) + "." +
+           std::to_string(process / 200 % 250) + "." + std::to_string(aNumber);
+  }
+
+  /** \brief Reads the document until its list has this line. */
+  bool WaitForLine(const std::string& aLine) const
+  {
+    const auto log = "--log=127.0.0.1:" + std::to_string(m_port);
+    const auto until = std::chrono::steady_clock::now() + test::kPatience;
+    while (std::chrono::steady_clock::now() < until) {
+      ChildProcess show("pistachioctl", { "document", "show", log });
+      if (show.WaitForLine(aLine)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** \brief Whether the log still has the record at offset 1. */
+  bool HasFirstRecord() const
+  {
+    const auto log = "--log=127.0.0.1:" + std::to_string(m_port);
+    ChildProcess tail("pistachioctl", { "log", "tail", "document", log });
+    return tail.WaitForLine("1 ").has_value();
+  }
+
+  /** \brief Asks daemons 1 to 3 until their report starts like this. */
+  bool WaitForReport(const std::string& aStart)
+  {
+    std::string daemons;
+    for (int number = 1; number <= 3; ++number) {
+      daemons += (number > 1 ? "," : "") + AddressOf(number) + ":26003";
+    }
+    const auto until = std::chrono::steady_clock::now() + test::kPatience;
+    while (std::chrono::steady_clock::now() < until) {
+      ChildProcess status(
+        "pistachioctl",
+        { "document", "status", "--daemon=" + daemons, "--timeout=1" });
+      m_line = status.WaitForLine("").value_or("");
+      m_code = status.Wait();
+      if (m_line.starts_with(aStart)) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return false;
+  }
+
+  int m_code = 0;
   std::filesystem::path m_folder;
   ChildProcess m_log;
   uint16_t m_port;
@@ -200,5 +271,50 @@
   RecordProperty("written", WrittenRecords());
 }
 
+TEST_F(DocumentEditTest, Status_DaemonFrozen_IsCountedAsSilentThenCatchesUp)
+{
+  const auto first = StartDaemon(1);
+  const auto second = StartDaemon(2);
+  const auto third = StartDaemon(3);
+  Found();
+  EXPECT_TRUE(WaitForReport("version 1: 3 of 3 daemons")) << m_line;
+  EXPECT_EQ(m_code, kAccepted);
+  third->Signal(SIGSTOP);
+  ASSERT_EQ(Edit("demo"), kAccepted);
+  EXPECT_TRUE(WaitForReport("version 2: 2 of 3 daemons")) << m_line;
+  EXPECT_EQ(m_code, kRefused);
+  third->Signal(SIGCONT);
+  EXPECT_TRUE(WaitForReport("version 2: 3 of 3 daemons")) << m_line;
+}
+
+/** \brief A log service that keeps four records. */
+class DocumentRetentionTest : public DocumentEditTest
+{
+protected:
+  DocumentRetentionTest()
+    : DocumentEditTest({ "--retention-records=4" })
+  {
+  }
+};
+
+TEST_F(DocumentRetentionTest, Document_RecordsExpired_LivesOnInCheckpoints)
+{
+  const auto daemon = StartDaemon(1);
+  Found();
+  ASSERT_EQ(Edit("demo"), kAccepted);
+  for (int slots = 10; slots < 14; ++slots) {
+    Write("demo.toml",
+          Service("orders", 64) + "# slots " + std::to_string(slots) + "\n");
+    ASSERT_EQ(Edit("demo", { "--base=current" }), kAccepted) << m_line;
+  }
+  const auto version = m_line.substr(m_line.find("version"));
+  const auto number = version.substr(8, version.find(" is") - 8);
+  EXPECT_TRUE(WaitForLine("section demo version " + number));
+  EXPECT_TRUE(WaitForLine("section teams version 1 "));
+  EXPECT_FALSE(HasFirstRecord());
+  EXPECT_EQ(Edit("demo", { "--base=2" }), kRefused);
+  EXPECT_NE(m_line.find("but version " + number), std::string::npos) << m_line;
+}
+
 }
 }
