--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -325,11 +325,31 @@
     Apply(*gate->second, actions);
   }
   if (aCall.m_entered) {
+    if (aResult == ServiceResult::kDone) {
+      CountLoad(aCall);
+    }
     aCall.m_entered = false;
     LeaveEntry(*aCall.m_entry);
   }
 }
 
+void
+BackendTask::CountLoad(const OwnerCall& aCall)
+{
+  const auto* policy = FindPolicy(aCall.Request().service);
+  const auto index = aCall.m_class.Value();
+  if (policy != nullptr && index < policy->classes.size()) {
+    m_load.Add(
+      *aCall.m_entry, aCall.Request().key, policy->classes[index].weight);
+  }
+}
+
+std::vector<LoadReport>
+BackendTask::TakeLoad(Duration aElapsed)
+{
+  return m_load.Take(m_mesh.Self(), aElapsed);
+}
+
 void
 BackendTask::ForgetHeld(const OwnerCall& aCall)
 {
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -11,6 +11,7 @@
 #include "Pistachioshift/Routing"
 #include "src/Base/Random.h"
 #include "src/Daemon/Call.h"
+#include "src/Daemon/LoadMeter.h"
 #include "src/Daemon/MeshTask.h"
 #include "src/Daemon/Metrics.h"
 #include "src/Daemon/ServerProbe.h"
@@ -54,6 +55,9 @@
   /** \brief No new work from now on; held and queued requests are refused. */
   void BeginDrain();
 
+  /** \brief Load of the entries held here since the last call. */
+  std::vector<LoadReport> TakeLoad(Duration aElapsed);
+
   /** \brief Requests that have not ended. */
   size_t InFlight() const { return m_calls.size(); }
   size_t Running() const;
@@ -114,6 +118,7 @@
   void StartCall(const std::shared_ptr<OwnerCall>& aCall);
   bool MayStart(const OwnerCall& aCall) const;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult);
+  void CountLoad(const OwnerCall& aCall);
   void LeaveEntry(const EntryKey& aKey);
   void ReportIdle(const EntryKey& aKey);
   void RefuseWaiting(const EntryKey& aKey, RefusalReason aReason);
@@ -130,6 +135,7 @@
   std::multimap<EntryKey, RequestId> m_held;
   std::unordered_map<RequestId, std::shared_ptr<OwnerCall>> m_calls;
   OutcomeTable m_outcomes;
+  LoadMeter m_load;
   HttpClientPool m_pool;
   ServerProbe m_probe;
   Timer m_entering;
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -68,6 +68,7 @@
   , m_router(m_clock, m_random, m_mesh, m_backend, m_peers)
   , m_relay(aBase, m_random, m_mesh, m_document, m_peers, m_settings)
   , m_planner(aBase, m_clock, m_mesh, m_backend, m_logger)
+  , m_rebalance(aBase, m_clock, m_mesh, m_backend, m_peers, m_planner, m_logger)
   , m_inner(aBase,
             m_clock,
             m_settings.place.inner,
@@ -98,6 +99,9 @@
     return m_relay.Answer(aQuery);
   };
   services.self = [this] { return m_mesh.Self(); };
+  services.load = [this](const LoadReport& aReport) {
+    m_rebalance.OnReport(aReport);
+  };
   return services;
 }
 
@@ -116,6 +120,7 @@
   m_backend.Probe().Start([this](bool aReady) { OnServerReady(aReady); });
   m_relay.Start();
   m_planner.Start();
+  m_rebalance.Start();
 }
 
 void
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -14,6 +14,7 @@
 #include "src/Daemon/OperatorTask.h"
 #include "src/Daemon/PeersTask.h"
 #include "src/Daemon/PlannerTask.h"
+#include "src/Daemon/RebalanceTask.h"
 #include "src/Daemon/RelayTask.h"
 #include "src/Daemon/Router.h"
 #include "src/Daemon/Settings.h"
@@ -57,6 +58,7 @@
   Router m_router;
   RelayTask m_relay;
   PlannerTask m_planner;
+  RebalanceTask m_rebalance;
   InnerServerTask m_inner;
   IngressTask m_ingress;
   OperatorTask m_operator;
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -20,6 +20,7 @@
 {
   std::function<RecordsReply(const RecordsQuery&)> records;
   std::function<DaemonId()> self;
+  std::function<void(const LoadReport&)> load;
 };
 
 /** \brief Accepts connections of other daemons and serves their requests. */
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -69,6 +69,8 @@
     Answer(*query);
   } else if (const auto* records = std::get_if<RecordsQuery>(&aFrame)) {
     Send(m_task.m_services.records(*records));
+  } else if (const auto* load = std::get_if<LoadReport>(&aFrame)) {
+    m_task.m_services.load(*load);
   }
 }
 
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -61,6 +61,12 @@
   link->Send(aQuery);
 }
 
+void
+PeersTask::SendLoad(const Endpoint& aPeer, const LoadReport& aReport)
+{
+  Find(aPeer)->Link().Send(aReport);
+}
+
 TablePosition
 PeersTask::Known(const Endpoint& aPeer) const
 {
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -50,6 +50,9 @@
                   const RecordsQuery& aQuery,
                   RecordsCallback aCallback);
 
+  /** \brief Sends a load report; it may be lost. */
+  void SendLoad(const Endpoint& aPeer, const LoadReport& aReport);
+
   /** \brief Last position heard from a daemon's outcome table. */
   TablePosition Known(const Endpoint& aPeer) const;
 
--- a/src/Daemon/PlannerTask.cpp
+++ b/src/Daemon/PlannerTask.cpp
@@ -137,4 +137,22 @@
   return true;
 }
 
+bool
+PlannerTask::MoveLike(const EntryKey& aKey, const EntryKey& aModel)
+{
+  const auto* chain = m_mesh.View().FindChain(aKey);
+  const auto* model = m_mesh.View().FindChain(aModel);
+  if (!Planning() || chain == nullptr || model == nullptr) {
+    return false;
+  }
+  const auto& holders = model->Current().holders;
+  Assignment assignment;
+  assignment.key = aKey;
+  assignment.base = chain->Current().offset;
+  assignment.owner = holders.front();
+  assignment.heirs.assign(std::next(holders.begin()), holders.end());
+  Submit({ assignment });
+  return true;
+}
+
 }
--- a/src/Daemon/PlannerTask.h
+++ b/src/Daemon/PlannerTask.h
@@ -32,6 +32,9 @@
   /** \brief Asks for a move by an operator; false if this daemon can't. */
   bool Move(const EntryKey& aKey, DaemonId aTo);
 
+  /** \brief Gives an entry the succession of another one. */
+  bool MoveLike(const EntryKey& aKey, const EntryKey& aModel);
+
 private:
   void OnTick();
   bool ShouldClaim() const;
--- a/src/Daemon/ServerProbe.h
+++ b/src/Daemon/ServerProbe.h
@@ -13,7 +13,7 @@
 namespace pistachioshift {
 
 /** \brief What a backend server says of its load. */
-struct LoadReport
+struct ServerLoad
 {
   uint32_t inFlight = 0;
   uint32_t slots = 0;
@@ -35,7 +35,7 @@
   void Start(ReadyCallback aCallback);
 
   bool Ready() const { return m_ready; }
-  const LoadReport& Load() const { return m_load; }
+  const ServerLoad& Load() const { return m_load; }
 
 private:
   class Answer;
@@ -51,7 +51,7 @@
   HttpClientPool m_pool;
   Timer m_timer;
   ReadyCallback m_callback;
-  LoadReport m_load;
+  ServerLoad m_load;
   bool m_ready = false;
   bool m_asking = false;
   uint32_t m_failures = 0;
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -1,5 +1,7 @@
 #include "src/Inner/FrameCodec.h"
 
+#include <cmath>
+
 #include "src/Inner/ThriftCodec.h"
 #include "src/Inner/gen/frames_types.h"
 
@@ -57,6 +59,15 @@
   return static_cast<uint64_t>(aLength);
 }
 
+double
+LoadFromWire(double aLoad)
+{
+  if (!std::isfinite(aLoad) || aLoad < 0.0) {
+    throw InnerError("load out of bounds");
+  }
+  return aLoad;
+}
+
 wire::WireRequestId
 ToWire(const RequestId& aId)
 {
@@ -255,8 +266,53 @@
     }
     frame.__set_recordsReply(reply);
   }
+
+  void operator()(const LoadReport& aReport) const
+  {
+    wire::WireLoadReport report;
+    report.daemon = aReport.daemon.Value();
+    report.serviceName = aReport.service.Value();
+    for (const auto& entry : aReport.entries) {
+      wire::WireEntryLoad item;
+      item.range_ = static_cast<int32_t>(entry.range.Value());
+      if (!entry.pinnedKey.empty()) {
+        item.__set_pinnedKey(entry.pinnedKey);
+      }
+      item.load = entry.load;
+      report.entries.push_back(std::move(item));
+    }
+    for (const auto& key : aReport.hotKeys) {
+      wire::WireKeyLoad item;
+      item.key = key.key;
+      item.range_ = static_cast<int32_t>(key.range.Value());
+      item.load = key.load;
+      report.hotKeys.push_back(std::move(item));
+    }
+    frame.__set_loadReport(report);
+  }
 };
 
+LoadReport
+FromWire(const wire::WireLoadReport& aReport)
+{
+  LoadReport report;
+  report.daemon = DaemonId(aReport.daemon);
+  report.service = ServiceName(aReport.serviceName);
+  for (const auto& item : aReport.entries) {
+    report.entries.push_back(
+      ReportedEntry{ RangeIndex(static_cast<uint32_t>(item.range_)),
+                     item.pinnedKey,
+                     LoadFromWire(item.load) });
+  }
+  for (const auto& item : aReport.hotKeys) {
+    report.hotKeys.push_back(
+      ReportedKey{ item.key,
+                   RangeIndex(static_cast<uint32_t>(item.range_)),
+                   LoadFromWire(item.load) });
+  }
+  return report;
+}
+
 RequestOpen
 FromWire(const wire::WireRequestOpen& aOpen)
 {
@@ -388,6 +444,9 @@
   if (isset.recordsReply) {
     return FromWire(aFrame.recordsReply);
   }
+  if (isset.loadReport) {
+    return FromWire(aFrame.loadReport);
+  }
   throw InnerError("frame of an unknown type");
 }
 
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -126,6 +126,31 @@
   std::vector<LogEntry> entries;
 };
 
+/** \brief Load of one entry at its holder: weighted service per second. */
+struct ReportedEntry
+{
+  RangeIndex range;
+  std::string pinnedKey; ///< Empty: the range itself.
+  double load = 0.0;
+};
+
+/** \brief Load of one key that is not pinned, at least. */
+struct ReportedKey
+{
+  std::string key;
+  RangeIndex range;
+  double load = 0.0;
+};
+
+/** \brief Holder to planner: the load of one service since the last report. */
+struct LoadReport
+{
+  DaemonId daemon;
+  ServiceName service;
+  std::vector<ReportedEntry> entries; ///< Those with any load.
+  std::vector<ReportedKey> hotKeys;
+};
+
 using Frame = std::variant<Hello,
                            RequestOpen,
                            BodyPiece,
@@ -138,7 +163,8 @@
                            OutcomeQuery,
                            OutcomeReply,
                            RecordsQuery,
-                           RecordsReply>;
+                           RecordsReply,
+                           LoadReport>;
 
 }
 
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -2518,6 +2518,485 @@
 }
 
 
+WireEntryLoad::~WireEntryLoad() noexcept {
+}
+
+
+void WireEntryLoad::__set_range_(const int32_t val) {
+  this->range_ = val;
+}
+
+void WireEntryLoad::__set_pinnedKey(const std::string& val) {
+  this->pinnedKey = val;
+__isset.pinnedKey = true;
+}
+
+void WireEntryLoad::__set_load(const double val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireEntryLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireEntryLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_range_ = false;
+  bool isset_load = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->range_);
+          isset_range_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pinnedKey);
+          this->__isset.pinnedKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->load);
+          isset_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_range_)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireEntryLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireEntryLoad");
+
+  xfer += oprot->writeFieldBegin("range_", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->range_);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.pinnedKey) {
+    xfer += oprot->writeFieldBegin("pinnedKey", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->pinnedKey);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireEntryLoad &a, WireEntryLoad &b) {
+  using ::std::swap;
+  swap(a.range_, b.range_);
+  swap(a.pinnedKey, b.pinnedKey);
+  swap(a.load, b.load);
+  swap(a.__isset, b.__isset);
+}
+
+WireEntryLoad::WireEntryLoad(const WireEntryLoad& other52) {
+  range_ = other52.range_;
+  pinnedKey = other52.pinnedKey;
+  load = other52.load;
+  __isset = other52.__isset;
+}
+WireEntryLoad& WireEntryLoad::operator=(const WireEntryLoad& other53) {
+  range_ = other53.range_;
+  pinnedKey = other53.pinnedKey;
+  load = other53.load;
+  __isset = other53.__isset;
+  return *this;
+}
+void WireEntryLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireEntryLoad(";
+  out << "range_=" << to_string(range_);
+  out << ", " << "pinnedKey="; (__isset.pinnedKey ? (out << to_string(pinnedKey)) : (out << "<null>"));
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
+WireKeyLoad::~WireKeyLoad() noexcept {
+}
+
+
+void WireKeyLoad::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void WireKeyLoad::__set_range_(const int32_t val) {
+  this->range_ = val;
+}
+
+void WireKeyLoad::__set_load(const double val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireKeyLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireKeyLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_range_ = false;
+  bool isset_load = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->range_);
+          isset_range_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->load);
+          isset_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_range_)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireKeyLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireKeyLoad");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("range_", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->range_);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireKeyLoad &a, WireKeyLoad &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.range_, b.range_);
+  swap(a.load, b.load);
+}
+
+WireKeyLoad::WireKeyLoad(const WireKeyLoad& other54) {
+  key = other54.key;
+  range_ = other54.range_;
+  load = other54.load;
+}
+WireKeyLoad& WireKeyLoad::operator=(const WireKeyLoad& other55) {
+  key = other55.key;
+  range_ = other55.range_;
+  load = other55.load;
+  return *this;
+}
+void WireKeyLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireKeyLoad(";
+  out << "key=" << to_string(key);
+  out << ", " << "range_=" << to_string(range_);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
+WireLoadReport::~WireLoadReport() noexcept {
+}
+
+
+void WireLoadReport::__set_daemon(const int64_t val) {
+  this->daemon = val;
+}
+
+void WireLoadReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void WireLoadReport::__set_entries(const std::vector<WireEntryLoad> & val) {
+  this->entries = val;
+}
+
+void WireLoadReport::__set_hotKeys(const std::vector<WireKeyLoad> & val) {
+  this->hotKeys = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireLoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireLoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_daemon = false;
+  bool isset_serviceName = false;
+  bool isset_entries = false;
+  bool isset_hotKeys = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->daemon);
+          isset_daemon = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->entries.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
+            {
+              xfer += this->entries[_i60].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hotKeys.clear();
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->hotKeys.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
+            {
+              xfer += this->hotKeys[_i65].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_hotKeys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_daemon)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_hotKeys)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireLoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireLoadReport");
+
+  xfer += oprot->writeFieldBegin("daemon", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->daemon);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<WireEntryLoad> ::const_iterator _iter66;
+    for (_iter66 = this->entries.begin(); _iter66 != this->entries.end(); ++_iter66)
+    {
+      xfer += (*_iter66).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hotKeys", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hotKeys.size()));
+    std::vector<WireKeyLoad> ::const_iterator _iter67;
+    for (_iter67 = this->hotKeys.begin(); _iter67 != this->hotKeys.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireLoadReport &a, WireLoadReport &b) {
+  using ::std::swap;
+  swap(a.daemon, b.daemon);
+  swap(a.serviceName, b.serviceName);
+  swap(a.entries, b.entries);
+  swap(a.hotKeys, b.hotKeys);
+}
+
+WireLoadReport::WireLoadReport(const WireLoadReport& other68) {
+  daemon = other68.daemon;
+  serviceName = other68.serviceName;
+  entries = other68.entries;
+  hotKeys = other68.hotKeys;
+}
+WireLoadReport& WireLoadReport::operator=(const WireLoadReport& other69) {
+  daemon = other69.daemon;
+  serviceName = other69.serviceName;
+  entries = other69.entries;
+  hotKeys = other69.hotKeys;
+  return *this;
+}
+void WireLoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireLoadReport(";
+  out << "daemon=" << to_string(daemon);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "hotKeys=" << to_string(hotKeys);
+  out << ")";
+}
+
+
 WireFrame::~WireFrame() noexcept {
 }
 
@@ -2586,6 +3065,11 @@
   this->recordsReply = val;
 __isset.recordsReply = true;
 }
+
+void WireFrame::__set_loadReport(const WireLoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireFrame& obj)
 {
   obj.printTo(out);
@@ -2718,6 +3202,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReport.read(iprot);
+          this->__isset.loadReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2800,6 +3292,11 @@
     xfer += this->recordsReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loadReport) {
+    xfer += oprot->writeFieldBegin("loadReport", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->loadReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2820,40 +3317,43 @@
   swap(a.outcomeReply, b.outcomeReply);
   swap(a.recordsQuery, b.recordsQuery);
   swap(a.recordsReply, b.recordsReply);
+  swap(a.loadReport, b.loadReport);
   swap(a.__isset, b.__isset);
 }
 
-WireFrame::WireFrame(const WireFrame& other52) {
-  hello = other52.hello;
-  requestOpen = other52.requestOpen;
-  body = other52.body;
-  credit = other52.credit;
-  responseOpen = other52.responseOpen;
-  refused = other52.refused;
-  cancel = other52.cancel;
-  ping = other52.ping;
-  pong = other52.pong;
-  outcomeQuery = other52.outcomeQuery;
-  outcomeReply = other52.outcomeReply;
-  recordsQuery = other52.recordsQuery;
-  recordsReply = other52.recordsReply;
-  __isset = other52.__isset;
-}
-WireFrame& WireFrame::operator=(const WireFrame& other53) {
-  hello = other53.hello;
-  requestOpen = other53.requestOpen;
-  body = other53.body;
-  credit = other53.credit;
-  responseOpen = other53.responseOpen;
-  refused = other53.refused;
-  cancel = other53.cancel;
-  ping = other53.ping;
-  pong = other53.pong;
-  outcomeQuery = other53.outcomeQuery;
-  outcomeReply = other53.outcomeReply;
-  recordsQuery = other53.recordsQuery;
-  recordsReply = other53.recordsReply;
-  __isset = other53.__isset;
+WireFrame::WireFrame(const WireFrame& other70) {
+  hello = other70.hello;
+  requestOpen = other70.requestOpen;
+  body = other70.body;
+  credit = other70.credit;
+  responseOpen = other70.responseOpen;
+  refused = other70.refused;
+  cancel = other70.cancel;
+  ping = other70.ping;
+  pong = other70.pong;
+  outcomeQuery = other70.outcomeQuery;
+  outcomeReply = other70.outcomeReply;
+  recordsQuery = other70.recordsQuery;
+  recordsReply = other70.recordsReply;
+  loadReport = other70.loadReport;
+  __isset = other70.__isset;
+}
+WireFrame& WireFrame::operator=(const WireFrame& other71) {
+  hello = other71.hello;
+  requestOpen = other71.requestOpen;
+  body = other71.body;
+  credit = other71.credit;
+  responseOpen = other71.responseOpen;
+  refused = other71.refused;
+  cancel = other71.cancel;
+  ping = other71.ping;
+  pong = other71.pong;
+  outcomeQuery = other71.outcomeQuery;
+  outcomeReply = other71.outcomeReply;
+  recordsQuery = other71.recordsQuery;
+  recordsReply = other71.recordsReply;
+  loadReport = other71.loadReport;
+  __isset = other71.__isset;
   return *this;
 }
 void WireFrame::printTo(std::ostream& out) const {
@@ -2872,6 +3372,7 @@
   out << ", " << "outcomeReply="; (__isset.outcomeReply ? (out << to_string(outcomeReply)) : (out << "<null>"));
   out << ", " << "recordsQuery="; (__isset.recordsQuery ? (out << to_string(recordsQuery)) : (out << "<null>"));
   out << ", " << "recordsReply="; (__isset.recordsReply ? (out << to_string(recordsReply)) : (out << "<null>"));
+  out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -55,6 +55,12 @@
 
 class WireRecordsReply;
 
+class WireEntryLoad;
+
+class WireKeyLoad;
+
+class WireLoadReport;
+
 class WireFrame;
 
 
@@ -946,8 +952,167 @@
 
 std::ostream& operator<<(std::ostream& out, const WireRecordsReply& obj);
 
+typedef struct _WireEntryLoad__isset {
+  _WireEntryLoad__isset() : pinnedKey(false) {}
+  bool pinnedKey :1;
+} _WireEntryLoad__isset;
+
+class WireEntryLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireEntryLoad(const WireEntryLoad&);
+  WireEntryLoad& operator=(const WireEntryLoad&);
+  WireEntryLoad() noexcept
+                : range_(0),
+                  pinnedKey(),
+                  load(0) {
+  }
+
+  virtual ~WireEntryLoad() noexcept;
+  int32_t range_;
+  std::string pinnedKey;
+  double load;
+
+  _WireEntryLoad__isset __isset;
+
+  void __set_range_(const int32_t val);
+
+  void __set_pinnedKey(const std::string& val);
+
+  void __set_load(const double val);
+
+  bool operator == (const WireEntryLoad & rhs) const
+  {
+    if (!(range_ == rhs.range_))
+      return false;
+    if (__isset.pinnedKey != rhs.__isset.pinnedKey)
+      return false;
+    else if (__isset.pinnedKey && !(pinnedKey == rhs.pinnedKey))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const WireEntryLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireEntryLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireEntryLoad &a, WireEntryLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const WireEntryLoad& obj);
+
+
+class WireKeyLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireKeyLoad(const WireKeyLoad&);
+  WireKeyLoad& operator=(const WireKeyLoad&);
+  WireKeyLoad() noexcept
+              : key(),
+                range_(0),
+                load(0) {
+  }
+
+  virtual ~WireKeyLoad() noexcept;
+  std::string key;
+  int32_t range_;
+  double load;
+
+  void __set_key(const std::string& val);
+
+  void __set_range_(const int32_t val);
+
+  void __set_load(const double val);
+
+  bool operator == (const WireKeyLoad & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(range_ == rhs.range_))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const WireKeyLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireKeyLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireKeyLoad &a, WireKeyLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const WireKeyLoad& obj);
+
+
+class WireLoadReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireLoadReport(const WireLoadReport&);
+  WireLoadReport& operator=(const WireLoadReport&);
+  WireLoadReport() noexcept
+                 : daemon(0),
+                   serviceName() {
+  }
+
+  virtual ~WireLoadReport() noexcept;
+  int64_t daemon;
+  std::string serviceName;
+  std::vector<WireEntryLoad>  entries;
+  std::vector<WireKeyLoad>  hotKeys;
+
+  void __set_daemon(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_entries(const std::vector<WireEntryLoad> & val);
+
+  void __set_hotKeys(const std::vector<WireKeyLoad> & val);
+
+  bool operator == (const WireLoadReport & rhs) const
+  {
+    if (!(daemon == rhs.daemon))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(hotKeys == rhs.hotKeys))
+      return false;
+    return true;
+  }
+  bool operator != (const WireLoadReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireLoadReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireLoadReport &a, WireLoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const WireLoadReport& obj);
+
 typedef struct _WireFrame__isset {
-  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false) {}
+  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false) {}
   bool hello :1;
   bool requestOpen :1;
   bool body :1;
@@ -961,6 +1126,7 @@
   bool outcomeReply :1;
   bool recordsQuery :1;
   bool recordsReply :1;
+  bool loadReport :1;
 } _WireFrame__isset;
 
 class WireFrame : public virtual ::apache::thrift::TBase {
@@ -985,6 +1151,7 @@
   WireOutcomeReply outcomeReply;
   WireRecordsQuery recordsQuery;
   WireRecordsReply recordsReply;
+  WireLoadReport loadReport;
 
   _WireFrame__isset __isset;
 
@@ -1014,6 +1181,8 @@
 
   void __set_recordsReply(const WireRecordsReply& val);
 
+  void __set_loadReport(const WireLoadReport& val);
+
   bool operator == (const WireFrame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1068,6 +1237,10 @@
       return false;
     else if (__isset.recordsReply && !(recordsReply == rhs.recordsReply))
       return false;
+    if (__isset.loadReport != rhs.__isset.loadReport)
+      return false;
+    else if (__isset.loadReport && !(loadReport == rhs.loadReport))
+      return false;
     return true;
   }
   bool operator != (const WireFrame &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -108,6 +108,25 @@
   2: required list<WireLogEntry> entries
 }
 
+struct WireEntryLoad {
+  1: required i32 range_
+  2: optional string pinnedKey
+  3: required double load
+}
+
+struct WireKeyLoad {
+  1: required string key
+  2: required i32 range_
+  3: required double load
+}
+
+struct WireLoadReport {
+  1: required i64 daemon
+  2: required string serviceName
+  3: required list<WireEntryLoad> entries
+  4: required list<WireKeyLoad> hotKeys
+}
+
 union WireFrame {
   1: WireHello hello
   2: WireRequestOpen requestOpen
@@ -122,4 +141,5 @@
   11: WireOutcomeReply outcomeReply
   12: WireRecordsQuery recordsQuery
   13: WireRecordsReply recordsReply
+  14: WireLoadReport loadReport
 }
