--- a/test/Routing/BalancerTest.cpp
+++ b/test/Routing/BalancerTest.cpp
@@ -149,6 +149,20 @@
   EXPECT_EQ(m_balancer.Choose(m_random, m_now), DaemonId(1));
 }
 
+// Reports are late: all senders would follow the dip at once.
+TEST_F(BalancerTest, OnReport_OneDip_DoesNotDrawRequests)
+{
+  SetInstances(2);
+  for (int round = 0; round < 10; ++round) {
+    m_balancer.OnReport(DaemonId(1), 8.0, m_now);
+    m_balancer.OnReport(DaemonId(2), 8.0, m_now);
+  }
+  m_balancer.OnReport(DaemonId(1), 0.0, m_now);
+  m_balancer.OnStart(DaemonId(1));
+  m_balancer.OnStart(DaemonId(1));
+  EXPECT_EQ(m_balancer.Choose(m_random, m_now), DaemonId(2));
+}
+
 TEST_F(BalancerTest, Choose_NoInstance_None)
 {
   EXPECT_FALSE(m_balancer.Choose(m_random, m_now).has_value());
