--- a/src/Log/HttpLogService.h
+++ b/src/Log/HttpLogService.h
@@ -23,9 +23,11 @@
  * \brief The log service over HTTP, as the stand-in serves it.
  *
  * Each call uses a connection of its own, so that one that went silent costs
- * a single call. The timeout doubles with each call that it ends and falls
- * back slowly, so that a slow log service still serves. To be used on the
- * thread of its event loop only. \sa LogService
+ * a single call. The timeout doubles with each call that gets no answer and
+ * falls back slowly, so that a slow log service still serves.
+ *
+ * To be used on the thread of its event loop only.
+ * \sa LogService
  */
 class HttpLogService final : public LogService
 {
