--- a/test/Ownership/CheckSupport.cpp
+++ b/test/Ownership/CheckSupport.cpp
@@ -122,10 +122,12 @@
       // Unpinned: its range's entry is newer.
       chain = m_view.FindChain({ key.service, key.range, {} });
     }
-    const bool kept =
-      chain != nullptr && std::ranges::any_of(chain->entries, [&](auto& e) {
-        return FenceToken{ e.offset, e.held.value_or(Rank(kMaxHeirs)) } >= held;
-      });
+    bool kept = false;
+    for (const auto& entry :
+         chain == nullptr ? std::vector<Entry>() : chain->entries) {
+      const auto rank = entry.held.value_or(Rank(kMaxHeirs));
+      kept |= FenceToken{ entry.offset, rank } >= held;
+    }
     if (!kept) {
       Fail("an entry recorded as held is lost");
     }
