Show malformed log records of both streams in /metrics

Cause: a payload that is no envelope is passed over by the follower and counted there, but the count was on no page; pistachio_log_records_total counts only records whose envelope could be read. Ruled out: a label on pistachio_log_records_total; the log package has no counters of prometheus. Change: gauges pistachio_ownership_malformed and pistachio_document_malformed, from the counters that the log tasks keep.

--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -196,6 +196,8 @@
   set("pistachio_members", m_mesh.View().Members().size());
   set("pistachio_ownership_applied", m_mesh.Log().Applied().Value());
   set("pistachio_document_applied", m_document.Log().Applied().Value());
+  set("pistachio_ownership_malformed", m_mesh.Log().Counters().malformed);
+  set("pistachio_document_malformed", m_document.Log().Counters().malformed);
   set("pistachio_log_connected", m_mesh.Log().Connected() ? 1 : 0);
   return m_metrics.Render();
 }
