Test many large bodies at once through two daemons

20 downloads and 20 uploads of 64 MiB and two echoes of 8 MiB, one reader slow: all whole; each daemon stays below 256 MB. The stand-in's sink tells only the length of an upload, so content is compared on the echoes.

--- /dev/null
+++ b/test/process/LargeBodyTest.cpp
@@ -0,0 +1,162 @@
+#include <algorithm>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include "test/process/MeshSupport.h"
+
+namespace pistachioshift {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr size_t kMiB = size_t{ 1 } << 20U;
+constexpr size_t kBodyBytes = 64 * kMiB;
+constexpr size_t kEchoBytes = 8 * kMiB;
+constexpr size_t kEachWay = 20;
+constexpr size_t kThrough = 2;  ///< Daemons that callers go through.
+constexpr size_t kPeriod = 251; ///< Of the stand-in's blob: p modulo this.
+constexpr auto kReadPause = 1ms;
+constexpr auto kTimeout = 150s;
+/** Stated target of memory per daemon. */
+constexpr size_t kMaxResidentKiB = size_t{ 256 } * 1024;
+
+/** \brief Compares a body with the stand-in's blob as it comes. */
+class BlobCheck
+{
+public:
+  void Take(std::string_view aPart)
+  {
+    for (const char byte : aPart) {
+      m_good = m_good && static_cast<unsigned char>(byte) == m_next;
+      m_next = (m_next + 1) % kPeriod;
+    }
+    m_bytes += aPart.size();
+  }
+
+  bool IsWhole(size_t aBytes) const { return m_good && m_bytes == aBytes; }
+
+private:
+  size_t m_next = 0;
+  size_t m_bytes = 0;
+  bool m_good = true;
+};
+
+/** \brief Peak resident size in KiB. */
+size_t
+PeakResidentKiB(pid_t aPid)
+{
+  std::ifstream status(fmt::format("/proc/{}/status", aPid));
+  std::string word;
+  size_t size = 0;
+  while (status >> word) {
+    if (word == "VmHWM:") {
+      status >> size;
+    }
+  }
+  return size;
+}
+
+/** \brief Bodies that are larger than what a daemon may hold. */
+class LargeBodyTest : public ::testing::Test
+{
+protected:
+  using Pending = std::future<bool>;
+
+  LargeBodyTest()
+    : m_mesh({ .deadline = std::chrono::milliseconds(kTimeout) })
+  {
+  }
+
+  uint16_t Port(size_t aNumber)
+  {
+    return m_mesh.Host(aNumber % kThrough).callers;
+  }
+
+  Pending StartDownload(size_t aNumber, std::chrono::milliseconds aPause)
+  {
+    const auto path =
+      fmt::format("/orders/large-{}/blob?bytes={}", aNumber, kBodyBytes);
+    return std::async(std::launch::async, [=, port = Port(aNumber)] {
+      BlobCheck check;
+      const auto reply =
+        test::HttpSend({ .port = port,
+                         .path = path,
+                         .onBody =
+                           [&](std::string_view aPart) {
+                             check.Take(aPart);
+                             std::this_thread::sleep_for(aPause);
+                           },
+                         .timeout = kTimeout });
+      return reply.status == 200 && check.IsWhole(kBodyBytes);
+    });
+  }
+
+  Pending StartUpload(size_t aNumber, const std::string& aBody)
+  {
+    const auto path = fmt::format("/orders/large-{}/sink", aNumber);
+    return std::async(std::launch::async, [=, &aBody, port = Port(aNumber)] {
+      const auto reply = test::HttpSend({ .port = port,
+                                          .path = path,
+                                          .isPost = true,
+                                          .body = aBody,
+                                          .timeout = kTimeout });
+      return reply.status == 200 &&
+             reply.body == std::to_string(aBody.size()) + "\n";
+    });
+  }
+
+  /** \brief Uploads a body and gets it back. */
+  Pending StartEcho(size_t aNumber, const std::string& aBody)
+  {
+    const auto path = fmt::format("/orders/large-{}/echo", aNumber);
+    return std::async(std::launch::async, [=, &aBody, port = Port(aNumber)] {
+      const auto reply = test::HttpSend({ .port = port,
+                                          .path = path,
+                                          .isPost = true,
+                                          .body = aBody,
+                                          .timeout = kTimeout });
+      return reply.status == 200 && reply.body == aBody;
+    });
+  }
+
+  test::Mesh m_mesh;
+};
+
+TEST_F(LargeBodyTest, Bodies_ManyAtOnce_AreWholeAndMemoryIsBounded)
+{
+  const std::string body(kBodyBytes, 'u');
+  std::string echo(kEchoBytes, '\0');
+  std::generate(echo.begin(), echo.end(), [next = 0U]() mutable {
+    return static_cast<char>(next++ % kPeriod);
+  });
+  std::vector<Pending> pending;
+  pending.push_back(StartDownload(0, kReadPause));
+  for (size_t number = 1; number < kEachWay; ++number) {
+    pending.push_back(StartDownload(number, 0ms));
+  }
+  for (size_t number = 0; number < kEachWay; ++number) {
+    pending.push_back(StartUpload(number, body));
+  }
+  for (size_t number = 0; number < kThrough; ++number) {
+    pending.push_back(StartEcho(number, echo));
+  }
+  for (size_t number = 0; number < pending.size(); ++number) {
+    EXPECT_TRUE(pending[number].get()) << "transfer " << number;
+  }
+  for (size_t index = 0; index < m_mesh.Size(); ++index) {
+    const auto peak = PeakResidentKiB(m_mesh.Host(index).daemonProcess->Pid());
+    std::cout << "daemon " << index + 1 << ": peak " << peak << " KiB"
+              << std::endl;
+    EXPECT_GT(peak, 0U);
+    EXPECT_LT(peak, kMaxResidentKiB);
+  }
+}
+
+}
+}
