--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -141,7 +141,7 @@
     def file(self, name):
         return os.path.join(self.folder, name)
 
-    def start(self):
+    def start(self, seconds=20):
         self.log = Program([f"{BUILD}/standin_log", f"--port={self.log_port}"],
                            self.file("log.log"))
         for host in self.hosts:
@@ -149,7 +149,7 @@
         for host in self.hosts:
             host.start_daemon()
         self.wait(lambda: len(self.hosts[0].status()["members"]) ==
-                  len(self.hosts), "all daemons to join")
+                  len(self.hosts), "all daemons to join", seconds)
 
     def wait(self, condition, what, seconds=20):
         limit = time.monotonic() + seconds
