Ask the newest entry's succession first when its base isn't settled

Route named the heirs of the old entry first; heirs start the current entry only, so the ingress waited at the wrong daemon until the deadline. Ruled out: seals and guardians (all entries were held, 4 of 4 status pages). Change: Route names the recorded holder, then the current succession, then the rest; a daemon that said not-owner isn't asked again by that request.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -314,6 +314,9 @@
   CloseAttempt();
   TellBalancer(InstanceResult::kShed);
   m_history.hint = aRefusal.holder;
+  if (aRefusal.reason == RefusalReason::kNotOwner && m_history.last) {
+    m_history.refused.push_back(*m_history.last);
+  }
   m_retryAfter = aRefusal.retryAfter;
   if (m_resuming) {
     TryResume();
--- a/src/Daemon/Router.cpp
+++ b/src/Daemon/Router.cpp
@@ -46,9 +46,13 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const auto usable = [this](const Candidate& aCandidate) {
-    return aCandidate.daemon == m_mesh.Self() ||
-           !m_peers.Suspect(aCandidate.inner);
+  const auto usable = [&](const Candidate& aCandidate) {
+    const auto& refused = aHistory.refused;
+    const bool tried = std::find(refused.begin(),
+                                 refused.end(),
+                                 aCandidate.daemon) != refused.end();
+    return !tried && (aCandidate.daemon == m_mesh.Self() ||
+                      !m_peers.Suspect(aCandidate.inner));
   };
   for (const auto& candidate : candidates) {
     if (candidate.daemon == aHistory.hint && usable(candidate)) {
--- a/src/Daemon/Router.h
+++ b/src/Daemon/Router.h
@@ -28,6 +28,7 @@
 {
   std::optional<DaemonId> hint; ///< Holder named by the last refusal.
   std::optional<DaemonId> last; ///< Asked last.
+  std::vector<DaemonId> refused; ///< Said that they don't hold the key.
   uint32_t attempts = 0;
 };
 
--- a/src/Ownership/View.cpp
+++ b/src/Ownership/View.cpp
@@ -161,8 +161,14 @@
   if (chain == nullptr) {
     return candidates;
   }
-  for (const auto& entry : chain->entries) {
-    AddCandidates(entry, entry.held.value_or(Rank()).Value(), candidates);
+  const auto& oldest = chain->entries.front();
+  if (oldest.held) {
+    candidates.push_back(oldest.holders[oldest.held->Value()]);
+  }
+  // Heirs start the current entry only, so its succession comes first.
+  for (auto entry = chain->entries.rbegin(); entry != chain->entries.rend();
+       ++entry) {
+    AddCandidates(*entry, entry->held.value_or(Rank()).Value(), candidates);
   }
   std::erase_if(candidates, [this](DaemonId aDaemon) {
     return !m_members.contains(aDaemon);
