Redirect at once after a hand-over; heirs hold requests for 100 ms only

Cause: after a move, 9 to 16 of 18,000 requests were refused at their deadline and a key went up to 626 ms without an answer, though the hand-over itself took 10 to 60 ms (status polled during /move). A daemon that had handed an entry over held a late request as an heir until the deadline, while the new owner served. Ruled out: release and start of the entry (traced). Change: the old holder remembers for 10 s whom it handed the entry to and redirects there; an heir holds for 100 ms; a request whose candidates all refused asks them in turn.

--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -10,8 +10,14 @@
 
 namespace {
 
-/** Time that a request waits for this daemon to become the holder. */
-constexpr Duration kLongestHold = std::chrono::milliseconds(1500);
+/** Time that a request waits for this daemon, the new owner, to start. */
+constexpr Duration kOwnerHold = std::chrono::milliseconds(1500);
+
+/** Same for an heir: the sender may only have missed a move. */
+constexpr Duration kHeirHold = std::chrono::milliseconds(100);
+
+/** Time for which an entry handed over is remembered. */
+constexpr Duration kHandOverMemory = std::chrono::seconds(10);
 
 constexpr size_t kMostHeld = 4096; // requests
 
@@ -98,6 +104,10 @@
   if (work != m_entries.end() && work->second.next) {
     return work->second.next;
   }
+  const auto handedOver = m_handedOver.find(aKey);
+  if (handedOver != m_handedOver.end()) {
+    return handedOver->second.next;
+  }
   for (const auto& candidate : m_mesh.Route(aKey)) {
     if (candidate.daemon != m_mesh.Self()) {
       return candidate.daemon;
@@ -144,7 +154,8 @@
   }
   const auto work = m_entries.find(key);
   const bool stopping = work != m_entries.end() && work->second.stopping;
-  if (!stopping && m_mesh.InSuccession(key) && m_held.size() < kMostHeld) {
+  const bool gone = stopping || HandedOver(key);
+  if (!gone && m_mesh.RankOf(key) && m_held.size() < kMostHeld) {
     Hold(aCall);
     return;
   }
@@ -159,7 +170,8 @@
   m_held.emplace(*aCall->m_entry, aCall->Request().id);
   const auto work = m_entries.find(*aCall->m_entry);
   const auto now = m_clock.Now();
-  auto longest = kLongestHold;
+  const bool owner = m_mesh.RankOf(*aCall->m_entry) == Rank();
+  auto longest = owner ? kOwnerHold : kHeirHold;
   if (work != m_entries.end() && work->second.notBefore > now) {
     longest += work->second.notBefore - now;
   }
@@ -387,13 +399,31 @@
     return;
   }
   m_outcomes.EndGrant(found->second.token);
+  if (found->second.next) {
+    m_handedOver[aKey] = HandOver{ *found->second.next, m_clock.Now() };
+  }
   m_entries.erase(found);
   m_mesh.OnEntryIdle(aKey);
 }
 
+bool
+BackendTask::HandedOver(const EntryKey& aKey)
+{
+  const auto found = m_handedOver.find(aKey);
+  if (found == m_handedOver.end()) {
+    return false;
+  }
+  if (m_clock.Now() - found->second.at > kHandOverMemory) {
+    m_handedOver.erase(found);
+    return false;
+  }
+  return true;
+}
+
 void
 BackendTask::OnEntryStarted(const EntryStarted& aStarted)
 {
+  m_handedOver.erase(aStarted.key);
   auto& work = m_entries[aStarted.key];
   work.token = aStarted.token;
   work.notBefore = aStarted.notBefore;
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -82,6 +82,12 @@
     std::unique_ptr<Timer> release;
   };
 
+  struct HandOver
+  {
+    DaemonId next;
+    MonoTime at;
+  };
+
   struct ServiceGate
   {
     explicit ServiceGate(GateSettings aSettings)
@@ -109,6 +115,7 @@
   void Hold(const std::shared_ptr<OwnerCall>& aCall);
   void ForgetHeld(const OwnerCall& aCall);
   void Retry(const EntryKey& aKey);
+  bool HandedOver(const EntryKey& aKey);
   void Admit(const std::shared_ptr<OwnerCall>& aCall,
              const ServicePolicy& aPolicy);
   bool Remember(const std::shared_ptr<OwnerCall>& aCall);
@@ -132,6 +139,7 @@
   ServicePolicies m_policies;
   std::map<ServiceName, std::unique_ptr<ServiceGate>> m_gates;
   std::map<EntryKey, EntryWork> m_entries;
+  std::map<EntryKey, HandOver> m_handedOver;
   std::multimap<EntryKey, RequestId> m_held;
   std::unordered_map<RequestId, std::shared_ptr<OwnerCall>> m_calls;
   OutcomeTable m_outcomes;
--- a/src/Daemon/MeshTask.cpp
+++ b/src/Daemon/MeshTask.cpp
@@ -80,12 +80,14 @@
   return m_node ? m_node->MayServe(aKey, m_clock.Now()) : std::nullopt;
 }
 
-bool
-MeshTask::InSuccession(const EntryKey& aKey) const
+std::optional<Rank>
+MeshTask::RankOf(const EntryKey& aKey) const
 {
   const auto* chain = View().FindChain(aKey);
-  return m_node && chain != nullptr &&
-         chain->Current().RankOf(m_node->Self()).has_value();
+  if (!m_node || chain == nullptr) {
+    return std::nullopt;
+  }
+  return chain->Current().RankOf(m_node->Self());
 }
 
 std::vector<Candidate>
--- a/src/Daemon/MeshTask.h
+++ b/src/Daemon/MeshTask.h
@@ -66,8 +66,8 @@
   /** \brief R1's check; see Node::MayServe. */
   std::optional<FenceToken> MayServe(const EntryKey& aKey) const;
 
-  /** \brief Whether this daemon has a rank in the entry. */
-  bool InSuccession(const EntryKey& aKey) const;
+  /** \brief This daemon's rank in the current entry, if any. */
+  std::optional<Rank> RankOf(const EntryKey& aKey) const;
 
   /** \brief Daemons that may hold the entry, the likeliest first. */
   std::vector<Candidate> Route(const EntryKey& aKey) const;
--- a/src/Daemon/Router.cpp
+++ b/src/Daemon/Router.cpp
@@ -46,23 +46,29 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const auto usable = [&](const Candidate& aCandidate) {
-    const auto& refused = aHistory.refused;
-    const bool tried = std::find(refused.begin(),
-                                 refused.end(),
-                                 aCandidate.daemon) != refused.end();
-    return !tried && (aCandidate.daemon == m_mesh.Self() ||
-                      !m_peers.Suspect(aCandidate.inner));
-  };
+  std::vector<Candidate> reachable;
+  std::vector<Candidate> untried;
   for (const auto& candidate : candidates) {
-    if (candidate.daemon == aHistory.hint && usable(candidate)) {
+    const bool self = candidate.daemon == m_mesh.Self();
+    if (!self && m_peers.Suspect(candidate.inner)) {
+      continue;
+    }
+    reachable.push_back(candidate);
+    if (!aHistory.Refused(candidate.daemon)) {
+      untried.push_back(candidate);
+    }
+  }
+  for (const auto& candidate : untried) {
+    if (candidate.daemon == aHistory.hint) {
       return MakeDestination(candidate);
     }
   }
-  const auto found = std::find_if(candidates.begin(), candidates.end(), usable);
-  // With nobody above suspicion they are tried in turn.
-  const auto turn = aHistory.attempts % candidates.size();
-  return MakeDestination(found == candidates.end() ? candidates[turn] : *found);
+  if (!untried.empty()) {
+    return MakeDestination(untried.front());
+  }
+  // Nobody admits to holding it, or nobody is above suspicion: in turn.
+  const auto& rest = reachable.empty() ? candidates : reachable;
+  return MakeDestination(rest[aHistory.attempts % rest.size()]);
 }
 
 std::optional<Destination>
--- a/src/Daemon/Router.h
+++ b/src/Daemon/Router.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_ROUTER_H
 #define PISTACHIOSHIFT_DAEMON_ROUTER_H
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,10 +27,15 @@
 /** \brief Earlier attempts of a request, as far as they steer the next. */
 struct AttemptHistory
 {
-  std::optional<DaemonId> hint; ///< Holder named by the last refusal.
-  std::optional<DaemonId> last; ///< Asked last.
+  std::optional<DaemonId> hint;  ///< Holder named by the last refusal.
+  std::optional<DaemonId> last;  ///< Asked last.
   std::vector<DaemonId> refused; ///< Said that they don't hold the key.
   uint32_t attempts = 0;
+
+  bool Refused(DaemonId aDaemon) const
+  {
+    return std::find(refused.begin(), refused.end(), aDaemon) != refused.end();
+  }
 };
 
 /** \brief Chooses the daemon for an attempt and sends it there. */
