Count a service's hosts once per placement, not once per entry

Cause: Placement built the set of host names anew for each held entry. The planner runs it every 250 ms. Planner_PlacementTest passes.

--- a/src/Planner/Placement.cpp
+++ b/src/Planner/Placement.cpp
@@ -22,6 +22,7 @@
     }
     for (const auto& service : member.join.services) {
       m_loads[service][daemon].slots = std::max(member.join.slots, 1U);
+      m_hosts[service].insert(member.join.host);
     }
   }
   for (const auto& [key, chain] : m_view.Entries()) {
@@ -153,16 +154,6 @@
   return live;
 }
 
-size_t
-Placement::DistinctHosts(const ServiceName& aService)
-{
-  std::set<HostName> hosts;
-  for (const auto& [daemon, load] : m_loads[aService]) {
-    hosts.insert(m_view.FindMember(daemon)->join.host);
-  }
-  return hosts.size();
-}
-
 bool
 Placement::NeedsOwner(const EntryChain& aChain) const
 {
@@ -181,7 +172,7 @@
   if (!entry.held) {
     return false;
   }
-  const auto hosts = DistinctHosts(aKey.service);
+  const auto hosts = m_hosts[aKey.service].size();
   const auto possible = std::min(kMaxHeirs, hosts == 0 ? 0 : hosts - 1);
   return LiveHeirs(entry) < possible;
 }
--- a/src/Planner/Placement.h
+++ b/src/Planner/Placement.h
@@ -61,11 +61,11 @@
                                    const std::set<ZoneName>& aZones,
                                    const std::set<HostName>& aHosts) const;
   size_t LiveHeirs(const Entry& aEntry) const;
-  size_t DistinctHosts(const ServiceName& aService);
 
   const OwnershipView& m_view;
   const ServicePolicies& m_policies;
   std::map<ServiceName, Loads> m_loads;
+  std::map<ServiceName, std::set<HostName>> m_hosts; ///< That offer it.
 };
 
 }
