Split the table of held entries off BackendTask; plan only after changes

The planner looks at all entries after a change or every 2 s instead of every 250 ms, instances of a service are listed once per applied offset instead of per request, and a backend server that comes back is started slowly (Gate::Restarted).

--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -16,9 +16,6 @@
 /** Same for an heir: the sender may only have missed a move. */
 constexpr Duration kHeirHold = std::chrono::milliseconds(100);
 
-/** Time for which an entry handed over is remembered. */
-constexpr Duration kHandOverMemory = std::chrono::seconds(10);
-
 constexpr size_t kMostHeld = 4096; // requests
 
 HttpClientLimits
@@ -100,13 +97,8 @@
 std::optional<DaemonId>
 BackendTask::HolderHint(const EntryKey& aKey) const
 {
-  const auto work = m_entries.find(aKey);
-  if (work != m_entries.end() && work->second.next) {
-    return work->second.next;
-  }
-  const auto handedOver = m_handedOver.find(aKey);
-  if (handedOver != m_handedOver.end()) {
-    return handedOver->second.next;
+  if (const auto next = m_entries.Next(aKey)) {
+    return next;
   }
   for (const auto& candidate : m_mesh.Route(aKey)) {
     if (candidate.daemon != m_mesh.Self()) {
@@ -152,10 +144,8 @@
     Admit(aCall, aPolicy);
     return;
   }
-  const auto work = m_entries.find(key);
-  const bool stopping = work != m_entries.end() && work->second.stopping;
-  const bool gone = stopping || HandedOver(key);
-  if (!gone && m_mesh.RankOf(key) && m_held.size() < kMostHeld) {
+  const bool departed = m_entries.Departed(key, m_clock.Now());
+  if (!departed && m_mesh.RankOf(key) && m_held.size() < kMostHeld) {
     Hold(aCall);
     return;
   }
@@ -168,13 +158,11 @@
   aCall->m_state = OwnerCall::State::kHeld;
   m_calls[aCall->Request().id] = aCall;
   m_held.emplace(*aCall->m_entry, aCall->Request().id);
-  const auto work = m_entries.find(*aCall->m_entry);
   const auto now = m_clock.Now();
   const bool owner = m_mesh.RankOf(*aCall->m_entry) == Rank();
   auto longest = owner ? kOwnerHold : kHeirHold;
-  if (work != m_entries.end() && work->second.notBefore > now) {
-    longest += work->second.notBefore - now;
-  }
+  const auto notBefore = m_entries.NotBefore(*aCall->m_entry, now);
+  longest += std::max(notBefore - now, Duration::zero());
   aCall->ArmHold(longest);
   aCall->ArmDeadline();
 }
@@ -294,7 +282,7 @@
     return;
   }
   if (aCall->m_entry) {
-    ++m_entries[*aCall->m_entry].running;
+    m_entries.Enter(*aCall->m_entry);
     aCall->m_entered = true;
   }
   aCall->Start(m_pool);
@@ -310,9 +298,7 @@
   if (!aCall.m_entry) {
     return true;
   }
-  const auto work = m_entries.find(*aCall.m_entry);
-  if (work == m_entries.end() || work->second.stopping ||
-      now < work->second.notBefore) {
+  if (!m_entries.MayStart(*aCall.m_entry, now)) {
     return false;
   }
   return aCall.m_token && m_mesh.MayServe(*aCall.m_entry) == aCall.m_token;
@@ -341,7 +327,8 @@
       CountLoad(aCall);
     }
     aCall.m_entered = false;
-    LeaveEntry(*aCall.m_entry);
+    m_entries.Leave(*aCall.m_entry);
+    ReportIdle(*aCall.m_entry);
   }
 }
 
@@ -377,62 +364,25 @@
   }
 }
 
-void
-BackendTask::LeaveEntry(const EntryKey& aKey)
-{
-  const auto found = m_entries.find(aKey);
-  if (found == m_entries.end()) {
-    return;
-  }
-  if (found->second.running > 0) {
-    --found->second.running;
-  }
-  ReportIdle(aKey);
-}
-
 void
 BackendTask::ReportIdle(const EntryKey& aKey)
 {
-  const auto found = m_entries.find(aKey);
-  if (found == m_entries.end() || !found->second.stopping ||
-      found->second.running > 0) {
-    return;
+  const auto token = m_entries.TakeIdle(aKey, m_clock.Now());
+  if (token) {
+    m_outcomes.EndGrant(*token);
+    m_releases.erase(aKey);
+    m_mesh.OnEntryIdle(aKey);
   }
-  m_outcomes.EndGrant(found->second.token);
-  if (found->second.next) {
-    m_handedOver[aKey] = HandOver{ *found->second.next, m_clock.Now() };
-  }
-  m_entries.erase(found);
-  m_mesh.OnEntryIdle(aKey);
-}
-
-bool
-BackendTask::HandedOver(const EntryKey& aKey)
-{
-  const auto found = m_handedOver.find(aKey);
-  if (found == m_handedOver.end()) {
-    return false;
-  }
-  if (m_clock.Now() - found->second.at > kHandOverMemory) {
-    m_handedOver.erase(found);
-    return false;
-  }
-  return true;
 }
 
 void
 BackendTask::OnEntryStarted(const EntryStarted& aStarted)
 {
-  m_handedOver.erase(aStarted.key);
-  auto& work = m_entries[aStarted.key];
-  work.token = aStarted.token;
-  work.notBefore = aStarted.notBefore;
-  work.stopping = false;
-  work.next.reset();
-  const auto wait = aStarted.notBefore - m_clock.Now();
+  m_entries.Started(aStarted);
   const auto key = aStarted.key;
-  work.release = std::make_unique<Timer>(m_base, [this, key] { Retry(key); });
-  work.release->StartOnce(wait);
+  auto& release = m_releases[key];
+  release = std::make_unique<Timer>(m_base, [this, key] { Retry(key); });
+  release->StartOnce(aStarted.notBefore - m_clock.Now());
 }
 
 void
@@ -457,12 +407,7 @@
 void
 BackendTask::OnEntryStopping(const EntryStopping& aStopping)
 {
-  auto& work = m_entries[aStopping.key];
-  work.token = aStopping.token;
-  work.stopping = true;
-  if (aStopping.next != DaemonId()) {
-    work.next = aStopping.next;
-  }
+  m_entries.Stopping(aStopping);
   RefuseWaiting(aStopping.key, RefusalReason::kNotOwner);
   ReportIdle(aStopping.key);
 }
@@ -492,7 +437,8 @@
       waiting.push_back(call);
     }
   }
-  m_entries.clear();
+  m_entries.Clear();
+  m_releases.clear();
   for (const auto& call : waiting) {
     call->Refuse(RefusalReason::kLeaseNotHeld, Duration::zero());
   }
@@ -511,6 +457,14 @@
   m_policies = aPolicies;
 }
 
+void
+BackendTask::OnServerRestarted()
+{
+  for (const auto& [name, gate] : m_gates) {
+    gate->gate.Restarted(m_clock.Now());
+  }
+}
+
 void
 BackendTask::BeginDrain()
 {
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -11,6 +11,7 @@
 #include "Pistachioshift/Routing"
 #include "src/Base/Random.h"
 #include "src/Daemon/Call.h"
+#include "src/Daemon/EntryTable.h"
 #include "src/Daemon/LoadMeter.h"
 #include "src/Daemon/MeshTask.h"
 #include "src/Daemon/Metrics.h"
@@ -52,6 +53,9 @@
   void SetPolicies(const ServicePolicies& aPolicies);
   const ServicePolicies& Policies() const { return m_policies; }
 
+  /** \brief The backend server started anew: begin slowly. */
+  void OnServerRestarted();
+
   /** \brief No new work from now on; held and queued requests are refused. */
   void BeginDrain();
 
@@ -72,22 +76,6 @@
 private:
   friend class OwnerCall;
 
-  struct EntryWork
-  {
-    FenceToken token;
-    MonoTime notBefore;
-    uint32_t running = 0; ///< Written to the backend server, not ended.
-    bool stopping = false;
-    std::optional<DaemonId> next; ///< Likely holder after this daemon.
-    std::unique_ptr<Timer> release;
-  };
-
-  struct HandOver
-  {
-    DaemonId next;
-    MonoTime at;
-  };
-
   struct ServiceGate
   {
     explicit ServiceGate(GateSettings aSettings)
@@ -115,7 +103,6 @@
   void Hold(const std::shared_ptr<OwnerCall>& aCall);
   void ForgetHeld(const OwnerCall& aCall);
   void Retry(const EntryKey& aKey);
-  bool HandedOver(const EntryKey& aKey);
   void Admit(const std::shared_ptr<OwnerCall>& aCall,
              const ServicePolicy& aPolicy);
   bool Remember(const std::shared_ptr<OwnerCall>& aCall);
@@ -126,7 +113,6 @@
   bool MayStart(const OwnerCall& aCall) const;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult);
   void CountLoad(const OwnerCall& aCall);
-  void LeaveEntry(const EntryKey& aKey);
   void ReportIdle(const EntryKey& aKey);
   void RefuseWaiting(const EntryKey& aKey, RefusalReason aReason);
 
@@ -138,8 +124,8 @@
   Metrics& m_metrics;
   ServicePolicies m_policies;
   std::map<ServiceName, std::unique_ptr<ServiceGate>> m_gates;
-  std::map<EntryKey, EntryWork> m_entries;
-  std::map<EntryKey, HandOver> m_handedOver;
+  EntryTable m_entries;
+  std::map<EntryKey, std::unique_ptr<Timer>> m_releases; ///< Of held ones.
   std::multimap<EntryKey, RequestId> m_held;
   std::unordered_map<RequestId, std::shared_ptr<OwnerCall>> m_calls;
   OutcomeTable m_outcomes;
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -141,9 +141,14 @@
 Daemon::OnServerReady(bool aReady)
 {
   m_logger.Info("server", "ready={}", aReady);
-  if (aReady) {
-    m_mesh.AnnounceServer();
+  if (!aReady) {
+    return;
+  }
+  m_mesh.AnnounceServer();
+  if (m_serverWasReady) {
+    m_backend.OnServerRestarted();
   }
+  m_serverWasReady = true;
 }
 
 void
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -66,6 +66,7 @@
   Timer m_leaveTimer;
   MonoTime m_leaveBegan;
   MonoTime m_idleSince;
+  bool m_serverWasReady = false;
   bool m_leaving = false;
   bool m_stopped = false; ///< The callers' port is closed.
 };
--- a/src/Daemon/PlannerTask.cpp
+++ b/src/Daemon/PlannerTask.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kPlanInterval = std::chrono::milliseconds(250);
+constexpr Duration kIdleInterval = std::chrono::seconds(2);
 constexpr Duration kClaimPatience = std::chrono::seconds(5);
 constexpr Duration kPendingPatience = std::chrono::seconds(10);
 constexpr size_t kMostAssignments = 128; // per record
@@ -108,6 +109,14 @@
 void
 PlannerTask::PlaceMissing()
 {
+  // A look at all entries is due when one may have changed, and rarely else.
+  const auto now = m_clock.Now();
+  const auto applied = m_mesh.View().Applied();
+  if (applied == m_plannedThrough && now - m_plannedAt < kIdleInterval) {
+    return;
+  }
+  m_plannedThrough = applied;
+  m_plannedAt = now;
   Placement placement(m_mesh.View(), m_backend.Policies());
   Submit(placement.Plan(kMostAssignments, PendingKeys()));
 }
--- a/src/Daemon/PlannerTask.h
+++ b/src/Daemon/PlannerTask.h
@@ -57,6 +57,8 @@
   const Logger& m_logger;
   Timer m_timer;
   MonoTime m_claimedAt;
+  MonoTime m_plannedAt;
+  Offset m_plannedThrough;
   std::map<EntryKey, Pending> m_pending; ///< Assignments on their way.
 };
 
--- a/src/Daemon/Router.cpp
+++ b/src/Daemon/Router.cpp
@@ -75,15 +75,18 @@
 Router::ChooseInstance(const ServicePolicy& aPolicy,
                        const AttemptHistory& aHistory)
 {
-  const auto candidates = m_mesh.Instances(aPolicy.name);
-  std::vector<DaemonId> instances;
-  instances.reserve(candidates.size());
-  for (const auto& candidate : candidates) {
-    instances.push_back(candidate.daemon);
-  }
-  auto& balancer = m_balancers[aPolicy.name];
+  auto& [balancer, candidates, applied] = m_instances[aPolicy.name];
   const auto now = m_clock.Now();
-  balancer.SetInstances(instances, now);
+  if (applied != m_mesh.View().Applied()) {
+    applied = m_mesh.View().Applied();
+    candidates = m_mesh.Instances(aPolicy.name);
+    std::vector<DaemonId> ids;
+    ids.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+      ids.push_back(candidate.daemon);
+    }
+    balancer.SetInstances(ids, now);
+  }
   const auto chosen = balancer.Choose(m_random, now, aHistory.last);
   const auto found =
     std::find_if(candidates.begin(), candidates.end(), [&](const auto& aItem) {
@@ -131,7 +134,7 @@
               Duration aLatency)
 {
   if (aPolicy.division == Division::kAnyInstance) {
-    m_balancers[aPolicy.name].OnEnd(
+    m_instances[aPolicy.name].balancer.OnEnd(
       aDestination.daemon, aResult, aLatency, m_clock.Now());
   }
 }
--- a/src/Daemon/Router.h
+++ b/src/Daemon/Router.h
@@ -75,6 +75,14 @@
   RetryBudget& BudgetOf(const ServicePolicy& aPolicy);
 
 private:
+  /** Instances of a service as of an applied offset. */
+  struct ServiceInstances
+  {
+    Balancer balancer;
+    std::vector<Candidate> candidates;
+    Offset applied;
+  };
+
   std::optional<Destination> ChooseHolder(const ServicePolicy& aPolicy,
                                           const std::string& aKey,
                                           const AttemptHistory& aHistory) const;
@@ -87,7 +95,7 @@
   MeshTask& m_mesh;
   BackendTask& m_backend;
   PeersTask& m_peers;
-  std::map<ServiceName, Balancer> m_balancers;
+  std::map<ServiceName, ServiceInstances> m_instances;
   std::map<ServiceName, RetryBudget> m_budgets;
 };
 
