--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -463,7 +463,7 @@
     head.headers.Set("Retry-After",
                      std::to_string(std::max<int64_t>(seconds, 1)));
   }
-  m_exchange->SendHead(std::move(head));
+  m_exchange->SendHead(head);
   m_exchange->SendBody(body);
   m_exchange->Finish();
   Done(aOutcome);
--- a/src/Daemon/ServerProbe.cpp
+++ b/src/Daemon/ServerProbe.cpp
@@ -78,7 +78,7 @@
   head.method = "GET";
   head.target = aTarget;
   const auto answer = std::make_shared<Answer>(std::move(aCallback));
-  m_pool.Start(std::move(head), answer)->Finish();
+  m_pool.Start(head, answer)->Finish();
 }
 
 void
