Serve callers that had just connected when a server stops accepting

Cause: closing the listener resets connections that the kernel had accepted and the loop had not, and new connections without a byte yet were closed as idle; their callers saw a reset in place of an answer. Change: StopAccepting accepts what waits first; a connection that never had a request gets the linger timeout for its first one.

--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -70,8 +70,15 @@
 ServerConnection::CloseIfIdle()
 {
   // A request that waits in the socket is still served.
-  if (m_state == State::kHead && !m_headBegun && !m_stream->HasUnreadBytes()) {
+  if (m_state != State::kHead || m_headBegun || m_stream->HasUnreadBytes()) {
+    return;
+  }
+  if (m_served) {
     Close(AbortReason::kShutdown);
+  } else if (!m_stopping) {
+    // The first request of a new connection may be on its way.
+    m_stopping = true;
+    m_stream->StartTimer(m_limits.lingerTimeout);
   }
 }
 
@@ -265,6 +272,7 @@
   m_parser.Reset();
   m_headBegun = false;
   m_headTimed = false;
+  m_served = true;
   m_state = State::kHead;
   if (!m_keepAlive || m_core->Stopping()) {
     FlushAndClose();
--- a/src/Http/internal/ServerCore.cpp
+++ b/src/Http/internal/ServerCore.cpp
@@ -89,9 +89,28 @@
   m_connections.insert(connection);
 }
 
+void
+ServerCore::AcceptWaiting()
+{
+  if (!m_listener) {
+    return;
+  }
+  const auto listening = evconnlistener_get_fd(m_listener.get());
+  for (;;) {
+    const int one =
+      accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (one < 0) {
+      return;
+    }
+    Accept(one);
+  }
+}
+
 void
 ServerCore::StopAccepting()
 {
+  // Closing the listener would reset those that are connected already.
+  AcceptWaiting();
   m_stopping = true;
   m_listener.reset();
   auto connections = m_connections;
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -48,6 +48,7 @@
                                 short aWhat,
                                 void* aCore);
   void Accept(evutil_socket_t aSocket);
+  void AcceptWaiting();
 
   event_base* m_base;
   HttpLimits m_limits;
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -223,6 +223,28 @@
   EXPECT_TRUE(Contains(peer, "/late"));
 }
 
+TEST_F(ServerTest, Stop_ConnectedButNotAccepted_IsServed)
+{
+  StartEcho();
+  // The kernel connects at once; the server's loop has not run yet.
+  RawPeer peer = Connect();
+  m_server->StopAccepting();
+  EXPECT_EQ(m_server->Connections(), 1U);
+  peer.Write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(Contains(peer, "/late"));
+}
+
+TEST_F(ServerTest, Stop_AcceptedBeforeItsFirstRequest_IsServed)
+{
+  StartEcho();
+  RawPeer peer = Connect();
+  ASSERT_TRUE(RunUntil([&] { return m_server->Connections() == 1; }));
+  m_server->StopAccepting();
+  RunBriefly();
+  peer.Write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(Contains(peer, "/late"));
+}
+
 TEST_F(ServerTest, Server_Destroyed_ListenersAreTold)
 {
   StartRecording();
