Process tests: twice the caller threads; lint

With 6 threads a mutation that repeats orders was caught by two of the three takeover tests only: few orders were in progress at the kill.

--- a/test/Inner/ConnectionTest.cpp
+++ b/test/Inner/ConnectionTest.cpp
@@ -1,6 +1,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <tuple>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -40,7 +41,7 @@
     , m_listening(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
     auto address = internal::ToSocketAddress({ "127.0.0.1", 0 });
-    bind(m_listening, address.Get(), address.Length());
+    EXPECT_EQ(bind(m_listening, address.Get(), address.Length()), 0);
     socklen_t length = address.Length();
     getsockname(m_listening, address.Get(), &length);
     m_peer = internal::ToEndpoint(address);
@@ -81,7 +82,8 @@
     for (int count = 0; count < 8; ++count) {
       const int one =
         socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      connect(one, address.Get(), address.Length());
+      // Those that don't fit stay in progress.
+      std::ignore = connect(one, address.Get(), address.Length());
       m_sockets.push_back(one);
     }
   }
--- a/test/process/LoadSupport.h
+++ b/test/process/LoadSupport.h
@@ -36,7 +36,7 @@
   /** \brief Starts threads; the name makes the keys of orders unique. */
   CallerLoad(std::vector<uint16_t> aPorts,
              std::vector<std::string> aProbeKeys,
-             size_t aThreads = 6,
+             size_t aThreads = 12,
              std::string aName = "load");
   ~CallerLoad();
 
--- a/test/process/MeshSupport.cpp
+++ b/test/process/MeshSupport.cpp
@@ -348,7 +348,7 @@
 {
   constexpr int kTries = 200;
   for (int number = 0; number < kTries; ++number) {
-    const auto key = fmt::format("key-{}", number);
+    auto key = fmt::format("key-{}", number);
     if (OwnerOf(key, aAsked) == aIndex) {
       return key;
     }
