Process tests: a lookup that was never sent is not a lost one

Cause: a caller thread that was told to stop while its daemon refused the connection counted its lookup as lost, so DrainTest failed in 4 of 7 runs with 12 threads. Change: such a lookup isn't counted; orders were told apart already.

--- a/test/process/LoadSupport.cpp
+++ b/test/process/LoadSupport.cpp
@@ -142,6 +142,9 @@
 {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
+  if (!aReply.connected) {
+    return; // Stopped before it was sent.
+  }
   const auto now = Clock::now();
   const std::lock_guard lock(m_mutex);
   ++m_report.lookups[aReply.status == 0 ? "lost" : aReply.outcome];
