--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -10,7 +10,6 @@
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-constexpr Duration kFirstRequestTimeout = std::chrono::seconds(1);
 
 HttpRefusal
 RefusalOf(ParseProblem aProblem)
@@ -76,10 +75,11 @@
   }
   if (m_served) {
     Close(AbortReason::kShutdown);
-    return;
+  } else if (!m_stopping) {
+    // The first request of a new connection may be on its way.
+    m_stopping = true;
+    m_stream->StartTimer(m_limits.lingerTimeout);
   }
-  // The first request of a new connection may be on its way.
-  m_stream->StartTimer(kFirstRequestTimeout);
 }
 
 void
@@ -270,9 +270,9 @@
 ServerConnection::NextRequest()
 {
   m_parser.Reset();
-  m_served = true;
   m_headBegun = false;
   m_headTimed = false;
+  m_served = true;
   m_state = State::kHead;
   if (!m_keepAlive || m_core->Stopping()) {
     FlushAndClose();
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -77,10 +77,11 @@
   std::shared_ptr<ServerExchange> m_exchange;
   BodyWriter m_body;
   size_t m_discarded = 0; ///< Bytes.
-  bool m_served = false;  ///< At least one request.
   bool m_reading = false;
   bool m_headBegun = false;
   bool m_headTimed = false;
+  bool m_served = false;   ///< A request was answered before.
+  bool m_stopping = false; ///< Closes soon unless a request comes.
   bool m_bodyPaused = false;
   bool m_bodyEnded = false;
   bool m_headSent = false;
--- a/src/Http/internal/ServerCore.cpp
+++ b/src/Http/internal/ServerCore.cpp
@@ -92,26 +92,26 @@
 void
 ServerCore::AcceptWaiting()
 {
-  // Closing the socket would reset the connections in its backlog.
   if (!m_listener) {
     return;
   }
-  const int listening = evconnlistener_get_fd(m_listener.get());
-  for (int count = 0; count < kBacklog; ++count) {
-    const int accepted =
+  const auto listening = evconnlistener_get_fd(m_listener.get());
+  for (;;) {
+    const int one =
       accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) {
+    if (one < 0) {
       return;
     }
-    Accept(accepted);
+    Accept(one);
   }
 }
 
 void
 ServerCore::StopAccepting()
 {
-  m_stopping = true;
+  // Closing the listener would reset those that are connected already.
   AcceptWaiting();
+  m_stopping = true;
   m_listener.reset();
   auto connections = m_connections;
   for (const auto& connection : connections) {
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -23,7 +23,6 @@
   void Listen(const Endpoint& aEndpoint);
   void BeginClosing() { m_stopping = true; }
   void StopAccepting();
-  void AcceptWaiting();
   void CloseAll();
   Endpoint LocalEndpoint() const { return m_endpoint; }
   size_t Connections() const { return m_connections.size(); }
@@ -49,6 +48,7 @@
                                 short aWhat,
                                 void* aCore);
   void Accept(evutil_socket_t aSocket);
+  void AcceptWaiting();
 
   event_base* m_base;
   HttpLimits m_limits;
