--- a/src/Daemon/MeshTask.cpp
+++ b/src/Daemon/MeshTask.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/Daemon/Predecessor.h"
+
 namespace pistachioshift {
 
 MeshTask::MeshTask(event_base* aBase,
@@ -16,6 +18,7 @@
   , m_random(aRandom)
   , m_settings(aSettings)
   , m_boot(aBoot)
+  , m_kernelBoot(ReadKernelBoot())
   , m_logger(aLogger)
   , m_metrics(aMetrics)
   , m_datagrams(
@@ -262,6 +265,10 @@
   join.services = m_settings.server.services;
   join.slots = m_settings.server.slots;
   join.checksFences = m_settings.server.checksFences;
+  join.kernelBoot = m_kernelBoot;
+  if (!join.previous) {
+    join.previous = FindPredecessor(m_view, join);
+  }
   return join;
 }
 
--- a/src/Daemon/MeshTask.h
+++ b/src/Daemon/MeshTask.h
@@ -110,6 +110,7 @@
   RandomEngine& m_random;
   const Settings& m_settings;
   BootId m_boot;
+  std::string m_kernelBoot;
   const Logger& m_logger;
   Metrics& m_metrics;
   NodeSettings m_nodeSettings;
--- a/src/Inner/WireOwnership.cpp
+++ b/src/Inner/WireOwnership.cpp
@@ -64,6 +64,9 @@
   join.services = ToValues(aRecord.services);
   join.slots = static_cast<int32_t>(aRecord.slots);
   join.checksFences = aRecord.checksFences;
+  if (!aRecord.kernelBoot.empty()) {
+    join.__set_kernelBoot(aRecord.kernelBoot);
+  }
   return join;
 }
 
@@ -84,6 +87,7 @@
   record.services = FromValues<ServiceName>(aJoin.services);
   record.slots = static_cast<uint32_t>(aJoin.slots);
   record.checksFences = aJoin.checksFences;
+  record.kernelBoot = aJoin.kernelBoot;
   return record;
 }
 
--- a/src/Inner/gen/records_types.cpp
+++ b/src/Inner/gen/records_types.cpp
@@ -317,6 +317,11 @@
 void WireJoin::__set_checksFences(const bool val) {
   this->checksFences = val;
 }
+
+void WireJoin::__set_kernelBoot(const std::string& val) {
+  this->kernelBoot = val;
+__isset.kernelBoot = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireJoin& obj)
 {
   obj.printTo(out);
@@ -455,6 +460,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kernelBoot);
+          this->__isset.kernelBoot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -545,6 +558,11 @@
   xfer += oprot->writeBool(this->checksFences);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.kernelBoot) {
+    xfer += oprot->writeFieldBegin("kernelBoot", ::apache::thrift::protocol::T_STRING, 12);
+    xfer += oprot->writeString(this->kernelBoot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -563,6 +581,7 @@
   swap(a.services, b.services);
   swap(a.slots, b.slots);
   swap(a.checksFences, b.checksFences);
+  swap(a.kernelBoot, b.kernelBoot);
   swap(a.__isset, b.__isset);
 }
 
@@ -578,6 +597,7 @@
   services = other10.services;
   slots = other10.slots;
   checksFences = other10.checksFences;
+  kernelBoot = other10.kernelBoot;
   __isset = other10.__isset;
 }
 WireJoin& WireJoin::operator=(const WireJoin& other11) {
@@ -592,6 +612,7 @@
   services = other11.services;
   slots = other11.slots;
   checksFences = other11.checksFences;
+  kernelBoot = other11.kernelBoot;
   __isset = other11.__isset;
   return *this;
 }
@@ -609,6 +630,7 @@
   out << ", " << "services=" << to_string(services);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "checksFences=" << to_string(checksFences);
+  out << ", " << "kernelBoot="; (__isset.kernelBoot ? (out << to_string(kernelBoot)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/records_types.h
+++ b/src/Inner/gen/records_types.h
@@ -184,8 +184,9 @@
 std::ostream& operator<<(std::ostream& out, const WireEntryKey& obj);
 
 typedef struct _WireJoin__isset {
-  _WireJoin__isset() : previous(false) {}
+  _WireJoin__isset() : previous(false), kernelBoot(false) {}
   bool previous :1;
+  bool kernelBoot :1;
 } _WireJoin__isset;
 
 class WireJoin : public virtual ::apache::thrift::TBase {
@@ -200,7 +201,8 @@
              zone(),
              region(),
              slots(0),
-             checksFences(0) {
+             checksFences(0),
+             kernelBoot() {
   }
 
   virtual ~WireJoin() noexcept;
@@ -215,6 +217,7 @@
   std::vector<std::string>  services;
   int32_t slots;
   bool checksFences;
+  std::string kernelBoot;
 
   _WireJoin__isset __isset;
 
@@ -240,6 +243,8 @@
 
   void __set_checksFences(const bool val);
 
+  void __set_kernelBoot(const std::string& val);
+
   bool operator == (const WireJoin & rhs) const
   {
     if (!(boot == rhs.boot))
@@ -266,6 +271,10 @@
       return false;
     if (!(checksFences == rhs.checksFences))
       return false;
+    if (__isset.kernelBoot != rhs.__isset.kernelBoot)
+      return false;
+    else if (__isset.kernelBoot && !(kernelBoot == rhs.kernelBoot))
+      return false;
     return true;
   }
   bool operator != (const WireJoin &rhs) const {
--- a/src/Inner/idl/records.thrift
+++ b/src/Inner/idl/records.thrift
@@ -25,6 +25,7 @@
   9: required list<string> services
   10: required i32 slots
   11: required bool checksFences
+  12: optional string kernelBoot
 }
 
 struct WireLeaving {
--- a/src/Ownership/Records.h
+++ b/src/Ownership/Records.h
@@ -41,6 +41,7 @@
   std::vector<ServiceName> services;
   uint32_t slots = 0;
   bool checksFences = true;
+  std::string kernelBoot; ///< Names one run of the host's kernel; may be empty.
 
   bool operator==(const JoinRecord&) const = default;
 };
--- a/test/Inner/CodecTest.cpp
+++ b/test/Inner/CodecTest.cpp
@@ -33,6 +33,7 @@
     join.services = { ServiceName("registry"), ServiceName("archive") };
     join.slots = 9;
     join.checksFences = false;
+    join.kernelBoot = "run-1";
     return join;
   }
 
