--- a/src/Ownership/View.cpp
+++ b/src/Ownership/View.cpp
@@ -1,7 +1,6 @@
 #include "src/Ownership/View.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace pistachioshift {
 
@@ -167,7 +166,8 @@
     candidates.push_back(oldest.holders[oldest.held->Value()]);
   }
   // Heirs start the current entry only, so its succession comes first.
-  for (const auto& entry : std::views::reverse(chain->entries)) {
+  for (size_t left = chain->entries.size(); left > 0; --left) {
+    const auto& entry = chain->entries[left - 1];
     AddCandidates(entry, entry.held.value_or(Rank()).Value(), candidates);
   }
   std::erase_if(candidates, [this](DaemonId aDaemon) {
