--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -465,6 +465,14 @@
   }
 }
 
+bool
+BackendTask::EntriesIdle() const
+{
+  return std::none_of(m_calls.begin(), m_calls.end(), [](const auto& aItem) {
+    return aItem.second->m_entered;
+  });
+}
+
 void
 BackendTask::SetPolicies(const ServicePolicies& aPolicies)
 {
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -72,6 +72,7 @@
   void OnEntryStarted(const EntryStarted& aStarted) override;
   void OnEntryStopping(const EntryStopping& aStopping) override;
   void OnIncarnationEnded() override;
+  bool EntriesIdle() const override;
 
 private:
   friend class OwnerCall;
--- a/src/Daemon/Fields.h
+++ b/src/Daemon/Fields.h
@@ -1,7 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_FIELDS_H
 #define PISTACHIOSHIFT_DAEMON_FIELDS_H
 
-/** \brief Names of header fields; see docs/PROTOCOL.md. */
+/** \brief Names of header fields; see docs/OPERATING.md. */
 namespace pistachioshift::fields {
 
 // From callers.
--- a/src/Daemon/MeshTask.cpp
+++ b/src/Daemon/MeshTask.cpp
@@ -247,6 +247,8 @@
   if (m_node) {
     m_node->OnTick(m_clock.Now());
     CarryOut();
+  } else {
+    TryJoin();
   }
 }
 
@@ -279,6 +281,12 @@
   if (!ready || m_node || m_joinId) {
     return;
   }
+  // A join that names a predecessor attests its end; without fence checks
+  // that includes what it had passed on to the backend server.
+  const bool fenced = m_settings.server.checksFences;
+  if (m_previous && !fenced && !m_listener->EntriesIdle()) {
+    return;
+  }
   m_joinId = m_log->Submit(EncodeOwnershipRecord(MakeJoin()),
                            [](const RecordId&, const SubmitResult&) {});
 }
--- a/src/Daemon/MeshTask.h
+++ b/src/Daemon/MeshTask.h
@@ -25,6 +25,8 @@
   virtual void OnEntryStopping(const EntryStopping& aStopping) = 0;
   /** \brief This incarnation is over: resolve all that runs under it. */
   virtual void OnIncarnationEnded() = 0;
+  /** \brief Whether nothing runs that was started under an entry. */
+  virtual bool EntriesIdle() const = 0;
 };
 
 /** \brief A daemon to which a request may be sent. */
