Bring a service's changed settings into force at once, also at a busy gate

Cause, found by reading: a gate whose settings changed was replaced only once it was empty, so under load an accepted edit of weights, slots or queue bounds was never in force at that daemon; and a request of a class that the edit had added made Gate::Admit throw RoutingError out of the event loop. Change: GateTable replaces the gate at once; what waits is refused as not run, what runs takes its slots from the new gate until it ends.

--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -41,6 +41,10 @@
   , m_mesh(aMesh)
   , m_logger(aLogger)
   , m_metrics(aMetrics)
+  , m_gates(aBase,
+            aClock,
+            aSettings.server.slots,
+            [this](const GateActions& aActions) { Apply(aActions); })
   , m_pool(aBase, aSettings.server.endpoint, PoolLimits(aSettings))
   , m_probe(aBase, aClock, aSettings.server)
   , m_entering(aBase, [this] { EnterAll(); })
@@ -183,9 +187,8 @@
   m_calls[request.id] = aCall;
   aCall->m_state = OwnerCall::State::kQueued;
   aCall->ArmDeadline();
-  auto& gate = GateOf(aPolicy);
   const GateRequest wanted{ request.id, aCall->m_class, request.deadline };
-  Apply(gate, gate.gate.Admit(wanted, m_clock.Now()));
+  m_gates.Admit(aPolicy.name, wanted);
 }
 
 bool
@@ -228,25 +231,8 @@
   return false;
 }
 
-BackendTask::ServiceGate&
-BackendTask::GateOf(const ServicePolicy& aPolicy)
-{
-  auto& slot = m_gates[aPolicy.name];
-  // Changed settings take effect once the gate is empty.
-  const bool replace = slot && slot->outdated && slot->Empty();
-  if (!slot || replace) {
-    auto settings = GateSettingsOf(aPolicy);
-    settings.slots = std::min(settings.slots, m_settings.server.slots);
-    slot = std::make_unique<ServiceGate>(std::move(settings));
-    auto* gate = slot.get();
-    gate->wakeup = std::make_unique<Timer>(
-      m_base, [this, gate] { Apply(*gate, gate->gate.Expire(m_clock.Now())); });
-  }
-  return *slot;
-}
-
 void
-BackendTask::Apply(ServiceGate& aGate, const GateActions& aActions)
+BackendTask::Apply(const GateActions& aActions)
 {
   for (const auto& id : aActions.starts) {
     const auto call = Find(id);
@@ -260,18 +246,6 @@
       call->Refuse(refusal.reason, refusal.retryAfter);
     }
   }
-  Arm(aGate);
-}
-
-void
-BackendTask::Arm(ServiceGate& aGate)
-{
-  const auto next = aGate.gate.NextWakeup();
-  if (next) {
-    aGate.wakeup->StartOnce(*next - m_clock.Now());
-  } else {
-    aGate.wakeup->Stop();
-  }
 }
 
 void
@@ -314,14 +288,7 @@
   }
   m_calls.erase(known);
   ForgetHeld(aCall);
-  const auto gate = m_gates.find(aCall.Request().service);
-  if (gate != m_gates.end()) {
-    auto& queue = gate->second->gate;
-    const auto now = m_clock.Now();
-    const auto actions =
-      queue.IsRunning(id) ? queue.Finished(id, aResult, now) : queue.Cancel(id);
-    Apply(*gate->second, actions);
-  }
+  m_gates.End(aCall.Request().service, id, aResult);
   if (aCall.m_entered) {
     if (aResult == ServiceResult::kDone) {
       CountLoad(aCall);
@@ -476,22 +443,16 @@
 void
 BackendTask::SetPolicies(const ServicePolicies& aPolicies)
 {
+  m_policies = aPolicies;
   for (const auto& [name, policy] : aPolicies) {
-    const auto known = m_policies.find(name);
-    const auto gate = m_gates.find(name);
-    if (gate != m_gates.end() && known->second != policy) {
-      gate->second->outdated = true;
-    }
+    m_gates.SetPolicy(policy);
   }
-  m_policies = aPolicies;
 }
 
 void
 BackendTask::OnServerRestarted()
 {
-  for (const auto& [name, gate] : m_gates) {
-    gate->gate.Restarted(m_clock.Now());
-  }
+  m_gates.OnServerRestarted();
 }
 
 void
@@ -503,21 +464,13 @@
 size_t
 BackendTask::Running() const
 {
-  size_t running = 0;
-  for (const auto& [name, gate] : m_gates) {
-    running += gate->gate.RunningCount();
-  }
-  return running;
+  return m_gates.Running();
 }
 
 size_t
 BackendTask::Queued() const
 {
-  size_t queued = m_held.size();
-  for (const auto& [name, gate] : m_gates) {
-    queued += gate->gate.QueuedCount();
-  }
-  return queued;
+  return m_held.size() + m_gates.Queued();
 }
 
 }
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -12,6 +12,7 @@
 #include "src/Base/Random.h"
 #include "src/Daemon/Call.h"
 #include "src/Daemon/EntryTable.h"
+#include "src/Daemon/GateTable.h"
 #include "src/Daemon/LoadMeter.h"
 #include "src/Daemon/MeshTask.h"
 #include "src/Daemon/Metrics.h"
@@ -77,23 +78,6 @@
 private:
   friend class OwnerCall;
 
-  struct ServiceGate
-  {
-    explicit ServiceGate(GateSettings aSettings)
-      : gate(std::move(aSettings))
-    {
-    }
-
-    bool Empty() const
-    {
-      return gate.RunningCount() == 0 && gate.QueuedCount() == 0;
-    }
-
-    Gate gate;
-    std::unique_ptr<Timer> wakeup;
-    bool outdated = false;
-  };
-
   const ServicePolicy* FindPolicy(const ServiceName& aService) const;
   std::shared_ptr<OwnerCall> Find(const RequestId& aId) const;
   std::optional<DaemonId> HolderHint(const EntryKey& aKey) const;
@@ -109,9 +93,7 @@
   void Admit(const std::shared_ptr<OwnerCall>& aCall,
              const ServicePolicy& aPolicy);
   bool Remember(const std::shared_ptr<OwnerCall>& aCall);
-  ServiceGate& GateOf(const ServicePolicy& aPolicy);
-  void Apply(ServiceGate& aGate, const GateActions& aActions);
-  void Arm(ServiceGate& aGate);
+  void Apply(const GateActions& aActions);
   void StartCall(const std::shared_ptr<OwnerCall>& aCall);
   bool MayStart(const OwnerCall& aCall) const;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult);
@@ -126,7 +108,7 @@
   const Logger& m_logger;
   Metrics& m_metrics;
   ServicePolicies m_policies;
-  std::map<ServiceName, std::unique_ptr<ServiceGate>> m_gates;
+  GateTable m_gates;
   EntryTable m_entries;
   std::map<EntryKey, std::unique_ptr<Timer>> m_releases; ///< Of held ones.
   std::multimap<EntryKey, RequestId> m_held;
