Keep the bytes of an upload that come while a retry waits

An upload above 64 KiB whose first attempt was refused as not run was not held back while the retry waited: bytes that came then were dropped and the backend server waited for them; a chunked upload would have been passed on with a hole. Ruled out: lost drain notices of the client connection and the credit windows (read), body timeout of a paused body (it stops). Change: the exchange is paused whenever no attempt is in progress. Test process_UploadRetryTest: fails without the change (504 after 5 s), passed 5 of 5 with it.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -185,6 +185,10 @@
     m_call->Cancel();
     m_call.reset();
   }
+  if (m_streaming) {
+    // Until the next attempt nobody takes the bytes that follow.
+    m_exchange->PauseBody();
+  }
 }
 
 void
