--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "Pistachioshift/Base"
-#include "src/Daemon/OwnerCall.h"
 #include "src/Daemon/Target.h"
 
 namespace pistachioshift {
@@ -18,6 +19,15 @@
 
 constexpr size_t kMostHeld = 4096; // requests
 
+std::string
+RangeName(const EntryKey& aKey)
+{
+  if (aKey.pinnedKey.empty()) {
+    return fmt::format("{}/{}", aKey.service.Value(), aKey.range.Value());
+  }
+  return fmt::format("{}/{}", aKey.service.Value(), aKey.pinnedKey);
+}
+
 HttpClientLimits
 PoolLimits(const Settings& aSettings)
 {
@@ -35,12 +45,11 @@
                          MeshTask& aMesh,
                          const Logger& aLogger,
                          Metrics& aMetrics)
-  : m_base(aBase)
-  , m_clock(aClock)
+  : CallHost(aClock, aMetrics)
+  , m_base(aBase)
   , m_settings(aSettings)
   , m_mesh(aMesh)
   , m_logger(aLogger)
-  , m_metrics(aMetrics)
   , m_gates(aBase,
             aClock,
             aSettings.server.slots,
@@ -99,12 +108,15 @@
 }
 
 std::optional<DaemonId>
-BackendTask::HolderHint(const EntryKey& aKey) const
+BackendTask::HolderHint(const OwnerCall& aCall) const
 {
-  if (const auto next = m_entries.Next(aKey)) {
+  if (!aCall.m_entry) {
+    return std::nullopt;
+  }
+  if (const auto next = m_entries.Next(*aCall.m_entry)) {
     return next;
   }
-  for (const auto& candidate : m_mesh.Route(aKey)) {
+  for (const auto& candidate : m_mesh.Route(*aCall.m_entry)) {
     if (candidate.daemon != m_mesh.Self()) {
       return candidate.daemon;
     }
@@ -278,6 +290,41 @@
   return aCall.m_token && m_mesh.MayServe(*aCall.m_entry) == aCall.m_token;
 }
 
+RequestHead
+BackendTask::ServerHead(const OwnerCall& aCall) const
+{
+  auto head = aCall.m_request.head;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aCall.m_request.deadline - m_clock.Now());
+  const auto deadline = m_clock.WallNow() + left;
+  head.headers.Set(fields::kDeadline,
+                   std::to_string(deadline.time_since_epoch().count()));
+  head.headers.Set(
+    fields::kRequest,
+    fmt::format("{:016x}{:016x}", aCall.m_request.id.high, aCall.m_request.id.low));
+  if (!aCall.m_request.key.empty()) {
+    head.headers.Set(fields::kKey, aCall.m_request.key);
+  }
+  if (aCall.m_entry) {
+    head.headers.Set(fields::kRange, RangeName(*aCall.m_entry));
+  }
+  if (aCall.m_token) {
+    head.headers.Set(
+      fields::kFence,
+      fmt::format("{}.{}", aCall.m_token->entry.Value(), aCall.m_token->rank.Value()));
+  }
+  return head;
+}
+
+AnswerKind
+BackendTask::Classify(const OwnerCall&, const ResponseHead& aHead) const
+{
+  const auto* outcome = aHead.headers.Find(fields::kOutcome);
+  const bool notRun =
+    outcome != nullptr && *outcome == ToString(Outcome::kNotRun);
+  return notRun ? AnswerKind::kNotRun : AnswerKind::kAnswer;
+}
+
 void
 BackendTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -16,21 +16,23 @@
 #include "src/Daemon/LoadMeter.h"
 #include "src/Daemon/MeshTask.h"
 #include "src/Daemon/Metrics.h"
+#include "src/Daemon/OwnerCall.h"
 #include "src/Daemon/ServerProbe.h"
 #include "src/Daemon/Settings.h"
 #include "src/Daemon/Timer.h"
 
 namespace pistachioshift {
 
-class OwnerCall;
-
 /**
  * \brief The holder's side of a request: gate, outcome table and connections
  * of the backend server beside this daemon.
  *
  * \sa OwnerCall
  */
-class BackendTask : public MeshListener
+class BackendTask
+  : public MeshListener
+  , public CallServer
+  , public CallHost
 {
 public:
   BackendTask(event_base* aBase,
@@ -41,14 +43,10 @@
               Metrics& aMetrics);
   ~BackendTask() override;
 
-  /** \brief Begins an attempt; its listener is called from the loop only. */
   std::shared_ptr<Call> Start(CallRequest aRequest,
-                              std::shared_ptr<CallListener> aListener);
-
-  /** \brief What became of a request; poisons what was never seen. */
-  AskResult Ask(const RequestId& aId, TablePosition aKnown);
-
-  TablePosition Position() const { return m_outcomes.Position(); }
+                              std::shared_ptr<CallListener> aListener) override;
+  AskResult Ask(const RequestId& aId, TablePosition aKnown) override;
+  TablePosition Position() const override { return m_outcomes.Position(); }
 
   /** \brief The document's services changed. */
   void SetPolicies(const ServicePolicies& aPolicies);
@@ -75,12 +73,16 @@
   void OnIncarnationEnded() override;
   bool EntriesIdle() const override;
 
-private:
-  friend class OwnerCall;
+  bool MayStart(const OwnerCall& aCall) const override;
+  RequestHead ServerHead(const OwnerCall& aCall) const override;
+  AnswerKind Classify(const OwnerCall& aCall,
+                      const ResponseHead& aHead) const override;
+  std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const override;
+  void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
 
+private:
   const ServicePolicy* FindPolicy(const ServiceName& aService) const;
   std::shared_ptr<OwnerCall> Find(const RequestId& aId) const;
-  std::optional<DaemonId> HolderHint(const EntryKey& aKey) const;
   void EnterAll();
   void Enter(const std::shared_ptr<OwnerCall>& aCall);
   void EnterEntry(const std::shared_ptr<OwnerCall>& aCall,
@@ -95,25 +97,20 @@
   bool Remember(const std::shared_ptr<OwnerCall>& aCall);
   void Apply(const GateActions& aActions);
   void StartCall(const std::shared_ptr<OwnerCall>& aCall);
-  bool MayStart(const OwnerCall& aCall) const;
-  void OnEnded(OwnerCall& aCall, ServiceResult aResult);
   void CountLoad(const OwnerCall& aCall);
   void ReportIdle(const EntryKey& aKey);
   void RefuseWaiting(const EntryKey& aKey, RefusalReason aReason);
 
   event_base* m_base;
-  const Clock& m_clock;
   const Settings& m_settings;
   MeshTask& m_mesh;
   const Logger& m_logger;
-  Metrics& m_metrics;
   ServicePolicies m_policies;
   GateTable m_gates;
   EntryTable m_entries;
   std::map<EntryKey, std::unique_ptr<Timer>> m_releases; ///< Of held ones.
   std::multimap<EntryKey, RequestId> m_held;
   std::unordered_map<RequestId, std::shared_ptr<OwnerCall>> m_calls;
-  OutcomeTable m_outcomes;
   LoadMeter m_load;
   HttpClientPool m_pool;
   ServerProbe m_probe;
--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -84,6 +84,24 @@
   virtual void Abandon() { Cancel(); }
 };
 
+/** \brief Serves attempts at the daemon of a key's holder. */
+class CallServer
+{
+public:
+  virtual ~CallServer() = default;
+
+  /** \brief Begins an attempt; its listener is called from the loop only. */
+  virtual std::shared_ptr<Call> Start(
+    CallRequest aRequest,
+    std::shared_ptr<CallListener> aListener) = 0;
+
+  /** \brief What became of a request; poisons what was never seen. */
+  virtual AskResult Ask(const RequestId& aId, TablePosition aKnown) = 0;
+
+  /** \brief Position of the outcome table, for other daemons. */
+  virtual TablePosition Position() const = 0;
+};
+
 }
 
 #endif
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -20,6 +20,14 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusConflict = 409;
 
+HttpLimits
+CallerLimits(const Settings& aSettings)
+{
+  HttpLimits limits;
+  limits.maxConnections = aSettings.limits.callerConnections;
+  return limits;
+}
+
 RandomEngine
 SeededEngine()
 {
@@ -76,14 +84,11 @@
             m_backend,
             MakeInnerServices(),
             m_metrics)
-  , m_ingress(IngressContext{ aBase,
-                              m_clock,
-                              m_random,
-                              m_mesh,
-                              m_backend,
-                              m_router,
-                              m_metrics },
-              m_settings)
+  , m_dialect(m_clock, m_mesh, m_backend)
+  , m_ingress(
+      IngressContext{ aBase, m_clock, m_random, m_dialect, m_router, m_metrics },
+      m_settings.place.callers,
+      CallerLimits(m_settings))
   , m_operator(aBase, m_settings.place.operators)
   , m_status{ m_settings, m_boot, m_mesh, m_document, m_backend }
   , m_leaveTimer(aBase, [this] { OnLeaveTick(); })
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -7,6 +7,7 @@
 #include "src/Base/Logger.h"
 #include "src/Base/Random.h"
 #include "src/Daemon/BackendTask.h"
+#include "src/Daemon/DocumentDialect.h"
 #include "src/Daemon/DocumentTask.h"
 #include "src/Daemon/IngressTask.h"
 #include "src/Daemon/InnerServerTask.h"
@@ -60,6 +61,7 @@
   PlannerTask m_planner;
   RebalanceTask m_rebalance;
   InnerServerTask m_inner;
+  DocumentDialect m_dialect;
   IngressTask m_ingress;
   OperatorTask m_operator;
   StatusSources m_status;
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -2,10 +2,7 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 #include "src/Daemon/AnswerCodec.h"
-#include "src/Daemon/OwnerCall.h"
 
 namespace pistachioshift {
 
@@ -14,23 +11,10 @@
 using std::chrono::milliseconds;
 
 constexpr size_t kReplayBytes = size_t{ 64 } * 1024;
-constexpr uint32_t kMostAttempts = 100;
-constexpr Duration kRedirectDelay = milliseconds(20);
 /** Time after the deadline in which the owner's verdict may still come. */
 constexpr Duration kVerdictGrace = milliseconds(100);
-constexpr int kStatusNotRun = 503;
-constexpr int kStatusUnknown = 504;
 constexpr int kServerErrors = 500;
 
-RetrySettings
-MakeRetrySettings()
-{
-  RetrySettings settings;
-  settings.maxAttempts = kMostAttempts;
-  settings.redirectDelay = kRedirectDelay;
-  return settings;
-}
-
 }
 
 IngressSession::IngressSession(const IngressContext& aContext,
@@ -49,13 +33,13 @@
   m_head = m_exchange->Head();
   StripHopByHop(m_head.headers);
   m_exchange->SetListener(shared_from_this());
-  auto read = ReadRequest(
-    m_head, m_context.backend.Policies(), m_context.clock.WallNow());
+  auto read = m_context.dialect.Read(m_head);
   if (const auto* reason = std::get_if<RefusalReason>(&read)) {
     Refuse(Outcome::kNotRun, *reason);
     return;
   }
   m_intake = std::move(std::get<Intake>(read));
+  m_read = true;
   m_deadline = m_arrived + m_intake.allowed;
   m_deadlineTimer.StartOnce(m_intake.allowed + kVerdictGrace);
   m_context.router.BudgetOf(m_intake.policy).OnFirstAttempt();
@@ -119,6 +103,7 @@
     m_call->Cancel();
   }
   m_context.metrics.CountRefusal(RefusalReason::kCancelled);
+  m_reason = RefusalReason::kCancelled;
   Done(Outcome::kUnknown);
 }
 
@@ -223,16 +208,7 @@
   }
   m_resume.OnHead(m_head, aHead);
   auto head = aHead;
-  head.headers.Set(fields::kOutcome, std::string(ToString(Outcome::kDone)));
-  const auto* member = m_context.mesh.View().FindMember(m_destination->daemon);
-  if (member != nullptr) {
-    head.headers.Set(fields::kOwner,
-                     fmt::format("{}:{} {}.{}",
-                                 member->join.callers.address,
-                                 member->join.callers.port,
-                                 aToken.entry.Value(),
-                                 aToken.rank.Value()));
-  }
+  m_context.dialect.CompleteAnswer(head, *m_destination, aToken);
   m_pendingHead = std::move(head);
 }
 
@@ -244,7 +220,8 @@
   }
   m_answerBegun = true;
   m_deadlineTimer.Stop();
-  const bool failed = m_pendingHead->status >= kServerErrors;
+  m_status = m_pendingHead->status;
+  const bool failed = m_status >= kServerErrors;
   TellBalancer(failed ? InstanceResult::kFailed : InstanceResult::kDone);
   m_exchange->SendHead(*std::move(m_pendingHead));
   m_pendingHead.reset();
@@ -362,7 +339,7 @@
 {
   m_report = aReport;
   auto& budget = m_context.router.BudgetOf(m_intake.policy);
-  Follow(DecideRetry(aReport, MakeRetrySettings(), budget));
+  Follow(DecideRetry(aReport, m_intake.retry, budget));
 }
 
 void
@@ -431,7 +408,7 @@
   }
   m_report.left = m_deadline - m_context.clock.Now();
   auto& budget = m_context.router.BudgetOf(m_intake.policy);
-  Follow(DecideAfterAsk(aResult, m_report, MakeRetrySettings(), budget));
+  Follow(DecideAfterAsk(aResult, m_report, m_intake.retry, budget));
 }
 
 void
@@ -452,23 +429,13 @@
     return;
   }
   m_context.metrics.CountRefusal(aReason);
-  const bool notRun = aOutcome == Outcome::kNotRun;
-  const auto body = fmt::format(
-    "outcome: {}\nreason: {}\n", ToString(aOutcome), ToString(aReason));
-  ResponseHead head;
-  head.status = notRun ? kStatusNotRun : kStatusUnknown;
-  head.contentLength = body.size();
-  head.headers.Set(fields::kOutcome, std::string(ToString(aOutcome)));
-  head.headers.Set(fields::kReason, std::string(ToString(aReason)));
-  head.headers.Set("Content-Type", "text/plain");
-  if (notRun) {
-    const auto seconds =
-      std::chrono::ceil<std::chrono::seconds>(m_retryAfter).count();
-    head.headers.Set("Retry-After",
-                     std::to_string(std::max<int64_t>(seconds, 1)));
-  }
-  m_exchange->SendHead(head);
-  m_exchange->SendBody(body);
+  auto answer =
+    m_context.dialect.Refuse(RefusalNotice{ aOutcome, aReason, m_retryAfter });
+  answer.head.contentLength = answer.body.size();
+  m_status = answer.head.status;
+  m_reason = aReason;
+  m_exchange->SendHead(answer.head);
+  m_exchange->SendBody(answer.body);
   m_exchange->Finish();
   Done(aOutcome);
 }
@@ -501,7 +468,17 @@
   m_timer.Stop();
   m_deadlineTimer.Stop();
   m_context.metrics.CountAnswer(aOutcome);
-  m_context.metrics.ObserveLatency(m_context.clock.Now() - m_arrived);
+  const auto elapsed = m_context.clock.Now() - m_arrived;
+  m_context.metrics.ObserveLatency(elapsed);
+  IngressRecord record;
+  record.intake = m_read ? &m_intake : nullptr;
+  record.outcome = aOutcome;
+  record.reason = m_reason;
+  record.status = m_status;
+  record.attempts = m_history.attempts;
+  record.daemon = m_history.last;
+  record.elapsed = elapsed;
+  m_context.dialect.OnDone(record);
 }
 
 }
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -73,6 +73,9 @@
   std::optional<ResponseHead> m_pendingHead; ///< Until a body byte follows.
   DownloadResume m_resume;
   bool m_ended = false;
+  bool m_read = false; ///< The request names a known route.
+  int m_status = 0;    ///< Sent to the caller; 0: none.
+  std::optional<RefusalReason> m_reason;
   AttemptHistory m_history;
   AttemptReport m_report; ///< Of the last attempt, while asking.
   std::optional<Destination> m_destination;
--- a/src/Daemon/IngressTask.cpp
+++ b/src/Daemon/IngressTask.cpp
@@ -4,25 +4,14 @@
 
 namespace pistachioshift {
 
-namespace {
-
-HttpLimits
-ServerLimits(const Settings& aSettings)
-{
-  HttpLimits limits;
-  limits.maxConnections = aSettings.limits.callerConnections;
-  return limits;
-}
-
-}
-
 IngressTask::IngressTask(const IngressContext& aContext,
-                         const Settings& aSettings)
+                         const Endpoint& aEndpoint,
+                         const HttpLimits& aLimits)
   : m_context(aContext)
   , m_server(
       aContext.base,
-      aSettings.place.callers,
-      ServerLimits(aSettings),
+      aEndpoint,
+      aLimits,
       [this](std::shared_ptr<ServerExchange> aExchange) {
         std::make_shared<IngressSession>(m_context, std::move(aExchange))
           ->Start();
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -5,10 +5,9 @@
 
 #include "Pistachioshift/Http"
 #include "src/Base/Random.h"
-#include "src/Daemon/BackendTask.h"
+#include "src/Daemon/IngressDialect.h"
 #include "src/Daemon/Metrics.h"
-#include "src/Daemon/Router.h"
-#include "src/Daemon/Settings.h"
+#include "src/Daemon/RequestRouter.h"
 
 namespace pistachioshift {
 
@@ -18,9 +17,8 @@
   event_base* base;
   const Clock& clock;
   RandomEngine& random;
-  MeshTask& mesh;
-  BackendTask& backend;
-  Router& router;
+  IngressDialect& dialect;
+  RequestRouter& router;
   Metrics& metrics;
 };
 
@@ -29,7 +27,9 @@
 {
 public:
   /** \throws HttpError if the endpoint can't be bound. */
-  IngressTask(const IngressContext& aContext, const Settings& aSettings);
+  IngressTask(const IngressContext& aContext,
+              const Endpoint& aEndpoint,
+              const HttpLimits& aLimits);
 
   /** \brief Callers are told to open their next connection elsewhere. */
   void BeginClosing() { m_server.BeginClosing(); }
--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -19,13 +19,13 @@
                                  const Clock& aClock,
                                  const Endpoint& aEndpoint,
                                  BootId aBoot,
-                                 BackendTask& aBackend,
+                                 CallServer& aCalls,
                                  InnerServices aServices,
                                  Metrics& aMetrics)
   : m_base(aBase)
   , m_clock(aClock)
   , m_boot(aBoot)
-  , m_backend(aBackend)
+  , m_calls(aCalls)
   , m_services(std::move(aServices))
   , m_metrics(aMetrics)
 {
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "Pistachioshift/Inner"
-#include "src/Daemon/BackendTask.h"
+#include "src/Daemon/Call.h"
 #include "src/Daemon/Metrics.h"
 
 struct evconnlistener;
@@ -32,7 +32,7 @@
                   const Clock& aClock,
                   const Endpoint& aEndpoint,
                   BootId aBoot,
-                  BackendTask& aBackend,
+                  CallServer& aCalls,
                   InnerServices aServices,
                   Metrics& aMetrics);
   ~InnerServerTask();
@@ -49,7 +49,7 @@
   event_base* m_base;
   const Clock& m_clock;
   BootId m_boot;
-  BackendTask& m_backend;
+  CallServer& m_calls;
   InnerServices m_services;
   Metrics& m_metrics;
   evconnlistener* m_listener = nullptr;
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -30,11 +30,11 @@
                                     aSocket,
                                     ConnectionSettings(),
                                     weak_from_this());
-  m_connection->SetPosition(m_task.m_backend.Position());
+  m_connection->SetPosition(m_task.m_calls.Position());
   m_connection->Send(Hello{ m_task.m_boot,
                             Hello::kProtocol,
                             m_task.m_services.self(),
-                            m_task.m_backend.Position() });
+                            m_task.m_calls.Position() });
 }
 
 void
@@ -46,7 +46,7 @@
 void
 InnerSession::OnFrame(Connection&, Frame aFrame)
 {
-  m_connection->SetPosition(m_task.m_backend.Position());
+  m_connection->SetPosition(m_task.m_calls.Position());
   const auto find = [this](StreamId aStream) -> std::shared_ptr<InnerStream> {
     const auto found = m_streams.find(aStream);
     return found == m_streams.end() ? nullptr : found->second;
@@ -95,7 +95,7 @@
     std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
   m_streams.emplace(aOpen.stream, stream);
   const bool hasBody = request.hasBody;
-  const auto call = m_task.m_backend.Start(std::move(request), stream);
+  const auto call = m_task.m_calls.Start(std::move(request), stream);
   stream->SetCall(call);
   if (!hasBody) {
     call->Finish();
@@ -105,7 +105,7 @@
 void
 InnerSession::Answer(const OutcomeQuery& aQuery)
 {
-  const auto result = m_task.m_backend.Ask(aQuery.request, aQuery.known);
+  const auto result = m_task.m_calls.Ask(aQuery.request, aQuery.known);
   m_task.m_metrics.CountOutcomeQuery(ToString(result.state));
   Send(OutcomeReply{ aQuery.query, result });
 }
--- a/src/Daemon/Intake.h
+++ b/src/Daemon/Intake.h
@@ -7,10 +7,17 @@
 #include "src/Base/Clock.h"
 #include "src/Http/Message.h"
 #include "src/Routing/Outcome.h"
+#include "src/Routing/Retry.h"
 #include "src/Routing/ServicePolicy.h"
 
 namespace pistachioshift {
 
+/** \brief Attempts of one request at most, redirects included. */
+inline constexpr uint32_t kMostAttempts = 100;
+
+/** \brief Delay of an attempt after the second redirect in a row. */
+inline constexpr Duration kRedirectDelay = std::chrono::milliseconds(20);
+
 /** \brief What the document says of one request. */
 struct Intake
 {
@@ -20,6 +27,9 @@
   Duration allowed{}; ///< Time until the head of the answer is due.
   std::string idempotencyKey;
   bool repeat = false; ///< The caller sent the idempotency key before.
+  std::string logId;   ///< Names the request in log lines; may be empty.
+  RetrySettings retry{ .maxAttempts = kMostAttempts,
+                       .redirectDelay = kRedirectDelay };
 };
 
 /**
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -1,7 +1,5 @@
 #include "src/Daemon/OwnerCall.h"
 
-#include <fmt/format.h>
-
 #include "src/Daemon/AnswerCodec.h"
 #include "src/Daemon/FlowWindow.h"
 
@@ -24,15 +22,6 @@
   void OnLost(CallLoss) override {}
 };
 
-std::string
-RangeName(const EntryKey& aKey)
-{
-  if (aKey.pinnedKey.empty()) {
-    return fmt::format("{}/{}", aKey.service.Value(), aKey.range.Value());
-  }
-  return fmt::format("{}/{}", aKey.service.Value(), aKey.pinnedKey);
-}
-
 RefusalReason
 ReasonOf(ClientFailure aFailure)
 {
@@ -49,10 +38,10 @@
 }
 
 OwnerCall::OwnerCall(event_base* aBase,
-                     BackendTask& aTask,
+                     CallHost& aHost,
                      CallRequest aRequest,
                      std::shared_ptr<CallListener> aListener)
-  : m_task(aTask)
+  : m_host(aHost)
   , m_request(std::move(aRequest))
   , m_listener(std::move(aListener))
   , m_deadlineTimer(aBase, [this] { OnDeadline(); })
@@ -132,7 +121,7 @@
 void
 OwnerCall::ArmDeadline()
 {
-  m_deadlineTimer.StartOnce(m_request.deadline - m_task.m_clock.Now());
+  m_deadlineTimer.StartOnce(m_request.deadline - m_host.m_clock.Now());
 }
 
 void
@@ -167,8 +156,8 @@
 {
   m_state = State::kRunning;
   const auto self = shared_from_this();
-  m_exchange = aPool.Start(ServerHead(), self, [this] {
-    return m_state == State::kRunning && m_task.MayStart(*this);
+  m_exchange = aPool.Start(m_host.ServerHead(*this), self, [this] {
+    return m_state == State::kRunning && m_host.MayStart(*this);
   });
   if (!m_waitingBody.empty()) {
     const bool open = m_exchange->SendBody(m_waitingBody);
@@ -186,32 +175,6 @@
   }
 }
 
-RequestHead
-OwnerCall::ServerHead() const
-{
-  auto head = m_request.head;
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-    m_request.deadline - m_task.m_clock.Now());
-  const auto deadline = m_task.m_clock.WallNow() + left;
-  head.headers.Set(fields::kDeadline,
-                   std::to_string(deadline.time_since_epoch().count()));
-  head.headers.Set(
-    fields::kRequest,
-    fmt::format("{:016x}{:016x}", m_request.id.high, m_request.id.low));
-  if (!m_request.key.empty()) {
-    head.headers.Set(fields::kKey, m_request.key);
-  }
-  if (m_entry) {
-    head.headers.Set(fields::kRange, RangeName(*m_entry));
-  }
-  if (m_token) {
-    head.headers.Set(
-      fields::kFence,
-      fmt::format("{}.{}", m_token->entry.Value(), m_token->rank.Value()));
-  }
-  return head;
-}
-
 void
 OwnerCall::Refuse(RefusalReason aReason, Duration aRetryAfter)
 {
@@ -231,16 +194,16 @@
   const auto self = shared_from_this();
   const auto listener = std::move(m_listener);
   auto refusal = aRefusal;
-  if (refusal.reason == RefusalReason::kNotOwner && m_entry) {
-    refusal.holder = m_task.HolderHint(*m_entry);
+  if (refusal.reason == RefusalReason::kNotOwner) {
+    refusal.holder = m_host.HolderHint(*this);
   }
-  m_task.m_metrics.CountGateRefusal(refusal.reason);
+  m_host.m_metrics.CountGateRefusal(refusal.reason);
   const bool ran = refusal.outcome != Outcome::kNotRun;
   const bool shed = refusal.reason == RefusalReason::kShed;
   const auto result =
     ran || !shed ? ServiceResult::kFailed : ServiceResult::kShed;
   if (m_remembered && !ran) {
-    m_task.m_outcomes.Withdraw(m_request.id);
+    m_host.m_outcomes.Withdraw(m_request.id);
     m_remembered = false;
   }
   EndWith(result);
@@ -277,31 +240,29 @@
   if (m_remembered) {
     // A request that was cancelled before it was written did not run.
     if (aResult == ServiceResult::kCancelled && !written) {
-      m_task.m_outcomes.Withdraw(m_request.id);
+      m_host.m_outcomes.Withdraw(m_request.id);
     } else {
-      m_task.m_outcomes.Finish(m_request.id, Kept());
+      m_host.m_outcomes.Finish(m_request.id, Kept());
     }
     m_remembered = false;
   }
-  m_task.OnEnded(*this, aResult);
+  m_host.OnEnded(*this, aResult);
   m_state = State::kEnded;
 }
 
-bool
-OwnerCall::IsNotRunAnswer(const ResponseHead& aHead) const
-{
-  const auto* outcome = aHead.headers.Find(fields::kOutcome);
-  return outcome != nullptr && *outcome == ToString(Outcome::kNotRun);
-}
-
 void
 OwnerCall::OnHead(const ResponseHead& aHead)
 {
   if (m_state == State::kEnded) {
     return;
   }
-  if (IsNotRunAnswer(aHead)) {
-    m_task.m_metrics.CountServerFailure("shed");
+  const auto kind = m_host.Classify(*this, aHead);
+  if (kind == AnswerKind::kInvalid) {
+    OnFailed(ClientFailure::kMalformedAnswer);
+    return;
+  }
+  if (kind == AnswerKind::kNotRun) {
+    m_host.m_metrics.CountServerFailure("shed");
     Refuse(RefusalReason::kShed, kRetryAfterShed);
     return;
   }
@@ -373,7 +334,7 @@
   if (m_state == State::kEnded) {
     return;
   }
-  m_task.m_metrics.CountServerFailure(ToString(aFailure));
+  m_host.m_metrics.CountServerFailure(ToString(aFailure));
   if (m_headSeen) {
     const auto self = shared_from_this();
     const auto listener = std::move(m_listener);
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -5,13 +5,58 @@
 #include <string>
 
 #include "Pistachioshift/Http"
-#include "src/Daemon/BackendTask.h"
+#include "Pistachioshift/Routing"
 #include "src/Daemon/Call.h"
+#include "src/Daemon/EntryTable.h"
 #include "src/Daemon/Fields.h"
+#include "src/Daemon/Metrics.h"
 #include "src/Daemon/Timer.h"
 
 namespace pistachioshift {
 
+class OwnerCall;
+
+/** \brief What the head of an answer of the backend server says. */
+enum class AnswerKind : uint8_t
+{
+  kAnswer, ///< Of this request; passed on.
+  kNotRun, ///< The backend server refused the request and didn't run it.
+  kInvalid, ///< Not the answer of this request, or not a genuine one.
+};
+
+/** \brief What a call needs of the task that admits it. */
+class CallHost
+{
+public:
+  CallHost(const Clock& aClock, Metrics& aMetrics)
+    : m_clock(aClock)
+    , m_metrics(aMetrics)
+  {
+  }
+  virtual ~CallHost() = default;
+
+  /** \brief Last check before the request is written. */
+  virtual bool MayStart(const OwnerCall& aCall) const = 0;
+
+  /** \brief Head of the request as the backend server gets it. */
+  virtual RequestHead ServerHead(const OwnerCall& aCall) const = 0;
+
+  virtual AnswerKind Classify(const OwnerCall& aCall,
+                              const ResponseHead& aHead) const = 0;
+
+  /** \brief Daemon to ask next for a call that is refused as not owned. */
+  virtual std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const = 0;
+
+  virtual void OnEnded(OwnerCall& aCall, ServiceResult aResult) = 0;
+
+protected:
+  friend class OwnerCall;
+
+  const Clock& m_clock;
+  Metrics& m_metrics;
+  OutcomeTable m_outcomes;
+};
+
 /** \brief One request at the daemon of its key's holder. */
 class OwnerCall
   : public Call
@@ -20,7 +65,7 @@
 {
 public:
   OwnerCall(event_base* aBase,
-            BackendTask& aTask,
+            CallHost& aHost,
             CallRequest aRequest,
             std::shared_ptr<CallListener> aListener);
 
@@ -41,6 +86,7 @@
 
 private:
   friend class BackendTask;
+  friend class RangeServerTask;
 
   enum class State
   {
@@ -58,16 +104,14 @@
   void OnHoldExpired();
   /** Writes the request to the backend server under R1's check. */
   void Start(HttpClientPool& aPool);
-  RequestHead ServerHead() const;
   void Refuse(RefusalReason aReason, Duration aRetryAfter);
   void Refuse(const CallRefusal& aRefusal);
   void AnswerAgain(const KeptAnswer& aAnswer);
   void EndWith(ServiceResult aResult);
-  bool IsNotRunAnswer(const ResponseHead& aHead) const;
   void KeepAnswerBytes(std::string_view aData);
   std::optional<KeptAnswer> Kept() const;
 
-  BackendTask& m_task;
+  CallHost& m_host;
   CallRequest m_request;
   std::shared_ptr<CallListener> m_listener;
   State m_state = State::kNew;
--- a/src/Daemon/Router.h
+++ b/src/Daemon/Router.h
@@ -1,45 +1,22 @@
 #ifndef PISTACHIOSHIFT_DAEMON_ROUTER_H
 #define PISTACHIOSHIFT_DAEMON_ROUTER_H
 
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "Pistachioshift/Base"
 #include "Pistachioshift/Routing"
 #include "src/Daemon/BackendTask.h"
 #include "src/Daemon/MeshTask.h"
-#include "src/Daemon/PeersTask.h"
+#include "src/Daemon/RequestRouter.h"
 
 namespace pistachioshift {
 
-/** \brief Where an attempt goes. */
-struct Destination
-{
-  DaemonId daemon;
-  Endpoint inner;
-  bool local = false;
-};
-
-/** \brief Earlier attempts of a request, as far as they steer the next. */
-struct AttemptHistory
-{
-  std::optional<DaemonId> hint;  ///< Holder named by the last refusal.
-  std::optional<DaemonId> last;  ///< Asked last.
-  std::vector<DaemonId> refused; ///< Said that they don't hold the key.
-  uint32_t attempts = 0;
-
-  bool Refused(DaemonId aDaemon) const
-  {
-    return std::find(refused.begin(), refused.end(), aDaemon) != refused.end();
-  }
-};
-
-/** \brief Chooses the daemon for an attempt and sends it there. */
-class Router
+/** \brief Routes by the entries of the ownership stream. */
+class Router : public RequestRouter
 {
 public:
   Router(const Clock& aClock,
@@ -48,31 +25,22 @@
          BackendTask& aBackend,
          PeersTask& aPeers);
 
-  /** \brief Destination of a request; none if nobody can be asked. */
   std::optional<Destination> Choose(const ServicePolicy& aPolicy,
                                     const std::string& aKey,
-                                    const AttemptHistory& aHistory);
-
-  /** \brief Sends the attempt; `aRequest.known` is filled in. */
+                                    const AttemptHistory& aHistory) override;
   std::shared_ptr<Call> Start(const Destination& aDestination,
                               CallRequest aRequest,
-                              std::shared_ptr<CallListener> aListener);
-
-  /** \brief Asks the daemon of an attempt what became of it. */
+                              std::shared_ptr<CallListener> aListener) override;
   void Ask(const Destination& aDestination,
            const RequestId& aRequest,
            TablePosition aKnown,
-           PeersTask::AskCallback aCallback);
-
-  TablePosition Known(const Destination& aDestination) const;
-
-  /** \brief Tells the balancer of an any-instance service of an end. */
+           PeersTask::AskCallback aCallback) override;
+  TablePosition Known(const Destination& aDestination) const override;
   void OnEnd(const ServicePolicy& aPolicy,
              const Destination& aDestination,
              InstanceResult aResult,
-             Duration aLatency);
-
-  RetryBudget& BudgetOf(const ServicePolicy& aPolicy);
+             Duration aLatency) override;
+  RetryBudget& BudgetOf(const ServicePolicy& aPolicy) override;
 
 private:
   /** Instances of a service as of an applied offset. */
