--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -26,6 +26,7 @@
   std::string idempotencyKey;
   bool repeat = false; ///< The caller sent this idempotency key before.
   TablePosition known;
+  uint32_t priority = 0; ///< 0 is the most urgent.
 };
 
 /** \brief An attempt ended without an answer of a backend server. */
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -107,6 +107,11 @@
   services.load = [this](const LoadReport& aReport) {
     m_rebalance.OnReport(aReport);
   };
+  // Hosts and ranges in a store belong to the other way of assigning keys.
+  services.report = [](const HostReport&) { return HostOrders(); };
+  services.state = [](const StateQuery&) -> std::optional<StateReply> {
+    return std::nullopt;
+  };
   return services;
 }
 
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -119,6 +119,7 @@
   request.hasBody = m_head.HasBody();
   request.idempotencyKey = m_intake.idempotencyKey;
   request.repeat = m_intake.repeat;
+  request.priority = m_intake.priority;
   if (m_resuming) {
     m_resume.AskForRest(request.head);
   }
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -1,8 +1,10 @@
 #ifndef PISTACHIOSHIFT_DAEMON_INNERSERVERTASK_H
 #define PISTACHIOSHIFT_DAEMON_INNERSERVERTASK_H
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "Pistachioshift/Inner"
@@ -21,6 +23,8 @@
   std::function<RecordsReply(const RecordsQuery&)> records;
   std::function<DaemonId()> self;
   std::function<void(const LoadReport&)> load;
+  std::function<HostOrders(const HostReport&)> report;
+  std::function<std::optional<StateReply>(const StateQuery&)> state;
 };
 
 /** \brief Accepts connections of other daemons and serves their requests. */
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -71,6 +71,14 @@
     Send(m_task.m_services.records(*records));
   } else if (const auto* load = std::get_if<LoadReport>(&aFrame)) {
     m_task.m_services.load(*load);
+  } else if (const auto* report = std::get_if<HostReport>(&aFrame)) {
+    Send(m_task.m_services.report(*report));
+  } else if (const auto* state = std::get_if<StateQuery>(&aFrame)) {
+    if (const auto reply = m_task.m_services.state(*state)) {
+      Send(*reply);
+    } else {
+      m_connection->Close();
+    }
   }
 }
 
@@ -91,6 +99,7 @@
   request.idempotencyKey = std::move(aOpen.idempotencyKey);
   request.repeat = aOpen.repeat;
   request.known = aOpen.known;
+  request.priority = aOpen.priority;
   const auto stream =
     std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
   m_streams.emplace(aOpen.stream, stream);
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -1,6 +1,7 @@
 #include "src/Daemon/Peer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pistachioshift {
 
@@ -122,10 +123,18 @@
   UpdateBusy();
 }
 
+void
+PeerLink::AddStateQuery(PeersTask::StateCallback aCallback)
+{
+  m_onState = std::move(aCallback);
+  UpdateBusy();
+}
+
 bool
 PeerLink::Empty() const
 {
-  return m_calls.empty() && m_queries.empty() && m_recordsQueries.empty();
+  return m_calls.empty() && m_queries.empty() && m_recordsQueries.empty() &&
+         !m_onState;
 }
 
 void
@@ -170,6 +179,15 @@
       callback(*records);
     }
     Close();
+  } else if (const auto* orders = std::get_if<HostOrders>(&aFrame)) {
+    if (const auto callback = std::exchange(m_onOrders, {})) {
+      callback(*orders);
+    }
+  } else if (const auto* state = std::get_if<StateReply>(&aFrame)) {
+    if (const auto callback = std::exchange(m_onState, {})) {
+      callback(*state);
+    }
+    Close();
   }
 }
 
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -39,6 +39,12 @@
   void AddQuery(QueryId aQuery, PeersTask::AskCallback aCallback);
   void AddRecordsQuery(PeersTask::RecordsCallback aCallback);
 
+  void AddStateQuery(PeersTask::StateCallback aCallback);
+  void SetOrdersCallback(PeersTask::OrdersCallback aCallback)
+  {
+    m_onOrders = std::move(aCallback);
+  }
+
   bool Usable() const { return m_connection && !m_connection->Ended(); }
   bool Empty() const;
   void Close() { m_connection->Close(); }
@@ -55,6 +61,8 @@
   std::map<StreamId, std::shared_ptr<RemoteCall>> m_calls;
   std::map<QueryId, PeersTask::AskCallback> m_queries;
   std::vector<PeersTask::RecordsCallback> m_recordsQueries;
+  PeersTask::StateCallback m_onState;
+  PeersTask::OrdersCallback m_onOrders;
   int64_t m_lastStream = 0;
 };
 
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -61,6 +61,26 @@
   link->Send(aQuery);
 }
 
+void
+PeersTask::AskState(const Endpoint& aPeer,
+                    const StateQuery& aQuery,
+                    StateCallback aCallback)
+{
+  const auto link = Find(aPeer)->NewLink();
+  link->AddStateQuery(std::move(aCallback));
+  link->Send(aQuery);
+}
+
+void
+PeersTask::Report(const Endpoint& aPeer,
+                  const HostReport& aReport,
+                  OrdersCallback aCallback)
+{
+  auto& link = Find(aPeer)->Link();
+  link.SetOrdersCallback(std::move(aCallback));
+  link.Send(aReport);
+}
+
 void
 PeersTask::SendLoad(const Endpoint& aPeer, const LoadReport& aReport)
 {
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -25,6 +25,9 @@
   using AskCallback = std::function<void(const AskResult&)>;
   using RecordsCallback = std::function<void(const RecordsReply&)>;
 
+  using OrdersCallback = std::function<void(const HostOrders&)>;
+  using StateCallback = std::function<void(const StateReply&)>;
+
   PeersTask(event_base* aBase,
             const Clock& aClock,
             BootId aBoot,
@@ -53,6 +56,17 @@
   /** \brief Sends a load report; it may be lost. */
   void SendLoad(const Endpoint& aPeer, const LoadReport& aReport);
 
+  /** \brief Reports to a coordinator; no callback if it can't be reached. */
+  void Report(const Endpoint& aPeer,
+              const HostReport& aReport,
+              OrdersCallback aCallback);
+
+  /** \brief Asks a peer for what it has read from the store; no callback if
+   * it can't be asked or doesn't know better. */
+  void AskState(const Endpoint& aPeer,
+                const StateQuery& aQuery,
+                StateCallback aCallback);
+
   /** \brief Last position heard from a daemon's outcome table. */
   TablePosition Known(const Endpoint& aPeer) const;
 
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -27,6 +27,7 @@
   open.idempotencyKey = aRequest.idempotencyKey;
   open.repeat = aRequest.repeat;
   open.known = aRequest.known;
+  open.priority = aRequest.priority;
   m_finished = !aRequest.hasBody;
   link->Send(open);
 }
--- /dev/null
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -0,0 +1,90 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_COORDINATORTASK_H
+#define PISTACHIOSHIFT_HOSTDAEMON_COORDINATORTASK_H
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "Pistachioshift/Ranges"
+#include "src/Daemon/PeersTask.h"
+#include "src/Daemon/Timer.h"
+#include "src/HostDaemon/RangeServerTask.h"
+#include "src/HostDaemon/StateTask.h"
+
+namespace pistachioshift {
+
+/**
+ * \brief Assigns free ranges, and suspects hosts that are silent.
+ *
+ * Every daemon reports to the first host, by name, that answers; that one
+ * coordinates. Two at once do no harm: all changes of the table are made under
+ * the condition that nobody else changed it.
+ */
+class CoordinatorTask : public StateListener
+{
+public:
+  CoordinatorTask(event_base* aBase,
+                  const Clock& aClock,
+                  StateTaskBase& aState,
+                  RangeServerTask& aServer,
+                  PeersTask& aPeers,
+                  const Logger& aLogger);
+
+  void Start();
+
+  /** \brief Services that are divided by key. */
+  void SetSharded(std::set<ServiceName> aServices);
+
+  /** \brief A host reports here; \return what it is to hand over. */
+  HostOrders OnReport(const HostReport& aReport);
+
+  /** \brief Whether this host coordinates now. */
+  bool Active() const { return m_active; }
+
+  void OnState() override;
+
+private:
+  struct Reported
+  {
+    HostReport report;
+    MonoTime at;
+  };
+
+  void OnTick();
+  void SendReport();
+  std::vector<HostName> Order() const;
+  bool Answers(const HostName& aHost) const;
+  void AssignFree();
+  void AssignFree(const ServiceName& aService);
+  bool Settled(const std::vector<Taker>& aTakers);
+  void PlanMoves();
+  void SuspectSilent();
+  void ReportTo(const HostName& aHost, const HostReport& aReport);
+  void TakeFromSuspects();
+  std::vector<Taker> TakersOf(const ServiceName& aService) const;
+  bool Heard(const HostName& aHost) const;
+  LoadMap LoadOf(const ServiceName& aService) const;
+
+  const Clock& m_clock;
+  StateTaskBase& m_state;
+  RangeServerTask& m_server;
+  PeersTask& m_peers;
+  const Logger& m_logger;
+  Timer m_tick;
+  std::set<ServiceName> m_sharded;
+  std::map<HostName, Reported> m_reports;
+  std::map<HostName, MonoTime> m_unanswered; ///< Since when a host is mute.
+  std::map<HostName, HostOrders> m_orders;
+  std::map<ServiceName, Rebalancer> m_rebalancers;
+  std::map<HostName, MonoTime> m_seenAt; ///< When a host's record was read.
+  std::map<int64_t, MonoTime> m_suspectedAt; ///< When a suspicion was read.
+  MonoTime m_newcomerAt{}; ///< When the number of takers last changed.
+  size_t m_takers = 0;
+  MonoTime m_activeSince{};
+  bool m_active = false;
+  uint64_t m_ticks = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -0,0 +1,169 @@
+#include "src/HostDaemon/HostDaemon.h"
+
+#include <event2/event.h>
+
+namespace pistachioshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Callers notice a daemon that isn't ready after two checks, one a second. */
+constexpr Duration kLeaveNotice = milliseconds(2300);
+
+/** Between checks whether everything has ended. */
+constexpr Duration kLeaveInterval = milliseconds(50);
+
+/** Quiet time before the exit. */
+constexpr Duration kQuietBeforeExit = milliseconds(150);
+
+/** The process ends by itself this long before it would be killed. */
+constexpr Duration kGraceMargin = milliseconds(500);
+
+}
+
+HostDaemon::HostDaemon(event_base* aBase,
+                       const Clock& aClock,
+                       const HostSettings& aSettings,
+                       StateTaskBase& aState,
+                       const ServerDialect& aServerDialect,
+                       const Logger& aLogger,
+                       Metrics& aMetrics,
+                       RandomEngine& aRandom)
+  : m_base(aBase)
+  , m_clock(aClock)
+  , m_settings(aSettings)
+  , m_state(aState)
+  , m_logger(aLogger)
+  , m_metrics(aMetrics)
+  , m_random(aRandom)
+  , m_boot(aRandom())
+  , m_server(aBase,
+             aClock,
+             aSettings.server,
+             aState,
+             aServerDialect,
+             aLogger,
+             aMetrics)
+  , m_peers(aBase, aClock, m_boot, aMetrics)
+  , m_router(aClock, aRandom, aState, m_server, m_peers)
+  , m_coordinator(aBase, aClock, aState, m_server, m_peers, aLogger)
+  , m_inner(aBase,
+            aClock,
+            aSettings.inner,
+            m_boot,
+            m_server,
+            MakeInnerServices(),
+            aMetrics)
+  , m_operator(aBase, aSettings.metrics)
+  , m_leaveTimer(aBase, [this] { OnLeaveTick(); })
+{
+  aState.AddListener(m_router);
+  aState.AddListener(m_server);
+  aState.AddListener(m_coordinator);
+  m_operator.OnGet("/metrics",
+                   [this](const OperatorRequest&) { return RenderMetrics(); });
+}
+
+InnerServices
+HostDaemon::MakeInnerServices()
+{
+  InnerServices services;
+  services.self = [] { return DaemonId(); };
+  services.report = [this](const HostReport& aReport) {
+    return m_coordinator.OnReport(aReport);
+  };
+  services.state = [](const StateQuery&) -> std::optional<StateReply> {
+    return std::nullopt;
+  };
+  // Streams of a log and hashed entries belong to the other way of assigning.
+  services.records = [](const RecordsQuery& aQuery) {
+    return RecordsReply{ aQuery.stream, {} };
+  };
+  services.load = [](const LoadReport&) {};
+  return services;
+}
+
+void
+HostDaemon::Start(IngressDialect& aDialect, const HttpLimits& aLimits)
+{
+  const IngressContext context{ m_base,   m_clock,  m_random,
+                                aDialect, m_router, m_metrics };
+  m_ingress =
+    std::make_unique<IngressTask>(context, m_settings.callers, aLimits);
+  m_coordinator.Start();
+}
+
+void
+HostDaemon::SetSharded(const std::set<ServiceName>& aServices)
+{
+  m_configured = true;
+  m_server.SetSharded(aServices.contains(m_settings.server.service));
+  m_coordinator.SetSharded(aServices);
+}
+
+void
+HostDaemon::BeginLeave()
+{
+  if (m_leaving) {
+    return;
+  }
+  m_leaving = true;
+  m_leaveBegan = m_clock.Now();
+  m_idleSince = m_leaveBegan;
+  m_logger.Info("leave-begin", "in_flight={}", m_server.InFlight());
+  m_ingress->BeginClosing();
+  m_leaveTimer.StartEvery(kLeaveInterval);
+}
+
+void
+HostDaemon::OnLeaveTick()
+{
+  const auto now = m_clock.Now();
+  const auto elapsed = now - m_leaveBegan;
+  if (elapsed >= m_settings.grace - kGraceMargin) {
+    m_logger.Warning("leave-forced",
+                     "in_flight={} callers={}",
+                     m_server.InFlight(),
+                     m_ingress->Active());
+    event_base_loopbreak(m_base);
+    return;
+  }
+  if (elapsed < kLeaveNotice) {
+    m_idleSince = now;
+    return;
+  }
+  if (!m_stopped) {
+    m_stopped = true;
+    m_server.BeginDrain();
+  }
+  if (m_server.InFlight() > 0 || m_ingress->Active() > 0) {
+    m_idleSince = now;
+    return;
+  }
+  if (now - m_idleSince >= kQuietBeforeExit) {
+    m_logger.Info("leave-end", "in_flight=0");
+    event_base_loopbreak(m_base);
+  }
+}
+
+OperatorAnswer
+HostDaemon::RenderMetrics()
+{
+  const auto set = [this](const char* aName, auto aValue) {
+    m_metrics.SetGauge(aName, static_cast<double>(aValue));
+  };
+  set("pistachio_in_flight", m_server.InFlight());
+  set("pistachio_gate_running", m_server.Running());
+  set("pistachio_gate_queued", m_server.Queued());
+  set("pistachio_inner_connections", m_peers.Connections());
+  set("pistachio_inner_sessions", m_inner.Sessions());
+  set("pistachio_hosts", m_state.State().Hosts().size());
+  set("pistachio_store_end", m_state.End());
+  set("pistachio_coordinator", m_coordinator.Active() ? 1 : 0);
+  return OperatorAnswer{ 200,
+                         "text/plain; version=0.0.4",
+                         m_metrics.Render() };
+}
+
+}
--- /dev/null
+++ b/src/HostDaemon/HostDaemon.h
@@ -0,0 +1,98 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_HOSTDAEMON_H
+#define PISTACHIOSHIFT_HOSTDAEMON_HOSTDAEMON_H
+
+#include <functional>
+#include <set>
+
+#include "src/Base/Random.h"
+#include "src/Daemon/IngressTask.h"
+#include "src/Daemon/InnerServerTask.h"
+#include "src/Daemon/OperatorTask.h"
+#include "src/HostDaemon/CoordinatorTask.h"
+#include "src/HostDaemon/RangeRouter.h"
+
+namespace pistachioshift {
+
+/** \brief Addresses and place of a daemon beside a backend server. */
+struct HostSettings
+{
+  HostName host;
+  ZoneName zone;
+  Endpoint inner;   ///< TCP, towards other daemons.
+  Endpoint callers; ///< HTTP, towards callers.
+  Endpoint metrics; ///< HTTP, metrics for operators.
+  RangeServerSettings server;
+  /// Time from the signal to the forced end of the process.
+  Duration grace = std::chrono::seconds(6);
+};
+
+/**
+ * \brief Daemon where keys are ordered ranges that are agreed through a keyed
+ * store. Owns all tasks but the one that follows the store.
+ */
+class HostDaemon
+{
+public:
+  HostDaemon(event_base* aBase,
+             const Clock& aClock,
+             const HostSettings& aSettings,
+             StateTaskBase& aState,
+             const ServerDialect& aServerDialect,
+             const Logger& aLogger,
+             Metrics& aMetrics,
+             RandomEngine& aRandom);
+
+  /** \brief Begins to take callers' requests. */
+  void Start(IngressDialect& aDialect, const HttpLimits& aLimits);
+
+  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+  {
+    return m_server.OnHeartbeat(aHeartbeat);
+  }
+
+  void OnLeave(const ServerId& aServer) { m_server.OnLeave(aServer); }
+
+  /** \brief Brings services that are divided by key into force. */
+  void SetSharded(const std::set<ServiceName>& aServices);
+
+  /** \brief Whether new callers should come here. */
+  bool Ready() const { return m_state.Joined() && m_configured && !m_leaving; }
+
+  /** \brief Stops gracefully; ends the loop when nothing is in progress. */
+  void BeginLeave();
+
+  RangeRouter& Router() { return m_router; }
+  CoordinatorTask& Coordinator() { return m_coordinator; }
+  RangeServerTask& Server() { return m_server; }
+
+private:
+  InnerServices MakeInnerServices();
+  void OnLeaveTick();
+  OperatorAnswer RenderMetrics();
+
+  event_base* m_base;
+  const Clock& m_clock;
+  HostSettings m_settings;
+  StateTaskBase& m_state;
+  const Logger& m_logger;
+  Metrics& m_metrics;
+  RandomEngine& m_random;
+  BootId m_boot;
+  RangeServerTask m_server;
+  PeersTask m_peers;
+  RangeRouter m_router;
+  CoordinatorTask m_coordinator;
+  InnerServerTask m_inner;
+  OperatorTask m_operator;
+  std::unique_ptr<IngressTask> m_ingress;
+  Timer m_leaveTimer;
+  MonoTime m_leaveBegan;
+  MonoTime m_idleSince;
+  bool m_configured = false;
+  bool m_leaving = false;
+  bool m_stopped = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -0,0 +1,161 @@
+#include "src/HostDaemon/RangeRouter.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+RangeRouter::RangeRouter(const Clock& aClock,
+                         RandomEngine& aRandom,
+                         StateTaskBase& aState,
+                         RangeServerTask& aServer,
+                         PeersTask& aPeers)
+  : m_clock(aClock)
+  , m_random(aRandom)
+  , m_state(aState)
+  , m_server(aServer)
+  , m_peers(aPeers)
+{
+}
+
+DaemonId
+RangeRouter::IdOf(const HostName& aHost)
+{
+  const auto next = DaemonId(static_cast<int64_t>(m_ids.size()) + 1);
+  const auto [found, added] = m_ids.try_emplace(aHost, next);
+  if (added) {
+    m_names.emplace(next, aHost);
+  }
+  return found->second;
+}
+
+std::string
+RangeRouter::NameOf(DaemonId aDaemon) const
+{
+  const auto found = m_names.find(aDaemon);
+  return found == m_names.end() ? std::string() : found->second.Value();
+}
+
+std::optional<Destination>
+RangeRouter::DestinationOf(const HostName& aHost)
+{
+  const auto* host = m_state.State().FindHost(aHost);
+  if (host == nullptr) {
+    return std::nullopt;
+  }
+  return Destination{ IdOf(aHost), host->inner, aHost == m_state.Self() };
+}
+
+std::optional<Destination>
+RangeRouter::Choose(const ServicePolicy& aPolicy,
+                    const std::string& aKey,
+                    const AttemptHistory& aHistory)
+{
+  if (aPolicy.division == Division::kKeyed && !aKey.empty()) {
+    return ChooseHolder(aPolicy, aKey);
+  }
+  return ChooseInstance(aPolicy, aHistory);
+}
+
+std::optional<Destination>
+RangeRouter::ChooseHolder(const ServicePolicy& aPolicy, const std::string& aKey)
+{
+  const auto key = ParseShardKey(aKey);
+  if (!key) {
+    return std::nullopt;
+  }
+  const auto* row = m_state.State().Table().Find(aPolicy.name, *key);
+  if (row == nullptr || m_state.State().HolderOf(*row) == nullptr) {
+    return std::nullopt;
+  }
+  return DestinationOf(row->holder.host);
+}
+
+void
+RangeRouter::OnState()
+{
+  std::map<ServiceName, std::vector<DaemonId>> usable;
+  for (const auto& [name, host] : m_state.State().Hosts()) {
+    const bool serves =
+      host.server && host.server->state != ServerState::kDraining;
+    if (serves && !m_state.State().Suspected(name)) {
+      usable[host.service].push_back(IdOf(name));
+    }
+  }
+  for (auto& [service, instances] : m_instances) {
+    usable.try_emplace(service);
+  }
+  for (auto& [service, ids] : usable) {
+    auto& instances = m_instances[service];
+    if (instances.ids != ids) {
+      instances.balancer.SetInstances(ids, m_clock.Now());
+      instances.ids = ids;
+    }
+  }
+}
+
+std::optional<Destination>
+RangeRouter::ChooseInstance(const ServicePolicy& aPolicy,
+                            const AttemptHistory& aHistory)
+{
+  auto& instances = m_instances[aPolicy.name];
+  const auto chosen =
+    instances.balancer.Choose(m_random, m_clock.Now(), aHistory.last);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  const auto destination = DestinationOf(HostName(NameOf(*chosen)));
+  if (destination) {
+    instances.balancer.OnStart(*chosen);
+  }
+  return destination;
+}
+
+std::shared_ptr<Call>
+RangeRouter::Start(const Destination& aDestination,
+                   CallRequest aRequest,
+                   std::shared_ptr<CallListener> aListener)
+{
+  aRequest.known = Known(aDestination);
+  if (aDestination.local) {
+    return m_server.Start(std::move(aRequest), std::move(aListener));
+  }
+  return m_peers.Start(aDestination.inner, aRequest, std::move(aListener));
+}
+
+void
+RangeRouter::Ask(const Destination& aDestination,
+                 const RequestId& aRequest,
+                 TablePosition aKnown,
+                 PeersTask::AskCallback aCallback)
+{
+  m_peers.Ask(aDestination.inner, aRequest, aKnown, std::move(aCallback));
+}
+
+TablePosition
+RangeRouter::Known(const Destination& aDestination) const
+{
+  return aDestination.local ? m_server.Position()
+                            : m_peers.Known(aDestination.inner);
+}
+
+void
+RangeRouter::OnEnd(const ServicePolicy& aPolicy,
+                   const Destination& aDestination,
+                   InstanceResult aResult,
+                   Duration aLatency)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    m_instances[aPolicy.name].balancer.OnEnd(
+      aDestination.daemon, aResult, aLatency, m_clock.Now());
+  }
+}
+
+RetryBudget&
+RangeRouter::BudgetOf(const ServicePolicy& aPolicy)
+{
+  const auto found =
+    m_budgets.try_emplace(aPolicy.name, RetryBudget(aPolicy.retryShare));
+  return found.first->second;
+}
+
+}
--- /dev/null
+++ b/src/HostDaemon/RangeRouter.h
@@ -0,0 +1,78 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_RANGEROUTER_H
+#define PISTACHIOSHIFT_HOSTDAEMON_RANGEROUTER_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Pistachioshift/Ranges"
+#include "src/Daemon/RequestRouter.h"
+#include "src/HostDaemon/RangeServerTask.h"
+#include "src/HostDaemon/StateTask.h"
+
+namespace pistachioshift {
+
+/** \brief Routes by the ranges and hosts in the platform's store. */
+class RangeRouter
+  : public RequestRouter
+  , public StateListener
+{
+public:
+  RangeRouter(const Clock& aClock,
+              RandomEngine& aRandom,
+              StateTaskBase& aState,
+              RangeServerTask& aServer,
+              PeersTask& aPeers);
+
+  std::optional<Destination> Choose(const ServicePolicy& aPolicy,
+                                    const std::string& aKey,
+                                    const AttemptHistory& aHistory) override;
+  std::shared_ptr<Call> Start(const Destination& aDestination,
+                              CallRequest aRequest,
+                              std::shared_ptr<CallListener> aListener) override;
+  void Ask(const Destination& aDestination,
+           const RequestId& aRequest,
+           TablePosition aKnown,
+           PeersTask::AskCallback aCallback) override;
+  TablePosition Known(const Destination& aDestination) const override;
+  void OnEnd(const ServicePolicy& aPolicy,
+             const Destination& aDestination,
+             InstanceResult aResult,
+             Duration aLatency) override;
+  RetryBudget& BudgetOf(const ServicePolicy& aPolicy) override;
+
+  void OnState() override;
+
+  /** \brief Host behind a destination's number; empty if unknown. */
+  std::string NameOf(DaemonId aDaemon) const;
+
+private:
+  struct ServiceInstances
+  {
+    Balancer balancer;
+    std::vector<DaemonId> ids;
+  };
+
+  DaemonId IdOf(const HostName& aHost);
+  std::optional<Destination> DestinationOf(const HostName& aHost);
+  std::optional<Destination> ChooseHolder(const ServicePolicy& aPolicy,
+                                          const std::string& aKey);
+  std::optional<Destination> ChooseInstance(const ServicePolicy& aPolicy,
+                                            const AttemptHistory& aHistory);
+
+  const Clock& m_clock;
+  RandomEngine& m_random;
+  StateTaskBase& m_state;
+  RangeServerTask& m_server;
+  PeersTask& m_peers;
+  std::map<HostName, DaemonId> m_ids; ///< Numbers for the balancer.
+  std::map<DaemonId, HostName> m_names;
+  std::map<ServiceName, ServiceInstances> m_instances;
+  std::map<ServiceName, RetryBudget> m_budgets;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -0,0 +1,529 @@
+#include "src/HostDaemon/RangeServerTask.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace pistachioshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Priorities told apart at the gate; less urgent ones share the last class. */
+constexpr uint32_t kPriorities = 8;
+
+/** Ratio of the gate's shares of neighbouring priorities. */
+constexpr double kPriorityRatio = 4.0;
+
+/** Requests of a class that may wait; the gate refuses long waits anyway. */
+constexpr uint32_t kQueueBound = 256;
+
+/** Service time before the first answer: the classes' stated work. */
+constexpr Duration kInitialService = milliseconds(150);
+
+/** Time that a request waits for keys that are on their way here: two
+ * heartbeats of the backend server. */
+constexpr Duration kArrivalHold = milliseconds(2000);
+
+constexpr size_t kMostHeld = 2048; // requests
+
+/** Between checks of expired holds and of the gate. */
+constexpr Duration kTick = milliseconds(100);
+
+/** Silence after which the backend server counts as gone once its hold ended:
+ * two missed heartbeats and their timeout. */
+constexpr Duration kHeartbeatSilence = milliseconds(2900);
+
+/** Connections beyond the slots, for those that are being closed. */
+constexpr size_t kSpareConnections = 8;
+
+constexpr size_t kMostSlots = 256;
+
+HttpClientLimits
+PoolLimits()
+{
+  HttpClientLimits limits;
+  limits.maxConnections = kMostSlots + kSpareConnections;
+  limits.connectTimeout = milliseconds(1000);
+  // Backend servers close idle connections from ten seconds on.
+  limits.idleTimeout = milliseconds(4000);
+  return limits;
+}
+
+GateSettings
+GateSettingsFor(uint32_t aSlots)
+{
+  GateSettings settings;
+  settings.slots = aSlots;
+  settings.initialService = kInitialService;
+  double weight = 1.0;
+  for (uint32_t priority = 0; priority < kPriorities; ++priority) {
+    settings.classes.push_back(GateClass{ weight, kQueueBound });
+    weight /= kPriorityRatio;
+  }
+  return settings;
+}
+
+}
+
+RangeServerTask::RangeServerTask(event_base* aBase,
+                                 const Clock& aClock,
+                                 const RangeServerSettings& aSettings,
+                                 StateTaskBase& aState,
+                                 const ServerDialect& aDialect,
+                                 const Logger& aLogger,
+                                 Metrics& aMetrics)
+  : CallHost(aClock, aMetrics)
+  , m_base(aBase)
+  , m_settings(aSettings)
+  , m_state(aState)
+  , m_dialect(aDialect)
+  , m_logger(aLogger)
+  , m_keeper(HoldSettings{}, aClock.Now())
+  , m_pool(aBase, aSettings.endpoint, PoolLimits())
+  , m_lastHeartbeat(aClock.Now())
+  , m_entering(aBase, [this] { EnterAll(); })
+  , m_gateTimer(aBase, [this] { Apply(m_gate->Expire(m_clock.Now())); })
+  , m_tick(aBase, [this] { OnTick(); })
+{
+  m_tick.StartEvery(kTick);
+}
+
+RangeServerTask::~RangeServerTask() = default;
+
+std::shared_ptr<Call>
+RangeServerTask::Start(CallRequest aRequest,
+                       std::shared_ptr<CallListener> aListener)
+{
+  const auto call = std::make_shared<OwnerCall>(
+    m_base, *this, std::move(aRequest), std::move(aListener));
+  m_new.push_back(call);
+  if (!m_entering.Running()) {
+    m_entering.StartOnce(Duration::zero());
+  }
+  return call;
+}
+
+AskResult
+RangeServerTask::Ask(const RequestId& aId, TablePosition aKnown)
+{
+  return m_outcomes.Ask(aId, aKnown);
+}
+
+void
+RangeServerTask::EnterAll()
+{
+  for (const auto& call : std::exchange(m_new, {})) {
+    if (call->m_state == OwnerCall::State::kNew) {
+      Enter(call);
+    }
+  }
+}
+
+bool
+RangeServerTask::Leaves(MonoTime aNow) const
+{
+  return m_draining || (m_leavesAt && aNow >= *m_leavesAt);
+}
+
+void
+RangeServerTask::Enter(const CallPtr& aCall)
+{
+  const auto& request = aCall->Request();
+  const auto now = m_clock.Now();
+  if (request.service != m_settings.service) {
+    aCall->Refuse(RefusalReason::kNoService, Duration::zero());
+    return;
+  }
+  if (Leaves(now)) {
+    aCall->Refuse(RefusalReason::kDraining, Duration::zero());
+    return;
+  }
+  if (!m_gate || !m_server) {
+    aCall->Refuse(RefusalReason::kCold, Duration::zero());
+    return;
+  }
+  const auto key = ParseShardKey(request.key);
+  if (key) {
+    m_load.Count(*key, 1.0);
+  }
+  if (!m_sharded || !key || m_keeper.MayServe(*key, now)) {
+    Admit(aCall);
+    return;
+  }
+  const bool arriving = IsMine(*key) && !m_keeper.IsLeaving(*key);
+  if (arriving && m_held.size() < kMostHeld) {
+    Hold(aCall);
+    return;
+  }
+  aCall->Refuse(RefusalReason::kNotOwner, Duration::zero());
+}
+
+void
+RangeServerTask::Hold(const CallPtr& aCall)
+{
+  aCall->m_state = OwnerCall::State::kHeld;
+  m_calls[aCall->Request().id] = aCall;
+  m_held.push_back(aCall->Request().id);
+  aCall->ArmHold(kArrivalHold);
+  aCall->ArmDeadline();
+}
+
+void
+RangeServerTask::RetryHeld()
+{
+  for (const auto& id : std::exchange(m_held, {})) {
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() ||
+        found->second->m_state != OwnerCall::State::kHeld) {
+      continue;
+    }
+    const auto call = found->second;
+    const auto key = ParseShardKey(call->Request().key);
+    const bool waits = key && IsMine(*key) && !m_keeper.IsLeaving(*key) &&
+                       !m_keeper.MayServe(*key, m_clock.Now());
+    if (waits && !Leaves(m_clock.Now())) {
+      m_held.push_back(id);
+      continue;
+    }
+    call->m_holdTimer.Stop();
+    call->m_state = OwnerCall::State::kNew;
+    Enter(call);
+  }
+}
+
+void
+RangeServerTask::Admit(const CallPtr& aCall)
+{
+  const auto& request = aCall->Request();
+  const auto known = m_calls.find(request.id);
+  if (known != m_calls.end() && known->second != aCall) {
+    aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
+    return;
+  }
+  const auto result = m_outcomes.Begin(request.id, request.known);
+  if (result.verdict != BeginVerdict::kStarted) {
+    const auto reason = result.verdict == BeginVerdict::kPoisoned
+                          ? RefusalReason::kPoisoned
+                        : result.verdict == BeginVerdict::kFull
+                          ? RefusalReason::kTableFull
+                          : RefusalReason::kDuplicate;
+    aCall->Refuse(reason, Duration::zero());
+    return;
+  }
+  aCall->m_remembered = true;
+  m_calls[request.id] = aCall;
+  aCall->m_state = OwnerCall::State::kQueued;
+  aCall->ArmDeadline();
+  aCall->m_class = ClassIndex(std::min(request.priority, kPriorities - 1));
+  Apply(m_gate->Admit(
+    GateRequest{ request.id, aCall->m_class, request.deadline },
+    m_clock.Now()));
+}
+
+void
+RangeServerTask::Apply(const GateActions& aActions)
+{
+  for (const auto& id : aActions.starts) {
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+      continue;
+    }
+    const auto call = found->second;
+    if (MayStart(*call)) {
+      call->Start(m_pool);
+    } else {
+      call->Refuse(Leaves(m_clock.Now()) ? RefusalReason::kDraining
+                                         : RefusalReason::kLeaseNotHeld,
+                   Duration::zero());
+    }
+  }
+  for (const auto& refusal : aActions.refusals) {
+    const auto found = m_calls.find(refusal.id);
+    if (found != m_calls.end()) {
+      const auto call = found->second;
+      call->Refuse(refusal.reason, refusal.retryAfter);
+    }
+  }
+  ArmGate();
+}
+
+void
+RangeServerTask::ArmGate()
+{
+  const auto wakeup = m_gate->NextWakeup();
+  if (!wakeup) {
+    m_gateTimer.Stop();
+    return;
+  }
+  m_gateTimer.StartOnce(
+    std::max(*wakeup - m_clock.Now(), Duration(milliseconds(1))));
+}
+
+bool
+RangeServerTask::MayStart(const OwnerCall& aCall) const
+{
+  const auto now = m_clock.Now();
+  if (now >= aCall.Request().deadline || Leaves(now)) {
+    return false;
+  }
+  const auto key = ParseShardKey(aCall.Request().key);
+  return !m_sharded || !key || m_keeper.MayServe(*key, now);
+}
+
+RequestHead
+RangeServerTask::ServerHead(const OwnerCall& aCall) const
+{
+  auto head = aCall.Request().head;
+  m_dialect.Address(head, *m_server, aCall.Request().deadline - m_clock.Now());
+  return head;
+}
+
+AnswerKind
+RangeServerTask::Classify(const OwnerCall& aCall,
+                          const ResponseHead& aHead) const
+{
+  return m_dialect.Classify(aCall.Request().head, aHead);
+}
+
+std::optional<DaemonId>
+RangeServerTask::HolderHint(const OwnerCall&) const
+{
+  return std::nullopt;
+}
+
+void
+RangeServerTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
+{
+  const auto id = aCall.Request().id;
+  const auto known = m_calls.find(id);
+  if (known == m_calls.end() || known->second.get() != &aCall) {
+    return;
+  }
+  m_calls.erase(known);
+  if (!m_gate) {
+    return;
+  }
+  if (m_gate->IsQueued(id)) {
+    m_gate->Cancel(id);
+    ArmGate();
+    return;
+  }
+  // A lost answer says nothing about how much the backend server can take.
+  const auto result =
+    aResult == ServiceResult::kFailed ? ServiceResult::kCancelled : aResult;
+  Apply(m_gate->Finished(id, result, m_clock.Now()));
+}
+
+void
+RangeServerTask::MakeGate(uint32_t aSlots)
+{
+  const auto slots = std::clamp<uint32_t>(aSlots, 1, kMostSlots);
+  if (!m_gate) {
+    m_gate = std::make_unique<Gate>(GateSettingsFor(slots));
+  }
+}
+
+std::vector<RangeRow>
+RangeServerTask::RowsOf(const ServerLife& aLife) const
+{
+  const RangeHolder holder{ m_state.Self(), aLife };
+  std::vector<RangeRow> rows;
+  for (const auto& row : m_state.State().Table().RowsOf(m_settings.service)) {
+    if (row.holder == holder) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+bool
+RangeServerTask::IsMine(ShardKey aKey) const
+{
+  const auto* row = m_state.State().Table().Find(m_settings.service, aKey);
+  return row != nullptr && row->holder.host == m_state.Self();
+}
+
+void
+RangeServerTask::Publish(const ServerHeartbeat& aHeartbeat)
+{
+  LiveServer server;
+  server.life = aHeartbeat.life;
+  server.slots = aHeartbeat.slots;
+  server.state =
+    m_keeper.LeavingAll() ? ServerState::kDraining : ServerState::kReady;
+  m_state.PublishServer(server);
+}
+
+HeartbeatReply
+RangeServerTask::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+{
+  if (!m_state.Joined() || m_keeper.IsStale(aHeartbeat) ||
+      aHeartbeat.service != m_settings.service) {
+    return {};
+  }
+  const auto now = m_clock.Now();
+  if (m_keeper.Life() != aHeartbeat.life) {
+    m_logger.Info("server-started",
+                  "server={} born={} slots={}",
+                  aHeartbeat.life.id.Value(),
+                  aHeartbeat.life.born.time_since_epoch().count(),
+                  aHeartbeat.slots);
+    m_leavesAt.reset();
+  }
+  m_lastHeartbeat = now;
+  m_server = aHeartbeat.life.id;
+  MakeGate(aHeartbeat.slots);
+  const bool wasLeaving = m_keeper.LeavingAll();
+  auto reply = m_keeper.OnHeartbeat(
+    aHeartbeat, RowsOf(aHeartbeat.life), m_state.LeaseLeft(), now);
+  if (m_keeper.LeavingAll() && (!wasLeaving || !m_leavesAt)) {
+    m_leavesAt = now + m_settings.drainTime;
+    m_logger.Info("server-draining", "server={}", m_server->Value());
+  }
+  Publish(aHeartbeat);
+  WriteRelinquished(aHeartbeat.life, m_keeper.TakeRelinquished());
+  RetryHeld();
+  return reply;
+}
+
+void
+RangeServerTask::OnLeave(const ServerId& aServer)
+{
+  if (m_server != aServer || m_keeper.LeavingAll()) {
+    return;
+  }
+  m_logger.Info("server-leaving", "server={}", aServer.Value());
+  m_keeper.LeaveAll();
+  m_leavesAt = m_clock.Now() + m_settings.drainTime;
+  auto server = m_state.OwnRecord().server;
+  if (server) {
+    server->state = ServerState::kDraining;
+    m_state.PublishServer(server);
+  }
+}
+
+void
+RangeServerTask::WriteRelinquished(const ServerLife& aLife,
+                                   std::vector<Relinquished> aRanges)
+{
+  if (aRanges.empty()) {
+    return;
+  }
+  for (const auto& item : aRanges) {
+    m_logger.Info("range-released",
+                  "range={}-{} token={} to={}",
+                  item.range.first,
+                  item.range.last,
+                  item.handover.empty() ? "-" : item.handover,
+                  item.next ? item.next->host.Value() : "-");
+  }
+  const RangeHolder holder{ m_state.Self(), aLife };
+  m_state.Change(
+    "release",
+    [holder, service = m_settings.service, ranges = std::move(aRanges)](
+      TableDraft& aDraft, const MeshState& aState) {
+      bool changed = false;
+      for (const auto& item : ranges) {
+        const auto rows = aDraft.table.RowsOf(service);
+        for (const auto& row : rows) {
+          if (row.holder != holder || !row.range.Overlaps(item.range)) {
+            continue;
+          }
+          const auto part = row.range.Common(item.range);
+          const auto* next =
+            item.next ? aState.FindHost(item.next->host) : nullptr;
+          if (next != nullptr && aState.CanTake(*next) &&
+              next->server->life == item.next->life) {
+            aDraft.table.Assign(service, part, *item.next, item.handover);
+          } else {
+            aDraft.table.Free(service, part, item.handover);
+          }
+          changed = true;
+        }
+      }
+      return changed;
+    });
+}
+
+void
+RangeServerTask::Move(const std::vector<MoveOrder>& aOrders)
+{
+  if (!m_keeper.Life()) {
+    return;
+  }
+  for (const auto& order : aOrders) {
+    const auto* to = m_state.State().FindHost(order.to);
+    if (to == nullptr || !m_state.State().CanTake(*to)) {
+      continue;
+    }
+    for (const auto& row : RowsOf(*m_keeper.Life())) {
+      if (row.range.Contains(order.range)) {
+        m_logger.Info("move-ordered",
+                      "range={}-{} to={}",
+                      order.range.first,
+                      order.range.last,
+                      order.to.Value());
+        m_keeper.Leave(
+          order.range, row.fence, RangeHolder{ to->host, to->server->life });
+      }
+    }
+  }
+}
+
+void
+RangeServerTask::OnState()
+{
+  RetryHeld();
+}
+
+void
+RangeServerTask::OnTick()
+{
+  const auto now = m_clock.Now();
+  if (Leaves(now) && m_gate && m_gate->QueuedCount() > 0) {
+    Apply(m_gate->RefuseQueued(RefusalReason::kDraining));
+  }
+  const bool silent = now - m_lastHeartbeat >= kHeartbeatSilence;
+  if (!m_state.Joined() || !silent || !m_keeper.Expired(now)) {
+    return;
+  }
+  auto server = m_state.OwnRecord().server;
+  if (!server || server->state == ServerState::kSilent) {
+    return;
+  }
+  m_logger.Warning("server-silent",
+                   "server={} silent_ms={}",
+                   server->life.id.Value(),
+                   std::chrono::duration_cast<milliseconds>(
+                     now - m_lastHeartbeat)
+                     .count());
+  server->state = ServerState::kSilent;
+  m_keeper.Lapse(RowsOf(server->life));
+  m_state.PublishServer(server);
+  WriteRelinquished(server->life, m_keeper.TakeRelinquished());
+}
+
+void
+RangeServerTask::BeginDrain()
+{
+  m_draining = true;
+  if (m_gate) {
+    Apply(m_gate->RefuseQueued(RefusalReason::kDraining));
+  }
+  RetryHeld();
+}
+
+HostReport
+RangeServerTask::MakeReport()
+{
+  HostReport report;
+  report.host = m_state.Self();
+  report.capacity = static_cast<double>(m_gate ? m_gate->Limit() : 0);
+  report.buckets = m_load.Take(m_clock.Now());
+  return report;
+}
+
+}
--- /dev/null
+++ b/src/HostDaemon/StateTask.cpp
@@ -0,0 +1,123 @@
+#include "src/HostDaemon/StateTask.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachioshift {
+
+StateTaskBase::StateTaskBase(const Clock& aClock,
+                             const Logger& aLogger,
+                             HostRecord aSelf)
+  : m_clock(aClock)
+  , m_logger(aLogger)
+  , m_self(std::move(aSelf))
+{
+}
+
+Duration
+StateTaskBase::LeaseLeft() const
+{
+  return Joined() ? m_lease.Left(m_clock.Now()) : Duration{};
+}
+
+void
+StateTaskBase::Confirm(MonoTime aSentAt)
+{
+  if (!m_state.Suspected(m_self.host)) {
+    m_lease.Confirm(aSentAt);
+  }
+}
+
+void
+StateTaskBase::Take(const std::vector<StoreEntry>& aEntries, int64_t aNext)
+{
+  for (const auto& entry : aEntries) {
+    if (entry.offset < m_end) {
+      continue;
+    }
+    try {
+      m_state.Apply(entry);
+    } catch (const RangesError& error) {
+      m_logger.Warning("record-skipped",
+                       "offset={} key={} problem=\"{}\"",
+                       entry.offset,
+                       entry.key,
+                       error.what());
+    }
+  }
+  m_end = std::max(m_end, aNext);
+  const auto* suspicion = m_state.Table().FindSuspicion(m_self.host);
+  if (suspicion != nullptr && suspicion->number > m_self.cleared) {
+    m_logger.Warning("suspicion-refuted", "number={}", suspicion->number);
+    m_self.cleared = suspicion->number;
+    m_recordDirty = true;
+  }
+  const bool dropped = m_joined && m_state.FindHost(m_self.host) == nullptr;
+  if (dropped && !m_recordDirty) {
+    m_logger.Warning("host-removed", "offset={} rejoins=true", aNext);
+    m_recordDirty = true;
+  }
+}
+
+void
+StateTaskBase::Notify()
+{
+  for (auto* listener : m_listeners) {
+    listener->OnState();
+  }
+}
+
+void
+StateTaskBase::PublishServer(const std::optional<LiveServer>& aServer)
+{
+  if (m_self.server == aServer) {
+    return;
+  }
+  m_self.server = aServer;
+  m_recordDirty = true;
+  Write();
+}
+
+void
+StateTaskBase::Change(std::string aReason, Edit aEdit)
+{
+  m_edits.push_back(PendingEdit{ std::move(aReason), std::move(aEdit) });
+  Write();
+}
+
+void
+StateTaskBase::ChangeOnce(const std::string& aReason, Edit aEdit)
+{
+  std::erase_if(m_edits, [&](const PendingEdit& aItem) {
+    return aItem.reason == aReason;
+  });
+  Change(aReason, std::move(aEdit));
+}
+
+std::optional<TableDraft>
+StateTaskBase::ApplyEdits()
+{
+  TableDraft draft{ m_state.Table(), {} };
+  m_inFlight = std::exchange(m_edits, {});
+  m_draftReasons.clear();
+  for (const auto& item : m_inFlight) {
+    if (item.edit(draft, m_state)) {
+      m_draftReasons += m_draftReasons.empty() ? "" : ",";
+      m_draftReasons += item.reason;
+    }
+  }
+  if (m_draftReasons.empty()) {
+    m_inFlight.clear();
+    return std::nullopt;
+  }
+  return draft;
+}
+
+void
+StateTaskBase::RestoreEdits()
+{
+  m_inFlight.insert(m_inFlight.end(), m_edits.begin(), m_edits.end());
+  m_edits = std::exchange(m_inFlight, {});
+}
+
+}
--- /dev/null
+++ b/src/HostDaemon/StateTask.h
@@ -0,0 +1,172 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_STATETASK_H
+#define PISTACHIOSHIFT_HOSTDAEMON_STATETASK_H
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Pistachioshift/Ranges"
+#include "src/Base/Logger.h"
+#include "src/Daemon/Timer.h"
+
+namespace pistachioshift {
+
+/** \brief Times of a StateTask. */
+struct StateTaskSettings
+{
+  /// Long poll: every reply renews the lease.
+  Duration pollWait = std::chrono::milliseconds(1500);
+  /// Pause after a failed call.
+  Duration retryDelay = std::chrono::milliseconds(200);
+};
+
+/** \brief A change of the table that is written as a whole. */
+struct TableDraft
+{
+  RangeTable table;
+  std::vector<HostName> dropped; ///< Hosts that are gone.
+};
+
+/** \brief Called after the state has changed. */
+class StateListener
+{
+public:
+  virtual ~StateListener() = default;
+  virtual void OnState() = 0;
+};
+
+/**
+ * \brief Follows hosts and ranges in the store and writes this host's changes.
+ *
+ * \sa MeshState, KeyedStore
+ */
+class StateTaskBase
+{
+public:
+  /** \brief Changes a draft; false if nothing is to be done. */
+  using Edit = std::function<bool(TableDraft&, const MeshState&)>;
+
+  virtual ~StateTaskBase() = default;
+
+  const MeshState& State() const { return m_state; }
+  int64_t End() const { return m_end; }
+  const HostName& Self() const { return m_self.host; }
+
+  /** \brief Whether the state was read and this host's record is in it. */
+  bool Joined() const { return m_joined && m_end >= m_joinEnd; }
+
+  /** \brief Time for which this host may grant; zero or less: none. */
+  Duration LeaseLeft() const;
+
+  /** \brief Writes the backend server's life and state if they changed. */
+  void PublishServer(const std::optional<LiveServer>& aServer);
+
+  /** \brief What this host last said, or is about to say, of itself. */
+  const HostRecord& OwnRecord() const { return m_self; }
+
+  /**
+   * \brief Applies an edit to the table, again after each lost race, until it
+   * is written or there is nothing to do.
+   */
+  void Change(std::string aReason, Edit aEdit);
+
+  /** \brief Same; replaces an edit of that reason which still waits. */
+  void ChangeOnce(const std::string& aReason, Edit aEdit);
+
+  void AddListener(StateListener& aListener)
+  {
+    m_listeners.push_back(&aListener);
+  }
+
+protected:
+  struct PendingEdit
+  {
+    std::string reason;
+    Edit edit;
+  };
+
+  StateTaskBase(const Clock& aClock, const Logger& aLogger, HostRecord aSelf);
+
+  /** Takes in records; \return whether any of them changed the state. */
+  void Take(const std::vector<StoreEntry>& aEntries, int64_t aNext);
+  void Confirm(MonoTime aSentAt);
+  void Notify();
+
+  /** Moves the waiting edits into a draft; none if there is nothing to do. */
+  std::optional<TableDraft> ApplyEdits();
+
+  /** The draft lost a race: its edits wait again. */
+  void RestoreEdits();
+
+  /** Called after something is to be written. */
+  virtual void Write() = 0;
+
+  const Clock& m_clock;
+  const Logger& m_logger;
+  HostRecord m_self;
+  MeshState m_state;
+  Lease m_lease;
+  int64_t m_end = 0;
+  bool m_joined = false;
+  int64_t m_joinEnd = 0; ///< End after this host's record was written.
+  bool m_recordDirty = false;
+  std::vector<PendingEdit> m_edits;
+  std::vector<PendingEdit> m_inFlight; ///< Of the draft on its way.
+  std::string m_draftReasons;
+  std::vector<StateListener*> m_listeners;
+};
+
+/** \brief StateTaskBase over a store. */
+template<KeyedStore Store>
+class StateTask : public StateTaskBase
+{
+public:
+  StateTask(event_base* aBase,
+            const Clock& aClock,
+            const Logger& aLogger,
+            Store& aStore,
+            HostRecord aSelf,
+            StateTaskSettings aSettings = {});
+
+  /** \brief Reads the state, then joins and follows it. */
+  void Start();
+
+  /** \brief Whether the last call to the store succeeded. */
+  bool Connected() const { return m_connected; }
+
+private:
+  void ReadNewest();
+  void OnNewest(MonoTime aSentAt, StoreReadResult aResult);
+  void Poll();
+  void OnPolled(MonoTime aSentAt, StoreReadResult aResult);
+  void Join();
+  void Write() override;
+  void WriteRecord();
+  void OnRecordWritten(const HostRecord& aWritten, AppendReply aReply);
+  void WriteTable();
+  void SendTable();
+  void OnTableWritten(MonoTime aSentAt, AppendReply aReply);
+  void SetConnected(bool aConnected, const char* aCall);
+
+  static inline const std::string kTopic = "keyed.pistachioshift";
+
+  Store& m_store;
+  StateTaskSettings m_settings;
+  Timer m_pollTimer;
+  Timer m_writeTimer;
+  Timer m_resendTimer;
+  std::vector<StoreEntry> m_draftEntries;
+  int64_t m_draftAt = 0;
+  bool m_connected = false;
+  bool m_polling = false;
+  bool m_writing = false;
+  int64_t m_sequence = 0;
+  int64_t m_conflictEnd = -1; ///< A change waits until this end is read.
+};
+
+}
+
+#include "src/HostDaemon/internal/StateTaskImpl.h"
+
+#endif
--- /dev/null
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -0,0 +1,294 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_INTERNAL_STATETASKIMPL_H
+#define PISTACHIOSHIFT_HOSTDAEMON_INTERNAL_STATETASKIMPL_H
+
+#include <algorithm>
+#include <utility>
+
+#include "src/HostDaemon/StateTask.h"
+
+namespace pistachioshift {
+
+template<KeyedStore Store>
+StateTask<Store>::StateTask(event_base* aBase,
+                            const Clock& aClock,
+                            const Logger& aLogger,
+                            Store& aStore,
+                            HostRecord aSelf,
+                            StateTaskSettings aSettings)
+  : StateTaskBase(aClock, aLogger, std::move(aSelf))
+  , m_store(aStore)
+  , m_settings(aSettings)
+  , m_pollTimer(aBase, [this] { m_end == 0 ? ReadNewest() : Poll(); })
+  , m_writeTimer(aBase, [this] { Write(); })
+  , m_resendTimer(aBase, [this] { SendTable(); })
+{
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::Start()
+{
+  ReadNewest();
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::SetConnected(bool aConnected, const char* aCall)
+{
+  if (m_connected != aConnected) {
+    m_logger.Info(aConnected ? "store-connected" : "store-lost",
+                  "call={} end={} lease_ms={}",
+                  aCall,
+                  m_end,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                    LeaseLeft())
+                    .count());
+  }
+  m_connected = aConnected;
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::ReadNewest()
+{
+  if (m_polling) {
+    return;
+  }
+  m_polling = true;
+  const auto sentAt = m_clock.Now();
+  m_store.Newest(kTopic, [this, sentAt](StoreReadResult aResult) {
+    OnNewest(sentAt, std::move(aResult));
+  });
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::OnNewest(MonoTime aSentAt, StoreReadResult aResult)
+{
+  m_polling = false;
+  const auto* records = std::get_if<StoreRecords>(&aResult);
+  SetConnected(records != nullptr, "newest");
+  if (records == nullptr) {
+    m_pollTimer.StartOnce(m_settings.retryDelay);
+    return;
+  }
+  // The pages are no snapshot: what came meanwhile is read from the first end.
+  Take(records->entries, records->next);
+  if (records->next == records->end) {
+    Confirm(aSentAt);
+  }
+  if (!m_joined) {
+    Join();
+  }
+  Notify();
+  Write();
+  Poll();
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::Join()
+{
+  const auto* known = m_state.FindHost(m_self.host);
+  const auto wall = m_clock.WallNow().time_since_epoch().count();
+  m_self.epoch = wall;
+  if (known != nullptr) {
+    m_self.epoch = std::max(m_self.epoch, known->epoch + 1);
+    // The backend server may have outlived the process before this one.
+    m_self.server = known->server;
+    m_self.cleared = std::max(m_self.cleared, known->cleared);
+  }
+  m_sequence = 0;
+  m_recordDirty = true;
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::Poll()
+{
+  if (m_polling) {
+    return;
+  }
+  m_polling = true;
+  const auto sentAt = m_clock.Now();
+  m_store.Read(kTopic,
+               m_end,
+               m_settings.pollWait,
+               [this, sentAt](StoreReadResult aResult) {
+                 OnPolled(sentAt, std::move(aResult));
+               });
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::OnPolled(MonoTime aSentAt, StoreReadResult aResult)
+{
+  m_polling = false;
+  const auto* records = std::get_if<StoreRecords>(&aResult);
+  SetConnected(records != nullptr, "read");
+  if (records == nullptr) {
+    if (std::get<StoreFailure>(aResult) == StoreFailure::kExpired) {
+      ReadNewest();
+      return;
+    }
+    m_pollTimer.StartOnce(m_settings.retryDelay);
+    return;
+  }
+  const bool changed = records->next > m_end;
+  Take(records->entries, records->next);
+  if (m_end >= records->end) {
+    Confirm(aSentAt);
+  }
+  if (changed) {
+    Notify();
+  }
+  Write();
+  Poll();
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::Write()
+{
+  if (m_writing || m_writeTimer.Running() || m_self.epoch == 0) {
+    return;
+  }
+  if (m_recordDirty) {
+    WriteRecord();
+  } else if (!m_edits.empty() && m_end >= m_conflictEnd) {
+    WriteTable();
+  }
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::WriteRecord()
+{
+  m_writing = true;
+  m_recordDirty = false;
+  const auto written = m_self;
+  m_store.Append(kTopic,
+                 { EncodeHost(written) },
+                 WriterPosition{ "host/" + m_self.host.Value(),
+                                 m_self.epoch,
+                                 m_sequence },
+                 [this, written](AppendReply aReply) {
+                   OnRecordWritten(written, aReply);
+                 });
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::OnRecordWritten(const HostRecord& aWritten,
+                                  AppendReply aReply)
+{
+  m_writing = false;
+  switch (aReply.verdict) {
+    case AppendVerdict::kAccepted:
+      ++m_sequence;
+      m_logger.Info("host-written",
+                    "epoch={} end={} server={} cleared={}",
+                    aWritten.epoch,
+                    aReply.end,
+                    aWritten.server ? aWritten.server->life.id.Value() : "-",
+                    aWritten.cleared);
+      if (!m_joined) {
+        // Grants wait until no append of the process before can still land.
+        m_joined = true;
+        m_joinEnd = aReply.end;
+        Notify();
+      }
+      break;
+    case AppendVerdict::kFenced:
+      ++m_self.epoch;
+      m_sequence = 0;
+      m_recordDirty = true;
+      m_logger.Warning("host-fenced", "next_epoch={}", m_self.epoch);
+      break;
+    case AppendVerdict::kSequence:
+      m_sequence = aReply.sequence;
+      m_recordDirty = true;
+      break;
+    default:
+      m_recordDirty = true;
+      m_writeTimer.StartOnce(m_settings.retryDelay);
+      return;
+  }
+  Write();
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::WriteTable()
+{
+  auto draft = ApplyEdits();
+  if (!draft) {
+    return;
+  }
+  ++draft->table.revision;
+  m_draftEntries.clear();
+  for (const auto& host : draft->dropped) {
+    m_draftEntries.push_back(RemoveHost(host));
+  }
+  m_draftEntries.push_back(EncodeTable(draft->table));
+  m_draftAt = m_end;
+  m_writing = true;
+  SendTable();
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::SendTable()
+{
+  const auto sentAt = m_clock.Now();
+  m_store.Append(kTopic,
+                 m_draftEntries,
+                 ExpectedEnd{ m_draftAt },
+                 [this, sentAt](AppendReply aReply) {
+                   OnTableWritten(sentAt, aReply);
+                 });
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::OnTableWritten(MonoTime aSentAt, AppendReply aReply)
+{
+  m_logger.Info("table-written",
+                "at={} verdict={} end={} reasons={}",
+                m_draftAt,
+                ToString(aReply.verdict),
+                aReply.end,
+                m_draftReasons);
+  switch (aReply.verdict) {
+    case AppendVerdict::kAccepted: {
+      m_writing = false;
+      m_inFlight.clear();
+      for (auto& entry : m_draftEntries) {
+        entry.offset = m_end;
+      }
+      if (m_end == m_draftAt) {
+        Take(m_draftEntries, aReply.end);
+        Confirm(aSentAt);
+      }
+      Notify();
+      break;
+    }
+    case AppendVerdict::kConflict:
+    case AppendVerdict::kFenced:
+    case AppendVerdict::kSequence:
+      m_writing = false;
+      m_conflictEnd = std::max(aReply.end, m_draftAt + 1);
+      RestoreEdits();
+      break;
+    case AppendVerdict::kRefused:
+    case AppendVerdict::kUnknown:
+      // Sent again under the same condition until the outcome is certain.
+      m_resendTimer.StartOnce(m_settings.retryDelay);
+      return;
+  }
+  Write();
+}
+
+}
+
+#endif
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "src/Inner/ThriftCodec.h"
+#include "src/Inner/WireRanges.h"
 #include "src/Inner/gen/frames_types.h"
 
 namespace pistachioshift {
@@ -155,6 +156,7 @@
     }
     open.known = ToWire(aOpen.known);
     open.isRepeat = aOpen.repeat;
+    open.__set_priority(static_cast<int32_t>(aOpen.priority));
     frame.__set_requestOpen(open);
   }
 
@@ -290,6 +292,26 @@
     }
     frame.__set_loadReport(report);
   }
+
+  void operator()(const HostReport& aReport) const
+  {
+    frame.__set_hostReport(hosts::ToWire(aReport));
+  }
+
+  void operator()(const HostOrders& aOrders) const
+  {
+    frame.__set_hostOrders(hosts::ToWire(aOrders));
+  }
+
+  void operator()(const StateQuery& aQuery) const
+  {
+    frame.__set_stateQuery(hosts::ToWire(aQuery));
+  }
+
+  void operator()(const StateReply& aReply) const
+  {
+    frame.__set_stateReply(hosts::ToWire(aReply));
+  }
 };
 
 LoadReport
@@ -332,6 +354,7 @@
   open.idempotencyKey = aOpen.idempotencyKey;
   open.known = PositionFromWire(aOpen.known);
   open.repeat = aOpen.isRepeat;
+  open.priority = static_cast<uint32_t>(std::max(aOpen.priority, 0));
   return open;
 }
 
@@ -447,6 +470,18 @@
   if (isset.loadReport) {
     return FromWire(aFrame.loadReport);
   }
+  if (isset.hostReport) {
+    return hosts::FromWire(aFrame.hostReport);
+  }
+  if (isset.hostOrders) {
+    return hosts::FromWire(aFrame.hostOrders);
+  }
+  if (isset.stateQuery) {
+    return StateQuery{ aFrame.stateQuery.from_ };
+  }
+  if (isset.stateReply) {
+    return hosts::FromWire(aFrame.stateReply);
+  }
   throw InnerError("frame of an unknown type");
 }
 
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -11,6 +11,8 @@
 #include "src/Base/Ids.h"
 #include "src/Http/Message.h"
 #include "src/Log/LogService.h"
+#include "src/Ranges/KeyedStore.h"
+#include "src/Ranges/LoadMap.h"
 #include "src/Routing/Outcome.h"
 #include "src/Routing/OutcomeTable.h"
 
@@ -46,6 +48,7 @@
   std::string idempotencyKey; ///< Empty: none was given.
   bool repeat = false;        ///< The caller sent this idempotency key before.
   TablePosition known; ///< Position of the owner's table before the request.
+  uint32_t priority = 0; ///< 0 is the most urgent.
 };
 
 /** \brief Piece of a request or response body. */
@@ -151,6 +154,43 @@
   std::vector<ReportedKey> hotKeys;
 };
 
+/** \brief What a host's backend server carries, told to the coordinator. */
+struct HostReport
+{
+  HostName host;
+  double capacity = 0.0; ///< Requests a second that it can finish.
+  std::vector<LoadBucket> buckets;
+};
+
+/** \brief A range to be handed to another host. */
+struct MoveOrder
+{
+  KeyRange range;
+  HostName to;
+
+  bool operator==(const MoveOrder&) const = default;
+};
+
+/** \brief The coordinator's answer to a report. */
+struct HostOrders
+{
+  std::vector<MoveOrder> moves;
+};
+
+/** \brief Asks a peer for the state, when the store gives no answer. */
+struct StateQuery
+{
+  int64_t from = 0; ///< Offset up to which the asking host has read.
+};
+
+/** \brief What a peer has read from the store. */
+struct StateReply
+{
+  Duration age{};   ///< Since the peer last saw the end of the topic.
+  int64_t next = 0; ///< The entries reach up to this offset.
+  std::vector<StoreEntry> entries;
+};
+
 using Frame = std::variant<Hello,
                            RequestOpen,
                            BodyPiece,
@@ -164,7 +204,11 @@
                            OutcomeReply,
                            RecordsQuery,
                            RecordsReply,
-                           LoadReport>;
+                           LoadReport,
+                           HostReport,
+                           HostOrders,
+                           StateQuery,
+                           StateReply>;
 
 }
 
--- /dev/null
+++ b/src/Inner/WireRanges.cpp
@@ -0,0 +1,137 @@
+#include "src/Inner/WireRanges.h"
+
+#include <cmath>
+
+#include "src/Inner/InnerError.h"
+
+namespace pistachioshift::internal::hosts {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+KeyRange
+RangeFromWire(int32_t aFirst, int32_t aLast)
+{
+  const auto bound = static_cast<int32_t>(kShardKeys);
+  if (aFirst < 0 || aLast < aFirst || aLast >= bound) {
+    throw InnerError("key range out of bounds");
+  }
+  return KeyRange{ static_cast<uint32_t>(aFirst),
+                   static_cast<uint32_t>(aLast) };
+}
+
+double
+PositiveFromWire(double aNumber, const char* aField)
+{
+  if (!std::isfinite(aNumber) || aNumber < 0.0) {
+    throw InnerError(std::string(aField) + " out of bounds");
+  }
+  return aNumber;
+}
+
+}
+
+wire::WireHostReport
+ToWire(const HostReport& aReport)
+{
+  wire::WireHostReport report;
+  report.host = aReport.host.Value();
+  report.capacity = aReport.capacity;
+  for (const auto& bucket : aReport.buckets) {
+    wire::WireBucket item;
+    item.first = static_cast<int32_t>(bucket.range.first);
+    item.last = static_cast<int32_t>(bucket.range.last);
+    item.load = bucket.load;
+    report.buckets.push_back(item);
+  }
+  return report;
+}
+
+HostReport
+FromWire(const wire::WireHostReport& aReport)
+{
+  HostReport report;
+  report.host = HostName(aReport.host);
+  report.capacity = PositiveFromWire(aReport.capacity, "capacity");
+  for (const auto& item : aReport.buckets) {
+    report.buckets.push_back(LoadBucket{ RangeFromWire(item.first, item.last),
+                                         PositiveFromWire(item.load, "load") });
+  }
+  return report;
+}
+
+wire::WireHostOrders
+ToWire(const HostOrders& aOrders)
+{
+  wire::WireHostOrders orders;
+  for (const auto& move : aOrders.moves) {
+    wire::WireMove item;
+    item.first = static_cast<int32_t>(move.range.first);
+    item.last = static_cast<int32_t>(move.range.last);
+    item.to = move.to.Value();
+    orders.moves.push_back(std::move(item));
+  }
+  return orders;
+}
+
+HostOrders
+FromWire(const wire::WireHostOrders& aOrders)
+{
+  HostOrders orders;
+  for (const auto& item : aOrders.moves) {
+    orders.moves.push_back(
+      MoveOrder{ RangeFromWire(item.first, item.last), HostName(item.to) });
+  }
+  return orders;
+}
+
+wire::WireStateQuery
+ToWire(const StateQuery& aQuery)
+{
+  wire::WireStateQuery query;
+  query.from_ = aQuery.from;
+  return query;
+}
+
+wire::WireStateReply
+ToWire(const StateReply& aReply)
+{
+  wire::WireStateReply reply;
+  reply.ageMicros = duration_cast<microseconds>(aReply.age).count();
+  reply.nextOffset = aReply.next;
+  for (const auto& entry : aReply.entries) {
+    wire::WireStateEntry item;
+    item.key = entry.key;
+    if (entry.value) {
+      item.__set_value(*entry.value);
+    }
+    item.offset = entry.offset;
+    reply.entries.push_back(std::move(item));
+  }
+  return reply;
+}
+
+StateReply
+FromWire(const wire::WireStateReply& aReply)
+{
+  if (aReply.ageMicros < 0) {
+    throw InnerError("negative age");
+  }
+  StateReply reply;
+  reply.age = microseconds(aReply.ageMicros);
+  reply.next = aReply.nextOffset;
+  for (const auto& item : aReply.entries) {
+    StoreEntry entry;
+    entry.key = item.key;
+    if (item.__isset.value) {
+      entry.value = item.value;
+    }
+    entry.offset = item.offset;
+    reply.entries.push_back(std::move(entry));
+  }
+  return reply;
+}
+
+}
--- /dev/null
+++ b/src/Inner/WireRanges.h
@@ -0,0 +1,21 @@
+#ifndef PISTACHIOSHIFT_INNER_WIRERANGES_H
+#define PISTACHIOSHIFT_INNER_WIRERANGES_H
+
+#include "src/Inner/Frames.h"
+#include "src/Inner/gen/frames_types.h"
+
+namespace pistachioshift::internal::hosts {
+
+/** Frames about hosts and ranges; FromWire throws InnerError. */
+wire::WireHostReport ToWire(const HostReport& aReport);
+wire::WireHostOrders ToWire(const HostOrders& aOrders);
+wire::WireStateQuery ToWire(const StateQuery& aQuery);
+wire::WireStateReply ToWire(const StateReply& aReply);
+
+HostReport FromWire(const wire::WireHostReport& aReport);
+HostOrders FromWire(const wire::WireHostOrders& aOrders);
+StateReply FromWire(const wire::WireStateReply& aReply);
+
+}
+
+#endif
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -577,6 +577,11 @@
 void WireRequestOpen::__set_isRepeat(const bool val) {
   this->isRepeat = val;
 }
+
+void WireRequestOpen::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireRequestOpen& obj)
 {
   obj.printTo(out);
@@ -732,6 +737,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -833,6 +846,11 @@
   xfer += oprot->writeBool(this->isRepeat);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 14);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -853,6 +871,7 @@
   swap(a.idempotencyKey, b.idempotencyKey);
   swap(a.known, b.known);
   swap(a.isRepeat, b.isRepeat);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -870,6 +889,7 @@
   idempotencyKey = other14.idempotencyKey;
   known = other14.known;
   isRepeat = other14.isRepeat;
+  priority = other14.priority;
   __isset = other14.__isset;
 }
 WireRequestOpen& WireRequestOpen::operator=(const WireRequestOpen& other15) {
@@ -886,6 +906,7 @@
   idempotencyKey = other15.idempotencyKey;
   known = other15.known;
   isRepeat = other15.isRepeat;
+  priority = other15.priority;
   __isset = other15.__isset;
   return *this;
 }
@@ -905,6 +926,7 @@
   out << ", " << "idempotencyKey="; (__isset.idempotencyKey ? (out << to_string(idempotencyKey)) : (out << "<null>"));
   out << ", " << "known=" << to_string(known);
   out << ", " << "isRepeat=" << to_string(isRepeat);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2997,87 +3019,167 @@
 }
 
 
-WireFrame::~WireFrame() noexcept {
+WireBucket::~WireBucket() noexcept {
 }
 
 
-void WireFrame::__set_hello(const WireHello& val) {
-  this->hello = val;
-__isset.hello = true;
+void WireBucket::__set_first(const int32_t val) {
+  this->first = val;
 }
 
-void WireFrame::__set_requestOpen(const WireRequestOpen& val) {
-  this->requestOpen = val;
-__isset.requestOpen = true;
+void WireBucket::__set_last(const int32_t val) {
+  this->last = val;
 }
 
-void WireFrame::__set_body(const WireBody& val) {
-  this->body = val;
-__isset.body = true;
+void WireBucket::__set_load(const double val) {
+  this->load = val;
 }
-
-void WireFrame::__set_credit(const WireCredit& val) {
-  this->credit = val;
-__isset.credit = true;
+std::ostream& operator<<(std::ostream& out, const WireBucket& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void WireFrame::__set_responseOpen(const WireResponseOpen& val) {
-  this->responseOpen = val;
-__isset.responseOpen = true;
-}
 
-void WireFrame::__set_refused(const WireRefused& val) {
-  this->refused = val;
-__isset.refused = true;
-}
+uint32_t WireBucket::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-void WireFrame::__set_cancel(const WireCancel& val) {
-  this->cancel = val;
-__isset.cancel = true;
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_first = false;
+  bool isset_last = false;
+  bool isset_load = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->last);
+          isset_last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->load);
+          isset_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_last)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
 }
 
-void WireFrame::__set_ping(const WirePing& val) {
-  this->ping = val;
-__isset.ping = true;
+uint32_t WireBucket::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireBucket");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void WireFrame::__set_pong(const WirePong& val) {
-  this->pong = val;
-__isset.pong = true;
+void swap(WireBucket &a, WireBucket &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.last, b.last);
+  swap(a.load, b.load);
 }
 
-void WireFrame::__set_outcomeQuery(const WireOutcomeQuery& val) {
-  this->outcomeQuery = val;
-__isset.outcomeQuery = true;
+WireBucket::WireBucket(const WireBucket& other70) noexcept {
+  first = other70.first;
+  last = other70.last;
+  load = other70.load;
+}
+WireBucket& WireBucket::operator=(const WireBucket& other71) noexcept {
+  first = other71.first;
+  last = other71.last;
+  load = other71.load;
+  return *this;
+}
+void WireBucket::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireBucket(";
+  out << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
 }
 
-void WireFrame::__set_outcomeReply(const WireOutcomeReply& val) {
-  this->outcomeReply = val;
-__isset.outcomeReply = true;
+
+WireHostReport::~WireHostReport() noexcept {
 }
 
-void WireFrame::__set_recordsQuery(const WireRecordsQuery& val) {
-  this->recordsQuery = val;
-__isset.recordsQuery = true;
+
+void WireHostReport::__set_host(const std::string& val) {
+  this->host = val;
 }
 
-void WireFrame::__set_recordsReply(const WireRecordsReply& val) {
-  this->recordsReply = val;
-__isset.recordsReply = true;
+void WireHostReport::__set_capacity(const double val) {
+  this->capacity = val;
 }
 
-void WireFrame::__set_loadReport(const WireLoadReport& val) {
-  this->loadReport = val;
-__isset.loadReport = true;
+void WireHostReport::__set_buckets(const std::vector<WireBucket> & val) {
+  this->buckets = val;
 }
-std::ostream& operator<<(std::ostream& out, const WireFrame& obj)
+std::ostream& operator<<(std::ostream& out, const WireHostReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t WireFrame::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t WireHostReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3089,6 +3191,9 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
+  bool isset_host = false;
+  bool isset_capacity = false;
+  bool isset_buckets = false;
 
   while (true)
   {
@@ -3099,113 +3204,37 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->hello.read(iprot);
-          this->__isset.hello = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          isset_host = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->requestOpen.read(iprot);
-          this->__isset.requestOpen = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->capacity);
+          isset_capacity = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->credit.read(iprot);
-          this->__isset.credit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->responseOpen.read(iprot);
-          this->__isset.responseOpen = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->refused.read(iprot);
-          this->__isset.refused = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->cancel.read(iprot);
-          this->__isset.cancel = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ping.read(iprot);
-          this->__isset.ping = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->pong.read(iprot);
-          this->__isset.pong = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcomeQuery.read(iprot);
-          this->__isset.outcomeQuery = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcomeReply.read(iprot);
-          this->__isset.outcomeReply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordsQuery.read(iprot);
-          this->__isset.recordsQuery = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordsReply.read(iprot);
-          this->__isset.recordsReply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->loadReport.read(iprot);
-          this->__isset.loadReport = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->buckets.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += this->buckets[_i76].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_buckets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3219,13 +3248,994 @@
 
   xfer += iprot->readStructEnd();
 
+  if (!isset_host)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_capacity)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_buckets)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t WireFrame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t WireHostReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("WireFrame");
+  xfer += oprot->writeStructBegin("WireHostReport");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->capacity);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->buckets.size()));
+    std::vector<WireBucket> ::const_iterator _iter77;
+    for (_iter77 = this->buckets.begin(); _iter77 != this->buckets.end(); ++_iter77)
+    {
+      xfer += (*_iter77).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireHostReport &a, WireHostReport &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.capacity, b.capacity);
+  swap(a.buckets, b.buckets);
+}
+
+WireHostReport::WireHostReport(const WireHostReport& other78) {
+  host = other78.host;
+  capacity = other78.capacity;
+  buckets = other78.buckets;
+}
+WireHostReport& WireHostReport::operator=(const WireHostReport& other79) {
+  host = other79.host;
+  capacity = other79.capacity;
+  buckets = other79.buckets;
+  return *this;
+}
+void WireHostReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireHostReport(";
+  out << "host=" << to_string(host);
+  out << ", " << "capacity=" << to_string(capacity);
+  out << ", " << "buckets=" << to_string(buckets);
+  out << ")";
+}
+
+
+WireMove::~WireMove() noexcept {
+}
+
+
+void WireMove::__set_first(const int32_t val) {
+  this->first = val;
+}
+
+void WireMove::__set_last(const int32_t val) {
+  this->last = val;
+}
+
+void WireMove::__set_to(const std::string& val) {
+  this->to = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireMove& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireMove::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_first = false;
+  bool isset_last = false;
+  bool isset_to = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->last);
+          isset_last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          isset_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_last)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_to)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireMove::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireMove");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireMove &a, WireMove &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.last, b.last);
+  swap(a.to, b.to);
+}
+
+WireMove::WireMove(const WireMove& other80) {
+  first = other80.first;
+  last = other80.last;
+  to = other80.to;
+}
+WireMove& WireMove::operator=(const WireMove& other81) {
+  first = other81.first;
+  last = other81.last;
+  to = other81.to;
+  return *this;
+}
+void WireMove::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireMove(";
+  out << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
+  out << ", " << "to=" << to_string(to);
+  out << ")";
+}
+
+
+WireHostOrders::~WireHostOrders() noexcept {
+}
+
+
+void WireHostOrders::__set_moves(const std::vector<WireMove> & val) {
+  this->moves = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireHostOrders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireHostOrders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_moves = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->moves.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->moves.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += this->moves[_i86].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_moves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_moves)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireHostOrders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireHostOrders");
+
+  xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
+    std::vector<WireMove> ::const_iterator _iter87;
+    for (_iter87 = this->moves.begin(); _iter87 != this->moves.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireHostOrders &a, WireHostOrders &b) {
+  using ::std::swap;
+  swap(a.moves, b.moves);
+}
+
+WireHostOrders::WireHostOrders(const WireHostOrders& other88) {
+  moves = other88.moves;
+}
+WireHostOrders& WireHostOrders::operator=(const WireHostOrders& other89) {
+  moves = other89.moves;
+  return *this;
+}
+void WireHostOrders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireHostOrders(";
+  out << "moves=" << to_string(moves);
+  out << ")";
+}
+
+
+WireStateQuery::~WireStateQuery() noexcept {
+}
+
+
+void WireStateQuery::__set_from_(const int64_t val) {
+  this->from_ = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireStateQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireStateQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_from_ = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_);
+          isset_from_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_from_)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireStateQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireStateQuery");
+
+  xfer += oprot->writeFieldBegin("from_", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireStateQuery &a, WireStateQuery &b) {
+  using ::std::swap;
+  swap(a.from_, b.from_);
+}
+
+WireStateQuery::WireStateQuery(const WireStateQuery& other90) noexcept {
+  from_ = other90.from_;
+}
+WireStateQuery& WireStateQuery::operator=(const WireStateQuery& other91) noexcept {
+  from_ = other91.from_;
+  return *this;
+}
+void WireStateQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireStateQuery(";
+  out << "from_=" << to_string(from_);
+  out << ")";
+}
+
+
+WireStateEntry::~WireStateEntry() noexcept {
+}
+
+
+void WireStateEntry::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void WireStateEntry::__set_value(const std::string& val) {
+  this->value = val;
+__isset.value = true;
+}
+
+void WireStateEntry::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireStateEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireStateEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_offset = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          isset_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_offset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireStateEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireStateEntry");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.value) {
+    xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->value);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireStateEntry &a, WireStateEntry &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.offset, b.offset);
+  swap(a.__isset, b.__isset);
+}
+
+WireStateEntry::WireStateEntry(const WireStateEntry& other92) {
+  key = other92.key;
+  value = other92.value;
+  offset = other92.offset;
+  __isset = other92.__isset;
+}
+WireStateEntry& WireStateEntry::operator=(const WireStateEntry& other93) {
+  key = other93.key;
+  value = other93.value;
+  offset = other93.offset;
+  __isset = other93.__isset;
+  return *this;
+}
+void WireStateEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireStateEntry(";
+  out << "key=" << to_string(key);
+  out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
+  out << ", " << "offset=" << to_string(offset);
+  out << ")";
+}
+
+
+WireStateReply::~WireStateReply() noexcept {
+}
+
+
+void WireStateReply::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+
+void WireStateReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void WireStateReply::__set_entries(const std::vector<WireStateEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireStateReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireStateReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_ageMicros = false;
+  bool isset_nextOffset = false;
+  bool isset_entries = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          isset_ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          isset_nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->entries.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->entries[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_ageMicros)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nextOffset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireStateReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireStateReply");
+
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<WireStateEntry> ::const_iterator _iter99;
+    for (_iter99 = this->entries.begin(); _iter99 != this->entries.end(); ++_iter99)
+    {
+      xfer += (*_iter99).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireStateReply &a, WireStateReply &b) {
+  using ::std::swap;
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.entries, b.entries);
+}
+
+WireStateReply::WireStateReply(const WireStateReply& other100) {
+  ageMicros = other100.ageMicros;
+  nextOffset = other100.nextOffset;
+  entries = other100.entries;
+}
+WireStateReply& WireStateReply::operator=(const WireStateReply& other101) {
+  ageMicros = other101.ageMicros;
+  nextOffset = other101.nextOffset;
+  entries = other101.entries;
+  return *this;
+}
+void WireStateReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireStateReply(";
+  out << "ageMicros=" << to_string(ageMicros);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+WireFrame::~WireFrame() noexcept {
+}
+
+
+void WireFrame::__set_hello(const WireHello& val) {
+  this->hello = val;
+__isset.hello = true;
+}
+
+void WireFrame::__set_requestOpen(const WireRequestOpen& val) {
+  this->requestOpen = val;
+__isset.requestOpen = true;
+}
+
+void WireFrame::__set_body(const WireBody& val) {
+  this->body = val;
+__isset.body = true;
+}
+
+void WireFrame::__set_credit(const WireCredit& val) {
+  this->credit = val;
+__isset.credit = true;
+}
+
+void WireFrame::__set_responseOpen(const WireResponseOpen& val) {
+  this->responseOpen = val;
+__isset.responseOpen = true;
+}
+
+void WireFrame::__set_refused(const WireRefused& val) {
+  this->refused = val;
+__isset.refused = true;
+}
+
+void WireFrame::__set_cancel(const WireCancel& val) {
+  this->cancel = val;
+__isset.cancel = true;
+}
+
+void WireFrame::__set_ping(const WirePing& val) {
+  this->ping = val;
+__isset.ping = true;
+}
+
+void WireFrame::__set_pong(const WirePong& val) {
+  this->pong = val;
+__isset.pong = true;
+}
+
+void WireFrame::__set_outcomeQuery(const WireOutcomeQuery& val) {
+  this->outcomeQuery = val;
+__isset.outcomeQuery = true;
+}
+
+void WireFrame::__set_outcomeReply(const WireOutcomeReply& val) {
+  this->outcomeReply = val;
+__isset.outcomeReply = true;
+}
+
+void WireFrame::__set_recordsQuery(const WireRecordsQuery& val) {
+  this->recordsQuery = val;
+__isset.recordsQuery = true;
+}
+
+void WireFrame::__set_recordsReply(const WireRecordsReply& val) {
+  this->recordsReply = val;
+__isset.recordsReply = true;
+}
+
+void WireFrame::__set_loadReport(const WireLoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
+
+void WireFrame::__set_hostReport(const WireHostReport& val) {
+  this->hostReport = val;
+__isset.hostReport = true;
+}
+
+void WireFrame::__set_hostOrders(const WireHostOrders& val) {
+  this->hostOrders = val;
+__isset.hostOrders = true;
+}
+
+void WireFrame::__set_stateQuery(const WireStateQuery& val) {
+  this->stateQuery = val;
+__isset.stateQuery = true;
+}
+
+void WireFrame::__set_stateReply(const WireStateReply& val) {
+  this->stateReply = val;
+__isset.stateReply = true;
+}
+std::ostream& operator<<(std::ostream& out, const WireFrame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireFrame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello.read(iprot);
+          this->__isset.hello = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->requestOpen.read(iprot);
+          this->__isset.requestOpen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->credit.read(iprot);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->responseOpen.read(iprot);
+          this->__isset.responseOpen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refused.read(iprot);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel.read(iprot);
+          this->__isset.cancel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ping.read(iprot);
+          this->__isset.ping = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->pong.read(iprot);
+          this->__isset.pong = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcomeQuery.read(iprot);
+          this->__isset.outcomeQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcomeReply.read(iprot);
+          this->__isset.outcomeReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordsQuery.read(iprot);
+          this->__isset.recordsQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordsReply.read(iprot);
+          this->__isset.recordsReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReport.read(iprot);
+          this->__isset.loadReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hostReport.read(iprot);
+          this->__isset.hostReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hostOrders.read(iprot);
+          this->__isset.hostOrders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stateQuery.read(iprot);
+          this->__isset.stateQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stateReply.read(iprot);
+          this->__isset.stateReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireFrame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireFrame");
 
   if (this->__isset.hello) {
     xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
@@ -3297,6 +4307,26 @@
     xfer += this->loadReport.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.hostReport) {
+    xfer += oprot->writeFieldBegin("hostReport", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->hostReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.hostOrders) {
+    xfer += oprot->writeFieldBegin("hostOrders", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->hostOrders.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stateQuery) {
+    xfer += oprot->writeFieldBegin("stateQuery", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->stateQuery.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stateReply) {
+    xfer += oprot->writeFieldBegin("stateReply", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->stateReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3318,42 +4348,54 @@
   swap(a.recordsQuery, b.recordsQuery);
   swap(a.recordsReply, b.recordsReply);
   swap(a.loadReport, b.loadReport);
+  swap(a.hostReport, b.hostReport);
+  swap(a.hostOrders, b.hostOrders);
+  swap(a.stateQuery, b.stateQuery);
+  swap(a.stateReply, b.stateReply);
   swap(a.__isset, b.__isset);
 }
 
-WireFrame::WireFrame(const WireFrame& other70) {
-  hello = other70.hello;
-  requestOpen = other70.requestOpen;
-  body = other70.body;
-  credit = other70.credit;
-  responseOpen = other70.responseOpen;
-  refused = other70.refused;
-  cancel = other70.cancel;
-  ping = other70.ping;
-  pong = other70.pong;
-  outcomeQuery = other70.outcomeQuery;
-  outcomeReply = other70.outcomeReply;
-  recordsQuery = other70.recordsQuery;
-  recordsReply = other70.recordsReply;
-  loadReport = other70.loadReport;
-  __isset = other70.__isset;
-}
-WireFrame& WireFrame::operator=(const WireFrame& other71) {
-  hello = other71.hello;
-  requestOpen = other71.requestOpen;
-  body = other71.body;
-  credit = other71.credit;
-  responseOpen = other71.responseOpen;
-  refused = other71.refused;
-  cancel = other71.cancel;
-  ping = other71.ping;
-  pong = other71.pong;
-  outcomeQuery = other71.outcomeQuery;
-  outcomeReply = other71.outcomeReply;
-  recordsQuery = other71.recordsQuery;
-  recordsReply = other71.recordsReply;
-  loadReport = other71.loadReport;
-  __isset = other71.__isset;
+WireFrame::WireFrame(const WireFrame& other102) {
+  hello = other102.hello;
+  requestOpen = other102.requestOpen;
+  body = other102.body;
+  credit = other102.credit;
+  responseOpen = other102.responseOpen;
+  refused = other102.refused;
+  cancel = other102.cancel;
+  ping = other102.ping;
+  pong = other102.pong;
+  outcomeQuery = other102.outcomeQuery;
+  outcomeReply = other102.outcomeReply;
+  recordsQuery = other102.recordsQuery;
+  recordsReply = other102.recordsReply;
+  loadReport = other102.loadReport;
+  hostReport = other102.hostReport;
+  hostOrders = other102.hostOrders;
+  stateQuery = other102.stateQuery;
+  stateReply = other102.stateReply;
+  __isset = other102.__isset;
+}
+WireFrame& WireFrame::operator=(const WireFrame& other103) {
+  hello = other103.hello;
+  requestOpen = other103.requestOpen;
+  body = other103.body;
+  credit = other103.credit;
+  responseOpen = other103.responseOpen;
+  refused = other103.refused;
+  cancel = other103.cancel;
+  ping = other103.ping;
+  pong = other103.pong;
+  outcomeQuery = other103.outcomeQuery;
+  outcomeReply = other103.outcomeReply;
+  recordsQuery = other103.recordsQuery;
+  recordsReply = other103.recordsReply;
+  loadReport = other103.loadReport;
+  hostReport = other103.hostReport;
+  hostOrders = other103.hostOrders;
+  stateQuery = other103.stateQuery;
+  stateReply = other103.stateReply;
+  __isset = other103.__isset;
   return *this;
 }
 void WireFrame::printTo(std::ostream& out) const {
@@ -3373,6 +4415,10 @@
   out << ", " << "recordsQuery="; (__isset.recordsQuery ? (out << to_string(recordsQuery)) : (out << "<null>"));
   out << ", " << "recordsReply="; (__isset.recordsReply ? (out << to_string(recordsReply)) : (out << "<null>"));
   out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
+  out << ", " << "hostReport="; (__isset.hostReport ? (out << to_string(hostReport)) : (out << "<null>"));
+  out << ", " << "hostOrders="; (__isset.hostOrders ? (out << to_string(hostOrders)) : (out << "<null>"));
+  out << ", " << "stateQuery="; (__isset.stateQuery ? (out << to_string(stateQuery)) : (out << "<null>"));
+  out << ", " << "stateReply="; (__isset.stateReply ? (out << to_string(stateReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -61,6 +61,20 @@
 
 class WireLoadReport;
 
+class WireBucket;
+
+class WireHostReport;
+
+class WireMove;
+
+class WireHostOrders;
+
+class WireStateQuery;
+
+class WireStateEntry;
+
+class WireStateReply;
+
 class WireFrame;
 
 
@@ -248,9 +262,10 @@
 std::ostream& operator<<(std::ostream& out, const WireHello& obj);
 
 typedef struct _WireRequestOpen__isset {
-  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false) {}
+  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false) {}
   bool contentLength :1;
   bool idempotencyKey :1;
+  bool priority :1;
 } _WireRequestOpen__isset;
 
 class WireRequestOpen : public virtual ::apache::thrift::TBase {
@@ -269,7 +284,8 @@
                     hasBody(0),
                     idempotencyKey(),
                     known(0),
-                    isRepeat(0) {
+                    isRepeat(0),
+                    priority(0) {
   }
 
   virtual ~WireRequestOpen() noexcept;
@@ -286,6 +302,7 @@
   std::string idempotencyKey;
   int64_t known;
   bool isRepeat;
+  int32_t priority;
 
   _WireRequestOpen__isset __isset;
 
@@ -315,6 +332,8 @@
 
   void __set_isRepeat(const bool val);
 
+  void __set_priority(const int32_t val);
+
   bool operator == (const WireRequestOpen & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -347,6 +366,10 @@
       return false;
     if (!(isRepeat == rhs.isRepeat))
       return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
     return true;
   }
   bool operator != (const WireRequestOpen &rhs) const {
@@ -1111,8 +1134,332 @@
 
 std::ostream& operator<<(std::ostream& out, const WireLoadReport& obj);
 
+
+class WireBucket : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireBucket(const WireBucket&) noexcept;
+  WireBucket& operator=(const WireBucket&) noexcept;
+  WireBucket() noexcept
+             : first(0),
+               last(0),
+               load(0) {
+  }
+
+  virtual ~WireBucket() noexcept;
+  int32_t first;
+  int32_t last;
+  double load;
+
+  void __set_first(const int32_t val);
+
+  void __set_last(const int32_t val);
+
+  void __set_load(const double val);
+
+  bool operator == (const WireBucket & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const WireBucket &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireBucket & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireBucket &a, WireBucket &b);
+
+std::ostream& operator<<(std::ostream& out, const WireBucket& obj);
+
+
+class WireHostReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireHostReport(const WireHostReport&);
+  WireHostReport& operator=(const WireHostReport&);
+  WireHostReport() noexcept
+                 : host(),
+                   capacity(0) {
+  }
+
+  virtual ~WireHostReport() noexcept;
+  std::string host;
+  double capacity;
+  std::vector<WireBucket>  buckets;
+
+  void __set_host(const std::string& val);
+
+  void __set_capacity(const double val);
+
+  void __set_buckets(const std::vector<WireBucket> & val);
+
+  bool operator == (const WireHostReport & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(capacity == rhs.capacity))
+      return false;
+    if (!(buckets == rhs.buckets))
+      return false;
+    return true;
+  }
+  bool operator != (const WireHostReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireHostReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireHostReport &a, WireHostReport &b);
+
+std::ostream& operator<<(std::ostream& out, const WireHostReport& obj);
+
+
+class WireMove : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireMove(const WireMove&);
+  WireMove& operator=(const WireMove&);
+  WireMove() noexcept
+           : first(0),
+             last(0),
+             to() {
+  }
+
+  virtual ~WireMove() noexcept;
+  int32_t first;
+  int32_t last;
+  std::string to;
+
+  void __set_first(const int32_t val);
+
+  void __set_last(const int32_t val);
+
+  void __set_to(const std::string& val);
+
+  bool operator == (const WireMove & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    if (!(to == rhs.to))
+      return false;
+    return true;
+  }
+  bool operator != (const WireMove &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireMove & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireMove &a, WireMove &b);
+
+std::ostream& operator<<(std::ostream& out, const WireMove& obj);
+
+
+class WireHostOrders : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireHostOrders(const WireHostOrders&);
+  WireHostOrders& operator=(const WireHostOrders&);
+  WireHostOrders() noexcept {
+  }
+
+  virtual ~WireHostOrders() noexcept;
+  std::vector<WireMove>  moves;
+
+  void __set_moves(const std::vector<WireMove> & val);
+
+  bool operator == (const WireHostOrders & rhs) const
+  {
+    if (!(moves == rhs.moves))
+      return false;
+    return true;
+  }
+  bool operator != (const WireHostOrders &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireHostOrders & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireHostOrders &a, WireHostOrders &b);
+
+std::ostream& operator<<(std::ostream& out, const WireHostOrders& obj);
+
+
+class WireStateQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireStateQuery(const WireStateQuery&) noexcept;
+  WireStateQuery& operator=(const WireStateQuery&) noexcept;
+  WireStateQuery() noexcept
+                 : from_(0) {
+  }
+
+  virtual ~WireStateQuery() noexcept;
+  int64_t from_;
+
+  void __set_from_(const int64_t val);
+
+  bool operator == (const WireStateQuery & rhs) const
+  {
+    if (!(from_ == rhs.from_))
+      return false;
+    return true;
+  }
+  bool operator != (const WireStateQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireStateQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireStateQuery &a, WireStateQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const WireStateQuery& obj);
+
+typedef struct _WireStateEntry__isset {
+  _WireStateEntry__isset() : value(false) {}
+  bool value :1;
+} _WireStateEntry__isset;
+
+class WireStateEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireStateEntry(const WireStateEntry&);
+  WireStateEntry& operator=(const WireStateEntry&);
+  WireStateEntry() noexcept
+                 : key(),
+                   value(),
+                   offset(0) {
+  }
+
+  virtual ~WireStateEntry() noexcept;
+  std::string key;
+  std::string value;
+  int64_t offset;
+
+  _WireStateEntry__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_offset(const int64_t val);
+
+  bool operator == (const WireStateEntry & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (__isset.value != rhs.__isset.value)
+      return false;
+    else if (__isset.value && !(value == rhs.value))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    return true;
+  }
+  bool operator != (const WireStateEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireStateEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireStateEntry &a, WireStateEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const WireStateEntry& obj);
+
+
+class WireStateReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireStateReply(const WireStateReply&);
+  WireStateReply& operator=(const WireStateReply&);
+  WireStateReply() noexcept
+                 : ageMicros(0),
+                   nextOffset(0) {
+  }
+
+  virtual ~WireStateReply() noexcept;
+  int64_t ageMicros;
+  int64_t nextOffset;
+  std::vector<WireStateEntry>  entries;
+
+  void __set_ageMicros(const int64_t val);
+
+  void __set_nextOffset(const int64_t val);
+
+  void __set_entries(const std::vector<WireStateEntry> & val);
+
+  bool operator == (const WireStateReply & rhs) const
+  {
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    if (!(nextOffset == rhs.nextOffset))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const WireStateReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireStateReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireStateReply &a, WireStateReply &b);
+
+std::ostream& operator<<(std::ostream& out, const WireStateReply& obj);
+
 typedef struct _WireFrame__isset {
-  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false) {}
+  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false), hostReport(false), hostOrders(false), stateQuery(false), stateReply(false) {}
   bool hello :1;
   bool requestOpen :1;
   bool body :1;
@@ -1127,6 +1474,10 @@
   bool recordsQuery :1;
   bool recordsReply :1;
   bool loadReport :1;
+  bool hostReport :1;
+  bool hostOrders :1;
+  bool stateQuery :1;
+  bool stateReply :1;
 } _WireFrame__isset;
 
 class WireFrame : public virtual ::apache::thrift::TBase {
@@ -1152,6 +1503,10 @@
   WireRecordsQuery recordsQuery;
   WireRecordsReply recordsReply;
   WireLoadReport loadReport;
+  WireHostReport hostReport;
+  WireHostOrders hostOrders;
+  WireStateQuery stateQuery;
+  WireStateReply stateReply;
 
   _WireFrame__isset __isset;
 
@@ -1183,6 +1538,14 @@
 
   void __set_loadReport(const WireLoadReport& val);
 
+  void __set_hostReport(const WireHostReport& val);
+
+  void __set_hostOrders(const WireHostOrders& val);
+
+  void __set_stateQuery(const WireStateQuery& val);
+
+  void __set_stateReply(const WireStateReply& val);
+
   bool operator == (const WireFrame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1241,6 +1604,22 @@
       return false;
     else if (__isset.loadReport && !(loadReport == rhs.loadReport))
       return false;
+    if (__isset.hostReport != rhs.__isset.hostReport)
+      return false;
+    else if (__isset.hostReport && !(hostReport == rhs.hostReport))
+      return false;
+    if (__isset.hostOrders != rhs.__isset.hostOrders)
+      return false;
+    else if (__isset.hostOrders && !(hostOrders == rhs.hostOrders))
+      return false;
+    if (__isset.stateQuery != rhs.__isset.stateQuery)
+      return false;
+    else if (__isset.stateQuery && !(stateQuery == rhs.stateQuery))
+      return false;
+    if (__isset.stateReply != rhs.__isset.stateReply)
+      return false;
+    else if (__isset.stateReply && !(stateReply == rhs.stateReply))
+      return false;
     return true;
   }
   bool operator != (const WireFrame &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -38,6 +38,7 @@
   11: optional string idempotencyKey
   12: required i64 known
   13: required bool isRepeat
+  14: optional i32 priority
 }
 
 struct WireBody {
@@ -127,6 +128,44 @@
   4: required list<WireKeyLoad> hotKeys
 }
 
+struct WireBucket {
+  1: required i32 first
+  2: required i32 last
+  3: required double load
+}
+
+struct WireHostReport {
+  1: required string host
+  2: required double capacity
+  3: required list<WireBucket> buckets
+}
+
+struct WireMove {
+  1: required i32 first
+  2: required i32 last
+  3: required string to
+}
+
+struct WireHostOrders {
+  1: required list<WireMove> moves
+}
+
+struct WireStateQuery {
+  1: required i64 from_
+}
+
+struct WireStateEntry {
+  1: required string key
+  2: optional binary value
+  3: required i64 offset
+}
+
+struct WireStateReply {
+  1: required i64 ageMicros
+  2: required i64 nextOffset
+  3: required list<WireStateEntry> entries
+}
+
 union WireFrame {
   1: WireHello hello
   2: WireRequestOpen requestOpen
@@ -142,4 +181,8 @@
   12: WireRecordsQuery recordsQuery
   13: WireRecordsReply recordsReply
   14: WireLoadReport loadReport
+  15: WireHostReport hostReport
+  16: WireHostOrders hostOrders
+  17: WireStateQuery stateQuery
+  18: WireStateReply stateReply
 }
--- /dev/null
+++ b/src/Ranges/HoldKeeper.cpp
@@ -0,0 +1,238 @@
+#include "src/Ranges/HoldKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachioshift {
+
+namespace {
+
+/** Time before the end of a hold in which nothing is started any more. */
+constexpr Duration kServeMargin = std::chrono::milliseconds(50);
+
+/** A shorter hold would end before the next heartbeat. */
+constexpr Duration kLeastHold = std::chrono::milliseconds(300);
+
+/** The parts of a range that lie outside another one. */
+std::vector<KeyRange>
+Without(const KeyRange& aRange, const KeyRange& aOut)
+{
+  if (!aRange.Overlaps(aOut)) {
+    return { aRange };
+  }
+  std::vector<KeyRange> parts;
+  if (aRange.first < aOut.first) {
+    parts.push_back({ aRange.first, aOut.first - 1 });
+  }
+  if (aRange.last > aOut.last) {
+    parts.push_back({ aOut.last + 1, aRange.last });
+  }
+  return parts;
+}
+
+}
+
+HoldKeeper::HoldKeeper(HoldSettings aSettings, MonoTime aNow)
+  : m_settings(aSettings)
+  , m_holdEnds(aNow + aSettings.longestHold)
+{
+}
+
+bool
+HoldKeeper::IsStale(const ServerHeartbeat& aHeartbeat) const
+{
+  if (!m_life) {
+    return false;
+  }
+  if (aHeartbeat.life.born != m_life->born) {
+    return aHeartbeat.life.born < m_life->born;
+  }
+  return aHeartbeat.life == *m_life && aHeartbeat.sequence <= m_sequence;
+}
+
+void
+HoldKeeper::BeginLife(const ServerHeartbeat& aHeartbeat)
+{
+  // The process before it has ended, and its holds with it.
+  m_life = aHeartbeat.life;
+  m_sequence = 0;
+  m_granted.clear();
+  m_leaving.clear();
+  m_leavingAll = false;
+  m_servesUntil = MonoTime{};
+}
+
+HeartbeatReply
+HoldKeeper::OnHeartbeat(const ServerHeartbeat& aHeartbeat,
+                        const std::vector<RangeRow>& aRows,
+                        Duration aLease,
+                        MonoTime aNow)
+{
+  HeartbeatReply reply;
+  if (IsStale(aHeartbeat)) {
+    return reply;
+  }
+  if (m_life != aHeartbeat.life) {
+    BeginLife(aHeartbeat);
+  }
+  m_sequence = aHeartbeat.sequence;
+  if (aHeartbeat.state == ServerState::kDraining) {
+    m_leavingAll = true;
+  }
+  if (m_leavingAll) {
+    for (const auto& row : aRows) {
+      Leave(row.range, row.fence, std::nullopt);
+    }
+  }
+  CollectReleased(aHeartbeat);
+  ForgetReassigned(aRows);
+  const auto drift = 1.0 + 2.0 * m_settings.clockDrift;
+  const auto safe =
+    std::chrono::duration_cast<Duration>(std::max(aLease, Duration{}) / drift);
+  reply.holdTime = std::min(m_settings.holdTime, safe);
+  if (reply.holdTime < kLeastHold) {
+    return reply;
+  }
+  reply.renews = true;
+  reply.ranges = Grants(aRows);
+  for (auto& leaving : m_leaving) {
+    leaving.omitted = true;
+  }
+  m_granted = reply.ranges;
+  m_servesUntil = aNow + reply.holdTime - kServeMargin;
+  const auto longest =
+    std::chrono::duration_cast<Duration>(reply.holdTime * drift);
+  m_holdEnds = std::max(m_holdEnds, aNow + longest);
+  return reply;
+}
+
+std::vector<GrantedRange>
+HoldKeeper::Grants(const std::vector<RangeRow>& aRows) const
+{
+  std::vector<GrantedRange> grants;
+  for (const auto& row : aRows) {
+    std::vector<KeyRange> parts{ row.range };
+    for (const auto& leaving : m_leaving) {
+      if (leaving.fence != row.fence) {
+        continue;
+      }
+      std::vector<KeyRange> rest;
+      for (const auto& part : parts) {
+        const auto kept = Without(part, leaving.range);
+        rest.insert(rest.end(), kept.begin(), kept.end());
+      }
+      parts = std::move(rest);
+    }
+    for (const auto& part : parts) {
+      grants.push_back(GrantedRange{ part, row.fence, row.handover });
+    }
+  }
+  return grants;
+}
+
+void
+HoldKeeper::Leave(const KeyRange& aRange,
+                  Fence aFence,
+                  const std::optional<RangeHolder>& aNext)
+{
+  const bool known = std::any_of(
+    m_leaving.begin(), m_leaving.end(), [&](const Leaving& aItem) {
+      return aItem.fence == aFence && aItem.range.Overlaps(aRange);
+    });
+  if (!known) {
+    m_leaving.push_back(Leaving{ aRange, aFence, aNext });
+  }
+}
+
+void
+HoldKeeper::Lapse(const std::vector<RangeRow>& aRows)
+{
+  m_granted.clear();
+  m_leaving.clear();
+  for (const auto& row : aRows) {
+    Leaving leaving{ row.range, row.fence, std::nullopt };
+    leaving.released = true;
+    m_leaving.push_back(leaving);
+    m_relinquished.push_back(Relinquished{ row.range, {}, std::nullopt });
+  }
+}
+
+void
+HoldKeeper::CollectReleased(const ServerHeartbeat& aHeartbeat)
+{
+  const auto stillHeld = [&](const Leaving& aLeaving) {
+    return std::any_of(
+      aHeartbeat.holds.begin(), aHeartbeat.holds.end(), [&](const auto& aHeld) {
+        return aHeld.range.Overlaps(aLeaving.range);
+      });
+  };
+  for (auto& leaving : m_leaving) {
+    if (leaving.omitted && !leaving.released && !stillHeld(leaving)) {
+      Relinquish(leaving, aHeartbeat.released);
+      leaving.released = true;
+    }
+  }
+}
+
+void
+HoldKeeper::ForgetReassigned(const std::vector<RangeRow>& aRows)
+{
+  std::erase_if(m_leaving, [&](const Leaving& aItem) {
+    return std::none_of(aRows.begin(), aRows.end(), [&](const RangeRow& aRow) {
+      return aRow.fence == aItem.fence && aRow.range.Overlaps(aItem.range);
+    });
+  });
+}
+
+void
+HoldKeeper::Relinquish(const Leaving& aLeaving,
+                       const std::vector<ReleasedRange>& aReleased)
+{
+  std::vector<KeyRange> rest{ aLeaving.range };
+  for (const auto& released : aReleased) {
+    std::vector<KeyRange> left;
+    for (const auto& part : rest) {
+      if (!part.Overlaps(released.range)) {
+        left.push_back(part);
+        continue;
+      }
+      m_relinquished.push_back(Relinquished{
+        part.Common(released.range), released.handover, aLeaving.next });
+      const auto outside = Without(part, released.range);
+      left.insert(left.end(), outside.begin(), outside.end());
+    }
+    rest = std::move(left);
+  }
+  for (const auto& part : rest) {
+    m_relinquished.push_back(Relinquished{ part, {}, aLeaving.next });
+  }
+}
+
+bool
+HoldKeeper::IsLeaving(ShardKey aKey) const
+{
+  return m_leavingAll ||
+         std::any_of(m_leaving.begin(), m_leaving.end(), [&](const auto& aOne) {
+           return aOne.range.Contains(aKey);
+         });
+}
+
+bool
+HoldKeeper::MayServe(ShardKey aKey, MonoTime aNow) const
+{
+  if (aNow >= m_servesUntil) {
+    return false;
+  }
+  return std::any_of(
+    m_granted.begin(), m_granted.end(), [&](const GrantedRange& aItem) {
+      return aItem.range.Contains(aKey);
+    });
+}
+
+std::vector<Relinquished>
+HoldKeeper::TakeRelinquished()
+{
+  return std::exchange(m_relinquished, {});
+}
+
+}
--- /dev/null
+++ b/src/Ranges/HoldKeeper.h
@@ -0,0 +1,169 @@
+#ifndef PISTACHIOSHIFT_RANGES_HOLDKEEPER_H
+#define PISTACHIOSHIFT_RANGES_HOLDKEEPER_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/Base/Clock.h"
+#include "src/Ranges/MeshState.h"
+
+namespace pistachioshift {
+
+/** \brief A range that a backend server says it holds or still works on. */
+struct HeldRange
+{
+  KeyRange range;
+  Fence fence;
+};
+
+/** \brief A range that a backend server has let go. */
+struct ReleasedRange
+{
+  KeyRange range;
+  std::string handover; ///< Lets the next holder start warm.
+};
+
+/** \brief What a backend server says of itself. */
+struct ServerHeartbeat
+{
+  ServerLife life;
+  ServiceName service;
+  uint32_t slots = 0;
+  ServerState state = ServerState::kReady;
+  int64_t sequence = 0;    ///< Grows with each heartbeat of a life.
+  Duration coldRemaining{}; ///< Time for which it is still slow.
+  std::vector<HeldRange> holds;
+  std::vector<ReleasedRange> released;
+};
+
+/** \brief A range that the backend server is to hold. */
+struct GrantedRange
+{
+  KeyRange range;
+  Fence fence;
+  std::string handover;
+
+  bool operator==(const GrantedRange&) const = default;
+};
+
+/** \brief Reply to a heartbeat; what it leaves out is to be released. */
+struct HeartbeatReply
+{
+  bool renews = false; ///< Otherwise nothing is granted or taken away.
+  std::vector<GrantedRange> ranges;
+  Duration holdTime{}; ///< From the sending of the heartbeat.
+};
+
+/** \brief A range that the backend server surely holds no more. */
+struct Relinquished
+{
+  KeyRange range;
+  std::string handover;
+  std::optional<RangeHolder> next; ///< None: to be assigned.
+};
+
+/** \brief Times of a HoldKeeper. */
+struct HoldSettings
+{
+  /// Two missed heartbeats of a second and their timeout.
+  Duration holdTime = std::chrono::milliseconds(3500);
+  /// Longest hold that an earlier process may have granted.
+  Duration longestHold = std::chrono::milliseconds(3500);
+  /// How much slower the backend server's clock may run.
+  double clockDrift = 0.02;
+};
+
+/**
+ * \brief What the backend server beside a daemon holds. Pure.
+ *
+ * Grants are renewed with every heartbeat. A range leaves in steps: the next
+ * reply omits it, the backend server finishes what runs on it and reports it
+ * as released, and only then it is relinquished. Without heartbeats everything
+ * is relinquished when the last grant has run out.
+ */
+class HoldKeeper
+{
+public:
+  HoldKeeper(HoldSettings aSettings, MonoTime aNow);
+
+  /**
+   * \brief Takes in a heartbeat.
+   * \param aRows rows that the table gives to this life.
+   * \param aLease time left for which the host may grant.
+   */
+  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat,
+                             const std::vector<RangeRow>& aRows,
+                             Duration aLease,
+                             MonoTime aNow);
+
+  /** \brief Whether a heartbeat is older than what is known. */
+  bool IsStale(const ServerHeartbeat& aHeartbeat) const;
+
+  /** \brief Life that the last heartbeat came from; none before the first. */
+  const std::optional<ServerLife>& Life() const { return m_life; }
+
+  /**
+   * \brief Begins to take a range away.
+   * \param aFence of the row that it is a part of.
+   */
+  void Leave(const KeyRange& aRange,
+             Fence aFence,
+             const std::optional<RangeHolder>& aNext);
+
+  /** \brief Begins to take everything away, as before a planned stop. */
+  void LeaveAll() { m_leavingAll = true; }
+  bool LeavingAll() const { return m_leavingAll; }
+
+  /**
+   * \brief The holds have ended without a heartbeat: these rows are never
+   * renewed, only granted anew under a higher fence.
+   */
+  void Lapse(const std::vector<RangeRow>& aRows);
+
+  /** \brief Whether requests for a key may be started. */
+  bool MayServe(ShardKey aKey, MonoTime aNow) const;
+
+  /** \brief Whether a key is on its way out. */
+  bool IsLeaving(ShardKey aKey) const;
+
+  /** \brief Ranges relinquished since the last call. */
+  std::vector<Relinquished> TakeRelinquished();
+
+  /** \brief Whether the last grant has certainly run out. */
+  bool Expired(MonoTime aNow) const { return aNow >= m_holdEnds; }
+
+  /** \brief When it will have. */
+  MonoTime HoldEnds() const { return m_holdEnds; }
+
+private:
+  struct Leaving
+  {
+    KeyRange range;
+    Fence fence;
+    std::optional<RangeHolder> next;
+    bool omitted = false;  ///< A reply left it out.
+    bool released = false; ///< Stays out until the table says so, too.
+  };
+
+  void BeginLife(const ServerHeartbeat& aHeartbeat);
+  void CollectReleased(const ServerHeartbeat& aHeartbeat);
+  void ForgetReassigned(const std::vector<RangeRow>& aRows);
+  void Relinquish(const Leaving& aLeaving,
+                  const std::vector<ReleasedRange>& aReleased);
+  std::vector<GrantedRange> Grants(const std::vector<RangeRow>& aRows) const;
+
+  HoldSettings m_settings;
+  std::optional<ServerLife> m_life;
+  int64_t m_sequence = 0;
+  std::vector<GrantedRange> m_granted; ///< By the last reply that renewed.
+  std::vector<Leaving> m_leaving;
+  std::vector<Relinquished> m_relinquished;
+  bool m_leavingAll = false;
+  MonoTime m_servesUntil{}; ///< The hold lasts at least until then.
+  MonoTime m_holdEnds{};    ///< The hold has certainly ended then.
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/Ranges/LoadMap.cpp
@@ -0,0 +1,75 @@
+#include "src/Ranges/LoadMap.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+void
+LoadMap::Add(const std::vector<LoadBucket>& aBuckets)
+{
+  m_buckets.insert(m_buckets.end(), aBuckets.begin(), aBuckets.end());
+  std::sort(m_buckets.begin(),
+            m_buckets.end(),
+            [](const LoadBucket& aLeft, const LoadBucket& aRight) {
+              return aLeft.range < aRight.range;
+            });
+}
+
+double
+LoadMap::LoadOf(const KeyRange& aRange) const
+{
+  double load = m_evenLoad * aRange.Size() / kShardKeys;
+  for (const auto& bucket : m_buckets) {
+    if (bucket.range.Overlaps(aRange)) {
+      load +=
+        bucket.load * bucket.range.Common(aRange).Size() / bucket.range.Size();
+    }
+  }
+  return load;
+}
+
+uint32_t
+LoadMap::EndOfPiece(const KeyRange& aRange, double aLoad) const
+{
+  // The load of [first, end] grows with end: search for where it passes aLoad.
+  uint32_t low = aRange.first;
+  uint32_t high = aRange.last;
+  while (low < high) {
+    const auto middle = low + (high - low) / 2;
+    if (LoadOf({ aRange.first, middle }) >= aLoad) {
+      high = middle;
+    } else {
+      low = middle + 1;
+    }
+  }
+  // The key that passes the mark stays out if that comes closer to it.
+  if (low > aRange.first) {
+    const auto over = LoadOf({ aRange.first, low }) - aLoad;
+    const auto under = aLoad - LoadOf({ aRange.first, low - 1 });
+    if (under < over) {
+      --low;
+    }
+  }
+  return low;
+}
+
+std::vector<KeyRange>
+LoadMap::Cut(const KeyRange& aRange, uint32_t aPieces) const
+{
+  std::vector<KeyRange> pieces;
+  auto rest = aRange;
+  double left = LoadOf(aRange);
+  for (uint32_t count = aPieces; count > 1 && rest.Size() > 1; --count) {
+    const auto end = EndOfPiece(rest, left / count);
+    if (end >= rest.last) {
+      break;
+    }
+    pieces.push_back({ rest.first, end });
+    left -= LoadOf(pieces.back());
+    rest.first = end + 1;
+  }
+  pieces.push_back(rest);
+  return pieces;
+}
+
+}
--- /dev/null
+++ b/src/Ranges/MeshState.cpp
@@ -0,0 +1,254 @@
+#include "src/Ranges/MeshState.h"
+
+#include <utility>
+
+#include "src/Log/LogCodec.h"
+#include "src/Ranges/gen/ranges_types.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr std::string_view kTableKey = "ranges";
+constexpr std::string_view kHostPrefix = "host/";
+
+/** Items of one list in a record; above any deployment's rows. */
+constexpr size_t kMostItems = size_t{ 1 } << 20U;
+
+WallTime
+ToWallTime(int64_t aMillis)
+{
+  return WallTime(std::chrono::milliseconds(aMillis));
+}
+
+int64_t
+ToMillis(WallTime aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+ServerState
+StateFromWire(int32_t aState)
+{
+  constexpr auto kLast = static_cast<int32_t>(ServerState::kSilent);
+  if (aState < 0 || aState > kLast) {
+    throw RangesError("state of a backend server out of bounds");
+  }
+  return static_cast<ServerState>(aState);
+}
+
+HostRecord
+FromWire(const ranges_idl::WireHost& aHost)
+{
+  HostRecord host;
+  host.host = HostName(aHost.host);
+  host.epoch = aHost.epoch;
+  host.inner = Endpoint{ aHost.address, static_cast<uint16_t>(aHost.port) };
+  host.zone = ZoneName(aHost.zone);
+  host.service = ServiceName(aHost.serviceName);
+  host.cleared = aHost.cleared;
+  if (aHost.__isset.server) {
+    const auto& server = aHost.server;
+    host.server =
+      LiveServer{ { ServerId(server.id), ToWallTime(server.bornMillis) },
+                  static_cast<uint32_t>(server.slots),
+                  StateFromWire(server.state) };
+  }
+  return host;
+}
+
+RangeRow
+FromWire(const ranges_idl::WireRow& aRow)
+{
+  RangeRow row;
+  row.range = KeyRange{ static_cast<uint32_t>(aRow.first),
+                        static_cast<uint32_t>(aRow.last) };
+  row.holder.host = HostName(aRow.host);
+  row.holder.life =
+    ServerLife{ ServerId(aRow.server), ToWallTime(aRow.bornMillis) };
+  row.fence = Fence(aRow.fence);
+  row.handover = aRow.handover;
+  return row;
+}
+
+/** Rows that leave out a key or name one twice must never be acted on. */
+void
+CheckRows(const RangeRows& aRows)
+{
+  uint32_t next = 0;
+  for (const auto& row : aRows) {
+    if (row.range.first != next || row.range.last < row.range.first ||
+        row.range.last >= kShardKeys) {
+      throw RangesError("ranges with a gap or an overlap");
+    }
+    next = row.range.last + 1;
+  }
+  if (next != kShardKeys) {
+    throw RangesError("ranges that don't cover all keys");
+  }
+}
+
+RangeTable
+FromWire(const ranges_idl::WireTable& aTable)
+{
+  RangeTable table;
+  table.revision = aTable.revision;
+  table.nextFence = aTable.nextFence;
+  table.nextSuspicion = aTable.nextSuspicion;
+  for (const auto& service : aTable.services) {
+    RangeRows rows;
+    for (const auto& row : service.rows) {
+      rows.push_back(FromWire(row));
+    }
+    CheckRows(rows);
+    table.services.emplace(ServiceName(service.serviceName), std::move(rows));
+  }
+  for (const auto& item : aTable.suspicions) {
+    table.suspicions.push_back(Suspicion{ HostName(item.host), item.number });
+  }
+  return table;
+}
+
+template<class Struct>
+Struct
+Decode(const std::string& aBytes)
+{
+  try {
+    return internal::DecodeStruct<Struct>(aBytes, kMostItems);
+  } catch (const LogError& error) {
+    throw RangesError(error.what());
+  }
+}
+
+}
+
+void
+MeshState::Apply(const StoreEntry& aEntry)
+{
+  if (aEntry.key == kTableKey) {
+    m_table = aEntry.value
+                ? FromWire(Decode<ranges_idl::WireTable>(*aEntry.value))
+                : RangeTable();
+    return;
+  }
+  if (!aEntry.key.starts_with(kHostPrefix)) {
+    throw RangesError("record with unknown key '" + aEntry.key + "'");
+  }
+  const HostName name(aEntry.key.substr(kHostPrefix.size()));
+  if (!aEntry.value) {
+    m_hosts.erase(name);
+    return;
+  }
+  auto host = FromWire(Decode<ranges_idl::WireHost>(*aEntry.value));
+  if (host.host != name) {
+    throw RangesError("record of a host under another host's key");
+  }
+  m_hosts[name] = std::move(host);
+}
+
+const HostRecord*
+MeshState::FindHost(const HostName& aHost) const
+{
+  const auto found = m_hosts.find(aHost);
+  return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+const HostRecord*
+MeshState::HolderOf(const RangeRow& aRow) const
+{
+  if (aRow.Free()) {
+    return nullptr;
+  }
+  const auto* host = FindHost(aRow.holder.host);
+  const bool alive = host != nullptr && host->server &&
+                     host->server->life == aRow.holder.life;
+  return alive ? host : nullptr;
+}
+
+bool
+MeshState::Suspected(const HostName& aHost) const
+{
+  const auto* suspicion = m_table.FindSuspicion(aHost);
+  if (suspicion == nullptr) {
+    return false;
+  }
+  const auto* host = FindHost(aHost);
+  return host == nullptr || host->cleared < suspicion->number;
+}
+
+bool
+MeshState::CanTake(const HostRecord& aHost) const
+{
+  return aHost.server && aHost.server->state == ServerState::kReady &&
+         !Suspected(aHost.host);
+}
+
+StoreEntry
+EncodeHost(const HostRecord& aHost)
+{
+  ranges_idl::WireHost wire;
+  wire.host = aHost.host.Value();
+  wire.epoch = aHost.epoch;
+  wire.address = aHost.inner.address;
+  wire.port = aHost.inner.port;
+  wire.zone = aHost.zone.Value();
+  wire.serviceName = aHost.service.Value();
+  wire.cleared = aHost.cleared;
+  if (aHost.server) {
+    ranges_idl::WireServer server;
+    server.id = aHost.server->life.id.Value();
+    server.bornMillis = ToMillis(aHost.server->life.born);
+    server.slots = static_cast<int32_t>(aHost.server->slots);
+    server.state = static_cast<int32_t>(aHost.server->state);
+    wire.__set_server(server);
+  }
+  StoreEntry entry;
+  entry.key = std::string(kHostPrefix) + aHost.host.Value();
+  entry.value = internal::EncodeStruct(wire);
+  return entry;
+}
+
+StoreEntry
+RemoveHost(const HostName& aHost)
+{
+  StoreEntry entry;
+  entry.key = std::string(kHostPrefix) + aHost.Value();
+  return entry;
+}
+
+StoreEntry
+EncodeTable(const RangeTable& aTable)
+{
+  ranges_idl::WireTable wire;
+  wire.revision = aTable.revision;
+  wire.nextFence = aTable.nextFence;
+  wire.nextSuspicion = aTable.nextSuspicion;
+  for (const auto& [service, rows] : aTable.services) {
+    ranges_idl::WireServiceRows item;
+    item.serviceName = service.Value();
+    for (const auto& row : rows) {
+      ranges_idl::WireRow out;
+      out.first = static_cast<int32_t>(row.range.first);
+      out.last = static_cast<int32_t>(row.range.last);
+      out.host = row.holder.host.Value();
+      out.server = row.holder.life.id.Value();
+      out.bornMillis = ToMillis(row.holder.life.born);
+      out.fence = row.fence.Value();
+      out.handover = row.handover;
+      item.rows.push_back(std::move(out));
+    }
+    wire.services.push_back(std::move(item));
+  }
+  for (const auto& suspicion : aTable.suspicions) {
+    ranges_idl::WireSuspicion item;
+    item.host = suspicion.host.Value();
+    item.number = suspicion.number;
+    wire.suspicions.push_back(std::move(item));
+  }
+  StoreEntry entry;
+  entry.key = kTableKey;
+  entry.value = internal::EncodeStruct(wire);
+  return entry;
+}
+
+}
--- /dev/null
+++ b/src/Ranges/idl/ranges.thrift
@@ -0,0 +1,49 @@
+// Records that hosts keep in the platform's keyed store. Generate with
+// tools/generate.
+namespace cpp pistachioshift.ranges_idl
+
+struct WireServer {
+  1: required string id
+  2: required i64 bornMillis
+  3: required i32 slots
+  4: required i32 state
+}
+
+struct WireHost {
+  1: required string host
+  2: required i64 epoch
+  3: required string address
+  4: required i32 port
+  5: required string zone
+  6: required string serviceName
+  7: optional WireServer server
+  8: required i64 cleared
+}
+
+struct WireRow {
+  1: required i32 first
+  2: required i32 last
+  3: required string host
+  4: required string server
+  5: required i64 bornMillis
+  6: required i64 fence
+  7: required string handover
+}
+
+struct WireServiceRows {
+  1: required string serviceName
+  2: required list<WireRow> rows
+}
+
+struct WireSuspicion {
+  1: required string host
+  2: required i64 number
+}
+
+struct WireTable {
+  1: required i64 revision
+  2: required i64 nextFence
+  3: required i64 nextSuspicion
+  4: required list<WireServiceRows> services
+  5: required list<WireSuspicion> suspicions
+}
