--- a/src/Daemon/IngressDialect.h
+++ b/src/Daemon/IngressDialect.h
@@ -57,6 +57,9 @@
 
   virtual OwnAnswer Refuse(const RefusalNotice& aNotice) = 0;
 
+  /** \brief From now on new requests are refused: the process ends. */
+  virtual void BeginClosing() {}
+
   /** \brief A request has ended; called once for each. */
   virtual void OnDone(const IngressRecord&) {}
 };
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -194,7 +194,9 @@
   report.replayable = m_replayable;
   report.answerBegun = m_answerBegun;
   report.attempts = m_history.attempts;
-  report.left = m_deadline - m_context.clock.Now();
+  const auto now = m_context.clock.Now();
+  report.left = m_deadline - now;
+  report.elapsed = now - m_arrived;
   return report;
 }
 
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -91,6 +91,7 @@
                                 aDialect, m_router, m_metrics };
   m_ingress =
     std::make_unique<IngressTask>(context, m_settings.callers, aLimits);
+  m_dialect = &aDialect;
   m_coordinator.Start();
 }
 
@@ -135,6 +136,7 @@
   }
   if (!m_stopped) {
     m_stopped = true;
+    m_dialect->BeginClosing();
     m_server.BeginDrain();
   }
   if (m_server.InFlight() > 0 || m_ingress->Active() > 0) {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -85,6 +85,7 @@
   InnerServerTask m_inner;
   OperatorTask m_operator;
   std::unique_ptr<IngressTask> m_ingress;
+  IngressDialect* m_dialect = nullptr;
   Timer m_leaveTimer;
   MonoTime m_leaveBegan;
   MonoTime m_idleSince;
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -25,7 +25,7 @@
 
 /** Time that a request waits for keys that are on their way here: two
  * heartbeats of the backend server. */
-constexpr Duration kArrivalHold = milliseconds(2000);
+constexpr Duration kArrivalHold = milliseconds(1800);
 
 constexpr size_t kMostHeld = 2048; // requests
 
@@ -134,7 +134,8 @@
   const auto& request = aCall->Request();
   const auto now = m_clock.Now();
   if (request.service != m_settings.service) {
-    aCall->Refuse(RefusalReason::kNoService, Duration::zero());
+    // The sender's view of this host is older than its change of service.
+    aCall->Refuse(RefusalReason::kNotOwner, Duration::zero());
     return;
   }
   if (Leaves(now)) {
@@ -476,6 +477,12 @@
 void
 RangeServerTask::OnState()
 {
+  const auto& known = m_state.OwnRecord().server;
+  if (!m_server && m_state.Joined() && known) {
+    // It may have gone on running while this daemon was restarted.
+    m_server = known->life.id;
+    MakeGate(known->slots);
+  }
   RetryHeld();
 }
 
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -44,6 +44,7 @@
     case RefusalReason::kDraining:
     case RefusalReason::kNoOwner:
     case RefusalReason::kOwnerUnreachable: // It reached no backend server.
+    case RefusalReason::kNoInstance:
       return true;
     default:
       return false;
@@ -130,7 +131,11 @@
   if (giveUp.outcome != Outcome::kNotRun) {
     return giveUp;
   }
-  if (!IsRedirect(aReport.refusal) && !aBudget.TrySpend()) {
+  if (IsRedirect(aReport.refusal)) {
+    if (aReport.elapsed >= aSettings.redirectLimit) {
+      return giveUp;
+    }
+  } else if (!aSettings.retryRefusals || !aBudget.TrySpend()) {
     return giveUp;
   }
   return RetryIn(delay, ReasonOf(aReport.refusal));
@@ -243,12 +248,13 @@
     case RequestState::kForgotten:
       return unknown;
     case RequestState::kRunning: {
-      if (aReport.left - aSettings.redirectDelay < aSettings.leastLeft) {
+      const auto delay = std::max(aSettings.askDelay, aSettings.redirectDelay);
+      if (aReport.left - delay < aSettings.leastLeft) {
         return unknown;
       }
       RetryDecision decision;
       decision.step = RetryStep::kAskOwner;
-      decision.delay = aSettings.redirectDelay;
+      decision.delay = delay;
       return decision;
     }
     case RequestState::kNeverSeen:
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -51,6 +51,7 @@
   bool replayable = true;   ///< The body is still at hand.
   bool answerBegun = false; ///< Part of the answer has reached the caller.
   uint32_t attempts = 1;    ///< Made so far.
+  Duration elapsed{};       ///< Since the request arrived.
   Duration left{};          ///< Until the deadline.
 };
 
@@ -76,6 +77,9 @@
   uint32_t maxAttempts = 4;
   Duration redirectDelay = std::chrono::milliseconds(5); ///< From the second.
   Duration leastLeft = std::chrono::milliseconds(2); ///< Less isn't worth it.
+  Duration redirectLimit = Duration::max(); ///< Then a refusal is passed on.
+  Duration askDelay = std::chrono::milliseconds(5); ///< While it still runs.
+  bool retryRefusals = true; ///< Also those of an overloaded holder.
 };
 
 /**
