--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -118,6 +118,9 @@
   }
   m_unanswered.try_emplace(aHost, m_clock.Now());
   m_peers.Report(host->inner, aReport, [this, aHost](const HostOrders& aOrders) {
+    if (aOrders.host != aHost) {
+      return; // Another host has the address now.
+    }
     m_unanswered.erase(aHost);
     m_server.Move(aOrders.moves);
   });
@@ -156,7 +159,9 @@
 CoordinatorTask::OnReport(const HostReport& aReport)
 {
   m_reports[aReport.host] = Reported{ aReport, m_clock.Now() };
-  return std::exchange(m_orders[aReport.host], {});
+  auto orders = std::exchange(m_orders[aReport.host], {});
+  orders.host = m_state.Self();
+  return orders;
 }
 
 void
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -174,6 +174,7 @@
 /** \brief The coordinator's answer to a report. */
 struct HostOrders
 {
+  HostName host; ///< That answers; an address may have changed hands.
   std::vector<MoveOrder> moves;
 };
 
--- a/src/Inner/WireRanges.cpp
+++ b/src/Inner/WireRanges.cpp
@@ -66,6 +66,7 @@
 ToWire(const HostOrders& aOrders)
 {
   wire::WireHostOrders orders;
+  orders.host = aOrders.host.Value();
   for (const auto& move : aOrders.moves) {
     wire::WireMove item;
     item.first = static_cast<int32_t>(move.range.first);
@@ -80,6 +81,7 @@
 FromWire(const wire::WireHostOrders& aOrders)
 {
   HostOrders orders;
+  orders.host = HostName(aOrders.host);
   for (const auto& item : aOrders.moves) {
     orders.moves.push_back(
       MoveOrder{ RangeFromWire(item.first, item.last), HostName(item.to) });
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -3460,6 +3460,10 @@
 void WireHostOrders::__set_moves(const std::vector<WireMove> & val) {
   this->moves = val;
 }
+
+void WireHostOrders::__set_host(const std::string& val) {
+  this->host = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHostOrders& obj)
 {
   obj.printTo(out);
@@ -3480,6 +3484,7 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_moves = false;
+  bool isset_host = false;
 
   while (true)
   {
@@ -3509,6 +3514,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          isset_host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3520,6 +3533,8 @@
 
   if (!isset_moves)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_host)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3540,6 +3555,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3548,19 +3567,23 @@
 void swap(WireHostOrders &a, WireHostOrders &b) {
   using ::std::swap;
   swap(a.moves, b.moves);
+  swap(a.host, b.host);
 }
 
 WireHostOrders::WireHostOrders(const WireHostOrders& other88) {
   moves = other88.moves;
+  host = other88.host;
 }
 WireHostOrders& WireHostOrders::operator=(const WireHostOrders& other89) {
   moves = other89.moves;
+  host = other89.host;
   return *this;
 }
 void WireHostOrders::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "WireHostOrders(";
   out << "moves=" << to_string(moves);
+  out << ", " << "host=" << to_string(host);
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -1286,18 +1286,24 @@
 
   WireHostOrders(const WireHostOrders&);
   WireHostOrders& operator=(const WireHostOrders&);
-  WireHostOrders() noexcept {
+  WireHostOrders() noexcept
+                 : host() {
   }
 
   virtual ~WireHostOrders() noexcept;
   std::vector<WireMove>  moves;
+  std::string host;
 
   void __set_moves(const std::vector<WireMove> & val);
 
+  void __set_host(const std::string& val);
+
   bool operator == (const WireHostOrders & rhs) const
   {
     if (!(moves == rhs.moves))
       return false;
+    if (!(host == rhs.host))
+      return false;
     return true;
   }
   bool operator != (const WireHostOrders &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -148,6 +148,7 @@
 
 struct WireHostOrders {
   1: required list<WireMove> moves
+  2: required string host
 }
 
 struct WireStateQuery {
