--- a/src/Base/Clock.h
+++ b/src/Base/Clock.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_BASE_CLOCK_H
 
 #include <chrono>
+#include <ctime>
 
 namespace pistachioshift {
 
@@ -40,6 +41,21 @@
   }
 };
 
+/** \brief Monotonic time that also counts while the machine is suspended. */
+class SuspendAwareClock final : public Clock
+{
+public:
+  MonoTime Now() const override
+  {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return MonoTime(std::chrono::seconds(now.tv_sec) +
+                    std::chrono::nanoseconds(now.tv_nsec));
+  }
+
+  WallTime WallNow() const override { return SystemClock().WallNow(); }
+};
+
 /** \brief A clock that moves only when told to; for tests and benchmarks. */
 class ManualClock final : public Clock
 {
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -112,6 +112,7 @@
   services.state = [](const StateQuery&) -> std::optional<StateReply> {
     return std::nullopt;
   };
+  services.update = [](const StateReply&) {};
   return services;
 }
 
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -25,6 +25,7 @@
   std::function<void(const LoadReport&)> load;
   std::function<HostOrders(const HostReport&)> report;
   std::function<std::optional<StateReply>(const StateQuery&)> state;
+  std::function<void(const StateReply&)> update;
 };
 
 /** \brief Accepts connections of other daemons and serves their requests. */
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -73,6 +73,8 @@
     m_task.m_services.load(*load);
   } else if (const auto* report = std::get_if<HostReport>(&aFrame)) {
     Send(m_task.m_services.report(*report));
+  } else if (const auto* update = std::get_if<StateReply>(&aFrame)) {
+    m_task.m_services.update(*update);
   } else if (const auto* state = std::get_if<StateQuery>(&aFrame)) {
     if (const auto reply = m_task.m_services.state(*state)) {
       Send(*reply);
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -71,6 +71,12 @@
   link->Send(aQuery);
 }
 
+void
+PeersTask::SendUpdate(const Endpoint& aPeer, const StateReply& aUpdate)
+{
+  Find(aPeer)->Link().Send(aUpdate);
+}
+
 void
 PeersTask::Report(const Endpoint& aPeer,
                   const HostReport& aReport,
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -61,6 +61,9 @@
               const HostReport& aReport,
               OrdersCallback aCallback);
 
+  /** \brief Sends records that were appended; they may be lost. */
+  void SendUpdate(const Endpoint& aPeer, const StateReply& aUpdate);
+
   /** \brief Asks a peer for what it has read from the store; no callback if
    * it can't be asked or doesn't know better. */
   void AskState(const Endpoint& aPeer,
--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -23,8 +23,11 @@
 /** Two reports without an answer: the next host coordinates. */
 constexpr Duration kAnswerTimeout = milliseconds(1200);
 
-/** Four reports missed: the host is suspected. */
-constexpr Duration kSilence = milliseconds(2200);
+/** Three reports missed: the host is suspected. */
+constexpr Duration kSilence = milliseconds(1700);
+
+/** Hosts that each host reports to: the coordinator and the next in line. */
+constexpr size_t kReportedHosts = 3;
 
 /** The first assignment waits until no host joined for a heartbeat. */
 constexpr Duration kSettleTime = milliseconds(1000);
@@ -55,6 +58,7 @@
 void
 CoordinatorTask::Start()
 {
+  m_startedAt = m_clock.Now();
   m_tick.StartEvery(kTick);
 }
 
@@ -130,24 +134,32 @@
 CoordinatorTask::SendReport()
 {
   const auto report = m_server.MakeReport();
+  const auto order = Order();
+  // The next in line hear everyone, too, and can take over at once.
+  size_t told = 0;
+  bool earlier = false; // A host before this one answers.
   bool active = false;
-  for (const auto& name : Order()) {
+  for (const auto& name : order) {
     if (name == m_state.Self()) {
-      active = true;
-      m_server.Move(OnReport(report).moves);
-      break;
-    }
-    if (Answers(name)) {
+      active = !earlier;
+      auto orders = OnReport(report);
+      if (active) {
+        m_server.Move(orders.moves);
+      }
+      ++told;
+    } else if (Answers(name)) {
+      earlier = true;
       ReportTo(name, report);
-      break;
-    }
-    if (m_ticks % kProbeTicks == 0) {
+      ++told;
+    } else if (m_ticks % kProbeTicks == 0) {
       ReportTo(name, report);
     }
+    if (told >= kReportedHosts) {
+      break;
+    }
   }
   if (active != m_active) {
     m_active = active;
-    m_activeSince = m_clock.Now();
     m_logger.Info(active ? "coordinator-begin" : "coordinator-end",
                   "hosts={} end={}",
                   m_state.State().Hosts().size(),
@@ -311,7 +323,7 @@
   size_t heard = 0;
   for (const auto& [name, host] : hosts) {
     heard += Heard(name) ? 1 : 0;
-    const auto since = std::max(m_activeSince, m_seenAt[name]);
+    const auto since = std::max(m_startedAt, m_seenAt[name]);
     const bool late = !Heard(name) && now - since >= kSilence;
     if (late && !m_state.State().Suspected(name)) {
       silent.push_back(name);
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -80,7 +80,7 @@
   std::map<int64_t, MonoTime> m_suspectedAt; ///< When a suspicion was read.
   MonoTime m_newcomerAt{}; ///< When the number of takers last changed.
   size_t m_takers = 0;
-  MonoTime m_activeSince{};
+  MonoTime m_startedAt{};
   bool m_active = false;
   uint64_t m_ticks = 0;
 };
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -1,5 +1,7 @@
 #include "src/HostDaemon/HostDaemon.h"
 
+#include <algorithm>
+
 #include <event2/event.h>
 
 namespace pistachioshift {
@@ -17,6 +19,9 @@
 /** Quiet time before the exit. */
 constexpr Duration kQuietBeforeExit = milliseconds(150);
 
+/** Peers that are asked for the state while the store gives no answer. */
+constexpr size_t kAskedPeers = 2;
+
 /** The process ends by itself this long before it would be killed. */
 constexpr Duration kGraceMargin = milliseconds(500);
 
@@ -61,6 +66,9 @@
   aState.AddListener(m_router);
   aState.AddListener(m_server);
   aState.AddListener(m_coordinator);
+  aState.SetOnAppended(
+    [this](const StateUpdate& aUpdate) { SendUpdate(aUpdate); });
+  aState.SetOnUnavailable([this] { AskPeers(); });
   m_operator.OnGet("/metrics",
                    [this](const OperatorRequest&) { return RenderMetrics(); });
 }
@@ -73,8 +81,11 @@
   services.report = [this](const HostReport& aReport) {
     return m_coordinator.OnReport(aReport);
   };
-  services.state = [](const StateQuery&) -> std::optional<StateReply> {
-    return std::nullopt;
+  services.state = [this](const StateQuery& aQuery) {
+    return AnswerState(aQuery);
+  };
+  services.update = [this](const StateReply& aUpdate) {
+    m_state.TakeFromPeer(aUpdate.entries, aUpdate.next);
   };
   // Streams of a log and hashed entries belong to the other way of assigning.
   services.records = [](const RecordsQuery& aQuery) {
@@ -84,6 +95,56 @@
   return services;
 }
 
+std::optional<StateReply>
+HostDaemon::AnswerState(const StateQuery& aQuery) const
+{
+  auto update = m_state.UpdateFrom(aQuery.from);
+  if (!update) {
+    return std::nullopt;
+  }
+  StateReply reply;
+  reply.age = m_clock.Now() - m_state.SeenAt();
+  reply.next = update->next;
+  reply.entries = std::move(update->entries);
+  return reply;
+}
+
+void
+HostDaemon::SendUpdate(const StateUpdate& aUpdate)
+{
+  StateReply update;
+  update.next = aUpdate.next;
+  update.entries = aUpdate.entries;
+  for (const auto& [name, host] : m_state.State().Hosts()) {
+    if (name != m_state.Self() && !m_state.State().Suspected(name)) {
+      m_peers.SendUpdate(host.inner, update);
+    }
+  }
+}
+
+void
+HostDaemon::AskPeers()
+{
+  std::vector<Endpoint> peers;
+  for (const auto& [name, host] : m_state.State().Hosts()) {
+    if (name != m_state.Self() && !m_state.State().Suspected(name)) {
+      peers.push_back(host.inner);
+    }
+  }
+  std::shuffle(peers.begin(), peers.end(), m_random);
+  peers.resize(std::min(peers.size(), kAskedPeers));
+  const auto sentAt = m_clock.Now();
+  for (const auto& peer : peers) {
+    m_peers.AskState(peer,
+                     StateQuery{ m_state.End() },
+                     [this, sentAt](const StateReply& aReply) {
+                       m_state.TakeFromPeer(aReply.entries, aReply.next);
+                       m_state.ConfirmFromPeer(sentAt - aReply.age,
+                                               aReply.next);
+                     });
+  }
+}
+
 void
 HostDaemon::Start(IngressDialect& aDialect, const HttpLimits& aLimits)
 {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -67,6 +67,9 @@
 
 private:
   InnerServices MakeInnerServices();
+  std::optional<StateReply> AnswerState(const StateQuery& aQuery) const;
+  void SendUpdate(const StateUpdate& aUpdate);
+  void AskPeers();
   void OnLeaveTick();
   OperatorAnswer RenderMetrics();
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -154,8 +154,8 @@
     Admit(aCall);
     return;
   }
-  const bool arriving = IsMine(*key) && !m_keeper.IsLeaving(*key);
-  if (arriving && m_held.size() < kMostHeld) {
+  // Granted with a heartbeat to come, or given away as soon as it is released.
+  if (IsMine(*key) && m_held.size() < kMostHeld) {
     Hold(aCall);
     return;
   }
@@ -183,8 +183,7 @@
     }
     const auto call = found->second;
     const auto key = ParseShardKey(call->Request().key);
-    const bool waits = key && IsMine(*key) && !m_keeper.IsLeaving(*key) &&
-                       !m_keeper.MayServe(*key, m_clock.Now());
+    const bool waits = key && IsMine(*key) && !m_keeper.MayServe(*key, m_clock.Now());
     if (waits && !Leaves(m_clock.Now())) {
       m_held.push_back(id);
       continue;
@@ -481,6 +480,7 @@
   if (!m_server && m_state.Joined() && known) {
     // It may have gone on running while this daemon was restarted.
     m_server = known->life.id;
+    m_keeper.Adopt(known->life);
     MakeGate(known->slots);
   }
   RetryHeld();
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -5,6 +5,13 @@
 
 namespace pistachioshift {
 
+namespace {
+
+/** Records kept for peers: those of some seconds in a busy mesh. */
+constexpr size_t kMostRecent = 64;
+
+}
+
 StateTaskBase::StateTaskBase(const Clock& aClock,
                              const Logger& aLogger,
                              HostRecord aSelf)
@@ -20,9 +27,55 @@
   return Joined() ? m_lease.Left(m_clock.Now()) : Duration{};
 }
 
+bool
+StateTaskBase::TakeFromPeer(const std::vector<StoreEntry>& aEntries,
+                            int64_t aNext)
+{
+  if (aNext <= m_end) {
+    return true;
+  }
+  const bool gap = m_end == 0 || (!aEntries.empty() &&
+                                  aEntries.front().offset > m_end);
+  if (gap || aEntries.empty()) {
+    Refresh();
+    return false;
+  }
+  Take(aEntries, aNext);
+  Notify();
+  Write();
+  return true;
+}
+
+void
+StateTaskBase::ConfirmFromPeer(MonoTime aSeenAt, int64_t aEnd)
+{
+  if (aEnd <= m_end) {
+    Confirm(aSeenAt);
+  }
+}
+
+std::optional<StateUpdate>
+StateTaskBase::UpdateFrom(int64_t aFrom) const
+{
+  const bool kept = aFrom >= m_end || (!m_recent.empty() &&
+                                       m_recent.front().offset <= aFrom);
+  if (m_end == 0 || !kept) {
+    return std::nullopt;
+  }
+  StateUpdate update;
+  update.next = m_end;
+  for (const auto& entry : m_recent) {
+    if (entry.offset >= aFrom) {
+      update.entries.push_back(entry);
+    }
+  }
+  return update;
+}
+
 void
 StateTaskBase::Confirm(MonoTime aSentAt)
 {
+  m_seenAt = std::max(m_seenAt, aSentAt);
   if (!m_state.Suspected(m_self.host)) {
     m_lease.Confirm(aSentAt);
   }
@@ -35,6 +88,10 @@
     if (entry.offset < m_end) {
       continue;
     }
+    m_recent.push_back(entry);
+    if (m_recent.size() > kMostRecent) {
+      m_recent.pop_front();
+    }
     try {
       m_state.Apply(entry);
     } catch (const RangesError& error) {
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_HOSTDAEMON_STATETASK_H
 #define PISTACHIOSHIFT_HOSTDAEMON_STATETASK_H
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,8 +16,9 @@
 /** \brief Times of a StateTask. */
 struct StateTaskSettings
 {
-  /// Long poll: every reply renews the lease.
-  Duration pollWait = std::chrono::milliseconds(1500);
+  /// Between reads of the store: each renews the lease. Changes come from the
+  /// daemons that write them, sooner than by these reads.
+  Duration pollInterval = std::chrono::milliseconds(1000);
   /// Pause after a failed call.
   Duration retryDelay = std::chrono::milliseconds(200);
 };
@@ -28,6 +30,13 @@
   std::vector<HostName> dropped; ///< Hosts that are gone.
 };
 
+/** \brief Records in a row, up to an offset. */
+struct StateUpdate
+{
+  std::vector<StoreEntry> entries;
+  int64_t next = 0;
+};
+
 /** \brief Called after the state has changed. */
 class StateListener
 {
@@ -74,6 +83,34 @@
   /** \brief Same; replaces an edit of that reason which still waits. */
   void ChangeOnce(const std::string& aReason, Edit aEdit);
 
+  /**
+   * \brief Takes in records that another daemon has read or written.
+   * \return false if records before them are missing here.
+   */
+  bool TakeFromPeer(const std::vector<StoreEntry>& aEntries, int64_t aNext);
+
+  /** \brief A peer saw the end of the topic, at the latest at this time. */
+  void ConfirmFromPeer(MonoTime aSeenAt, int64_t aEnd);
+
+  /** \brief Records from an offset on, for a peer; none if not kept. */
+  std::optional<StateUpdate> UpdateFrom(int64_t aFrom) const;
+
+  /** \brief Called with records that this host has appended. */
+  using OnAppended = std::function<void(const StateUpdate&)>;
+  void SetOnAppended(OnAppended aCallback)
+  {
+    m_onAppended = std::move(aCallback);
+  }
+
+  /** \brief Called when the store gives no answer; peers may know more. */
+  void SetOnUnavailable(std::function<void()> aCallback)
+  {
+    m_onUnavailable = std::move(aCallback);
+  }
+
+  /** \brief When the end of the topic was last seen. */
+  MonoTime SeenAt() const { return m_seenAt; }
+
   void AddListener(StateListener& aListener)
   {
     m_listeners.push_back(&aListener);
@@ -102,6 +139,9 @@
   /** Called after something is to be written. */
   virtual void Write() = 0;
 
+  /** Called when records are missing. */
+  virtual void Refresh() = 0;
+
   const Clock& m_clock;
   const Logger& m_logger;
   HostRecord m_self;
@@ -115,6 +155,10 @@
   std::vector<PendingEdit> m_inFlight; ///< Of the draft on its way.
   std::string m_draftReasons;
   std::vector<StateListener*> m_listeners;
+  std::deque<StoreEntry> m_recent; ///< Last records, for peers.
+  MonoTime m_seenAt{};
+  OnAppended m_onAppended;
+  std::function<void()> m_onUnavailable;
 };
 
 /** \brief StateTaskBase over a store. */
@@ -142,9 +186,16 @@
   void OnPolled(MonoTime aSentAt, StoreReadResult aResult);
   void Join();
   void Write() override;
+  void Refresh() override
+  {
+    if (m_end > 0) {
+      Poll();
+    }
+  }
   void WriteRecord();
   void OnRecordWritten(const HostRecord& aWritten, AppendReply aReply);
   void WriteTable();
+  void Appended(std::vector<StoreEntry> aEntries, int64_t aEnd);
   void SendTable();
   void OnTableWritten(MonoTime aSentAt, AppendReply aReply);
   void SetConnected(bool aConnected, const char* aCall);
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -82,7 +82,7 @@
   }
   Notify();
   Write();
-  Poll();
+  m_pollTimer.StartOnce(Duration{});
 }
 
 template<KeyedStore Store>
@@ -111,12 +111,10 @@
   }
   m_polling = true;
   const auto sentAt = m_clock.Now();
-  m_store.Read(kTopic,
-               m_end,
-               m_settings.pollWait,
-               [this, sentAt](StoreReadResult aResult) {
-                 OnPolled(sentAt, std::move(aResult));
-               });
+  m_store.Read(
+    kTopic, m_end, Duration{}, [this, sentAt](StoreReadResult aResult) {
+      OnPolled(sentAt, std::move(aResult));
+    });
 }
 
 template<KeyedStore Store>
@@ -131,19 +129,25 @@
       ReadNewest();
       return;
     }
+    if (m_onUnavailable) {
+      m_onUnavailable();
+    }
     m_pollTimer.StartOnce(m_settings.retryDelay);
     return;
   }
   const bool changed = records->next > m_end;
   Take(records->entries, records->next);
-  if (m_end >= records->end) {
+  const bool whole = m_end >= records->end;
+  if (whole) {
     Confirm(aSentAt);
   }
   if (changed) {
     Notify();
   }
   Write();
-  Poll();
+  m_pollTimer.StartOnce(whole && m_end >= m_conflictEnd
+                          ? m_settings.pollInterval
+                          : Duration{});
 }
 
 template<KeyedStore Store>
@@ -186,6 +190,7 @@
   switch (aReply.verdict) {
     case AppendVerdict::kAccepted:
       ++m_sequence;
+      Appended({ EncodeHost(aWritten) }, aReply.end);
       m_logger.Info("host-written",
                     "epoch={} end={} server={} cleared={}",
                     aWritten.epoch,
@@ -217,6 +222,25 @@
   Write();
 }
 
+template<KeyedStore Store>
+void
+StateTask<Store>::Appended(std::vector<StoreEntry> aEntries, int64_t aEnd)
+{
+  auto offset = aEnd - static_cast<int64_t>(aEntries.size());
+  for (auto& entry : aEntries) {
+    entry.offset = offset++;
+  }
+  if (m_onAppended) {
+    m_onAppended(StateUpdate{ aEntries, aEnd });
+  }
+  if (aEntries.front().offset <= m_end) {
+    Take(aEntries, aEnd);
+    Notify();
+  } else {
+    Poll();
+  }
+}
+
 template<KeyedStore Store>
 void
 StateTask<Store>::WriteTable()
@@ -263,14 +287,11 @@
     case AppendVerdict::kAccepted: {
       m_writing = false;
       m_inFlight.clear();
-      for (auto& entry : m_draftEntries) {
-        entry.offset = m_end;
-      }
-      if (m_end == m_draftAt) {
-        Take(m_draftEntries, aReply.end);
+      const bool current = m_end == m_draftAt;
+      Appended(m_draftEntries, aReply.end);
+      if (current) {
         Confirm(aSentAt);
       }
-      Notify();
       break;
     }
     case AppendVerdict::kConflict:
@@ -279,6 +300,9 @@
       m_writing = false;
       m_conflictEnd = std::max(aReply.end, m_draftAt + 1);
       RestoreEdits();
+      if (m_end < m_conflictEnd) {
+        Poll();
+      }
       break;
     case AppendVerdict::kRefused:
     case AppendVerdict::kUnknown:
--- a/src/Http/Client.h
+++ b/src/Http/Client.h
@@ -35,6 +35,9 @@
   Duration silenceTimeout = std::chrono::seconds(60); ///< Without a byte read
                                                       ///< or written.
   Duration idleTimeout = std::chrono::seconds(30);    ///< Between requests.
+  /// Interval of TCP keep-alive probes, three of which may go unanswered; zero:
+  /// none are sent.
+  std::chrono::seconds probeInterval{};
 };
 
 /** \brief Why a request got no whole answer. */
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -41,6 +41,9 @@
 {
   auto self = shared_from_this();
   m_state = State::kIdle;
+  if (m_limits.probeInterval.count() > 0) {
+    m_stream->SetProbes(m_limits.probeInterval);
+  }
   UpdateTimer();
   m_core->Connected(self);
 }
--- a/src/Http/internal/Stream.cpp
+++ b/src/Http/internal/Stream.cpp
@@ -100,6 +100,19 @@
   }
 }
 
+void
+Stream::SetProbes(std::chrono::seconds aInterval)
+{
+  constexpr int kProbes = 3;
+  const int on = 1;
+  const int seconds = static_cast<int>(aInterval.count());
+  const auto socket = Socket();
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 bool
 Stream::Connect(const Endpoint& aEndpoint)
 {
--- a/src/Http/internal/Stream.h
+++ b/src/Http/internal/Stream.h
@@ -46,6 +46,9 @@
          const StreamBounds& aBounds,
          StreamHandler& aHandler);
 
+  /** Finds out that the peer is gone while nothing is read or written. */
+  void SetProbes(std::chrono::seconds aInterval);
+
   /** False if it failed at once. Throws HttpError for a bad address. */
   bool Connect(const Endpoint& aEndpoint);
   void SetWriteTimeout(Duration aTimeout);
--- a/src/Ranges/HoldKeeper.cpp
+++ b/src/Ranges/HoldKeeper.cpp
@@ -50,6 +50,14 @@
   return aHeartbeat.life == *m_life && aHeartbeat.sequence <= m_sequence;
 }
 
+void
+HoldKeeper::Adopt(const ServerLife& aLife)
+{
+  if (!m_life) {
+    m_life = aLife;
+  }
+}
+
 void
 HoldKeeper::BeginLife(const ServerHeartbeat& aHeartbeat)
 {
@@ -160,9 +168,13 @@
 void
 HoldKeeper::CollectReleased(const ServerHeartbeat& aHeartbeat)
 {
+  if (!aHeartbeat.holds) {
+    return;
+  }
+  const auto& holds = *aHeartbeat.holds;
   const auto stillHeld = [&](const Leaving& aLeaving) {
     return std::any_of(
-      aHeartbeat.holds.begin(), aHeartbeat.holds.end(), [&](const auto& aHeld) {
+      holds.begin(), holds.end(), [&](const HeldRange& aHeld) {
         return aHeld.range.Overlaps(aLeaving.range);
       });
   };
--- a/src/Ranges/HoldKeeper.h
+++ b/src/Ranges/HoldKeeper.h
@@ -33,7 +33,8 @@
   ServerState state = ServerState::kReady;
   int64_t sequence = 0;    ///< Grows with each heartbeat of a life.
   Duration coldRemaining{}; ///< Time for which it is still slow.
-  std::vector<HeldRange> holds;
+  /// None: it doesn't say, which proves nothing about what it holds.
+  std::optional<std::vector<HeldRange>> holds;
   std::vector<ReleasedRange> released;
 };
 
@@ -100,6 +101,12 @@
   /** \brief Whether a heartbeat is older than what is known. */
   bool IsStale(const ServerHeartbeat& aHeartbeat) const;
 
+  /**
+   * \brief Takes up the life that an earlier process of this daemon served, so
+   * that a late heartbeat of a life before it is recognized as stale.
+   */
+  void Adopt(const ServerLife& aLife);
+
   /** \brief Life that the last heartbeat came from; none before the first. */
   const std::optional<ServerLife>& Life() const { return m_life; }
 
--- a/src/Ranges/Lease.h
+++ b/src/Ranges/Lease.h
@@ -14,14 +14,14 @@
  *
  * Covers a silent store of five seconds with a heartbeat to spare.
  */
-inline constexpr Duration kLeaseTime = std::chrono::milliseconds(6500);
+inline constexpr Duration kLeaseTime = std::chrono::milliseconds(6000);
 
 /**
  * \brief Time between reading a suspicion and acting on it: the lease, what
  * the steady clocks of two hosts may differ in it (1%), and 300 ms for an
  * order that is on its way.
  */
-inline constexpr Duration kTakeoverWait = std::chrono::milliseconds(6900);
+inline constexpr Duration kTakeoverWait = std::chrono::milliseconds(6400);
 
 /**
  * \brief Right of a host to let its backend server hold keys. Pure.
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -51,6 +51,14 @@
   }
 }
 
+// Said by a daemon that holds the key no more, or not yet.
+bool
+IsMoved(RefusalReason aReason)
+{
+  return aReason == RefusalReason::kNotOwner ||
+         aReason == RefusalReason::kLeaseNotHeld;
+}
+
 // A repeat of these meets the same refusal, or nobody waits for it.
 bool
 IsFinal(RefusalReason aReason)
@@ -131,7 +139,12 @@
   if (giveUp.outcome != Outcome::kNotRun) {
     return giveUp;
   }
-  if (IsRedirect(aReport.refusal)) {
+  if (IsMoved(aReport.refusal)) {
+    // The time was spent at the owner before, which knew that it is moving.
+    if (aReport.attempts >= aSettings.mostRedirects) {
+      return giveUp;
+    }
+  } else if (IsRedirect(aReport.refusal)) {
     if (aReport.elapsed >= aSettings.redirectLimit) {
       return giveUp;
     }
