--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -299,9 +299,10 @@
   const auto deadline = m_clock.WallNow() + left;
   head.headers.Set(fields::kDeadline,
                    std::to_string(deadline.time_since_epoch().count()));
-  head.headers.Set(
-    fields::kRequest,
-    fmt::format("{:016x}{:016x}", aCall.m_request.id.high, aCall.m_request.id.low));
+  head.headers.Set(fields::kRequest,
+                   fmt::format("{:016x}{:016x}",
+                               aCall.m_request.id.high,
+                               aCall.m_request.id.low));
   if (!aCall.m_request.key.empty()) {
     head.headers.Set(fields::kKey, aCall.m_request.key);
   }
@@ -309,9 +310,10 @@
     head.headers.Set(fields::kRange, RangeName(*aCall.m_entry));
   }
   if (aCall.m_token) {
-    head.headers.Set(
-      fields::kFence,
-      fmt::format("{}.{}", aCall.m_token->entry.Value(), aCall.m_token->rank.Value()));
+    head.headers.Set(fields::kFence,
+                     fmt::format("{}.{}",
+                                 aCall.m_token->entry.Value(),
+                                 aCall.m_token->rank.Value()));
   }
   return head;
 }
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -85,10 +85,14 @@
             MakeInnerServices(),
             m_metrics)
   , m_dialect(m_clock, m_mesh, m_backend)
-  , m_ingress(
-      IngressContext{ aBase, m_clock, m_random, m_dialect, m_router, m_metrics },
-      m_settings.place.callers,
-      CallerLimits(m_settings))
+  , m_ingress(IngressContext{ aBase,
+                              m_clock,
+                              m_random,
+                              m_dialect,
+                              m_router,
+                              m_metrics },
+              m_settings.place.callers,
+              CallerLimits(m_settings))
   , m_operator(aBase, m_settings.place.operators)
   , m_status{ m_settings, m_boot, m_mesh, m_document, m_backend }
   , m_leaveTimer(aBase, [this] { OnLeaveTick(); })
--- a/src/Daemon/Intake.h
+++ b/src/Daemon/Intake.h
@@ -26,9 +26,9 @@
   std::string key;
   Duration allowed{}; ///< Time until the head of the answer is due.
   std::string idempotencyKey;
-  bool repeat = false; ///< The caller sent the idempotency key before.
+  bool repeat = false;   ///< The caller sent the idempotency key before.
   uint32_t priority = 0; ///< 0 is the most urgent.
-  std::string logId;   ///< Names the request in log lines; may be empty.
+  std::string logId;     ///< Names the request in log lines; may be empty.
   RetrySettings retry{ .maxAttempts = kMostAttempts,
                        .redirectDelay = kRedirectDelay };
 };
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -19,8 +19,8 @@
 /** \brief What the head of an answer of the backend server says. */
 enum class AnswerKind : uint8_t
 {
-  kAnswer, ///< Of this request; passed on.
-  kNotRun, ///< The backend server refused the request and didn't run it.
+  kAnswer,  ///< Of this request; passed on.
+  kNotRun,  ///< The backend server refused the request and didn't run it.
   kInvalid, ///< Not the answer of this request, or not a genuine one.
 };
 
--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -121,13 +121,14 @@
     return;
   }
   m_unanswered.try_emplace(aHost, m_clock.Now());
-  m_peers.Report(host->inner, aReport, [this, aHost](const HostOrders& aOrders) {
-    if (aOrders.host != aHost) {
-      return; // Another host has the address now.
-    }
-    m_unanswered.erase(aHost);
-    m_server.Move(aOrders.moves);
-  });
+  m_peers.Report(
+    host->inner, aReport, [this, aHost](const HostOrders& aOrders) {
+      if (aOrders.host != aHost) {
+        return; // Another host has the address now.
+      }
+      m_unanswered.erase(aHost);
+      m_server.Move(aOrders.moves);
+    });
 }
 
 void
@@ -203,7 +204,8 @@
 CoordinatorTask::Heard(const HostName& aHost) const
 {
   const auto found = m_reports.find(aHost);
-  return found != m_reports.end() && m_clock.Now() - found->second.at < kSilence;
+  return found != m_reports.end() &&
+         m_clock.Now() - found->second.at < kSilence;
 }
 
 std::vector<Taker>
@@ -211,8 +213,8 @@
 {
   std::vector<Taker> takers;
   for (const auto& [name, host] : m_state.State().Hosts()) {
-    const bool usable = host.service == aService &&
-                        m_state.State().CanTake(host) && Heard(name);
+    const bool usable =
+      host.service == aService && m_state.State().CanTake(host) && Heard(name);
     if (!usable) {
       continue;
     }
@@ -279,20 +281,20 @@
   if (takers.empty() || (first && !Settled(takers))) {
     return;
   }
-  m_state.ChangeOnce("assign/" + aService.Value(),
-                 [aService, takers, load = LoadOf(aService)](
-                   TableDraft& aDraft, const MeshState& aState) {
-                   std::vector<Taker> able;
-                   for (const auto& taker : takers) {
-                     const auto* host = aState.FindHost(taker.holder.host);
-                     if (host != nullptr && aState.CanTake(*host) &&
-                         host->server->life == taker.holder.life) {
-                       able.push_back(taker);
-                     }
-                   }
-                   return AssignFreeRows(
-                     aDraft.table, aState, aService, able, load);
-                 });
+  m_state.ChangeOnce(
+    "assign/" + aService.Value(),
+    [aService, takers, load = LoadOf(aService)](TableDraft& aDraft,
+                                                const MeshState& aState) {
+      std::vector<Taker> able;
+      for (const auto& taker : takers) {
+        const auto* host = aState.FindHost(taker.holder.host);
+        if (host != nullptr && aState.CanTake(*host) &&
+            host->server->life == taker.holder.life) {
+          able.push_back(taker);
+        }
+      }
+      return AssignFreeRows(aDraft.table, aState, aService, able, load);
+    });
 }
 
 void
@@ -329,7 +331,8 @@
       silent.push_back(name);
     }
   }
-  if (silent.empty() || heard < kLeastHeard * hosts.size()) {
+  if (silent.empty() || static_cast<double>(heard) <
+                          kLeastHeard * static_cast<double>(hosts.size())) {
     return;
   }
   for (const auto& name : silent) {
@@ -366,9 +369,9 @@
                      suspicion.host.Value(),
                      suspicion.number);
     m_state.ChangeOnce(
-      "takeover/" + suspicion.host.Value(), [suspicion](TableDraft& aDraft, const MeshState& aState) {
-        const auto* standing =
-          aState.Table().FindSuspicion(suspicion.host);
+      "takeover/" + suspicion.host.Value(),
+      [suspicion](TableDraft& aDraft, const MeshState& aState) {
+        const auto* standing = aState.Table().FindSuspicion(suspicion.host);
         if (standing == nullptr || standing->number != suspicion.number ||
             !aState.Suspected(suspicion.host)) {
           return false;
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -76,7 +76,7 @@
   std::map<HostName, MonoTime> m_unanswered; ///< Since when a host is mute.
   std::map<HostName, HostOrders> m_orders;
   std::map<ServiceName, Rebalancer> m_rebalancers;
-  std::map<HostName, MonoTime> m_seenAt; ///< When a host's record was read.
+  std::map<HostName, MonoTime> m_seenAt;     ///< When a host's record was read.
   std::map<int64_t, MonoTime> m_suspectedAt; ///< When a suspicion was read.
   MonoTime m_newcomerAt{}; ///< When the number of takers last changed.
   size_t m_takers = 0;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -224,9 +224,7 @@
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End());
   set("pistachio_coordinator", m_coordinator.Active() ? 1 : 0);
-  return OperatorAnswer{ 200,
-                         "text/plain; version=0.0.4",
-                         m_metrics.Render() };
+  return OperatorAnswer{ 200, "text/plain; version=0.0.4", m_metrics.Render() };
 }
 
 }
--- a/src/HostDaemon/KeyLoadMeter.cpp
+++ b/src/HostDaemon/KeyLoadMeter.cpp
@@ -21,8 +21,7 @@
 std::vector<LoadBucket>
 KeyLoadMeter::Take(MonoTime aNow)
 {
-  const auto elapsed =
-    std::chrono::duration<double>(aNow - m_since).count();
+  const auto elapsed = std::chrono::duration<double>(aNow - m_since).count();
   m_since = aNow;
   const bool first = elapsed > 60.0; // Nothing was measured before.
   const auto seconds = first ? 1.0 : std::max(elapsed, 1e-3);
--- a/src/HostDaemon/KeyLoadMeter.h
+++ b/src/HostDaemon/KeyLoadMeter.h
@@ -18,7 +18,10 @@
 class KeyLoadMeter
 {
 public:
-  void Count(ShardKey aKey, double aWeight) { m_arrived[aKey.Value()] += aWeight; }
+  void Count(ShardKey aKey, double aWeight)
+  {
+    m_arrived[aKey.Value()] += aWeight;
+  }
 
   /** \brief Ends an interval and gives the load of all keys seen lately. */
   std::vector<LoadBucket> Take(MonoTime aNow);
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -103,7 +103,7 @@
   if (!chosen) {
     return std::nullopt;
   }
-  const auto destination = DestinationOf(HostName(NameOf(*chosen)));
+  auto destination = DestinationOf(HostName(NameOf(*chosen)));
   if (destination) {
     instances.balancer.OnStart(*chosen);
   }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -183,7 +183,8 @@
     }
     const auto call = found->second;
     const auto key = ParseShardKey(call->Request().key);
-    const bool waits = key && IsMine(*key) && !m_keeper.MayServe(*key, m_clock.Now());
+    const bool waits =
+      key && IsMine(*key) && !m_keeper.MayServe(*key, m_clock.Now());
     if (waits && !Leaves(m_clock.Now())) {
       m_held.push_back(id);
       continue;
@@ -205,11 +206,10 @@
   }
   const auto result = m_outcomes.Begin(request.id, request.known);
   if (result.verdict != BeginVerdict::kStarted) {
-    const auto reason = result.verdict == BeginVerdict::kPoisoned
-                          ? RefusalReason::kPoisoned
-                        : result.verdict == BeginVerdict::kFull
-                          ? RefusalReason::kTableFull
-                          : RefusalReason::kDuplicate;
+    const auto reason =
+      result.verdict == BeginVerdict::kPoisoned ? RefusalReason::kPoisoned
+      : result.verdict == BeginVerdict::kFull   ? RefusalReason::kTableFull
+                                                : RefusalReason::kDuplicate;
     aCall->Refuse(reason, Duration::zero());
     return;
   }
@@ -218,9 +218,9 @@
   aCall->m_state = OwnerCall::State::kQueued;
   aCall->ArmDeadline();
   aCall->m_class = ClassIndex(std::min(request.priority, kPriorities - 1));
-  Apply(m_gate->Admit(
-    GateRequest{ request.id, aCall->m_class, request.deadline },
-    m_clock.Now()));
+  Apply(
+    m_gate->Admit(GateRequest{ request.id, aCall->m_class, request.deadline },
+                  m_clock.Now()));
 }
 
 void
@@ -501,12 +501,11 @@
   if (!server || server->state == ServerState::kSilent) {
     return;
   }
-  m_logger.Warning("server-silent",
-                   "server={} silent_ms={}",
-                   server->life.id.Value(),
-                   std::chrono::duration_cast<milliseconds>(
-                     now - m_lastHeartbeat)
-                     .count());
+  m_logger.Warning(
+    "server-silent",
+    "server={} silent_ms={}",
+    server->life.id.Value(),
+    std::chrono::duration_cast<milliseconds>(now - m_lastHeartbeat).count());
   server->state = ServerState::kSilent;
   m_keeper.Lapse(RowsOf(server->life));
   m_state.PublishServer(server);
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -34,8 +34,8 @@
   if (aNext <= m_end) {
     return true;
   }
-  const bool gap = m_end == 0 || (!aEntries.empty() &&
-                                  aEntries.front().offset > m_end);
+  const bool gap =
+    m_end == 0 || (!aEntries.empty() && aEntries.front().offset > m_end);
   if (gap || aEntries.empty()) {
     Refresh();
     return false;
@@ -57,8 +57,8 @@
 std::optional<StateUpdate>
 StateTaskBase::UpdateFrom(int64_t aFrom) const
 {
-  const bool kept = aFrom >= m_end || (!m_recent.empty() &&
-                                       m_recent.front().offset <= aFrom);
+  const bool kept =
+    aFrom >= m_end || (!m_recent.empty() && m_recent.front().offset <= aFrom);
   if (m_end == 0 || !kept) {
     return std::nullopt;
   }
@@ -145,9 +145,8 @@
 void
 StateTaskBase::ChangeOnce(const std::string& aReason, Edit aEdit)
 {
-  std::erase_if(m_edits, [&](const PendingEdit& aItem) {
-    return aItem.reason == aReason;
-  });
+  std::erase_if(
+    m_edits, [&](const PendingEdit& aItem) { return aItem.reason == aReason; });
   Change(aReason, std::move(aEdit));
 }
 
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -36,13 +36,13 @@
 StateTask<Store>::SetConnected(bool aConnected, const char* aCall)
 {
   if (m_connected != aConnected) {
-    m_logger.Info(aConnected ? "store-connected" : "store-lost",
-                  "call={} end={} lease_ms={}",
-                  aCall,
-                  m_end,
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                    LeaseLeft())
-                    .count());
+    m_logger.Info(
+      aConnected ? "store-connected" : "store-lost",
+      "call={} end={} lease_ms={}",
+      aCall,
+      m_end,
+      std::chrono::duration_cast<std::chrono::milliseconds>(LeaseLeft())
+        .count());
   }
   m_connected = aConnected;
 }
@@ -145,9 +145,8 @@
     Notify();
   }
   Write();
-  m_pollTimer.StartOnce(whole && m_end >= m_conflictEnd
-                          ? m_settings.pollInterval
-                          : Duration{});
+  m_pollTimer.StartOnce(
+    whole && m_end >= m_conflictEnd ? m_settings.pollInterval : Duration{});
 }
 
 template<KeyedStore Store>
@@ -171,14 +170,11 @@
   m_writing = true;
   m_recordDirty = false;
   const auto written = m_self;
-  m_store.Append(kTopic,
-                 { EncodeHost(written) },
-                 WriterPosition{ "host/" + m_self.host.Value(),
-                                 m_self.epoch,
-                                 m_sequence },
-                 [this, written](AppendReply aReply) {
-                   OnRecordWritten(written, aReply);
-                 });
+  m_store.Append(
+    kTopic,
+    { EncodeHost(written) },
+    WriterPosition{ "host/" + m_self.host.Value(), m_self.epoch, m_sequence },
+    [this, written](AppendReply aReply) { OnRecordWritten(written, aReply); });
 }
 
 template<KeyedStore Store>
@@ -265,12 +261,11 @@
 StateTask<Store>::SendTable()
 {
   const auto sentAt = m_clock.Now();
-  m_store.Append(kTopic,
-                 m_draftEntries,
-                 ExpectedEnd{ m_draftAt },
-                 [this, sentAt](AppendReply aReply) {
-                   OnTableWritten(sentAt, aReply);
-                 });
+  m_store.Append(
+    kTopic,
+    m_draftEntries,
+    ExpectedEnd{ m_draftAt },
+    [this, sentAt](AppendReply aReply) { OnTableWritten(sentAt, aReply); });
 }
 
 template<KeyedStore Store>
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -47,7 +47,7 @@
   bool hasBody = false;
   std::string idempotencyKey; ///< Empty: none was given.
   bool repeat = false;        ///< The caller sent this idempotency key before.
-  TablePosition known; ///< Position of the owner's table before the request.
+  TablePosition known;   ///< Position of the owner's table before the request.
   uint32_t priority = 0; ///< 0 is the most urgent.
 };
 
--- a/src/Ranges/Assigner.cpp
+++ b/src/Ranges/Assigner.cpp
@@ -92,8 +92,8 @@
     return false;
   }
   const auto rows = aTable.RowsOf(aService);
-  const bool allFree = std::all_of(
-    rows.begin(), rows.end(), [&](const RangeRow& aRow) {
+  const bool allFree =
+    std::all_of(rows.begin(), rows.end(), [&](const RangeRow& aRow) {
       return aState.HolderOf(aRow) == nullptr && aRow.handover.empty();
     });
   if (allFree) {
@@ -101,7 +101,8 @@
     return true;
   }
   auto places = MakePlaces(aState, rows, aTakers, aLoad);
-  const double fair = aLoad.LoadOf(KeyRange{}) / aTakers.size();
+  const double fair =
+    aLoad.LoadOf(KeyRange{}) / static_cast<double>(aTakers.size());
   bool changed = false;
   for (const auto& row : rows) {
     if (aState.HolderOf(row) != nullptr) {
--- a/src/Ranges/HoldKeeper.cpp
+++ b/src/Ranges/HoldKeeper.cpp
@@ -143,8 +143,8 @@
                   Fence aFence,
                   const std::optional<RangeHolder>& aNext)
 {
-  const bool known = std::any_of(
-    m_leaving.begin(), m_leaving.end(), [&](const Leaving& aItem) {
+  const bool known =
+    std::any_of(m_leaving.begin(), m_leaving.end(), [&](const Leaving& aItem) {
       return aItem.fence == aFence && aItem.range.Overlaps(aRange);
     });
   if (!known) {
@@ -173,10 +173,9 @@
   }
   const auto& holds = *aHeartbeat.holds;
   const auto stillHeld = [&](const Leaving& aLeaving) {
-    return std::any_of(
-      holds.begin(), holds.end(), [&](const HeldRange& aHeld) {
-        return aHeld.range.Overlaps(aLeaving.range);
-      });
+    return std::any_of(holds.begin(), holds.end(), [&](const HeldRange& aHeld) {
+      return aHeld.range.Overlaps(aLeaving.range);
+    });
   };
   for (auto& leaving : m_leaving) {
     if (leaving.omitted && !leaving.released && !stillHeld(leaving)) {
--- a/src/Ranges/KeyedStore.h
+++ b/src/Ranges/KeyedStore.h
@@ -101,19 +101,19 @@
  * store's destruction.
  */
 template<class Store>
-concept KeyedStore =
-  requires(Store& aStore,
-           const std::string& aTopic,
-           int64_t aFrom,
-           Duration aWait,
-           std::vector<StoreEntry> aEntries,
-           AppendCondition aCondition,
-           std::function<void(StoreReadResult)> aOnRead,
-           std::function<void(AppendReply)> aOnAppend) {
-    aStore.Newest(aTopic, aOnRead);
-    aStore.Read(aTopic, aFrom, aWait, aOnRead);
-    aStore.Append(aTopic, aEntries, aCondition, aOnAppend);
-  };
+concept KeyedStore = requires(Store& aStore,
+                              const std::string& aTopic,
+                              int64_t aFrom,
+                              Duration aWait,
+                              std::vector<StoreEntry> aEntries,
+                              AppendCondition aCondition,
+                              std::function<void(StoreReadResult)> aOnRead,
+                              std::function<void(AppendReply)> aOnAppend)
+{
+  aStore.Newest(aTopic, aOnRead);
+  aStore.Read(aTopic, aFrom, aWait, aOnRead);
+  aStore.Append(aTopic, aEntries, aCondition, aOnAppend);
+};
 
 }
 
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -160,8 +160,8 @@
     return nullptr;
   }
   const auto* host = FindHost(aRow.holder.host);
-  const bool alive = host != nullptr && host->server &&
-                     host->server->life == aRow.holder.life;
+  const bool alive =
+    host != nullptr && host->server && host->server->life == aRow.holder.life;
   return alive ? host : nullptr;
 }
 
--- a/src/Ranges/RangeTable.cpp
+++ b/src/Ranges/RangeTable.cpp
@@ -117,10 +117,10 @@
 const Suspicion*
 RangeTable::FindSuspicion(const HostName& aHost) const
 {
-  const auto found = std::find_if(
-    suspicions.begin(), suspicions.end(), [&](const Suspicion& aItem) {
-      return aItem.host == aHost;
-    });
+  const auto found =
+    std::find_if(suspicions.begin(),
+                 suspicions.end(),
+                 [&](const Suspicion& aItem) { return aItem.host == aHost; });
   return found == suspicions.end() ? nullptr : &*found;
 }
 
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -78,7 +78,7 @@
   Duration redirectDelay = std::chrono::milliseconds(5); ///< From the second.
   Duration leastLeft = std::chrono::milliseconds(2); ///< Less isn't worth it.
   Duration redirectLimit = Duration::max(); ///< Then a refusal is passed on.
-  uint32_t mostRedirects = UINT32_MAX; ///< From one owner to the next.
+  uint32_t mostRedirects = UINT32_MAX;      ///< From one owner to the next.
   Duration askDelay = std::chrono::milliseconds(5); ///< While it still runs.
   bool retryRefusals = true; ///< Also those of an overloaded holder.
 };
--- a/src/Routing/RouteTable.cpp
+++ b/src/Routing/RouteTable.cpp
@@ -54,11 +54,13 @@
 const ServiceName&
 ChooseTarget(const Route& aRoute, RandomEngine& aRandom)
 {
-  const auto total = std::accumulate(
-    aRoute.targets.begin(),
-    aRoute.targets.end(),
-    uint32_t{ 0 },
-    [](uint32_t aSum, const RouteTarget& aItem) { return aSum + aItem.weight; });
+  const auto total =
+    std::accumulate(aRoute.targets.begin(),
+                    aRoute.targets.end(),
+                    uint32_t{ 0 },
+                    [](uint32_t aSum, const RouteTarget& aItem) {
+                      return aSum + aItem.weight;
+                    });
   if (total == 0 || aRoute.targets.size() == 1) {
     return aRoute.targets.front().service;
   }
--- /dev/null
+++ b/test/HostDaemon/FakeStore.h
@@ -0,0 +1,154 @@
+#ifndef PISTACHIOSHIFT_TEST_HOSTDAEMON_FAKESTORE_H
+#define PISTACHIOSHIFT_TEST_HOSTDAEMON_FAKESTORE_H
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <event2/event.h>
+
+#include "Pistachioshift/Ranges"
+
+namespace pistachioshift::test {
+
+/** One topic of keyed records in memory, shared by several FakeStores. */
+class FakeTopic
+{
+public:
+  AppendReply Append(std::vector<StoreEntry> aEntries,
+                     const AppendCondition& aCondition)
+  {
+    AppendReply reply;
+    reply.end = End();
+    if (const auto* end = std::get_if<ExpectedEnd>(&aCondition)) {
+      if (end->offset != End()) {
+        reply.verdict = AppendVerdict::kConflict;
+        return reply;
+      }
+    } else {
+      const auto& writer = std::get<WriterPosition>(aCondition);
+      auto& [epoch, next] = m_writers[writer.writer];
+      if (writer.epoch < epoch) {
+        reply.verdict = AppendVerdict::kFenced;
+        return reply;
+      }
+      if (writer.epoch == epoch && writer.sequence != next) {
+        reply.verdict = AppendVerdict::kSequence;
+        reply.sequence = next;
+        return reply;
+      }
+      epoch = writer.epoch;
+      next = writer.sequence + 1;
+    }
+    for (auto& entry : aEntries) {
+      entry.offset = End();
+      m_entries.push_back(std::move(entry));
+    }
+    reply.verdict = AppendVerdict::kAccepted;
+    reply.end = End();
+    return reply;
+  }
+
+  StoreRecords From(int64_t aOffset) const
+  {
+    StoreRecords records;
+    records.entries.assign(m_entries.begin() + aOffset, m_entries.end());
+    records.next = End();
+    records.end = End();
+    return records;
+  }
+
+  int64_t End() const { return static_cast<int64_t>(m_entries.size()); }
+
+private:
+  std::vector<StoreEntry> m_entries;
+  std::map<std::string, std::pair<int64_t, int64_t>> m_writers;
+};
+
+/** One host's way to the topic, with faults. */
+class FakeStore
+{
+public:
+  using OnRead = std::function<void(StoreReadResult)>;
+  using OnAppend = std::function<void(AppendReply)>;
+
+  FakeStore(event_base* aBase, FakeTopic& aTopic)
+    : m_base(aBase)
+    , m_topic(aTopic)
+  {
+  }
+
+  void Newest(const std::string&, OnRead aCallback)
+  {
+    Read({}, 0, {}, std::move(aCallback));
+  }
+
+  void Read(const std::string&, int64_t aFrom, Duration, OnRead aCallback)
+  {
+    ++reads;
+    Later([this, aFrom, callback = std::move(aCallback)] {
+      if (down) {
+        callback(StoreFailure::kUnavailable);
+      } else {
+        callback(m_topic.From(aFrom));
+      }
+    });
+  }
+
+  void Append(const std::string&,
+              const std::vector<StoreEntry>& aEntries,
+              const AppendCondition& aCondition,
+              OnAppend aCallback)
+  {
+    if (keepAppends) {
+      kept.emplace_back(aEntries, aCondition);
+      return;
+    }
+    Later([this, aEntries, aCondition, callback = std::move(aCallback)] {
+      if (down) {
+        callback(AppendReply{ AppendVerdict::kRefused, 0, 0 });
+        return;
+      }
+      const auto reply = m_topic.Append(aEntries, aCondition);
+      if (lostAnswers > 0) {
+        --lostAnswers;
+        callback(AppendReply{ AppendVerdict::kUnknown, 0, 0 });
+        return;
+      }
+      callback(reply);
+    });
+  }
+
+  bool down = false;
+  int lostAnswers = 0;      ///< Appends that are done and not answered.
+  bool keepAppends = false; ///< They go into `kept` instead.
+  std::vector<std::pair<std::vector<StoreEntry>, AppendCondition>> kept;
+  int reads = 0;
+
+private:
+  void Later(std::function<void()> aAction)
+  {
+    auto* action = new std::function<void()>(std::move(aAction));
+    const timeval now{ 0, 0 };
+    event_base_once(
+      m_base,
+      -1,
+      EV_TIMEOUT,
+      [](evutil_socket_t, short, void* aSelf) {
+        const std::unique_ptr<std::function<void()>> run(
+          static_cast<std::function<void()>*>(aSelf));
+        (*run)();
+      },
+      action,
+      &now);
+  }
+
+  event_base* m_base;
+  FakeTopic& m_topic;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -0,0 +1,253 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "src/HostDaemon/StateTask.h"
+#include "test/HostDaemon/FakeStore.h"
+#include "test/Ranges/RangesSupport.h"
+
+namespace pistachioshift::test {
+
+using std::chrono::milliseconds;
+
+/** A daemon's state task with its own way to the store. */
+struct Host
+{
+  Host(event_base* aBase,
+       const Clock& aClock,
+       const Logger& aLogger,
+       FakeTopic& aTopic,
+       const std::string& aName)
+    : store(aBase, aTopic)
+    , task(aBase,
+           aClock,
+           aLogger,
+           store,
+           RecordOf(aName),
+           StateTaskSettings{ milliseconds(5), milliseconds(5) })
+  {
+  }
+
+  FakeStore store;
+  StateTask<FakeStore> task;
+};
+
+class StateTaskTest : public ::testing::Test
+{
+protected:
+  ~StateTaskTest() override
+  {
+    m_hosts.clear();
+    event_base_free(m_base);
+  }
+
+  Host& Start(const std::string& aName)
+  {
+    auto& host = Make(aName);
+    host.task.Start();
+    Run();
+    return host;
+  }
+
+  Host& Make(const std::string& aName)
+  {
+    m_hosts.push_back(
+      std::make_unique<Host>(m_base, m_clock, m_logger, m_topic, aName));
+    return *m_hosts.back();
+  }
+
+  void Run(Duration aFor = milliseconds(60))
+  {
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aFor).count();
+    const timeval wait{ 0, static_cast<suseconds_t>(micros) };
+    event_base_loopexit(m_base, &wait);
+    event_base_dispatch(m_base);
+  }
+
+  static StateTaskBase::Edit Give(const KeyRange& aRange,
+                                  const std::string& aHost)
+  {
+    return [aRange, aHost](TableDraft& aDraft, const MeshState&) {
+      const auto* row = aDraft.table.Find(kOrders, ShardKey(aRange.first));
+      if (row->holder == HolderOf(aHost)) {
+        return false;
+      }
+      aDraft.table.Assign(kOrders, aRange, HolderOf(aHost), {});
+      return true;
+    };
+  }
+
+  static HostName HolderAt(const Host& aHost, uint32_t aKey)
+  {
+    return aHost.task.State()
+      .Table()
+      .Find(kOrders, ShardKey(aKey))
+      ->holder.host;
+  }
+
+  event_base* m_base = event_base_new();
+  SystemClock m_clock;
+  Logger m_logger{ "test", LogLevel::kError };
+  FakeTopic m_topic;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+};
+
+TEST_F(StateTaskTest, Join_TwoHosts_KnowEachOther)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  EXPECT_TRUE(a.task.Joined());
+  EXPECT_TRUE(b.task.Joined());
+  EXPECT_NE(a.task.State().FindHost(HostName("b")), nullptr);
+  EXPECT_NE(b.task.State().FindHost(HostName("a")), nullptr);
+}
+
+TEST_F(StateTaskTest, Change_TwoAtOnce_BothAreMade)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  a.task.Change("a", Give({ 0, 9 }, "a"));
+  b.task.Change("b", Give({ 10, 19 }, "b"));
+  Run();
+  for (const auto* host : { &a, &b }) {
+    EXPECT_EQ(HolderAt(*host, 0), HostName("a"));
+    EXPECT_EQ(HolderAt(*host, 10), HostName("b"));
+  }
+}
+
+TEST_F(StateTaskTest, Change_AnswerLost_IsMadeOnce)
+{
+  auto& a = Start("a");
+  a.store.lostAnswers = 1;
+  a.task.Change("a", Give({ 0, 9 }, "a"));
+  Run();
+  EXPECT_EQ(HolderAt(a, 0), HostName("a"));
+  EXPECT_EQ(a.task.State().Table().revision, 1);
+}
+
+TEST_F(StateTaskTest, Change_StoreIsDown_IsMadeAfterItsReturn)
+{
+  auto& a = Start("a");
+  a.store.down = true;
+  a.task.Change("a", Give({ 0, 9 }, "a"));
+  Run();
+  EXPECT_EQ(HolderAt(a, 0), HostName());
+  a.store.down = false;
+  Run();
+  EXPECT_EQ(HolderAt(a, 0), HostName("a"));
+}
+
+TEST_F(StateTaskTest, Change_LateAppendOfAProcessThatDied_HasNoEffect)
+{
+  auto& before = Start("a");
+  before.store.keepAppends = true;
+  before.task.Change("late", Give({ 0, 9 }, "b"));
+  Run();
+  ASSERT_EQ(before.store.kept.size(), 1U);
+  auto late = before.store.kept.front();
+  before.store.down = true;
+  auto& after = Start("a");
+  ASSERT_TRUE(after.task.Joined());
+  const auto reply = m_topic.Append(late.first, late.second);
+  EXPECT_EQ(reply.verdict, AppendVerdict::kConflict);
+}
+
+TEST_F(StateTaskTest, Join_ServerOfTheProcessBefore_IsTakenOver)
+{
+  Start("a");
+  m_hosts.front()->store.down = true;
+  auto& after = Make("a");
+  after.task.Start();
+  Run();
+  ASSERT_TRUE(after.task.OwnRecord().server);
+  EXPECT_EQ(after.task.OwnRecord().server->life, LifeOf("server-a"));
+  EXPECT_GT(after.task.OwnRecord().epoch, 1);
+}
+
+TEST_F(StateTaskTest, Suspicion_OfALivingHost_IsRefuted)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  a.task.Change("suspect", [](TableDraft& aDraft, const MeshState&) {
+    aDraft.table.Suspect(HostName("b"));
+    return true;
+  });
+  Run();
+  EXPECT_FALSE(a.task.State().Suspected(HostName("b")));
+  EXPECT_EQ(b.task.OwnRecord().cleared, 1);
+}
+
+TEST_F(StateTaskTest, Lease_SuspectedAndCutOff_RunsOut)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  b.store.down = true;
+  const auto left = b.task.LeaseLeft();
+  Run();
+  EXPECT_LT(b.task.LeaseLeft(), left);
+  EXPECT_GT(a.task.LeaseLeft(), b.task.LeaseLeft());
+}
+
+TEST_F(StateTaskTest, Lease_PeerSawTheEnd_IsRenewed)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  b.store.down = true;
+  Run();
+  const auto before = b.task.LeaseLeft();
+  const auto update = a.task.UpdateFrom(b.task.End());
+  ASSERT_TRUE(update);
+  b.task.ConfirmFromPeer(a.task.SeenAt(), update->next);
+  EXPECT_GT(b.task.LeaseLeft(), before);
+}
+
+TEST_F(StateTaskTest, Lease_PeerKnowsOfASuspicion_IsNotRenewed)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  b.store.down = true;
+  a.task.Change("suspect", [](TableDraft& aDraft, const MeshState&) {
+    aDraft.table.Suspect(HostName("b"));
+    return true;
+  });
+  Run();
+  const auto update = a.task.UpdateFrom(b.task.End());
+  ASSERT_TRUE(update);
+  EXPECT_TRUE(b.task.TakeFromPeer(update->entries, update->next));
+  const auto before = b.task.LeaseLeft();
+  b.task.ConfirmFromPeer(a.task.SeenAt(), update->next);
+  EXPECT_LE(b.task.LeaseLeft(), before);
+}
+
+TEST_F(StateTaskTest, Update_FromPeerWithAGap_IsNotTaken)
+{
+  auto& a = Start("a");
+  const auto end = a.task.End();
+  auto entry = EncodeHost(RecordOf("c"));
+  entry.offset = end + 1;
+  EXPECT_FALSE(a.task.TakeFromPeer({ entry }, end + 2));
+  EXPECT_EQ(a.task.State().FindHost(HostName("c")), nullptr);
+}
+
+TEST_F(StateTaskTest, Host_RemovedByOthers_JoinsAgain)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  Run();
+  a.task.Change("remove", [](TableDraft& aDraft, const MeshState&) {
+    aDraft.dropped.push_back(HostName("b"));
+    return true;
+  });
+  Run();
+  EXPECT_NE(a.task.State().FindHost(HostName("b")), nullptr);
+  EXPECT_TRUE(b.task.Joined());
+}
+
+}
--- /dev/null
+++ b/test/Ranges/PlacementTest.cpp
@@ -0,0 +1,177 @@
+#include <gtest/gtest.h>
+
+#include "test/Ranges/RangesSupport.h"
+
+namespace pistachioshift::test {
+
+using std::chrono::seconds;
+
+class PlacementTest : public ::testing::Test
+{
+protected:
+  static std::vector<Taker> Takers(const std::string& aHosts, double aCapacity)
+  {
+    std::vector<Taker> takers;
+    for (const char host : aHosts) {
+      takers.push_back(Taker{ HolderOf(std::string(1, host)), aCapacity });
+    }
+    return takers;
+  }
+
+  static MeshState State(const std::string& aHosts)
+  {
+    std::vector<HostRecord> records;
+    for (const char host : aHosts) {
+      records.push_back(RecordOf(std::string(1, host)));
+    }
+    return StateOf(records);
+  }
+
+  static double LoadOn(const RangeTable& aTable,
+                       const std::string& aHost,
+                       const LoadMap& aLoad)
+  {
+    double load = 0.0;
+    for (const auto& row : aTable.RowsOf(kOrders)) {
+      if (row.holder == HolderOf(aHost)) {
+        load += aLoad.LoadOf(row.range);
+      }
+    }
+    return load;
+  }
+
+  ManualClock m_clock;
+  RangeTable m_table;
+};
+
+TEST_F(PlacementTest, AssignFree_FirstTime_SharesByCapacity)
+{
+  auto takers = Takers("ab", 1.0);
+  takers.push_back(Taker{ HolderOf("c"), 2.0 });
+  ASSERT_TRUE(
+    AssignFreeRows(m_table, State("abc"), kOrders, takers, LoadMap()));
+  const LoadMap even;
+  EXPECT_NEAR(LoadOn(m_table, "a", even), 0.25, 0.01);
+  EXPECT_NEAR(LoadOn(m_table, "c", even), 0.5, 0.01);
+}
+
+TEST_F(PlacementTest, AssignFree_NobodyCanTake_ChangesNothing)
+{
+  EXPECT_FALSE(AssignFreeRows(m_table, State("a"), kOrders, {}, LoadMap()));
+}
+
+TEST_F(PlacementTest, AssignFree_HostIsLost_SpreadsItsKeysOverTheOthers)
+{
+  const auto takers = Takers("abcde", 1.0);
+  AssignFreeRows(m_table, State("abcde"), kOrders, takers, LoadMap());
+  const auto rest = Takers("abcd", 1.0);
+  ASSERT_TRUE(AssignFreeRows(m_table, State("abcd"), kOrders, rest, LoadMap()));
+  const LoadMap even;
+  for (const auto* host : { "a", "b", "c", "d" }) {
+    EXPECT_NEAR(LoadOn(m_table, host, even), 0.25, 0.02) << host;
+  }
+}
+
+TEST_F(PlacementTest, AssignFree_ReleasedWithAToken_KeepsTheToken)
+{
+  m_table.Assign(kOrders, KeyRange{}, HolderOf("a"), {});
+  m_table.Free(kOrders, { 0, 9 }, "token");
+  AssignFreeRows(m_table, State("ab"), kOrders, Takers("ab", 1.0), LoadMap());
+  EXPECT_EQ(m_table.Find(kOrders, ShardKey(0))->handover, "token");
+}
+
+/** Pattern HotNeighbours: a few adjacent keys get 40% of the requests. */
+TEST_F(PlacementTest, Plan_HotNeighbours_AreSpreadBelowCapacity)
+{
+  const std::string hosts = "abcdefghij";
+  const auto takers = Takers(hosts, 40.0);
+  AssignFreeRows(m_table, State(hosts), kOrders, takers, LoadMap());
+  LoadMap load(140.0);
+  std::vector<LoadBucket> hot;
+  for (uint32_t key = 20000; key < 20200; ++key) {
+    hot.push_back(LoadBucket{ { key, key }, 0.5 });
+  }
+  load.Add(hot);
+  const auto worst = [&] {
+    double most = 0.0;
+    for (const char host : hosts) {
+      most = std::max(most, LoadOn(m_table, std::string(1, host), load));
+    }
+    return most;
+  };
+  const auto baseline = worst();
+  ASSERT_GT(baseline, 100.0); // One host has all of the hot keys.
+  Rebalancer rebalancer;
+  for (int round = 0; round < 10; ++round) {
+    m_clock.Advance(seconds(1));
+    for (const auto& move : rebalancer.Plan(
+           m_table.RowsOf(kOrders), takers, load, m_clock.Now())) {
+      m_table.Assign(kOrders, move.range, HolderOf(move.to.Value()), {});
+    }
+  }
+  EXPECT_LT(worst(), 40.0);
+}
+
+TEST_F(PlacementTest, Plan_BelowTheLeastLevel_MovesNothing)
+{
+  const auto takers = Takers("ab", 100.0);
+  m_table.Assign(kOrders, { 0, 60000 }, HolderOf("a"), {});
+  m_table.Assign(kOrders, { 60001, kShardKeys - 1 }, HolderOf("b"), {});
+  Rebalancer rebalancer;
+  EXPECT_TRUE(
+    rebalancer
+      .Plan(m_table.RowsOf(kOrders), takers, LoadMap(30.0), m_clock.Now())
+      .empty());
+}
+
+TEST_F(PlacementTest, Plan_NewcomerWithoutKeys_GetsSome)
+{
+  const auto takers = Takers("abc", 100.0);
+  AssignFreeRows(m_table, State("ab"), kOrders, Takers("ab", 100.0), LoadMap());
+  Rebalancer rebalancer;
+  const auto moves = rebalancer.Plan(
+    m_table.RowsOf(kOrders), takers, LoadMap(30.0), m_clock.Now());
+  ASSERT_FALSE(moves.empty());
+  EXPECT_EQ(moves.front().to, HostName("c"));
+}
+
+TEST_F(PlacementTest, Plan_MoveOnItsWay_IsNotOrderedAgain)
+{
+  const auto takers = Takers("abc", 100.0);
+  AssignFreeRows(m_table, State("ab"), kOrders, Takers("ab", 100.0), LoadMap());
+  Rebalancer rebalancer;
+  const auto rows = m_table.RowsOf(kOrders);
+  const LoadMap load(30.0);
+  ASSERT_FALSE(rebalancer.Plan(rows, takers, load, m_clock.Now()).empty());
+  EXPECT_TRUE(rebalancer.Plan(rows, takers, load, m_clock.Now()).empty());
+}
+
+TEST(LoadMapTest, Cut_HotSpot_PiecesCarryTheSame)
+{
+  LoadMap load(1.0);
+  load.Add({ LoadBucket{ { 100, 199 }, 99.0 } });
+  const auto pieces = load.Cut(KeyRange{}, 4);
+  ASSERT_EQ(pieces.size(), 4U);
+  for (const auto& piece : pieces) {
+    EXPECT_NEAR(load.LoadOf(piece), 25.0, 1.5);
+  }
+}
+
+TEST(LoadMapTest, Cut_SingleKey_StaysWhole)
+{
+  const LoadMap load;
+  EXPECT_EQ(load.Cut({ 5, 5 }, 3).size(), 1U);
+}
+
+TEST(LeaseTest, Takeover_AfterTheWait_HolderHasNoGrantLeft)
+{
+  ManualClock clock;
+  Lease lease;
+  lease.Confirm(clock.Now()); // The read that just misses the suspicion.
+  const auto suspectedAt = clock.Now();
+  clock.Advance(lease.Left(clock.Now()));
+  EXPECT_LT(clock.Now() - suspectedAt, kTakeoverWait);
+  EXPECT_LE(lease.Left(clock.Now()), Duration{});
+}
+
+}
--- a/test/process/DocumentEditTest.cpp
+++ b/test/process/DocumentEditTest.cpp
@@ -257,9 +257,8 @@
   std::vector<std::unique_ptr<ChildProcess>> racing;
   for (int index = 0; index < 6; ++index) {
     Write("demo.toml", Service("orders-" + std::to_string(index), 64));
-    racing.push_back(
-      std::make_unique<ChildProcess>("pistachioctl",
-                                     EditWords("demo", { "--base=0" })));
+    racing.push_back(std::make_unique<ChildProcess>(
+      "pistachioctl", EditWords("demo", { "--base=0" })));
     // The file is read before the log is asked.
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
