--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -27,6 +27,7 @@
   bool repeat = false; ///< The caller sent this idempotency key before.
   TablePosition known;
   uint32_t priority = 0; ///< 0 is the most urgent.
+  Duration goal{};       ///< Latency that is aimed at; zero: none.
 };
 
 /** \brief An attempt ended without an answer of a backend server. */
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -120,6 +120,7 @@
   request.idempotencyKey = m_intake.idempotencyKey;
   request.repeat = m_intake.repeat;
   request.priority = m_intake.priority;
+  request.goal = m_intake.goal;
   if (m_resuming) {
     m_resume.AskForRest(request.head);
   }
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -102,6 +102,7 @@
   request.repeat = aOpen.repeat;
   request.known = aOpen.known;
   request.priority = aOpen.priority;
+  request.goal = aOpen.goal;
   const auto stream =
     std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
   m_streams.emplace(aOpen.stream, stream);
--- a/src/Daemon/Intake.h
+++ b/src/Daemon/Intake.h
@@ -28,6 +28,7 @@
   std::string idempotencyKey;
   bool repeat = false;   ///< The caller sent the idempotency key before.
   uint32_t priority = 0; ///< 0 is the most urgent.
+  Duration goal{};       ///< Latency that is aimed at; zero: none.
   std::string logId;     ///< Names the request in log lines; may be empty.
   RetrySettings retry{ .maxAttempts = kMostAttempts,
                        .redirectDelay = kRedirectDelay };
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -155,6 +155,7 @@
 OwnerCall::Start(HttpClientPool& aPool)
 {
   m_state = State::kRunning;
+  m_startedAt = m_host.m_clock.Now();
   const auto self = shared_from_this();
   m_exchange = aPool.Start(m_host.ServerHead(*this), self, [this] {
     return m_state == State::kRunning && m_host.MayStart(*this);
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -28,6 +28,7 @@
   open.repeat = aRequest.repeat;
   open.known = aRequest.known;
   open.priority = aRequest.priority;
+  open.goal = aRequest.goal;
   m_finished = !aRequest.hasBody;
   link->Send(open);
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -41,6 +41,9 @@
 
 constexpr size_t kMostSlots = 256;
 
+/** Weight of the newest service time: some hundred requests, a few seconds. */
+constexpr double kServiceSmoothing = 0.02;
+
 HttpClientLimits
 PoolLimits()
 {
@@ -147,9 +150,6 @@
     return;
   }
   const auto key = ParseShardKey(request.key);
-  if (key) {
-    m_load.Count(*key, 1.0);
-  }
   if (!m_sharded || !key || m_keeper.MayServe(*key, now)) {
     Admit(aCall);
     return;
@@ -218,9 +218,17 @@
   aCall->m_state = OwnerCall::State::kQueued;
   aCall->ArmDeadline();
   aCall->m_class = ClassIndex(std::min(request.priority, kPriorities - 1));
-  Apply(
-    m_gate->Admit(GateRequest{ request.id, aCall->m_class, request.deadline },
-                  m_clock.Now()));
+  const auto now = m_clock.Now();
+  if (const auto key = ParseShardKey(request.key)) {
+    m_load.Count(*key, 1.0);
+  }
+  // A slot serves as many requests whether they wait long or not, so only
+  // those wait that can still be answered within their goal.
+  auto due = request.deadline;
+  if (request.goal > Duration{}) {
+    due = std::min(due, now + request.goal);
+  }
+  Apply(m_gate->Admit(GateRequest{ request.id, aCall->m_class, due }, now));
 }
 
 void
@@ -311,10 +319,23 @@
     ArmGate();
     return;
   }
-  // A lost answer says nothing about how much the backend server can take.
-  const auto result =
-    aResult == ServiceResult::kFailed ? ServiceResult::kCancelled : aResult;
-  Apply(m_gate->Finished(id, result, m_clock.Now()));
+  const auto now = m_clock.Now();
+  if (aResult == ServiceResult::kDone) {
+    LearnService(now - aCall.m_startedAt);
+  }
+  // The gate is the only sender and never exceeds the slots: a refusal or a
+  // lost answer says nothing about how much the backend server can take.
+  const auto result = aResult == ServiceResult::kDone
+                        ? ServiceResult::kDone
+                        : ServiceResult::kCancelled;
+  Apply(m_gate->Finished(id, result, now));
+}
+
+void
+RangeServerTask::LearnService(Duration aTaken)
+{
+  const auto seconds = std::chrono::duration<double>(aTaken).count();
+  m_serviceSeconds += kServiceSmoothing * (seconds - m_serviceSeconds);
 }
 
 void
@@ -527,7 +548,8 @@
 {
   HostReport report;
   report.host = m_state.Self();
-  report.capacity = static_cast<double>(m_gate ? m_gate->Limit() : 0);
+  const auto slots = static_cast<double>(m_gate ? m_gate->Limit() : 0);
+  report.capacity = slots / std::max(m_serviceSeconds, 1e-3);
   report.buckets = m_load.Take(m_clock.Now());
   return report;
 }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -98,6 +98,7 @@
   void ArmGate();
   void RetryHeld();
   void MakeGate(uint32_t aSlots);
+  void LearnService(Duration aTaken);
   bool Leaves(MonoTime aNow) const;
   std::vector<RangeRow> RowsOf(const ServerLife& aLife) const;
   bool IsMine(ShardKey aKey) const;
@@ -121,6 +122,7 @@
   std::optional<ServerId> m_server;
   std::optional<MonoTime> m_leavesAt; ///< No request starts after it.
   MonoTime m_lastHeartbeat;
+  double m_serviceSeconds = 0.2; ///< Mean; at first what is usual.
   bool m_sharded = false;
   bool m_draining = false;
   Timer m_entering;
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -157,6 +157,7 @@
     open.known = ToWire(aOpen.known);
     open.isRepeat = aOpen.repeat;
     open.__set_priority(static_cast<int32_t>(aOpen.priority));
+    open.__set_goalMicros(duration_cast<microseconds>(aOpen.goal).count());
     frame.__set_requestOpen(open);
   }
 
@@ -355,6 +356,9 @@
   open.known = PositionFromWire(aOpen.known);
   open.repeat = aOpen.isRepeat;
   open.priority = static_cast<uint32_t>(std::max(aOpen.priority, 0));
+  if (aOpen.__isset.goalMicros) {
+    open.goal = DurationFromWire(aOpen.goalMicros);
+  }
   return open;
 }
 
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -49,6 +49,7 @@
   bool repeat = false;        ///< The caller sent this idempotency key before.
   TablePosition known;   ///< Position of the owner's table before the request.
   uint32_t priority = 0; ///< 0 is the most urgent.
+  Duration goal{};       ///< Latency that is aimed at; zero: none.
 };
 
 /** \brief Piece of a request or response body. */
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -582,6 +582,11 @@
   this->priority = val;
 __isset.priority = true;
 }
+
+void WireRequestOpen::__set_goalMicros(const int64_t val) {
+  this->goalMicros = val;
+__isset.goalMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireRequestOpen& obj)
 {
   obj.printTo(out);
@@ -745,6 +750,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->goalMicros);
+          this->__isset.goalMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -851,6 +864,11 @@
     xfer += oprot->writeI32(this->priority);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.goalMicros) {
+    xfer += oprot->writeFieldBegin("goalMicros", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->goalMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -872,6 +890,7 @@
   swap(a.known, b.known);
   swap(a.isRepeat, b.isRepeat);
   swap(a.priority, b.priority);
+  swap(a.goalMicros, b.goalMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -890,6 +909,7 @@
   known = other14.known;
   isRepeat = other14.isRepeat;
   priority = other14.priority;
+  goalMicros = other14.goalMicros;
   __isset = other14.__isset;
 }
 WireRequestOpen& WireRequestOpen::operator=(const WireRequestOpen& other15) {
@@ -907,6 +927,7 @@
   known = other15.known;
   isRepeat = other15.isRepeat;
   priority = other15.priority;
+  goalMicros = other15.goalMicros;
   __isset = other15.__isset;
   return *this;
 }
@@ -927,6 +948,7 @@
   out << ", " << "known=" << to_string(known);
   out << ", " << "isRepeat=" << to_string(isRepeat);
   out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
+  out << ", " << "goalMicros="; (__isset.goalMicros ? (out << to_string(goalMicros)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -262,10 +262,11 @@
 std::ostream& operator<<(std::ostream& out, const WireHello& obj);
 
 typedef struct _WireRequestOpen__isset {
-  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false) {}
+  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false), goalMicros(false) {}
   bool contentLength :1;
   bool idempotencyKey :1;
   bool priority :1;
+  bool goalMicros :1;
 } _WireRequestOpen__isset;
 
 class WireRequestOpen : public virtual ::apache::thrift::TBase {
@@ -285,7 +286,8 @@
                     idempotencyKey(),
                     known(0),
                     isRepeat(0),
-                    priority(0) {
+                    priority(0),
+                    goalMicros(0) {
   }
 
   virtual ~WireRequestOpen() noexcept;
@@ -303,6 +305,7 @@
   int64_t known;
   bool isRepeat;
   int32_t priority;
+  int64_t goalMicros;
 
   _WireRequestOpen__isset __isset;
 
@@ -334,6 +337,8 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_goalMicros(const int64_t val);
+
   bool operator == (const WireRequestOpen & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -370,6 +375,10 @@
       return false;
     else if (__isset.priority && !(priority == rhs.priority))
       return false;
+    if (__isset.goalMicros != rhs.__isset.goalMicros)
+      return false;
+    else if (__isset.goalMicros && !(goalMicros == rhs.goalMicros))
+      return false;
     return true;
   }
   bool operator != (const WireRequestOpen &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -39,6 +39,7 @@
   12: required i64 known
   13: required bool isRepeat
   14: optional i32 priority
+  15: optional i64 goalMicros
 }
 
 struct WireBody {
