--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -41,6 +41,13 @@
 
 constexpr size_t kMostSlots = 256;
 
+/** A request stays at the gate and at the backend server for this many times
+ * its goal at most. */
+constexpr int kGoalsToWait = 2;
+
+/** Same in mean service times, where the goal is shorter. */
+constexpr int kServicesToWait = 4;
+
 /** Weight of the newest service time: some hundred requests, a few seconds. */
 constexpr double kServiceSmoothing = 0.02;
 
@@ -222,15 +229,23 @@
   if (const auto key = ParseShardKey(request.key)) {
     m_load.Count(*key, 1.0);
   }
-  // A slot serves as many requests whether they wait long or not, so only
-  // those wait that can still be answered within their goal.
-  auto due = request.deadline;
-  if (request.goal > Duration{}) {
-    due = std::min(due, now + request.goal);
-  }
+  const auto due = std::min(request.deadline, now + LongestStay(*aCall));
   Apply(m_gate->Admit(GateRequest{ request.id, aCall->m_class, due }, now));
 }
 
+Duration
+RangeServerTask::LongestStay(const OwnerCall& aCall) const
+{
+  const auto goal = aCall.Request().goal;
+  if (goal <= Duration{}) {
+    return Duration::max() / 2;
+  }
+  // A slot serves as many requests whether they wait long or not: those that
+  // would be very late make room for others that are not.
+  const auto service = m_gate->ExpectedService(aCall.m_class);
+  return std::max(kGoalsToWait * goal, kServicesToWait * service);
+}
+
 void
 RangeServerTask::Apply(const GateActions& aActions)
 {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -99,6 +99,7 @@
   void RetryHeld();
   void MakeGate(uint32_t aSlots);
   void LearnService(Duration aTaken);
+  Duration LongestStay(const OwnerCall& aCall) const;
   bool Leaves(MonoTime aNow) const;
   std::vector<RangeRow> RowsOf(const ServerLife& aLife) const;
   bool IsMine(ShardKey aKey) const;
