--- a/src/Base/Logger.cpp
+++ b/src/Base/Logger.cpp
@@ -42,9 +42,10 @@
   throw ConfigError(fmt::format("unknown log level '{}'", aText));
 }
 
-Logger::Logger(std::string aProgram, LogLevel aLevel)
+Logger::Logger(std::string aProgram, LogLevel aLevel, LogSink* aSink)
   : m_program(std::move(aProgram))
   , m_level(aLevel)
+  , m_sink(aSink)
 {
 }
 
@@ -59,14 +60,19 @@
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
     std::chrono::system_clock::now());
   const auto millis = now.time_since_epoch().count() % 1000;
-  fmt::print(stderr,
-             "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {} {} {}\n",
-             fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-             millis,
-             LevelName(aLevel),
-             m_program,
-             aEvent,
-             aFields);
+  const auto line =
+    fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {} {} {}",
+                fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                millis,
+                LevelName(aLevel),
+                m_program,
+                aEvent,
+                aFields);
+  if (m_sink != nullptr) {
+    m_sink->Add(line);
+  } else {
+    fmt::print(stderr, "{}\n", line);
+  }
 }
 
 }
--- a/src/Base/Logger.h
+++ b/src/Base/Logger.h
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include "src/Base/LogSink.h"
+
 namespace pistachioshift {
 
 enum class LogLevel
@@ -21,14 +23,15 @@
 LogLevel ParseLogLevel(std::string_view aText);
 
 /**
- * \brief Writes one line per change of state to stderr.
+ * \brief Writes one line per change of state to stderr, or to a sink.
  *
  * A line is `time level program event key=value ...`.
  */
 class Logger
 {
 public:
-  Logger(std::string aProgram, LogLevel aLevel);
+  /** \param aSink takes the lines in place of stderr; must outlive this. */
+  Logger(std::string aProgram, LogLevel aLevel, LogSink* aSink = nullptr);
 
   template<class... Args>
   void Info(std::string_view aEvent,
@@ -67,6 +70,7 @@
 
   std::string m_program;
   LogLevel m_level;
+  LogSink* m_sink;
 };
 
 }
--- a/src/Daemon/IngressDialect.h
+++ b/src/Daemon/IngressDialect.h
@@ -60,6 +60,9 @@
   /** \brief From now on new requests are refused: the process ends. */
   virtual void BeginClosing() {}
 
+  /** \brief A request is about to be sent again. */
+  virtual void OnRetry(const Intake&, RetryReason, const IngressRecord&) {}
+
   /** \brief A request has ended; called once for each. */
   virtual void OnDone(const IngressRecord&) {}
 };
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -352,10 +352,12 @@
   switch (aDecision.step) {
     case RetryStep::kRetryNow:
       m_context.metrics.CountRetry(aDecision.reason);
+      m_context.dialect.OnRetry(m_intake, aDecision.reason, MakeRecord());
       BeginAttempt();
       return;
     case RetryStep::kRetryAfter:
       m_context.metrics.CountRetry(aDecision.reason);
+      m_context.dialect.OnRetry(m_intake, aDecision.reason, MakeRecord());
       m_timer.StartOnce(aDecision.delay);
       return;
     case RetryStep::kAskOwner:
@@ -461,6 +463,19 @@
          RefusalReason::kDeadlineExpired);
 }
 
+IngressRecord
+IngressSession::MakeRecord() const
+{
+  IngressRecord record;
+  record.intake = m_read ? &m_intake : nullptr;
+  record.reason = m_reason;
+  record.status = m_status;
+  record.attempts = m_history.attempts;
+  record.daemon = m_history.last;
+  record.elapsed = m_context.clock.Now() - m_arrived;
+  return record;
+}
+
 void
 IngressSession::Done(Outcome aOutcome)
 {
@@ -474,14 +489,8 @@
   m_context.metrics.CountAnswer(aOutcome);
   const auto elapsed = m_context.clock.Now() - m_arrived;
   m_context.metrics.ObserveLatency(elapsed);
-  IngressRecord record;
-  record.intake = m_read ? &m_intake : nullptr;
+  auto record = MakeRecord();
   record.outcome = aOutcome;
-  record.reason = m_reason;
-  record.status = m_status;
-  record.attempts = m_history.attempts;
-  record.daemon = m_history.last;
-  record.elapsed = elapsed;
   m_context.dialect.OnDone(record);
 }
 
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -56,6 +56,7 @@
   void OnTruncated();
   void TryResume();
   void TellBalancer(InstanceResult aResult);
+  IngressRecord MakeRecord() const;
   void Done(Outcome aOutcome);
 
   const IngressContext& m_context;
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -199,6 +199,7 @@
     refusal.holder = m_host.HolderHint(*this);
   }
   m_host.m_metrics.CountGateRefusal(refusal.reason);
+  m_host.OnRefusing(*this, refusal);
   const bool ran = refusal.outcome != Outcome::kNotRun;
   const bool shed = refusal.reason == RefusalReason::kShed;
   const auto result =
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -49,6 +49,9 @@
 
   virtual void OnEnded(OwnerCall& aCall, ServiceResult aResult) = 0;
 
+  /** \brief A call is about to be refused; for the log. */
+  virtual void OnRefusing(const OwnerCall&, const CallRefusal&) {}
+
 protected:
   friend class OwnerCall;
 
--- a/src/HostDaemon/RangeRouter.h
+++ b/src/HostDaemon/RangeRouter.h
@@ -48,6 +48,9 @@
   /** \brief Host behind a destination's number; empty if unknown. */
   std::string NameOf(DaemonId aDaemon) const;
 
+  /** \brief Offset up to which the state was read. */
+  int64_t StateEnd() const { return m_state.End(); }
+
 private:
   struct ServiceInstances
   {
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -317,6 +317,26 @@
   return std::nullopt;
 }
 
+void
+RangeServerTask::OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal)
+{
+  const auto& request = aCall.Request();
+  const auto left = request.deadline - m_clock.Now();
+  m_logger.Info("call-refused",
+                "id={} key={} reason={} outcome={} left_ms={} running={} "
+                "queued={} held={} service_ms={:.0f} end={}",
+                m_dialect.NameOf(request.head),
+                request.key.empty() ? "-" : request.key,
+                ToString(aRefusal.reason),
+                ToString(aRefusal.outcome),
+                std::chrono::duration_cast<milliseconds>(left).count(),
+                Running(),
+                Queued(),
+                m_held.size(),
+                m_serviceSeconds * 1000.0,
+                m_state.End());
+}
+
 void
 RangeServerTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -86,6 +86,7 @@
                       const ResponseHead& aHead) const override;
   std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const override;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
+  void OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal) override;
 
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
--- a/src/HostDaemon/ServerDialect.h
+++ b/src/HostDaemon/ServerDialect.h
@@ -22,6 +22,9 @@
                        const ServerId& aServer,
                        Duration aLeft) const = 0;
 
+  /** \brief Name of a request in log lines. */
+  virtual std::string NameOf(const RequestHead& aHead) const = 0;
+
   /** \brief What the head of an answer says about a request. */
   virtual AnswerKind Classify(const RequestHead& aRequest,
                               const ResponseHead& aAnswer) const = 0;
--- /dev/null
+++ b/test/HostDaemon/KeyLoadMeterTest.cpp
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+#include "src/HostDaemon/KeyLoadMeter.h"
+
+namespace pistachioshift::test {
+
+class KeyLoadMeterTest : public ::testing::Test
+{
+protected:
+  std::vector<LoadBucket> Interval()
+  {
+    m_clock.Advance(std::chrono::seconds(1));
+    return m_meter.Take(m_clock.Now());
+  }
+
+  ManualClock m_clock;
+  KeyLoadMeter m_meter;
+};
+
+TEST_F(KeyLoadMeterTest, Take_SteadyLoad_TendsToItsRate)
+{
+  Interval();
+  std::vector<LoadBucket> buckets;
+  for (int second = 0; second < 20; ++second) {
+    for (int count = 0; count < 30; ++count) {
+      m_meter.Count(ShardKey(7), 1.0);
+    }
+    buckets = Interval();
+  }
+  ASSERT_EQ(buckets.size(), 1U);
+  EXPECT_EQ(buckets[0].range, (KeyRange{ 7, 7 }));
+  EXPECT_NEAR(buckets[0].load, 30.0, 1.0);
+}
+
+TEST_F(KeyLoadMeterTest, Take_HotKeyAmongCold_HasABucketOfItsOwn)
+{
+  Interval();
+  for (uint32_t key = 0; key < 1000; ++key) {
+    m_meter.Count(ShardKey(key), key == 500 ? 500.0 : 0.5);
+  }
+  bool alone = false;
+  for (const auto& bucket : Interval()) {
+    alone = alone || bucket.range == KeyRange{ 500, 500 };
+  }
+  EXPECT_TRUE(alone);
+}
+
+TEST_F(KeyLoadMeterTest, Take_LoadEnds_IsForgotten)
+{
+  Interval();
+  m_meter.Count(ShardKey(7), 1.0);
+  Interval();
+  std::vector<LoadBucket> buckets;
+  for (int second = 0; second < 20; ++second) {
+    buckets = Interval();
+  }
+  EXPECT_TRUE(buckets.empty());
+}
+
+}
--- a/test/Routing/RetryTest.cpp
+++ b/test/Routing/RetryTest.cpp
@@ -203,4 +203,53 @@
 }
 
 }
+TEST(RetryLimitTest, Redirect_HolderAway_EndsAfterItsLimit)
+{
+  RetryBudget budget(0.2);
+  RetrySettings settings;
+  settings.maxAttempts = 100;
+  settings.redirectLimit = std::chrono::milliseconds(150);
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kOwnerUnreachable;
+  report.left = std::chrono::seconds(2);
+  report.elapsed = std::chrono::milliseconds(100);
+  EXPECT_NE(DecideRetry(report, settings, budget).step, RetryStep::kGiveUp);
+  report.elapsed = std::chrono::milliseconds(150);
+  const auto late = DecideRetry(report, settings, budget);
+  EXPECT_EQ(late.step, RetryStep::kGiveUp);
+  EXPECT_EQ(late.outcome, Outcome::kNotRun);
+}
+
+TEST(RetryLimitTest, Redirect_AfterWaitingAtAMovingOwner_IsFollowed)
+{
+  RetryBudget budget(0.2);
+  RetrySettings settings;
+  settings.maxAttempts = 100;
+  settings.redirectLimit = std::chrono::milliseconds(150);
+  settings.mostRedirects = 6;
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kNotOwner;
+  report.left = std::chrono::seconds(2);
+  report.elapsed = std::chrono::milliseconds(900);
+  EXPECT_NE(DecideRetry(report, settings, budget).step, RetryStep::kGiveUp);
+  report.attempts = 6;
+  EXPECT_EQ(DecideRetry(report, settings, budget).step, RetryStep::kGiveUp);
+}
+
+TEST(RetryLimitTest, Refusal_OfAnOverloadedHolder_IsPassedOnIfAsked)
+{
+  RetryBudget budget(0.2);
+  RetrySettings settings;
+  settings.retryRefusals = false;
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kOverloaded;
+  report.left = std::chrono::seconds(2);
+  const auto decision = DecideRetry(report, settings, budget);
+  EXPECT_EQ(decision.step, RetryStep::kGiveUp);
+  EXPECT_EQ(decision.outcome, Outcome::kNotRun);
+}
+
 }
