--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -198,6 +198,7 @@
   const auto now = m_context.clock.Now();
   report.left = m_deadline - now;
   report.elapsed = now - m_arrived;
+  report.runs = m_runs;
   return report;
 }
 
@@ -259,6 +260,7 @@
   }
   // The caller has seen nothing of it yet.
   m_pendingHead.reset();
+  ++m_runs;
   auto report = MakeReport();
   report.end = AttemptEnd::kConnectionLost;
   Decide(report);
@@ -269,15 +271,16 @@
 {
   CloseAttempt();
   auto& budget = m_context.router.BudgetOf(m_intake.policy);
-  const bool allowed = m_intake.requestClass.idempotent &&
-                       m_resume.Possible() &&
-                       m_history.attempts < kMostAttempts;
+  const bool allowed =
+    m_intake.requestClass.idempotent && m_resume.Possible() &&
+    m_history.attempts < kMostAttempts && m_runs + 1 < m_intake.retry.maxRuns;
   if (!allowed || !budget.TrySpend()) {
     m_exchange->Abort();
     Done(Outcome::kUnknown);
     return;
   }
   m_resuming = true;
+  ++m_runs;
   // The deadline counts for the head of the answer, which the caller has.
   m_deadline = m_context.clock.Now() + m_intake.requestClass.deadline;
   m_context.metrics.CountRetry(RetryReason::kConnectionLost);
@@ -307,6 +310,7 @@
     TryResume();
     return;
   }
+  m_runs += aRefusal.outcome == Outcome::kNotRun ? 0 : 1;
   auto report = MakeReport();
   report.end = aRefusal.outcome == Outcome::kNotRun ? AttemptEnd::kNotRun
                                                     : AttemptEnd::kUnknown;
@@ -326,6 +330,7 @@
     OnTruncated();
     return;
   }
+  m_runs += aLoss == CallLoss::kNotSent ? 0 : 1;
   auto report = MakeReport();
   if (aLoss == CallLoss::kNotSent) {
     report.end = AttemptEnd::kNotRun;
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -75,6 +75,7 @@
   DownloadResume m_resume;
   bool m_ended = false;
   bool m_read = false; ///< The request names a known route.
+  uint32_t m_runs = 0; ///< Attempts that may have run.
   int m_status = 0;    ///< Sent to the caller; 0: none.
   std::optional<RefusalReason> m_reason;
   AttemptHistory m_history;
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -45,6 +45,12 @@
   return link;
 }
 
+const ConnectionSettings&
+Peer::Settings() const
+{
+  return m_task.m_settings;
+}
+
 bool
 Peer::Suspect() const
 {
@@ -89,7 +95,7 @@
                   const Hello& aHello)
 {
   m_connection = Connection::Connect(
-    aBase, aClock, aEndpoint, ConnectionSettings(), weak_from_this());
+    aBase, aClock, aEndpoint, m_peer.Settings(), weak_from_this());
   m_connection->Send(aHello);
 }
 
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -82,6 +82,8 @@
   bool Suspect() const;
   bool Connected() const { return m_link && m_link->Usable(); }
 
+  const ConnectionSettings& Settings() const;
+
   void OnHello(const Hello& aHello);
   void OnPosition(TablePosition aPosition);
   void OnLinkEnded(const PeerLink& aLink, ConnectionEnd aEnd);
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -31,7 +31,8 @@
   PeersTask(event_base* aBase,
             const Clock& aClock,
             BootId aBoot,
-            Metrics& aMetrics);
+            Metrics& aMetrics,
+            const ConnectionSettings& aSettings = {});
   ~PeersTask();
 
   /** \brief Begins an attempt at another daemon. */
@@ -87,6 +88,7 @@
   const Clock& m_clock;
   BootId m_boot;
   Metrics& m_metrics;
+  ConnectionSettings m_settings;
   std::map<Endpoint, std::shared_ptr<Peer>> m_peers;
 };
 
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -25,6 +25,17 @@
 /** The process ends by itself this long before it would be killed. */
 constexpr Duration kGraceMargin = milliseconds(500);
 
+/** On a link of 10 Mbit/s that carries downloads an answer may take most of a
+ * second; one that takes longer is worth no more than a new connection. */
+ConnectionSettings
+PeerConnections()
+{
+  ConnectionSettings settings;
+  settings.heartbeat = milliseconds(250);
+  settings.missedHeartbeats = 4;
+  return settings;
+}
+
 }
 
 HostDaemon::HostDaemon(event_base* aBase,
@@ -50,7 +61,7 @@
              aServerDialect,
              aLogger,
              aMetrics)
-  , m_peers(aBase, aClock, m_boot, aMetrics)
+  , m_peers(aBase, aClock, m_boot, aMetrics, PeerConnections())
   , m_router(aClock, aRandom, aState, m_server, m_peers)
   , m_coordinator(aBase, aClock, aState, m_server, m_peers, aLogger)
   , m_inner(aBase,
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -161,7 +161,9 @@
 {
   const bool failed = aReport.end == AttemptEnd::kServerFailed;
   const auto outcome = failed ? Outcome::kDone : Outcome::kUnknown;
-  if (!MayTry(aReport, aSettings, Duration{}) || !aBudget.TrySpend()) {
+  const bool mayRun = aReport.runs < aSettings.maxRuns;
+  if (!mayRun || !MayTry(aReport, aSettings, Duration{}) ||
+      !aBudget.TrySpend()) {
     return GiveUp(outcome, RefusalReason::kRetriesSpent);
   }
   return RetryIn(Duration{}, ReasonOf(aReport.end));
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -52,6 +52,7 @@
   bool answerBegun = false; ///< Part of the answer has reached the caller.
   uint32_t attempts = 1;    ///< Made so far.
   Duration elapsed{};       ///< Since the request arrived.
+  uint32_t runs = 0;        ///< Attempts that may have run, this one included.
   Duration left{};          ///< Until the deadline.
 };
 
@@ -80,6 +81,7 @@
   Duration redirectLimit = Duration::max(); ///< Then a refusal is passed on.
   uint32_t mostRedirects = UINT32_MAX;      ///< From one owner to the next.
   Duration askDelay = std::chrono::milliseconds(5); ///< While it still runs.
+  uint32_t maxRuns = UINT32_MAX;                    ///< Attempts that may run.
   bool retryRefusals = true; ///< Also those of an overloaded holder.
 };
 
--- a/test/process/HttpSupport.cpp
+++ b/test/process/HttpSupport.cpp
@@ -66,10 +66,12 @@
     evhttp_request_set_chunked_cb(request, OnPart);
   }
   auto* fields = evhttp_request_get_output_headers(request);
-  evhttp_add_header(fields, "Host", "127.0.0.1");
   for (const auto& [name, value] : aCall.headers) {
     evhttp_add_header(fields, name.c_str(), value.c_str());
   }
+  if (evhttp_find_header(fields, "Host") == nullptr) {
+    evhttp_add_header(fields, "Host", "127.0.0.1");
+  }
   evbuffer_add_reference(evhttp_request_get_output_buffer(request),
                          aCall.body.data(),
                          aCall.body.size(),
--- /dev/null
+++ b/test/process/PlatformTest.cpp
@@ -0,0 +1,310 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "test/process/HttpSupport.h"
+#include "test/process/ProcessSupport.h"
+
+namespace pistachioshift::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+/** Ports that nobody listens on now. */
+std::vector<uint16_t>
+FreePorts(size_t aCount)
+{
+  std::vector<uint16_t> ports;
+  std::vector<int> sockets;
+  for (size_t index = 0; index < aCount; ++index) {
+    const int one = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(one, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(one, reinterpret_cast<sockaddr*>(&address), &length);
+    ports.push_back(ntohs(address.sin_port));
+    sockets.push_back(one);
+  }
+  for (const int one : sockets) {
+    close(one);
+  }
+  return ports;
+}
+
+/** Three hosts on the platform's stand-ins, all as separate processes. */
+class PlatformTest : public ::testing::Test
+{
+protected:
+  struct Host
+  {
+    std::vector<uint16_t>
+      ports; ///< callers, ready, control, app, inner, metrics
+    std::string settings;
+    std::unique_ptr<ChildProcess> server;
+    std::unique_ptr<ChildProcess> daemon;
+  };
+
+  static constexpr size_t kHosts = 3;
+
+  PlatformTest()
+  {
+    m_storePort = FreePorts(1).front();
+    m_store = std::make_unique<ChildProcess>(
+      "standin_store",
+      std::vector<std::string>{ fmt::format("--port={}", m_storePort) });
+    m_store->WaitForPort();
+    WriteConfig();
+    for (size_t index = 0; index < kHosts; ++index) {
+      m_hosts.push_back(MakeHost(index));
+      StartDaemon(m_hosts.back());
+    }
+  }
+
+  ~PlatformTest() override
+  {
+    for (const auto& host : m_hosts) {
+      std::remove(host.settings.c_str());
+    }
+  }
+
+  void WriteConfig() const
+  {
+    const std::string value =
+      R"({"version":"00000001","routes":{
+      "read":{"hostname":"a.example","pathPrefix":"/r/",
+        "routeType":"idempotent","timeout":"3000ms","targetLatency":"600ms",
+        "priority":2,"service":"orders","attempts":2},
+      "write":{"hostname":"a.example","pathPrefix":"/w/",
+        "routeType":"non_idempotent","timeout":"3000ms",
+        "targetLatency":"600ms","priority":1,"service":"orders","attempts":2}},
+      "services":{"orders":{"sharded":true}},
+      "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,
+        "headerTimeout":"3000ms","idleTimeout":"15000ms"}})";
+    const std::string record = std::string("\x06"
+                                           "config") +
+                               value;
+    std::string body;
+    for (int shift = 24; shift >= 0; shift -= 8) {
+      body.push_back(static_cast<char>((record.size() >> shift) & 0xFFU));
+    }
+    const auto reply = HttpPost(
+      m_storePort, "/api/log-append?topic=keyed.op&part=0", body + record);
+    ASSERT_EQ(reply.status, 200);
+  }
+
+  Host MakeHost(size_t aIndex)
+  {
+    Host host;
+    host.ports = FreePorts(4);
+    // Two neighbouring ports between daemons.
+    const auto inner = static_cast<uint16_t>(21000 + getpid() % 10000 +
+                                             static_cast<int>(aIndex) * 2);
+    host.settings = fmt::format(
+      "{}/platform-{}-{}.toml", PISTACHIOSHIFT_BUILD, getpid(), aIndex);
+    std::ofstream file(host.settings);
+    file << fmt::format("nodeName = \"host-{}\"\n"
+                        "ip = \"127.0.0.1\"\nzone = \"z\"\n"
+                        "internalPortRange = [{},{}]\n"
+                        "bounds = [\"grace=6s\",\"drain=2000ms\"]\n"
+                        "appAddr = \"127.0.0.1:{}\"\nservice = \"orders\"\n"
+                        "[listen]\noutbound = \"127.0.0.1:{}\"\n"
+                        "ready = \"127.0.0.1:{}\"\n"
+                        "control = \"127.0.0.1:{}\"\n"
+                        "[platform]\naddress = \"127.0.0.1:{}\"\n",
+                        aIndex,
+                        inner,
+                        inner + 1,
+                        host.ports[3],
+                        host.ports[0],
+                        host.ports[1],
+                        host.ports[2],
+                        m_storePort);
+    file.close();
+    host.server = std::make_unique<ChildProcess>(
+      "standin_instance",
+      std::vector<std::string>{ fmt::format("--port={}", host.ports[3]),
+                                fmt::format("--control={}", host.ports[2]),
+                                fmt::format("--id=i-{}", aIndex),
+                                "--service=orders" });
+    return host;
+  }
+
+  static void StartDaemon(Host& aHost)
+  {
+    aHost.daemon = std::make_unique<ChildProcess>(
+      "pistachiod_platform",
+      std::vector<std::string>{ "--settings=" + aHost.settings });
+  }
+
+  HttpReply Ask(size_t aHost, const char* aPath, int aKey)
+  {
+    const auto id = fmt::format("request-{}", ++m_requests);
+    HttpCall call;
+    call.port = m_hosts[aHost].ports[0];
+    call.path = aPath;
+    call.headers = { { "Host", "a.example" },
+                     { "Pistachioshift-Attempt-Id", id },
+                     { "Pistachioshift-Deadline-Ms", "3000" },
+                     { "Pistachioshift-Shard-Key", std::to_string(aKey) } };
+    return HttpSend(call);
+  }
+
+  /** Whether every part of the key space is served before the limit. */
+  bool WaitServed(size_t aHost, seconds aLimit)
+  {
+    const auto end = steady_clock::now() + aLimit;
+    while (steady_clock::now() < end) {
+      int served = 0;
+      for (int key = 0; key < 65536; key += 8192) {
+        served += Ask(aHost, "/r/x", key).status == 200 ? 1 : 0;
+      }
+      if (served == 8) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    return false;
+  }
+
+  void SetFault(const std::string& aMode) const
+  {
+    HttpGet(m_storePort, "/fault?mode=" + aMode);
+  }
+
+  /** How often the request that ran most often ran, over all servers. */
+  int MostRuns() const
+  {
+    std::map<std::string, int> runs;
+    for (const auto& host : m_hosts) {
+      const auto reply = HttpGet(host.ports[3], "/runs");
+      for (const auto& [id, count] :
+           nlohmann::json::parse(reply.body).items()) {
+        runs[id] += count.get<int>();
+      }
+    }
+    int most = 0;
+    for (const auto& [id, count] : runs) {
+      most = std::max(most, count);
+    }
+    return most;
+  }
+
+  uint16_t m_storePort = 0;
+  std::unique_ptr<ChildProcess> m_store;
+  std::vector<Host> m_hosts;
+  std::atomic<int> m_requests{ 0 };
+};
+
+TEST_F(PlatformTest, Start_ThreeHosts_AllKeysAreServedFromEach)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  EXPECT_TRUE(WaitServed(1, seconds(5)));
+  EXPECT_TRUE(WaitServed(2, seconds(5)));
+  EXPECT_EQ(Ask(0, "/unknown/", 1).status, 404);
+  EXPECT_EQ(HttpGet(m_hosts[0].ports[1], "/api/ready").status, 200);
+}
+
+TEST_F(PlatformTest, StoreIsDown_RequestsGoOn)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  SetFault("down");
+  const auto end = steady_clock::now() + seconds(4);
+  while (steady_clock::now() < end) {
+    for (int key = 0; key < 65536; key += 8192) {
+      ASSERT_EQ(Ask(1, "/r/x", key).status, 200);
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  SetFault("ok");
+  EXPECT_TRUE(WaitServed(1, seconds(5)));
+}
+
+TEST_F(PlatformTest, AllDaemonsKilled_ServedAgainWithinRecovery)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  for (auto& host : m_hosts) {
+    host.daemon->Kill();
+  }
+  for (auto& host : m_hosts) {
+    StartDaemon(host);
+  }
+  EXPECT_TRUE(WaitServed(0, seconds(15)));
+}
+
+TEST_F(PlatformTest, HostIsLost_OthersServeItsKeys)
+{
+  ASSERT_TRUE(WaitServed(1, seconds(15)));
+  m_hosts[0].daemon->Kill(); // The first by name coordinates.
+  m_hosts[0].server->Kill();
+  EXPECT_TRUE(WaitServed(1, seconds(15)));
+}
+
+TEST_F(PlatformTest, DaemonKilledUnderLoad_NoWriteRunsTwice)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  std::atomic<bool> stop{ false };
+  std::vector<std::thread> callers;
+  for (int number = 0; number < 4; ++number) {
+    callers.emplace_back([&, number] {
+      for (int turn = 0; !stop; ++turn) {
+        Ask(1 + static_cast<size_t>(turn % 2),
+            "/w/x",
+            (turn * 977 + number * 16384) % 65536);
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  m_hosts[0].daemon->Kill();
+  std::this_thread::sleep_for(milliseconds(300));
+  StartDaemon(m_hosts[0]);
+  std::this_thread::sleep_for(seconds(2));
+  stop = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(MostRuns(), 1);
+}
+
+TEST_F(PlatformTest, Terminate_RequestsInProgress_AreAnswered)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  std::atomic<int> cut{ 0 };
+  std::atomic<bool> stop{ false };
+  std::thread caller([&] {
+    for (int turn = 0; !stop; ++turn) {
+      const auto reply = Ask(1, "/r/x", (turn * 977) % 65536);
+      cut += reply.status == 200 || reply.status == 503 ? 0 : 1;
+    }
+  });
+  EXPECT_EQ(m_hosts[0].daemon->Stop(), 0);
+  stop = true;
+  caller.join();
+  EXPECT_EQ(cut, 0);
+}
+
+TEST(PlatformSettingsFileTest, Start_BadSettings_EndsWithTwo)
+{
+  const auto path =
+    fmt::format("{}/bad-{}.toml", PISTACHIOSHIFT_BUILD, getpid());
+  std::ofstream(path) << "nodeName = 7\n";
+  ChildProcess daemon("pistachiod_platform",
+                      { "--settings=" + path, "--check-settings" });
+  EXPECT_EQ(daemon.Wait(), 2);
+  std::remove(path.c_str());
+}
+
+}
