--- a/test/Base/LogSinkTest.cpp
+++ b/test/Base/LogSinkTest.cpp
@@ -51,7 +51,7 @@
 TEST_F(LogSinkTest, Flush_ReaderStalls_NeverWaits)
 {
   // More than the pipe and the sink hold together, with nobody reading.
-  LogSink sink(m_pipe[1], LogSinkLimits{ 64 * 1024, 1000000 });
+  LogSink sink(m_pipe[1], LogSinkLimits{ size_t{ 64 } * 1024, 1000000 });
   const std::string line(1000, 'x');
   for (int count = 0; count < 1000; ++count) {
     sink.Add(line);
@@ -77,7 +77,7 @@
 
 TEST_F(LogSinkTest, Add_MoreThanTheRate_IsDropped)
 {
-  LogSink sink(m_pipe[1], LogSinkLimits{ 1024 * 1024, 10 });
+  LogSink sink(m_pipe[1], LogSinkLimits{ size_t{ 1024 } * 1024, 10 });
   for (int count = 0; count < 25; ++count) {
     sink.Add("line");
   }
--- a/test/process/PlatformTest.cpp
+++ b/test/process/PlatformTest.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fstream>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -33,7 +34,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(one, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (bind(one, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+        0) {
+      throw std::runtime_error("can't bind");
+    }
     socklen_t length = sizeof(address);
     getsockname(one, reinterpret_cast<sockaddr*>(&address), &length);
     ports.push_back(ntohs(address.sin_port));
@@ -191,8 +195,8 @@
     std::map<std::string, int> runs;
     for (const auto& host : m_hosts) {
       const auto reply = HttpGet(host.ports[3], "/runs");
-      for (const auto& [id, count] :
-           nlohmann::json::parse(reply.body).items()) {
+      const auto json = nlohmann::json::parse(reply.body);
+      for (const auto& [id, count] : json.items()) {
         runs[id] += count.get<int>();
       }
     }
@@ -258,6 +262,7 @@
   ASSERT_TRUE(WaitServed(0, seconds(15)));
   std::atomic<bool> stop{ false };
   std::vector<std::thread> callers;
+  callers.reserve(4);
   for (int number = 0; number < 4; ++number) {
     callers.emplace_back([&, number] {
       for (int turn = 0; !stop; ++turn) {
