--- a/src/Ranges/HoldKeeper.h
+++ b/src/Ranges/HoldKeeper.h
@@ -31,8 +31,8 @@
   ServiceName service;
   uint32_t slots = 0;
   ServerState state = ServerState::kReady;
-  int64_t sequence = 0;     ///< Grows with each heartbeat of a life.
-  Duration coldRemaining{}; ///< Time for which it is still slow.
+  int64_t sequence = 0;  ///< Grows with each heartbeat of a life.
+  Duration warmUpLeft{}; ///< Time for which it is still slow.
   /// None: it doesn't say, which proves nothing about what it holds.
   std::optional<std::vector<HeldRange>> holds;
   std::vector<ReleasedRange> released;
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -27,7 +27,7 @@
   EXPECT_EQ(beat.service, ServiceName("orders"));
   EXPECT_EQ(beat.slots, 9U);
   EXPECT_EQ(beat.sequence, 4);
-  EXPECT_EQ(beat.coldRemaining, milliseconds(1500));
+  EXPECT_EQ(beat.warmUpLeft, milliseconds(1500));
   ASSERT_EQ(beat.holds->size(), 1U);
   EXPECT_EQ(beat.holds->front().range, (KeyRange{ 0, 4095 }));
   EXPECT_EQ(beat.released.front().handover, "5c0e");
