--- a/test/process/MeshSupport.cpp
+++ b/test/process/MeshSupport.cpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include "test/process/PortSupport.h"
+
 namespace pistachioshift::test {
 
 namespace {
@@ -59,44 +61,6 @@
 queue_bound = 128
 )";
 
-/** Sockets that keep a port from being picked twice. */
-class PortPicker
-{
-public:
-  ~PortPicker()
-  {
-    for (const int one : m_sockets) {
-      close(one);
-    }
-  }
-
-  /** A port that nobody listens on, for TCP and UDP alike. */
-  uint16_t Pick()
-  {
-    for (;;) {
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      if (Bind(SOCK_STREAM, address) && Bind(SOCK_DGRAM, address)) {
-        return ntohs(address.sin_port);
-      }
-    }
-  }
-
-private:
-  bool Bind(int aType, sockaddr_in& aAddress)
-  {
-    const int one = socket(AF_INET, aType | SOCK_CLOEXEC, 0);
-    m_sockets.push_back(one);
-    auto* address = reinterpret_cast<sockaddr*>(&aAddress);
-    socklen_t length = sizeof aAddress;
-    return bind(one, address, length) == 0 &&
-           getsockname(one, address, &length) == 0;
-  }
-
-  std::vector<int> m_sockets;
-};
-
 RecordedFence
 ParseFence(const std::string& aText)
 {
--- a/test/process/PlatformTest.cpp
+++ b/test/process/PlatformTest.cpp
@@ -4,17 +4,14 @@
 #include <csignal>
 #include <fstream>
 #include <memory>
-#include <stdexcept>
 #include <thread>
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "test/process/HttpSupport.h"
+#include "test/process/PortSupport.h"
 #include "test/process/ProcessSupport.h"
 
 namespace pistachioshift::test {
@@ -23,32 +20,6 @@
 using std::chrono::seconds;
 using std::chrono::steady_clock;
 
-/** Ports that nobody listens on now. */
-std::vector<uint16_t>
-FreePorts(size_t aCount)
-{
-  std::vector<uint16_t> ports;
-  std::vector<int> sockets;
-  for (size_t index = 0; index < aCount; ++index) {
-    const int one = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (bind(one, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
-        0) {
-      throw std::runtime_error("can't bind");
-    }
-    socklen_t length = sizeof(address);
-    getsockname(one, reinterpret_cast<sockaddr*>(&address), &length);
-    ports.push_back(ntohs(address.sin_port));
-    sockets.push_back(one);
-  }
-  for (const int one : sockets) {
-    close(one);
-  }
-  return ports;
-}
-
 /** Three hosts on the platform's stand-ins, all as separate processes. */
 class PlatformTest : public ::testing::Test
 {
@@ -57,6 +28,7 @@
   {
     std::vector<uint16_t>
       ports; ///< callers, ready, control, app, inner, metrics
+    uint16_t inner = 0;
     std::string settings;
     std::unique_ptr<ChildProcess> server;
     std::unique_ptr<ChildProcess> daemon;
@@ -66,15 +38,15 @@
 
   PlatformTest()
   {
-    m_storePort = FreePorts(1).front();
+    PickPorts();
     m_store = std::make_unique<ChildProcess>(
       "standin_store",
       std::vector<std::string>{ fmt::format("--port={}", m_storePort) });
     m_store->WaitForPort();
     WriteConfig();
     for (size_t index = 0; index < kHosts; ++index) {
-      m_hosts.push_back(MakeHost(index));
-      StartDaemon(m_hosts.back());
+      StartServer(index);
+      StartDaemon(m_hosts[index]);
     }
   }
 
@@ -110,13 +82,25 @@
     ASSERT_EQ(reply.status, 200);
   }
 
-  Host MakeHost(size_t aIndex)
+  void PickPorts()
+  {
+    PortPicker picker;
+    m_storePort = picker.Pick();
+    for (size_t index = 0; index < kHosts; ++index) {
+      Host host;
+      for (int count = 0; count < 4; ++count) {
+        host.ports.push_back(picker.Pick());
+      }
+      // Two neighbouring ports between daemons.
+      host.inner = picker.PickRow(2);
+      m_hosts.push_back(std::move(host));
+    }
+  }
+
+  void StartServer(size_t aIndex)
   {
-    Host host;
-    host.ports = FreePorts(4);
-    // Two neighbouring ports between daemons.
-    const auto inner = static_cast<uint16_t>(21000 + getpid() % 10000 +
-                                             static_cast<int>(aIndex) * 2);
+    auto& host = m_hosts[aIndex];
+    const auto inner = host.inner;
     host.settings = fmt::format(
       "{}/platform-{}-{}.toml", PISTACHIOSHIFT_BUILD, getpid(), aIndex);
     std::ofstream file(host.settings);
@@ -144,7 +128,6 @@
                                 fmt::format("--control={}", host.ports[2]),
                                 fmt::format("--id=i-{}", aIndex),
                                 "--service=orders" });
-    return host;
   }
 
   static void StartDaemon(Host& aHost)
