--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -6,6 +6,8 @@
 
 namespace pistachioshift {
 
+using internal::Place;
+
 namespace {
 
 /** A newcomer gets this share of a fair load at first. */
@@ -14,16 +16,6 @@
 /** A piece may carry this much more than what is to be moved. */
 constexpr double kOvershoot = 1.3;
 
-/** One host as planned: its ranges and their load. */
-struct Place
-{
-  const Taker* taker;
-  std::vector<KeyRange> ranges;
-  double load = 0.0;
-
-  double Level() const { return load / taker->capacity; }
-};
-
 const HostName&
 HostOf(const Place& aPlace)
 {
@@ -80,6 +72,23 @@
   aPlace.load -= aLoad;
 }
 
+/** The pieces at both ends of a range that carry about the wanted load. */
+std::vector<KeyRange>
+EndPieces(const KeyRange& aRange, const LoadMap& aLoad, double aWanted)
+{
+  const auto load = aLoad.LoadOf(aRange);
+  if (load <= aWanted) {
+    return { aRange };
+  }
+  std::vector<KeyRange> pieces{ { aRange.first,
+                                  aLoad.EndOfPiece(aRange, aWanted) } };
+  const auto before = aLoad.EndOfPiece(aRange, load - aWanted);
+  if (before < aRange.last) {
+    pieces.push_back({ before + 1, aRange.last });
+  }
+  return pieces;
+}
+
 /** The piece of a host's ranges whose load comes closest to what is wanted. */
 std::optional<KeyRange>
 ChoosePiece(const Place& aFrom, const LoadMap& aLoad, double aWanted)
@@ -87,20 +96,36 @@
   std::optional<KeyRange> best;
   double least = aWanted;
   for (const auto& range : aFrom.ranges) {
-    auto piece = range;
-    if (aLoad.LoadOf(range) > aWanted) {
-      piece.last = aLoad.EndOfPiece(range, aWanted);
-    }
-    const auto load = aLoad.LoadOf(piece);
-    const auto distance = std::abs(load - aWanted);
-    if (load <= aWanted * kOvershoot && distance < least) {
-      least = distance;
-      best = piece;
+    for (const auto& piece : EndPieces(range, aLoad, aWanted)) {
+      const auto load = aLoad.LoadOf(piece);
+      const auto distance = std::abs(load - aWanted);
+      if (load <= aWanted * kOvershoot && distance < least) {
+        least = distance;
+        best = piece;
+      }
     }
   }
   return best;
 }
 
+bool
+ByLevel(const Place& aLeft, const Place& aRight)
+{
+  return aLeft.Level() < aRight.Level();
+}
+
+double
+MeanLevel(const std::vector<Place>& aPlaces)
+{
+  double load = 0.0;
+  double capacity = 0.0;
+  for (const auto& place : aPlaces) {
+    load += place.load;
+    capacity += place.taker->capacity;
+  }
+  return load / capacity;
+}
+
 }
 
 void
@@ -116,52 +141,65 @@
   });
 }
 
-std::vector<PlannedMove>
-Rebalancer::Plan(const RangeRows& aRows,
-                 const std::vector<Taker>& aTakers,
-                 const LoadMap& aLoad,
-                 MonoTime aNow)
+void
+Rebalancer::CountPending(std::vector<Place>& aPlaces,
+                         const LoadMap& aLoad) const
 {
-  ForgetDone(aRows, aNow);
-  auto places = MakePlaces(aRows, aTakers, aLoad);
   for (const auto& pending : m_pending) {
     const auto load = aLoad.LoadOf(pending.move.range);
-    if (auto* from = Find(places, pending.move.from)) {
+    if (auto* from = Find(aPlaces, pending.move.from)) {
       Remove(*from, pending.move.range, load);
     }
-    if (auto* to = Find(places, pending.move.to)) {
+    if (auto* to = Find(aPlaces, pending.move.to)) {
       to->load += load; // Its ranges stay out of further moves.
       to->ranges.clear();
     }
   }
+}
+
+std::optional<KeyRange>
+Rebalancer::PieceFor(const Place& aHigh,
+                     const Place& aLow,
+                     double aMean,
+                     const LoadMap& aLoad) const
+{
+  const bool newcomer = aLow.load <= 0.0;
+  const bool uneven = aHigh.Level() >= m_settings.leastLevel &&
+                      aHigh.Level() - aLow.Level() >= m_settings.leastGap;
+  if (!newcomer && !uneven) {
+    return std::nullopt;
+  }
+  const auto spare = (aMean - aLow.Level()) * aLow.taker->capacity;
+  const auto excess = (aHigh.Level() - aMean) * aHigh.taker->capacity;
+  const auto wanted = uneven ? std::min(spare, excess) : spare * kNewcomerShare;
+  return ChoosePiece(aHigh, aLoad, wanted);
+}
+
+std::vector<PlannedMove>
+Rebalancer::Plan(const RangeRows& aRows,
+                 const std::vector<Taker>& aTakers,
+                 const LoadMap& aLoad,
+                 MonoTime aNow)
+{
+  ForgetDone(aRows, aNow);
+  auto places = MakePlaces(aRows, aTakers, aLoad);
+  CountPending(places, aLoad);
+  const auto most =
+    std::max(m_settings.leastMoves,
+             static_cast<size_t>(static_cast<double>(places.size()) *
+                                 m_settings.movingShare));
   std::vector<PlannedMove> moves;
-  while (places.size() > 1 &&
-         m_pending.size() + moves.size() < m_settings.mostMoves) {
-    const auto byLevel = [](const Place& aLeft, const Place& aRight) {
-      return aLeft.Level() < aRight.Level();
-    };
-    auto& high = *std::max_element(places.begin(), places.end(), byLevel);
-    auto& low = *std::min_element(places.begin(), places.end(), byLevel);
-    double load = 0.0;
-    double capacity = 0.0;
-    for (const auto& place : places) {
-      load += place.load;
-      capacity += place.taker->capacity;
-    }
-    const auto mean = load / capacity;
-    const bool newcomer = low.load <= 0.0;
-    const bool uneven = high.Level() >= m_settings.leastLevel &&
-                        high.Level() - low.Level() >= m_settings.leastGap;
-    if (!newcomer && !uneven) {
-      break;
-    }
-    const auto spare = (mean - low.Level()) * low.taker->capacity;
-    const auto excess = (high.Level() - mean) * high.taker->capacity;
-    const auto wanted =
-      uneven ? std::min(spare, excess) : spare * kNewcomerShare;
-    const auto piece = ChoosePiece(high, aLoad, wanted);
+  // A host that can give nothing, as its load is one key, holds up no other.
+  auto givers = places.size();
+  while (givers > 1 && m_pending.size() + moves.size() < most) {
+    const auto mean = MeanLevel(places);
+    std::sort(places.begin(), places.begin() + givers, ByLevel);
+    auto& high = places[givers - 1];
+    auto& low = *std::min_element(places.begin(), places.end(), ByLevel);
+    const auto piece = PieceFor(high, low, mean, aLoad);
     if (!piece) {
-      break;
+      --givers;
+      continue;
     }
     const auto moved = aLoad.LoadOf(*piece);
     moves.push_back(PlannedMove{ *piece, HostOf(high), HostOf(low) });
--- a/src/Ranges/Rebalancer.h
+++ b/src/Ranges/Rebalancer.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_RANGES_REBALANCER_H
 #define PISTACHIOSHIFT_RANGES_REBALANCER_H
 
+#include <optional>
 #include <vector>
 
 #include "src/Ranges/Assigner.h"
@@ -23,12 +24,30 @@
   double leastLevel = 0.6;
   /// Least difference of two hosts' utilization that is worth a move.
   double leastGap = 0.25;
-  /// Moves ordered at once; each makes its keys wait for a moment.
-  size_t mostMoves = 4;
+  /// Moves on their way at once, as a share of the hosts: each makes its keys
+  /// wait for a moment, and a move takes two heartbeats or three.
+  double movingShare = 0.25;
+  /// Moves on their way at once with few hosts.
+  size_t leastMoves = 4;
   /// After it a move that has not happened is forgotten.
   Duration moveTimeout = std::chrono::seconds(4);
 };
 
+namespace internal {
+
+/** \brief One host as planned: its ranges and their load. */
+struct Place
+{
+  const Taker* taker;
+  std::vector<KeyRange> ranges;
+  double load = 0.0;
+
+  /** \brief Utilization: load over capacity. */
+  double Level() const { return load / taker->capacity; }
+};
+
+}
+
 /**
  * \brief Plans moves from the busiest hosts to the least busy. Pure.
  *
@@ -57,6 +76,12 @@
   };
 
   void ForgetDone(const RangeRows& aRows, MonoTime aNow);
+  void CountPending(std::vector<internal::Place>& aPlaces,
+                    const LoadMap& aLoad) const;
+  std::optional<KeyRange> PieceFor(const internal::Place& aHigh,
+                                   const internal::Place& aLow,
+                                   double aMean,
+                                   const LoadMap& aLoad) const;
 
   RebalanceSettings m_settings;
   std::vector<Pending> m_pending;
--- a/test/Ranges/PlacementTest.cpp
+++ b/test/Ranges/PlacementTest.cpp
@@ -112,6 +112,53 @@
   EXPECT_LT(worst(), 40.0);
 }
 
+TEST_F(PlacementTest, Plan_HotKeyThatCantBeSplit_HoldsUpNoOtherHost)
+{
+  const auto takers = Takers("abcd", 100.0);
+  m_table.Assign(kOrders, { 0, 0 }, HolderOf("a"), {});
+  m_table.Assign(kOrders, { 1, 30000 }, HolderOf("b"), {});
+  m_table.Assign(kOrders, { 30001, 45000 }, HolderOf("c"), {});
+  m_table.Assign(kOrders, { 45001, kShardKeys - 1 }, HolderOf("d"), {});
+  LoadMap load;
+  load.Add(
+    { LoadBucket{ { 0, 0 }, 300.0 }, LoadBucket{ { 1, 30000 }, 150.0 } });
+  const auto moves =
+    Rebalancer().Plan(m_table.RowsOf(kOrders), takers, load, m_clock.Now());
+  ASSERT_FALSE(moves.empty());
+  EXPECT_EQ(moves.front().from, HostName("b"));
+}
+
+TEST_F(PlacementTest, Plan_HotKeyAtTheFront_ItsNeighboursMove)
+{
+  const auto takers = Takers("ab", 100.0);
+  m_table.Assign(kOrders, { 0, 30000 }, HolderOf("a"), {});
+  m_table.Assign(kOrders, { 30001, kShardKeys - 1 }, HolderOf("b"), {});
+  LoadMap load;
+  load.Add({ LoadBucket{ { 0, 0 }, 100.0 }, LoadBucket{ { 1, 30000 }, 40.0 } });
+  const auto moves =
+    Rebalancer().Plan(m_table.RowsOf(kOrders), takers, load, m_clock.Now());
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves.front().from, HostName("a"));
+  EXPECT_GT(moves.front().range.first, 0U);
+}
+
+TEST_F(PlacementTest, Plan_ManyHosts_MoreMovesAtOnce)
+{
+  const std::string names = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMN";
+  const auto takers = Takers(names, 10.0);
+  const auto size = kShardKeys / names.size();
+  LoadMap load;
+  for (size_t index = 0; index < names.size(); ++index) {
+    const auto first = static_cast<uint32_t>(index * size);
+    const KeyRange range{ first, static_cast<uint32_t>(first + size - 1) };
+    m_table.Assign(kOrders, range, HolderOf(names.substr(index, 1)), {});
+    load.Add({ LoadBucket{ range, index % 2 == 0 ? 12.0 : 4.0 } });
+  }
+  const auto moves =
+    Rebalancer().Plan(m_table.RowsOf(kOrders), takers, load, m_clock.Now());
+  EXPECT_GE(moves.size(), names.size() / 4);
+}
+
 TEST_F(PlacementTest, Plan_BelowTheLeastLevel_MovesNothing)
 {
   const auto takers = Takers("ab", 100.0);
