--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -122,15 +122,39 @@
   }
   m_unanswered.try_emplace(aHost, m_clock.Now());
   m_peers.Report(
-    host->inner, aReport, [this, aHost](const HostOrders& aOrders) {
-      if (aOrders.host != aHost) {
-        return; // Another host has the address now.
-      }
-      m_unanswered.erase(aHost);
-      m_server.Move(aOrders.moves);
+    host->inner,
+    aReport,
+    [this, aHost, sentAt = m_clock.Now()](const HostOrders& aOrders) {
+      OnOrders(aHost, sentAt, aOrders);
     });
 }
 
+void
+CoordinatorTask::OnOrders(const HostName& aHost,
+                          MonoTime aSentAt,
+                          const HostOrders& aOrders)
+{
+  const auto* host = m_state.State().FindHost(aHost);
+  if (aOrders.host != aHost || host == nullptr) {
+    return; // Another host has the address now.
+  }
+  m_unanswered.erase(aHost);
+  m_server.Move(aOrders.moves);
+  if (m_onConfiguration) {
+    m_onConfiguration(aOrders.configuration);
+  }
+  if (aOrders.next <= m_state.End()) {
+    m_state.ConfirmFromPeer(aSentAt - aOrders.age, aOrders.next);
+    return;
+  }
+  m_peers.AskState(host->inner,
+                   StateQuery{ m_state.End() },
+                   [this, sentAt = m_clock.Now()](const StateReply& aReply) {
+                     m_state.TakeFromPeer(aReply.entries, aReply.next);
+                     m_state.ConfirmFromPeer(sentAt - aReply.age, aReply.next);
+                   });
+}
+
 void
 CoordinatorTask::SendReport()
 {
@@ -161,6 +185,7 @@
   }
   if (active != m_active) {
     m_active = active;
+    m_state.SetReadsForOthers(active);
     m_logger.Info(active ? "coordinator-begin" : "coordinator-end",
                   "hosts={} end={}",
                   m_state.State().Hosts().size(),
@@ -174,6 +199,9 @@
   m_reports[aReport.host] = Reported{ aReport, m_clock.Now() };
   auto orders = std::exchange(m_orders[aReport.host], {});
   orders.host = m_state.Self();
+  orders.next = m_state.End();
+  orders.age = m_clock.Now() - m_state.SeenAt();
+  orders.configuration = m_configuration;
   return orders;
 }
 
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_HOSTDAEMON_COORDINATORTASK_H
 #define PISTACHIOSHIFT_HOSTDAEMON_COORDINATORTASK_H
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -38,6 +39,15 @@
   /** \brief A host reports here; \return what it is to hand over. */
   HostOrders OnReport(const HostReport& aReport);
 
+  /** \brief Position of the configuration that this host knows. */
+  void SetConfiguration(int64_t aPosition) { m_configuration = aPosition; }
+
+  /** \brief Called with the position of a configuration that a peer knows. */
+  void SetOnConfiguration(std::function<void(int64_t)> aCallback)
+  {
+    m_onConfiguration = std::move(aCallback);
+  }
+
   /** \brief Whether this host coordinates now. */
   bool Active() const { return m_active; }
 
@@ -60,6 +70,9 @@
   void PlanMoves();
   void SuspectSilent();
   void ReportTo(const HostName& aHost, const HostReport& aReport);
+  void OnOrders(const HostName& aHost,
+                MonoTime aSentAt,
+                const HostOrders& aOrders);
   void TakeFromSuspects();
   std::vector<Taker> TakersOf(const ServiceName& aService) const;
   bool Heard(const HostName& aHost) const;
@@ -81,6 +94,8 @@
   MonoTime m_newcomerAt; ///< When the number of takers last changed.
   size_t m_takers = 0;
   MonoTime m_startedAt;
+  int64_t m_configuration = 0;
+  std::function<void(int64_t)> m_onConfiguration;
   bool m_active = false;
   uint64_t m_ticks = 0;
 };
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -52,6 +52,18 @@
 
   void OnLeave(const ServerId& aServer) { m_server.OnLeave(aServer); }
 
+  /** \brief Position of the configuration in force, told to peers. */
+  void SetConfiguration(int64_t aPosition)
+  {
+    m_coordinator.SetConfiguration(aPosition);
+  }
+
+  /** \brief Called with the position that a peer knows. */
+  void SetOnConfiguration(std::function<void(int64_t)> aCallback)
+  {
+    m_coordinator.SetOnConfiguration(std::move(aCallback));
+  }
+
   /** \brief Brings services that are divided by key into force. */
   void SetSharded(const std::set<ServiceName>& aServices);
 
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -16,11 +16,14 @@
 /** \brief Times of a StateTask. */
 struct StateTaskSettings
 {
-  /// Between reads of the store: each renews the lease. Changes come from the
-  /// daemons that write them, sooner than by these reads.
+  /// Between reads of the store by the host that others hear from: each renews
+  /// the lease. Changes come from the daemons that write them, sooner.
   Duration pollInterval = std::chrono::milliseconds(1000);
   /// Pause after a failed call.
   Duration retryDelay = std::chrono::milliseconds(200);
+  /// Another host reads if it heard nothing for so long: what it hears is up to
+  /// one interval and a report old.
+  Duration quietInterval = std::chrono::milliseconds(2200);
 };
 
 /** \brief A change of the table that is written as a whole. */
@@ -92,6 +95,9 @@
   /** \brief A peer saw the end of the topic, at the latest at this time. */
   void ConfirmFromPeer(MonoTime aSeenAt, int64_t aEnd);
 
+  /** \brief Whether other hosts rely on what this one has read. */
+  void SetReadsForOthers(bool aReads) { m_readsForOthers = aReads; }
+
   /** \brief Records from an offset on, for a peer; none if not kept. */
   std::optional<StateUpdate> UpdateFrom(int64_t aFrom) const;
 
@@ -157,6 +163,7 @@
   std::vector<StateListener*> m_listeners;
   std::deque<StoreEntry> m_recent; ///< Last records, for peers.
   MonoTime m_seenAt;
+  bool m_readsForOthers = false;
   OnAppended m_onAppended;
   std::function<void()> m_onUnavailable;
 };
@@ -182,6 +189,7 @@
 private:
   void ReadNewest();
   void OnNewest(MonoTime aSentAt, StoreReadResult aResult);
+  void OnPollTimer();
   void Poll();
   void OnPolled(MonoTime aSentAt, StoreReadResult aResult);
   void Join();
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -18,7 +18,7 @@
   : StateTaskBase(aClock, aLogger, std::move(aSelf))
   , m_store(aStore)
   , m_settings(aSettings)
-  , m_pollTimer(aBase, [this] { m_end == 0 ? ReadNewest() : Poll(); })
+  , m_pollTimer(aBase, [this] { OnPollTimer(); })
   , m_writeTimer(aBase, [this] { Write(); })
   , m_resendTimer(aBase, [this] { SendTable(); })
 {
@@ -102,6 +102,25 @@
   m_recordDirty = true;
 }
 
+template<KeyedStore Store>
+void
+StateTask<Store>::OnPollTimer()
+{
+  if (m_end == 0) {
+    ReadNewest();
+    return;
+  }
+  const auto heard = m_clock.Now() - m_seenAt;
+  const bool enough = !m_readsForOthers && m_end >= m_conflictEnd &&
+                      heard < m_settings.quietInterval;
+  if (!enough) {
+    Poll();
+    return;
+  }
+  m_pollTimer.StartOnce(
+    std::min(m_settings.pollInterval, m_settings.quietInterval - heard));
+}
+
 template<KeyedStore Store>
 void
 StateTask<Store>::Poll()
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -177,6 +177,9 @@
 {
   HostName host; ///< That answers; an address may have changed hands.
   std::vector<MoveOrder> moves;
+  int64_t next = 0;          ///< End of the state that it has read.
+  Duration age{};            ///< Since it last saw that end.
+  int64_t configuration = 0; ///< Position of the configuration it knows.
 };
 
 /** \brief Asks a peer for the state, when the store gives no answer. */
--- a/src/Inner/WireRanges.cpp
+++ b/src/Inner/WireRanges.cpp
@@ -67,6 +67,10 @@
 {
   wire::WireHostOrders orders;
   orders.host = aOrders.host.Value();
+  orders.nextOffset = aOrders.next;
+  orders.ageMicros =
+    std::chrono::duration_cast<std::chrono::microseconds>(aOrders.age).count();
+  orders.configuration = aOrders.configuration;
   for (const auto& move : aOrders.moves) {
     wire::WireMove item;
     item.first = static_cast<int32_t>(move.range.first);
@@ -82,6 +86,12 @@
 {
   HostOrders orders;
   orders.host = HostName(aOrders.host);
+  if (aOrders.ageMicros < 0) {
+    throw InnerError("the age of a state is below zero");
+  }
+  orders.age = std::chrono::microseconds(aOrders.ageMicros);
+  orders.next = aOrders.nextOffset;
+  orders.configuration = aOrders.configuration;
   for (const auto& item : aOrders.moves) {
     orders.moves.push_back(
       MoveOrder{ RangeFromWire(item.first, item.last), HostName(item.to) });
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -3486,6 +3486,18 @@
 void WireHostOrders::__set_host(const std::string& val) {
   this->host = val;
 }
+
+void WireHostOrders::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+
+void WireHostOrders::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void WireHostOrders::__set_configuration(const int64_t val) {
+  this->configuration = val;
+}
 std::ostream& operator<<(std::ostream& out, const WireHostOrders& obj)
 {
   obj.printTo(out);
@@ -3507,6 +3519,9 @@
 
   bool isset_moves = false;
   bool isset_host = false;
+  bool isset_ageMicros = false;
+  bool isset_nextOffset = false;
+  bool isset_configuration = false;
 
   while (true)
   {
@@ -3544,6 +3559,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          isset_ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          isset_nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration);
+          isset_configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3557,6 +3596,12 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_host)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMicros)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nextOffset)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_configuration)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3581,6 +3626,18 @@
   xfer += oprot->writeString(this->host);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configuration);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3590,15 +3647,24 @@
   using ::std::swap;
   swap(a.moves, b.moves);
   swap(a.host, b.host);
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.configuration, b.configuration);
 }
 
 WireHostOrders::WireHostOrders(const WireHostOrders& other88) {
   moves = other88.moves;
   host = other88.host;
+  ageMicros = other88.ageMicros;
+  nextOffset = other88.nextOffset;
+  configuration = other88.configuration;
 }
 WireHostOrders& WireHostOrders::operator=(const WireHostOrders& other89) {
   moves = other89.moves;
   host = other89.host;
+  ageMicros = other89.ageMicros;
+  nextOffset = other89.nextOffset;
+  configuration = other89.configuration;
   return *this;
 }
 void WireHostOrders::printTo(std::ostream& out) const {
@@ -3606,6 +3672,9 @@
   out << "WireHostOrders(";
   out << "moves=" << to_string(moves);
   out << ", " << "host=" << to_string(host);
+  out << ", " << "ageMicros=" << to_string(ageMicros);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "configuration=" << to_string(configuration);
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -1296,23 +1296,41 @@
   WireHostOrders(const WireHostOrders&);
   WireHostOrders& operator=(const WireHostOrders&);
   WireHostOrders() noexcept
-                 : host() {
+                 : host(),
+                   ageMicros(0),
+                   nextOffset(0),
+                   configuration(0) {
   }
 
   virtual ~WireHostOrders() noexcept;
   std::vector<WireMove>  moves;
   std::string host;
+  int64_t ageMicros;
+  int64_t nextOffset;
+  int64_t configuration;
 
   void __set_moves(const std::vector<WireMove> & val);
 
   void __set_host(const std::string& val);
 
+  void __set_ageMicros(const int64_t val);
+
+  void __set_nextOffset(const int64_t val);
+
+  void __set_configuration(const int64_t val);
+
   bool operator == (const WireHostOrders & rhs) const
   {
     if (!(moves == rhs.moves))
       return false;
     if (!(host == rhs.host))
       return false;
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    if (!(nextOffset == rhs.nextOffset))
+      return false;
+    if (!(configuration == rhs.configuration))
+      return false;
     return true;
   }
   bool operator != (const WireHostOrders &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -150,6 +150,9 @@
 struct WireHostOrders {
   1: required list<WireMove> moves
   2: required string host
+  3: required i64 ageMicros
+  4: required i64 nextOffset
+  5: required i64 configuration
 }
 
 struct WireStateQuery {
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -17,14 +17,17 @@
        const Clock& aClock,
        const Logger& aLogger,
        FakeTopic& aTopic,
-       const std::string& aName)
+       const std::string& aName,
+       Duration aQuiet)
     : store(aBase, aTopic)
     , task(aBase,
            aClock,
            aLogger,
            store,
            RecordOf(aName),
-           StateTaskSettings{ milliseconds(5), milliseconds(5) })
+           StateTaskSettings{ .pollInterval = milliseconds(5),
+                              .retryDelay = milliseconds(5),
+                              .quietInterval = aQuiet })
   {
   }
 
@@ -41,18 +44,18 @@
     event_base_free(m_base);
   }
 
-  Host& Start(const std::string& aName)
+  Host& Start(const std::string& aName, Duration aQuiet = milliseconds(5))
   {
-    auto& host = Make(aName);
+    auto& host = Make(aName, aQuiet);
     host.task.Start();
     Run();
     return host;
   }
 
-  Host& Make(const std::string& aName)
+  Host& Make(const std::string& aName, Duration aQuiet = milliseconds(5))
   {
-    m_hosts.push_back(
-      std::make_unique<Host>(m_base, m_clock, m_logger, m_topic, aName));
+    m_hosts.push_back(std::make_unique<Host>(
+      m_base, m_clock, m_logger, m_topic, aName, aQuiet));
     return *m_hosts.back();
   }
 
@@ -207,6 +210,40 @@
   EXPECT_GT(b.task.LeaseLeft(), before);
 }
 
+TEST_F(StateTaskTest, Poll_PeerConfirmsInTime_StoreIsNotRead)
+{
+  auto& a = Start("a", milliseconds(300));
+  Run();
+  const auto before = a.store.reads;
+  for (int report = 0; report < 5; ++report) {
+    a.task.ConfirmFromPeer(m_clock.Now(), a.task.End());
+    Run();
+  }
+  EXPECT_EQ(a.store.reads, before);
+  EXPECT_GT(a.task.LeaseLeft(), Duration{});
+}
+
+TEST_F(StateTaskTest, Poll_NothingHeard_StoreIsRead)
+{
+  auto& a = Start("a", milliseconds(100));
+  Run();
+  const auto before = a.store.reads;
+  Run(milliseconds(300));
+  EXPECT_GT(a.store.reads, before);
+}
+
+TEST_F(StateTaskTest, Poll_ReadsForOthers_ConfirmationsDoNotStopIt)
+{
+  auto& a = Start("a", milliseconds(300));
+  a.task.SetReadsForOthers(true);
+  const auto before = a.store.reads;
+  for (int report = 0; report < 5; ++report) {
+    a.task.ConfirmFromPeer(m_clock.Now(), a.task.End());
+    Run(milliseconds(20));
+  }
+  EXPECT_GT(a.store.reads, before + 3);
+}
+
 TEST_F(StateTaskTest, Lease_PeerKnowsOfASuspicion_IsNotRenewed)
 {
   auto& a = Start("a");
