--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -196,7 +196,11 @@
 HostOrders
 CoordinatorTask::OnReport(const HostReport& aReport)
 {
-  m_reports[aReport.host] = Reported{ aReport, m_clock.Now() };
+  const auto now = m_clock.Now();
+  m_reports[aReport.host] = Reported{ aReport, now };
+  if (aReport.host != m_state.Self()) {
+    m_heardOtherAt = now;
+  }
   auto orders = std::exchange(m_orders[aReport.host], {});
   orders.host = m_state.Self();
   orders.next = m_state.End();
@@ -205,6 +209,12 @@
   return orders;
 }
 
+bool
+CoordinatorTask::HearsOthers() const
+{
+  return m_clock.Now() - m_heardOtherAt < kSilence;
+}
+
 void
 CoordinatorTask::OnTick()
 {
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -48,6 +48,9 @@
     m_onConfiguration = std::move(aCallback);
   }
 
+  /** \brief Whether another host has reported here lately. */
+  bool HearsOthers() const;
+
   /** \brief Whether this host coordinates now. */
   bool Active() const { return m_active; }
 
@@ -94,6 +97,7 @@
   MonoTime m_newcomerAt; ///< When the number of takers last changed.
   size_t m_takers = 0;
   MonoTime m_startedAt;
+  MonoTime m_heardOtherAt;
   int64_t m_configuration = 0;
   std::function<void(int64_t)> m_onConfiguration;
   bool m_active = false;
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -52,6 +52,9 @@
 
   void OnLeave(const ServerId& aServer) { m_server.OnLeave(aServer); }
 
+  /** \brief Whether other hosts report here and hear what this one knows. */
+  bool HearsOthers() const { return m_coordinator.HearsOthers(); }
+
   /** \brief Position of the configuration in force, told to peers. */
   void SetConfiguration(int64_t aPosition)
   {
