--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -102,7 +102,7 @@
 }
 
 std::vector<HostName>
-CoordinatorTask::Order() const
+CoordinatorTask::ReportOrder() const
 {
   std::vector<HostName> order;
   for (const auto& [name, host] : m_state.State().Hosts()) {
@@ -159,7 +159,7 @@
 CoordinatorTask::SendReport()
 {
   const auto report = m_server.MakeReport();
-  const auto order = Order();
+  const auto order = ReportOrder();
   // The next in line hear everyone, too, and can take over at once.
   size_t told = 0;
   bool earlier = false; // A host before this one answers.
@@ -230,6 +230,7 @@
   }
   TakeFromSuspects();
   AssignFree();
+  Evacuate();
   if (m_ticks % kReportTicks == 0) {
     SuspectSilent();
   }
@@ -340,17 +341,47 @@
 {
   for (const auto& service : m_sharded) {
     const auto& rows = m_state.State().Table().RowsOf(service);
-    const auto moves = m_rebalancers[service].Plan(
-      rows, TakersOf(service), LoadOf(service), m_clock.Now());
-    for (const auto& move : moves) {
-      m_logger.Info("move-planned",
-                    "range={}-{} from={} to={}",
-                    move.range.first,
-                    move.range.last,
-                    move.from.Value(),
-                    move.to.Value());
-      m_orders[move.from].moves.push_back(MoveOrder{ move.range, move.to });
+    Order(m_rebalancers[service].Plan(
+            rows, TakersOf(service), LoadOf(service), m_clock.Now()),
+          "load");
+  }
+}
+
+void
+CoordinatorTask::Evacuate()
+{
+  for (const auto& service : m_sharded) {
+    std::set<HostName> leaving;
+    for (const auto& [name, host] : m_state.State().Hosts()) {
+      const bool leaves =
+        host.server && host.server->state == ServerState::kDraining;
+      if (host.service == service && leaves) {
+        leaving.insert(name);
+      }
     }
+    if (leaving.empty()) {
+      continue;
+    }
+    const auto& rows = m_state.State().Table().RowsOf(service);
+    Order(m_rebalancers[service].Evacuate(
+            rows, leaving, TakersOf(service), LoadOf(service), m_clock.Now()),
+          "leaving");
+  }
+}
+
+void
+CoordinatorTask::Order(const std::vector<PlannedMove>& aMoves,
+                       const char* aCause)
+{
+  for (const auto& move : aMoves) {
+    m_logger.Info("move-planned",
+                  "range={}-{} from={} to={} cause={}",
+                  move.range.first,
+                  move.range.last,
+                  move.from.Value(),
+                  move.to.Value(),
+                  aCause);
+    m_orders[move.from].moves.push_back(MoveOrder{ move.range, move.to });
   }
 }
 
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -65,12 +65,14 @@
 
   void OnTick();
   void SendReport();
-  std::vector<HostName> Order() const;
+  std::vector<HostName> ReportOrder() const;
   bool Answers(const HostName& aHost) const;
   void AssignFree();
   void AssignFree(const ServiceName& aService);
   bool Settled(const std::vector<Taker>& aTakers);
   void PlanMoves();
+  void Evacuate();
+  void Order(const std::vector<PlannedMove>& aMoves, const char* aCause);
   void SuspectSilent();
   void ReportTo(const HostName& aHost, const HostReport& aReport);
   void OnOrders(const HostName& aHost,
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -16,6 +16,9 @@
 /** Between checks whether everything has ended. */
 constexpr Duration kLeaveInterval = milliseconds(50);
 
+/** Time for peers' requests that run when no more are taken. */
+constexpr Duration kInnerDrain = milliseconds(1200);
+
 /** Quiet time before the exit. */
 constexpr Duration kQuietBeforeExit = milliseconds(150);
 
@@ -186,6 +189,7 @@
   m_idleSince = m_leaveBegan;
   m_logger.Info("leave-begin", "in_flight={}", m_server.InFlight());
   m_ingress->BeginClosing();
+  m_server.BeginHandover();
   m_leaveTimer.StartEvery(kLeaveInterval);
 }
 
@@ -209,6 +213,11 @@
   if (!m_stopped) {
     m_stopped = true;
     m_dialect->BeginClosing();
+  }
+  // Peers' requests go on while this daemon's own callers keep it alive.
+  const bool last = elapsed >= m_settings.grace - kGraceMargin - kInnerDrain;
+  if (!m_draining && (m_ingress->Active() == 0 || last)) {
+    m_draining = true;
     m_server.BeginDrain();
   }
   if (m_server.InFlight() > 0 || m_ingress->Active() > 0) {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -110,6 +110,7 @@
   bool m_configured = false;
   bool m_leaving = false;
   bool m_stopped = false;
+  bool m_draining = false;
 };
 
 }
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -74,12 +74,17 @@
 RangeRouter::OnState()
 {
   std::map<ServiceName, std::vector<DaemonId>> usable;
+  std::map<ServiceName, std::vector<DaemonId>> leaving;
   for (const auto& [name, host] : m_state.State().Hosts()) {
-    const bool serves =
-      host.server && host.server->state != ServerState::kDraining;
-    if (serves && !m_state.State().Suspected(name)) {
-      usable[host.service].push_back(IdOf(name));
+    if (!host.server || m_state.State().Suspected(name)) {
+      continue;
     }
+    const bool leaves = host.server->state == ServerState::kDraining;
+    (leaves ? leaving : usable)[host.service].push_back(IdOf(name));
+  }
+  // Where all leave they serve until the end.
+  for (auto& [service, ids] : leaving) {
+    usable.try_emplace(service, std::move(ids));
   }
   for (auto& [service, instances] : m_instances) {
     usable.try_emplace(service);
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -408,8 +408,8 @@
   LiveServer server;
   server.life = aHeartbeat.life;
   server.slots = aHeartbeat.slots;
-  server.state =
-    m_keeper.LeavingAll() ? ServerState::kDraining : ServerState::kReady;
+  server.state = m_handsOver || m_keeper.LeavingAll() ? ServerState::kDraining
+                                                      : ServerState::kReady;
   m_state.PublishServer(server);
 }
 
@@ -568,6 +568,17 @@
   WriteRelinquished(server->life, m_keeper.TakeRelinquished());
 }
 
+void
+RangeServerTask::BeginHandover()
+{
+  m_handsOver = true;
+  auto server = m_state.OwnRecord().server;
+  if (server && server->state == ServerState::kReady) {
+    server->state = ServerState::kDraining;
+    m_state.PublishServer(server);
+  }
+}
+
 void
 RangeServerTask::BeginDrain()
 {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -67,6 +67,12 @@
   /** \brief Which services are divided by key. */
   void SetSharded(bool aSharded) { m_sharded = aSharded; }
 
+  /**
+   * \brief This daemon stops soon: others are to take the keys, and requests
+   * that any server can answer go elsewhere. Serves on until BeginDrain.
+   */
+  void BeginHandover();
+
   /** \brief No new work from now on; queued requests are refused. */
   void BeginDrain();
 
@@ -126,6 +132,7 @@
   MonoTime m_lastHeartbeat;
   double m_serviceSeconds = 0.2; ///< Mean; at first what is usual.
   bool m_sharded = false;
+  bool m_handsOver = false;
   bool m_draining = false;
   Timer m_entering;
   Timer m_gateTimer;
--- a/src/Ranges/HoldKeeper.cpp
+++ b/src/Ranges/HoldKeeper.cpp
@@ -119,36 +119,38 @@
 {
   std::vector<GrantedRange> grants;
   for (const auto& row : aRows) {
-    std::vector<KeyRange> parts{ row.range };
-    for (const auto& leaving : m_leaving) {
-      if (leaving.fence != row.fence) {
-        continue;
-      }
-      std::vector<KeyRange> rest;
-      for (const auto& part : parts) {
-        const auto kept = Without(part, leaving.range);
-        rest.insert(rest.end(), kept.begin(), kept.end());
-      }
-      parts = std::move(rest);
-    }
-    for (const auto& part : parts) {
+    for (const auto& part : NotLeaving(row.range, row.fence)) {
       grants.push_back(GrantedRange{ part, row.fence, row.handover });
     }
   }
   return grants;
 }
 
+std::vector<KeyRange>
+HoldKeeper::NotLeaving(const KeyRange& aRange, Fence aFence) const
+{
+  std::vector<KeyRange> parts{ aRange };
+  for (const auto& leaving : m_leaving) {
+    if (leaving.fence != aFence) {
+      continue;
+    }
+    std::vector<KeyRange> rest;
+    for (const auto& part : parts) {
+      const auto kept = Without(part, leaving.range);
+      rest.insert(rest.end(), kept.begin(), kept.end());
+    }
+    parts = std::move(rest);
+  }
+  return parts;
+}
+
 void
 HoldKeeper::Leave(const KeyRange& aRange,
                   Fence aFence,
                   const std::optional<RangeHolder>& aNext)
 {
-  const bool known =
-    std::any_of(m_leaving.begin(), m_leaving.end(), [&](const Leaving& aItem) {
-      return aItem.fence == aFence && aItem.range.Overlaps(aRange);
-    });
-  if (!known) {
-    m_leaving.push_back(Leaving{ aRange, aFence, aNext });
+  for (const auto& part : NotLeaving(aRange, aFence)) {
+    m_leaving.push_back(Leaving{ part, aFence, aNext });
   }
 }
 
--- a/src/Ranges/HoldKeeper.h
+++ b/src/Ranges/HoldKeeper.h
@@ -158,6 +158,7 @@
   void ForgetReassigned(const std::vector<RangeRow>& aRows);
   void Relinquish(const Leaving& aLeaving,
                   const std::vector<ReleasedRange>& aReleased);
+  std::vector<KeyRange> NotLeaving(const KeyRange& aRange, Fence aFence) const;
   std::vector<GrantedRange> Grants(const std::vector<RangeRow>& aRows) const;
 
   HoldSettings m_settings;
--- a/test/Ranges/HoldKeeperTest.cpp
+++ b/test/Ranges/HoldKeeperTest.cpp
@@ -181,6 +181,24 @@
   EXPECT_EQ(relinquished[0].range, KeyRange());
 }
 
+TEST_F(HoldKeeperTest, Draining_PartLeavesAlready_TheRestLeavesToo)
+{
+  Obey(Send(Beat()));
+  const auto fence = m_table.RowsOf(kOrders).front().fence;
+  m_keeper.Leave({ 100, 199 }, fence, HolderOf("b"));
+  auto beat = Beat();
+  beat.state = ServerState::kDraining;
+  EXPECT_TRUE(Send(beat).ranges.empty());
+  m_held.clear();
+  Send(Beat());
+  uint32_t keys = 0;
+  for (const auto& item : m_keeper.TakeRelinquished()) {
+    keys += item.range.Size();
+    EXPECT_EQ(item.next.has_value(), item.range.Contains(ShardKey(150)));
+  }
+  EXPECT_EQ(keys, kShardKeys);
+}
+
 TEST_F(HoldKeeperTest, Lapse_SameLifeReturns_OldRowsAreNeverRenewed)
 {
   Obey(Send(Beat()));
