--- /dev/null
+++ b/src/Daemon/BulkQueue.cpp
@@ -0,0 +1,51 @@
+#include "src/Daemon/BulkQueue.h"
+
+#include <utility>
+
+namespace pistachioshift {
+
+namespace {
+
+/** Bytes sent at once: 4 ms of a link of 17 Mbit/s. */
+constexpr size_t kPieceBytes = size_t{ 8 } * 1024;
+
+/** Bytes that may go out at once after a quiet time. */
+constexpr double kBurstBytes = 64.0 * 1024.0;
+
+}
+
+BulkQueue::BulkQueue(event_base* aBase,
+                     const Clock& aClock,
+                     double aBytesPerSecond)
+  : m_clock(aClock)
+  , m_budget(aBytesPerSecond, kBurstBytes, aClock.Now())
+  , m_timer(aBase, [this] { Pump(); })
+{
+}
+
+void
+BulkQueue::Add(std::weak_ptr<BulkSource> aSource)
+{
+  m_sources.push_back(std::move(aSource));
+  if (!m_timer.Running()) {
+    Pump();
+  }
+}
+
+void
+BulkQueue::Pump()
+{
+  while (!m_sources.empty() && m_budget.Open(m_clock.Now())) {
+    const auto source = m_sources.front().lock();
+    const auto sent = source ? source->SendPiece(kPieceBytes) : 0;
+    if (sent == 0) {
+      m_sources.pop_front();
+    }
+    m_budget.Spend(sent);
+  }
+  if (!m_sources.empty()) {
+    m_timer.StartOnce(m_budget.Wait(m_clock.Now()));
+  }
+}
+
+}
--- /dev/null
+++ b/src/Daemon/BulkQueue.h
@@ -0,0 +1,58 @@
+#ifndef PISTACHIOSHIFT_DAEMON_BULKQUEUE_H
+#define PISTACHIOSHIFT_DAEMON_BULKQUEUE_H
+
+#include <deque>
+#include <memory>
+
+#include "src/Daemon/Timer.h"
+#include "src/Routing/LinkBudget.h"
+
+namespace pistachioshift {
+
+/** \brief Has bulk data to send. */
+class BulkSource
+{
+public:
+  virtual ~BulkSource() = default;
+
+  /**
+   * \brief Sends a piece of at most `aMost` bytes.
+   * \return bytes that were sent; 0: nothing is left.
+   */
+  virtual size_t SendPiece(size_t aMost) = 0;
+};
+
+/**
+ * \brief Sends large answers at the rate of the host's link, one after another.
+ *
+ * What waits here would otherwise wait in the link, and every heartbeat,
+ * cancellation and small answer behind it.
+ */
+class BulkQueue
+{
+public:
+  BulkQueue(event_base* aBase, const Clock& aClock, double aBytesPerSecond);
+
+  /** \brief Whether there is a rate to keep. */
+  bool Limited() const { return m_budget.Limited(); }
+
+  /** \brief Accounts for bytes that go out beside the queue. */
+  void Spend(size_t aBytes) { m_budget.Spend(aBytes); }
+
+  /** \brief Adds a source that isn't queued yet. */
+  void Add(std::weak_ptr<BulkSource> aSource);
+
+  size_t Size() const { return m_sources.size(); }
+
+private:
+  void Pump();
+
+  const Clock& m_clock;
+  LinkBudget m_budget;
+  std::deque<std::weak_ptr<BulkSource>> m_sources;
+  Timer m_timer;
+};
+
+}
+
+#endif
--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -1,5 +1,7 @@
 #include "src/Daemon/InnerServerTask.h"
 
+#include <algorithm>
+
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <fmt/format.h>
@@ -21,13 +23,15 @@
                                  BootId aBoot,
                                  CallServer& aCalls,
                                  InnerServices aServices,
-                                 Metrics& aMetrics)
+                                 Metrics& aMetrics,
+                                 double aBulkRate)
   : m_base(aBase)
   , m_clock(aClock)
   , m_boot(aBoot)
   , m_calls(aCalls)
   , m_services(std::move(aServices))
   , m_metrics(aMetrics)
+  , m_bulk(aBase, aClock, aBulkRate)
 {
   const auto address = internal::ToSocketAddress(aEndpoint);
   m_listener = evconnlistener_new_bind(
@@ -51,6 +55,16 @@
   evconnlistener_free(m_listener);
 }
 
+bool
+InnerServerTask::HasUnsent() const
+{
+  return m_bulk.Size() > 0 || std::any_of(m_sessions.begin(),
+                                          m_sessions.end(),
+                                          [](const auto& aSession) {
+                                            return aSession->HasUnsent();
+                                          });
+}
+
 void
 InnerServerTask::OnAccepted(int aSocket)
 {
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "Pistachioshift/Inner"
+#include "src/Daemon/BulkQueue.h"
 #include "src/Daemon/Call.h"
 #include "src/Daemon/Metrics.h"
 
@@ -32,20 +33,27 @@
 class InnerServerTask
 {
 public:
-  /** \throws InnerError if the endpoint can't be bound. */
+  /**
+   * \param aBulkRate bytes a second of large answers; 0: no limit.
+   * \throws InnerError if the endpoint can't be bound.
+   */
   InnerServerTask(event_base* aBase,
                   const Clock& aClock,
                   const Endpoint& aEndpoint,
                   BootId aBoot,
                   CallServer& aCalls,
                   InnerServices aServices,
-                  Metrics& aMetrics);
+                  Metrics& aMetrics,
+                  double aBulkRate = 0.0);
   ~InnerServerTask();
   InnerServerTask(const InnerServerTask&) = delete;
   InnerServerTask& operator=(const InnerServerTask&) = delete;
 
   size_t Sessions() const { return m_sessions.size(); }
 
+  /** \brief Whether answers wait for their turn on the link. */
+  bool HasUnsent() const;
+
 private:
   friend class InnerSession;
 
@@ -57,6 +65,7 @@
   CallServer& m_calls;
   InnerServices m_services;
   Metrics& m_metrics;
+  BulkQueue m_bulk;
   evconnlistener* m_listener = nullptr;
   std::set<std::shared_ptr<InnerSession>> m_sessions;
 };
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/** As much of each answer goes out at once. */
+constexpr size_t kDirectBytes = size_t{ 8 } * 1024;
+
 const char*
 ToString(RequestState aState)
 {
@@ -223,20 +226,72 @@
 InnerStream::OnBody(std::string_view aData)
 {
   m_send.Consume(aData.size());
+  if (!m_send.Open() && m_call) {
+    m_call->PauseBody();
+  }
+  if (Queue(aData)) {
+    return;
+  }
   while (!aData.empty()) {
     const auto piece = aData.substr(0, kBodyPieceBytes);
     Send(BodyPiece{ m_stream, std::string(piece), false });
     aData.remove_prefix(piece.size());
   }
-  if (!m_send.Open() && m_call) {
-    m_call->PauseBody();
+}
+
+bool
+InnerStream::Queue(std::string_view aData)
+{
+  const auto session = m_session.lock();
+  if (!session || !session->Bulk().Limited()) {
+    return false;
   }
+  m_direct += aData.size();
+  if (!m_queued && m_direct <= kDirectBytes) {
+    session->Bulk().Spend(aData.size());
+    return false;
+  }
+  m_bulk.append(aData);
+  if (!m_queued) {
+    m_queued = true;
+    session->Bulk().Add(weak_from_this());
+  }
+  return true;
+}
+
+size_t
+InnerStream::SendPiece(size_t aMost)
+{
+  const auto self = shared_from_this();
+  const auto piece = m_bulk.substr(m_bulkSent, aMost);
+  if (!piece.empty()) {
+    Send(BodyPiece{ m_stream, piece, false });
+  }
+  m_bulkSent += piece.size();
+  if (m_bulkSent < m_bulk.size()) {
+    return piece.size();
+  }
+  m_bulk.clear();
+  m_bulkSent = 0;
+  if (m_answered && m_queued) {
+    Send(BodyPiece{ m_stream, {}, true });
+    Remove();
+  }
+  if (piece.empty()) {
+    m_queued = false;
+  }
+  return piece.size();
 }
 
 void
 InnerStream::OnEnd()
 {
   const auto self = shared_from_this();
+  if (!m_bulk.empty()) {
+    m_answered = true;
+    m_call.reset();
+    return;
+  }
   Send(BodyPiece{ m_stream, {}, true });
   Remove();
 }
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <string>
 
 #include "src/Daemon/FlowWindow.h"
 #include "src/Daemon/InnerServerTask.h"
@@ -25,6 +26,8 @@
   void Start(int aSocket);
   void Send(const Frame& aFrame) { m_connection->Send(aFrame); }
   void Remove(StreamId aStream);
+  BulkQueue& Bulk() { return m_task.m_bulk; }
+  bool HasUnsent() const { return m_connection->BufferedBytes() > 0; }
 
   void OnFrame(Connection& aConnection, Frame aFrame) override;
   void OnDrained(Connection& aConnection) override;
@@ -42,6 +45,7 @@
 /** \brief Passes one request to the backend task and its answer back. */
 class InnerStream
   : public CallListener
+  , public BulkSource
   , public std::enable_shared_from_this<InnerStream>
 {
 public:
@@ -64,8 +68,10 @@
   void OnDrained() override;
   void OnRefused(const CallRefusal& aRefusal) override;
   void OnLost(CallLoss aLoss) override;
+  size_t SendPiece(size_t aMost) override;
 
 private:
+  bool Queue(std::string_view aData);
   void Send(const Frame& aFrame);
   void Remove();
   void Grant(int64_t aBytes);
@@ -75,6 +81,11 @@
   std::shared_ptr<Call> m_call;
   SendWindow m_send;
   ReceiveWindow m_receive;
+  size_t m_direct = 0;   ///< Bytes of the answer that didn't wait.
+  std::string m_bulk;    ///< Waits for its turn on the link.
+  size_t m_bulkSent = 0; ///< Bytes of it that have gone out.
+  bool m_queued = false;
+  bool m_answered = false; ///< The answer ends with what waits.
 };
 
 }
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -16,6 +16,10 @@
 /** Between checks whether everything has ended. */
 constexpr Duration kLeaveInterval = milliseconds(50);
 
+/** Of the link, for large answers: the rest is for answers to the host's own
+ * callers, small ones and heartbeats. */
+constexpr double kBulkShare = 0.85;
+
 /** Time for peers' requests that run when no more are taken. */
 constexpr Duration kInnerDrain = milliseconds(1200);
 
@@ -73,7 +77,8 @@
             m_boot,
             m_server,
             MakeInnerServices(),
-            aMetrics)
+            aMetrics,
+            aSettings.linkBytesPerSecond * kBulkShare)
   , m_operator(aBase, aSettings.metrics)
   , m_leaveTimer(aBase, [this] { OnLeaveTick(); })
 {
@@ -220,7 +225,8 @@
     m_draining = true;
     m_server.BeginDrain();
   }
-  if (m_server.InFlight() > 0 || m_ingress->Active() > 0) {
+  if (m_server.InFlight() > 0 || m_ingress->Active() > 0 ||
+      m_inner.HasUnsent()) {
     m_idleSince = now;
     return;
   }
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -22,6 +22,8 @@
   Endpoint callers; ///< HTTP, towards callers.
   Endpoint metrics; ///< HTTP, metrics for operators.
   RangeServerSettings server;
+  /// Of the host's link; 0 if not known.
+  double linkBytesPerSecond = 0.0;
   /// Time from the signal to the forced end of the process.
   Duration grace = std::chrono::seconds(6);
 };
--- /dev/null
+++ b/test/Routing/LinkBudgetTest.cpp
@@ -0,0 +1,63 @@
+#include <gtest/gtest.h>
+
+#include "src/Routing/LinkBudget.h"
+
+namespace pistachioshift {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kRate = 1000.0; // bytes a second
+constexpr double kBurst = 100.0;
+
+class LinkBudgetTest : public ::testing::Test
+{
+protected:
+  MonoTime m_now{ seconds(10) };
+  LinkBudget m_budget{ kRate, kBurst, m_now };
+};
+
+TEST_F(LinkBudgetTest, Spend_BeyondTheBurst_WaitsForItsTime)
+{
+  m_budget.Spend(300);
+  EXPECT_FALSE(m_budget.Open(m_now));
+  const auto wait = m_budget.Wait(m_now);
+  EXPECT_GE(wait, milliseconds(200));
+  EXPECT_LE(wait, milliseconds(202));
+  EXPECT_TRUE(m_budget.Open(m_now + wait));
+}
+
+TEST_F(LinkBudgetTest, Open_OverASecond_RateIsKept)
+{
+  size_t sent = 0;
+  for (int tick = 0; tick < 1000; ++tick) {
+    m_now += milliseconds(1);
+    while (m_budget.Open(m_now)) {
+      m_budget.Spend(10);
+      sent += 10;
+    }
+  }
+  EXPECT_LE(sent, static_cast<size_t>(kRate + kBurst) + 20);
+  EXPECT_GE(sent, static_cast<size_t>(kRate));
+}
+
+TEST_F(LinkBudgetTest, Open_AfterALongPause_NoMoreThanTheBurst)
+{
+  m_now += seconds(60);
+  size_t sent = 0;
+  while (m_budget.Open(m_now)) {
+    m_budget.Spend(10);
+    sent += 10;
+  }
+  EXPECT_LE(sent, static_cast<size_t>(kBurst) + 10);
+}
+
+TEST_F(LinkBudgetTest, Open_NoRate_IsNeverClosed)
+{
+  LinkBudget unlimited(0.0, kBurst, m_now);
+  unlimited.Spend(1000000);
+  EXPECT_TRUE(unlimited.Open(m_now));
+  EXPECT_EQ(unlimited.Wait(m_now), Duration::zero());
+}
+
+}
