--- a/src/Daemon/BulkQueue.cpp
+++ b/src/Daemon/BulkQueue.cpp
@@ -18,6 +18,7 @@
                      const Clock& aClock,
                      double aBytesPerSecond)
   : m_clock(aClock)
+  , m_rate(aBytesPerSecond)
   , m_budget(aBytesPerSecond, kBurstBytes, aClock.Now())
   , m_timer(aBase, [this] { Pump(); })
 {
@@ -32,6 +33,21 @@
   }
 }
 
+Duration
+BulkQueue::Backlog() const
+{
+  size_t bytes = 0;
+  for (const auto& item : m_sources) {
+    const auto source = item.lock();
+    bytes += source ? source->Waiting() : 0;
+  }
+  if (bytes == 0) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(static_cast<double>(bytes) / m_rate));
+}
+
 void
 BulkQueue::Pump()
 {
--- a/src/Daemon/BulkQueue.h
+++ b/src/Daemon/BulkQueue.h
@@ -9,6 +9,9 @@
 
 namespace pistachioshift {
 
+/** \brief As much of each answer goes out at once: small ones never wait. */
+inline constexpr size_t kDirectBytes = size_t{ 8 } * 1024;
+
 /** \brief Has bulk data to send. */
 class BulkSource
 {
@@ -20,6 +23,9 @@
    * \return bytes that were sent; 0: nothing is left.
    */
   virtual size_t SendPiece(size_t aMost) = 0;
+
+  /** \brief Bytes that wait. */
+  virtual size_t Waiting() const = 0;
 };
 
 /**
@@ -44,10 +50,14 @@
 
   size_t Size() const { return m_sources.size(); }
 
+  /** \brief Time until all that waits has been sent. */
+  Duration Backlog() const;
+
 private:
   void Pump();
 
   const Clock& m_clock;
+  double m_rate; ///< Bytes a second.
   LinkBudget m_budget;
   std::deque<std::weak_ptr<BulkSource>> m_sources;
   Timer m_timer;
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -54,6 +54,9 @@
   /** \brief Whether answers wait for their turn on the link. */
   bool HasUnsent() const;
 
+  /** \brief Time that a large answer would wait for the link now. */
+  Duration Backlog() const { return m_bulk.Backlog(); }
+
 private:
   friend class InnerSession;
 
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-/** As much of each answer goes out at once. */
-constexpr size_t kDirectBytes = size_t{ 8 } * 1024;
-
 const char*
 ToString(RequestState aState)
 {
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -69,6 +69,7 @@
   void OnRefused(const CallRefusal& aRefusal) override;
   void OnLost(CallLoss aLoss) override;
   size_t SendPiece(size_t aMost) override;
+  size_t Waiting() const override { return m_bulk.size() - m_bulkSent; }
 
 private:
   bool Queue(std::string_view aData);
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -304,6 +304,7 @@
   if (m_state == State::kEnded) {
     return;
   }
+  m_answerBytes += aData.size();
   KeepAnswerBytes(aData);
   m_listener->OnBody(aData);
 }
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -133,6 +133,7 @@
   std::shared_ptr<ClientExchange> m_exchange;
   ResponseHead m_answerHead;
   std::string m_answerBody;
+  size_t m_answerBytes = 0;
   bool m_answerTooLarge = false;
   Timer m_deadlineTimer;
   Timer m_holdTimer;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -88,6 +88,7 @@
   aState.SetOnAppended(
     [this](const StateUpdate& aUpdate) { SendUpdate(aUpdate); });
   aState.SetOnUnavailable([this] { AskPeers(); });
+  m_server.SetBacklog([this] { return m_inner.Backlog(); });
   m_operator.OnGet("/metrics",
                    [this](const OperatorRequest&) { return RenderMetrics(); });
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -211,6 +211,11 @@
     aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
     return;
   }
+  const auto backlog = m_backlog ? m_backlog() : Duration::zero();
+  if (!m_link.Admits(request.head.target, backlog, request.goal)) {
+    aCall->Refuse(RefusalReason::kCannotFinish, backlog);
+    return;
+  }
   const auto result = m_outcomes.Begin(request.id, request.known);
   if (result.verdict != BeginVerdict::kStarted) {
     const auto reason =
@@ -357,6 +362,7 @@
   const auto now = m_clock.Now();
   if (aResult == ServiceResult::kDone) {
     LearnService(now - aCall.m_startedAt);
+    m_link.Learn(aCall.Request().head.target, aCall.m_answerBytes);
   }
   // The gate is the only sender and never exceeds the slots: a refusal or a
   // lost answer says nothing about how much the backend server can take.
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_HOSTDAEMON_RANGESERVERTASK_H
 #define PISTACHIOSHIFT_HOSTDAEMON_RANGESERVERTASK_H
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "Pistachioshift/Inner"
 #include "Pistachioshift/Ranges"
 #include "Pistachioshift/Routing"
+#include "src/Daemon/BulkQueue.h"
 #include "src/Daemon/OwnerCall.h"
 #include "src/Daemon/Timer.h"
 #include "src/HostDaemon/KeyLoadMeter.h"
@@ -64,6 +66,12 @@
   /** \brief Gives ranges to other hosts, as the coordinator asks. */
   void Move(const std::vector<MoveOrder>& aOrders);
 
+  /** \brief Tells how long a large answer would wait for the link. */
+  void SetBacklog(std::function<Duration()> aBacklog)
+  {
+    m_backlog = std::move(aBacklog);
+  }
+
   /** \brief Which services are divided by key. */
   void SetSharded(bool aSharded) { m_sharded = aSharded; }
 
@@ -130,6 +138,8 @@
   std::optional<ServerId> m_server;
   std::optional<MonoTime> m_leavesAt; ///< No request starts after it.
   MonoTime m_lastHeartbeat;
+  LinkAdmission m_link{ kDirectBytes };
+  std::function<Duration()> m_backlog;
   double m_serviceSeconds = 0.2; ///< Mean; at first what is usual.
   bool m_sharded = false;
   bool m_handsOver = false;
--- /dev/null
+++ b/src/Routing/LinkAdmission.cpp
@@ -0,0 +1,50 @@
+#include "src/Routing/LinkAdmission.h"
+
+namespace pistachioshift {
+
+namespace {
+
+/** Weight of the newest answer: a new size shows after some tens. */
+constexpr double kSmoothing = 0.05;
+
+/** Part of the goal that may pass before an answer gets the link. */
+constexpr double kWaitShare = 0.5;
+
+/** Bounds the memory; targets beyond it count as small. */
+constexpr size_t kMostSegments = 1024;
+
+std::string
+FirstSegment(std::string_view aTarget)
+{
+  const auto end = aTarget.find_first_of("/?", 1);
+  return std::string(aTarget.substr(0, end));
+}
+
+}
+
+void
+LinkAdmission::Learn(std::string_view aTarget, size_t aBytes)
+{
+  const auto segment = FirstSegment(aTarget);
+  const auto bytes = static_cast<double>(aBytes);
+  const auto known = m_meanBytes.find(segment);
+  if (known != m_meanBytes.end()) {
+    known->second += kSmoothing * (bytes - known->second);
+  } else if (m_meanBytes.size() < kMostSegments) {
+    m_meanBytes.emplace(segment, bytes);
+  }
+}
+
+bool
+LinkAdmission::Admits(std::string_view aTarget,
+                      Duration aWait,
+                      Duration aGoal) const
+{
+  if (aGoal <= Duration::zero() || aWait <= aGoal * kWaitShare) {
+    return true;
+  }
+  const auto known = m_meanBytes.find(FirstSegment(aTarget));
+  return known == m_meanBytes.end() || known->second <= m_directBytes;
+}
+
+}
