--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -452,7 +452,7 @@
 }
 
 void
-IngressSession::OnDeadline()
+IngressSession::GiveUp(RefusalReason aReason)
 {
   const auto self = shared_from_this();
   if (m_ended || m_answerBegun) {
@@ -464,8 +464,7 @@
   if (m_call) {
     m_call->Cancel();
   }
-  Refuse(waits || !started ? Outcome::kNotRun : Outcome::kUnknown,
-         RefusalReason::kDeadlineExpired);
+  Refuse(waits || !started ? Outcome::kNotRun : Outcome::kUnknown, aReason);
 }
 
 IngressRecord
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -25,6 +25,9 @@
 
   void Start();
 
+  /** \brief Gives a final answer now, as this process ends. */
+  void EndNow() { GiveUp(RefusalReason::kDraining); }
+
   // ServerListener
   void OnBody(std::string_view aData) override;
   void OnBodyEnd() override;
@@ -50,7 +53,8 @@
   void GiveAnswer(const KeptAnswer& aAnswer);
   void Refuse(Outcome aOutcome, RefusalReason aReason);
   void OnTimer();
-  void OnDeadline();
+  void OnDeadline() { GiveUp(RefusalReason::kDeadlineExpired); }
+  void GiveUp(RefusalReason aReason);
   void CloseAttempt();
   void SendPendingHead();
   void OnTruncated();
--- a/src/Daemon/IngressTask.cpp
+++ b/src/Daemon/IngressTask.cpp
@@ -1,9 +1,18 @@
 #include "src/Daemon/IngressTask.h"
 
+#include <utility>
+
 #include "src/Daemon/IngressSession.h"
 
 namespace pistachioshift {
 
+namespace {
+
+/** Sessions kept before ended ones are looked for. */
+constexpr size_t kLeastPruned = 64;
+
+}
+
 IngressTask::IngressTask(const IngressContext& aContext,
                          const Endpoint& aEndpoint,
                          const HttpLimits& aLimits)
@@ -13,8 +22,7 @@
       aEndpoint,
       aLimits,
       [this](std::shared_ptr<ServerExchange> aExchange) {
-        std::make_shared<IngressSession>(m_context, std::move(aExchange))
-          ->Start();
+        Begin(std::move(aExchange));
       },
       [this](HttpRefusal aRefusal) {
         m_context.metrics.CountHttpRefusal(ToString(aRefusal));
@@ -22,4 +30,28 @@
 {
 }
 
+void
+IngressTask::Begin(std::shared_ptr<ServerExchange> aExchange)
+{
+  if (m_sessions.size() >= m_pruneAt) {
+    std::erase_if(m_sessions,
+                  [](const auto& aSession) { return aSession.expired(); });
+    m_pruneAt = 2 * m_sessions.size() + kLeastPruned;
+  }
+  const auto session =
+    std::make_shared<IngressSession>(m_context, std::move(aExchange));
+  m_sessions.push_back(session);
+  session->Start();
+}
+
+void
+IngressTask::EndNow()
+{
+  for (const auto& item : std::exchange(m_sessions, {})) {
+    if (const auto session = item.lock()) {
+      session->EndNow();
+    }
+  }
+}
+
 }
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_DAEMON_INGRESSTASK_H
 
 #include <memory>
+#include <vector>
 
 #include "Pistachioshift/Http"
 #include "src/Base/Random.h"
@@ -11,6 +12,8 @@
 
 namespace pistachioshift {
 
+class IngressSession;
+
 /** \brief What a session needs of its daemon. */
 struct IngressContext
 {
@@ -37,11 +40,18 @@
   /** \brief No new connections; busy ones finish. */
   void StopAccepting() { m_server.StopAccepting(); }
 
+  /** \brief Requests without an answer get a final one: the process ends. */
+  void EndNow();
+
   size_t Active() const { return m_server.Active(); }
   size_t Connections() const { return m_server.Connections(); }
 
 private:
+  void Begin(std::shared_ptr<ServerExchange> aExchange);
+
   IngressContext m_context;
+  std::vector<std::weak_ptr<IngressSession>> m_sessions;
+  size_t m_pruneAt = 0; ///< Ended sessions are forgotten at this many.
   HttpServer m_server;
 };
 
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -20,6 +20,9 @@
  * callers, small ones and heartbeats. */
 constexpr double kBulkShare = 0.85;
 
+/** Time for the last answers to leave before a forced exit. */
+constexpr Duration kFlushTime = milliseconds(200);
+
 /** Time for peers' requests that run when no more are taken. */
 constexpr Duration kInnerDrain = milliseconds(1200);
 
@@ -205,11 +208,17 @@
   const auto now = m_clock.Now();
   const auto elapsed = now - m_leaveBegan;
   if (elapsed >= m_settings.grace - kGraceMargin) {
-    m_logger.Warning("leave-forced",
-                     "in_flight={} callers={}",
-                     m_server.InFlight(),
-                     m_ingress->Active());
-    event_base_loopbreak(m_base);
+    if (!m_forced) {
+      m_forced = true;
+      m_logger.Warning("leave-forced",
+                       "in_flight={} callers={}",
+                       m_server.InFlight(),
+                       m_ingress->Active());
+      m_ingress->EndNow();
+    }
+    if (elapsed >= m_settings.grace - kGraceMargin + kFlushTime) {
+      event_base_loopbreak(m_base);
+    }
     return;
   }
   if (elapsed < kLeaveNotice) {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -113,6 +113,7 @@
   bool m_leaving = false;
   bool m_stopped = false;
   bool m_draining = false;
+  bool m_forced = false;
 };
 
 }
--- a/test/process/PlatformTest.cpp
+++ b/test/process/PlatformTest.cpp
@@ -36,7 +36,8 @@
 
   static constexpr size_t kHosts = 3;
 
-  PlatformTest()
+  explicit PlatformTest(std::string aGrace = "6s")
+    : m_grace(std::move(aGrace))
   {
     PickPorts();
     m_store = std::make_unique<ChildProcess>(
@@ -107,7 +108,7 @@
     file << fmt::format("nodeName = \"host-{}\"\n"
                         "ip = \"127.0.0.1\"\nzone = \"z\"\n"
                         "internalPortRange = [{},{}]\n"
-                        "bounds = [\"grace=6s\",\"drain=2000ms\"]\n"
+                        "bounds = [\"grace={}\",\"drain=2000ms\"]\n"
                         "appAddr = \"127.0.0.1:{}\"\nservice = \"orders\"\n"
                         "[listen]\noutbound = \"127.0.0.1:{}\"\n"
                         "ready = \"127.0.0.1:{}\"\n"
@@ -116,6 +117,7 @@
                         aIndex,
                         inner,
                         inner + 1,
+                        m_grace,
                         host.ports[3],
                         host.ports[0],
                         host.ports[1],
@@ -190,6 +192,7 @@
     return most;
   }
 
+  std::string m_grace;
   uint16_t m_storePort = 0;
   std::unique_ptr<ChildProcess> m_store;
   std::vector<Host> m_hosts;
@@ -284,6 +287,33 @@
   EXPECT_EQ(cut, 0);
 }
 
+/** The grace ends before the route's timeout. */
+class ShortGraceTest : public PlatformTest
+{
+protected:
+  ShortGraceTest()
+    : PlatformTest("4s")
+  {
+  }
+};
+
+TEST_F(ShortGraceTest, Terminate_ServersHang_CallerGetsAFinalAnswer)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  for (const auto& host : m_hosts) {
+    host.server->Signal(SIGSTOP);
+  }
+  m_hosts[0].daemon->Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(1500));
+  const auto reply = Ask(0, "/r/x", 100);
+  EXPECT_TRUE(reply.status == 502 || reply.status == 503 || reply.status == 504)
+    << reply.status;
+  EXPECT_EQ(m_hosts[0].daemon->Wait(), 0);
+  for (const auto& host : m_hosts) {
+    host.server->Signal(SIGCONT);
+  }
+}
+
 TEST(PlatformSettingsFileTest, Start_BadSettings_EndsWithTwo)
 {
   const auto path =
