--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -34,18 +34,48 @@
   if (aNext <= m_end) {
     return true;
   }
-  const bool gap =
-    m_end == 0 || (!aEntries.empty() && aEntries.front().offset > m_end);
-  if (gap || aEntries.empty()) {
+  if (m_end == 0 || aEntries.empty()) {
     Refresh();
     return false;
   }
+  if (aEntries.front().offset > m_end) {
+    // What comes before it is mostly on its way from another writer.
+    Keep(aEntries);
+    RefreshSoon();
+    return false;
+  }
   Take(aEntries, aNext);
+  TakeEarly();
   Notify();
   Write();
   return true;
 }
 
+void
+StateTaskBase::Keep(const std::vector<StoreEntry>& aEntries)
+{
+  for (const auto& entry : aEntries) {
+    if (m_early.size() < kMostRecent) {
+      m_early.try_emplace(entry.offset, entry);
+    }
+  }
+}
+
+void
+StateTaskBase::TakeEarly()
+{
+  std::vector<StoreEntry> entries;
+  auto next = m_end;
+  for (auto& [offset, entry] : m_early) {
+    if (offset == next) {
+      entries.push_back(std::move(entry));
+      ++next;
+    }
+  }
+  m_early.erase(m_early.begin(), m_early.lower_bound(next));
+  Take(entries, next);
+}
+
 void
 StateTaskBase::ConfirmFromPeer(MonoTime aSeenAt, int64_t aEnd)
 {
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   Duration pollInterval = std::chrono::milliseconds(1000);
   /// Pause after a failed call.
   Duration retryDelay = std::chrono::milliseconds(200);
+  /// Records that come out of turn from peers close up within this time.
+  Duration gapDelay = std::chrono::milliseconds(150);
   /// Another host reads if it heard nothing for so long: what it hears is up to
   /// one interval and a report old.
   Duration quietInterval = std::chrono::milliseconds(2200);
@@ -148,6 +151,12 @@
   /** Called when records are missing. */
   virtual void Refresh() = 0;
 
+  /** Called when records are missing that may yet come from a peer. */
+  virtual void RefreshSoon() = 0;
+
+  void Keep(const std::vector<StoreEntry>& aEntries);
+  void TakeEarly();
+
   const Clock& m_clock;
   const Logger& m_logger;
   HostRecord m_self;
@@ -161,7 +170,8 @@
   std::vector<PendingEdit> m_inFlight; ///< Of the draft on its way.
   std::string m_draftReasons;
   std::vector<StateListener*> m_listeners;
-  std::deque<StoreEntry> m_recent; ///< Last records, for peers.
+  std::deque<StoreEntry> m_recent;       ///< Last records, for peers.
+  std::map<int64_t, StoreEntry> m_early; ///< From peers, after a gap.
   MonoTime m_seenAt;
   bool m_readsForOthers = false;
   OnAppended m_onAppended;
@@ -200,6 +210,8 @@
       Poll();
     }
   }
+  void RefreshSoon() override;
+  void OnGapTimer();
   void WriteRecord();
   void OnRecordWritten(const HostRecord& aWritten, AppendReply aReply);
   void WriteTable();
@@ -215,6 +227,7 @@
   Timer m_pollTimer;
   Timer m_writeTimer;
   Timer m_resendTimer;
+  Timer m_gapTimer;
   std::vector<StoreEntry> m_draftEntries;
   int64_t m_draftAt = 0;
   bool m_connected = false;
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -21,6 +21,7 @@
   , m_pollTimer(aBase, [this] { OnPollTimer(); })
   , m_writeTimer(aBase, [this] { Write(); })
   , m_resendTimer(aBase, [this] { SendTable(); })
+  , m_gapTimer(aBase, [this] { OnGapTimer(); })
 {
 }
 
@@ -121,6 +122,29 @@
     std::min(m_settings.pollInterval, m_settings.quietInterval - heard));
 }
 
+template<KeyedStore Store>
+void
+StateTask<Store>::RefreshSoon()
+{
+  if (!m_gapTimer.Running()) {
+    m_gapTimer.StartOnce(m_settings.gapDelay);
+  }
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::OnGapTimer()
+{
+  TakeEarly();
+  const bool behind = !m_early.empty();
+  m_early.clear();
+  if (behind) {
+    Poll();
+  } else {
+    Notify();
+  }
+}
+
 template<KeyedStore Store>
 void
 StateTask<Store>::Poll()
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -273,6 +273,23 @@
   EXPECT_EQ(a.task.State().FindHost(HostName("c")), nullptr);
 }
 
+TEST_F(StateTaskTest, Update_OutOfTurn_IsTakenWithoutTheStore)
+{
+  auto& a = Start("a", std::chrono::seconds(2));
+  Run();
+  const auto end = a.task.End();
+  const auto before = a.store.reads;
+  auto first = EncodeHost(RecordOf("c"));
+  first.offset = end;
+  auto second = EncodeHost(RecordOf("d"));
+  second.offset = end + 1;
+  EXPECT_FALSE(a.task.TakeFromPeer({ second }, end + 2));
+  EXPECT_TRUE(a.task.TakeFromPeer({ first }, end + 1));
+  EXPECT_EQ(a.task.End(), end + 2);
+  EXPECT_NE(a.task.State().FindHost(HostName("d")), nullptr);
+  EXPECT_EQ(a.store.reads, before);
+}
+
 TEST_F(StateTaskTest, Host_RemovedByOthers_JoinsAgain)
 {
   auto& a = Start("a");
