--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -230,7 +230,6 @@
   }
   TakeFromSuspects();
   AssignFree();
-  Evacuate();
   if (m_ticks % kReportTicks == 0) {
     SuspectSilent();
   }
@@ -341,47 +340,17 @@
 {
   for (const auto& service : m_sharded) {
     const auto& rows = m_state.State().Table().RowsOf(service);
-    Order(m_rebalancers[service].Plan(
-            rows, TakersOf(service), LoadOf(service), m_clock.Now()),
-          "load");
-  }
-}
-
-void
-CoordinatorTask::Evacuate()
-{
-  for (const auto& service : m_sharded) {
-    std::set<HostName> leaving;
-    for (const auto& [name, host] : m_state.State().Hosts()) {
-      const bool leaves =
-        host.server && host.server->state == ServerState::kDraining;
-      if (host.service == service && leaves) {
-        leaving.insert(name);
-      }
+    const auto moves = m_rebalancers[service].Plan(
+      rows, TakersOf(service), LoadOf(service), m_clock.Now());
+    for (const auto& move : moves) {
+      m_logger.Info("move-planned",
+                    "range={}-{} from={} to={}",
+                    move.range.first,
+                    move.range.last,
+                    move.from.Value(),
+                    move.to.Value());
+      m_orders[move.from].moves.push_back(MoveOrder{ move.range, move.to });
     }
-    if (leaving.empty()) {
-      continue;
-    }
-    const auto& rows = m_state.State().Table().RowsOf(service);
-    Order(m_rebalancers[service].Evacuate(
-            rows, leaving, TakersOf(service), LoadOf(service), m_clock.Now()),
-          "leaving");
-  }
-}
-
-void
-CoordinatorTask::Order(const std::vector<PlannedMove>& aMoves,
-                       const char* aCause)
-{
-  for (const auto& move : aMoves) {
-    m_logger.Info("move-planned",
-                  "range={}-{} from={} to={} cause={}",
-                  move.range.first,
-                  move.range.last,
-                  move.from.Value(),
-                  move.to.Value(),
-                  aCause);
-    m_orders[move.from].moves.push_back(MoveOrder{ move.range, move.to });
   }
 }
 
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -71,8 +71,6 @@
   void AssignFree(const ServiceName& aService);
   bool Settled(const std::vector<Taker>& aTakers);
   void PlanMoves();
-  void Evacuate();
-  void Order(const std::vector<PlannedMove>& aMoves, const char* aCause);
   void SuspectSilent();
   void ReportTo(const HostName& aHost, const HostReport& aReport);
   void OnOrders(const HostName& aHost,
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -198,7 +198,7 @@
   m_idleSince = m_leaveBegan;
   m_logger.Info("leave-begin", "in_flight={}", m_server.InFlight());
   m_ingress->BeginClosing();
-  m_server.BeginHandover();
+  m_server.BeginLeave();
   m_leaveTimer.StartEvery(kLeaveInterval);
 }
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -414,8 +414,8 @@
   LiveServer server;
   server.life = aHeartbeat.life;
   server.slots = aHeartbeat.slots;
-  server.state = m_handsOver || m_keeper.LeavingAll() ? ServerState::kDraining
-                                                      : ServerState::kReady;
+  server.state = m_leaving || m_keeper.LeavingAll() ? ServerState::kDraining
+                                                    : ServerState::kReady;
   m_state.PublishServer(server);
 }
 
@@ -575,9 +575,9 @@
 }
 
 void
-RangeServerTask::BeginHandover()
+RangeServerTask::BeginLeave()
 {
-  m_handsOver = true;
+  m_leaving = true;
   auto server = m_state.OwnRecord().server;
   if (server && server->state == ServerState::kReady) {
     server->state = ServerState::kDraining;
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -76,10 +76,10 @@
   void SetSharded(bool aSharded) { m_sharded = aSharded; }
 
   /**
-   * \brief This daemon stops soon: others are to take the keys, and requests
-   * that any server can answer go elsewhere. Serves on until BeginDrain.
+   * \brief This daemon stops soon: it takes no more keys, and requests that any
+   * server can answer go elsewhere. Serves on until BeginDrain.
    */
-  void BeginHandover();
+  void BeginLeave();
 
   /** \brief No new work from now on; queued requests are refused. */
   void BeginDrain();
@@ -142,7 +142,7 @@
   std::function<Duration()> m_backlog;
   double m_serviceSeconds = 0.2; ///< Mean; at first what is usual.
   bool m_sharded = false;
-  bool m_handsOver = false;
+  bool m_leaving = false;
   bool m_draining = false;
   Timer m_entering;
   Timer m_gateTimer;
--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <span>
 
 namespace pistachioshift {
 
@@ -13,9 +14,6 @@
 /** A newcomer gets this share of a fair load at first. */
 constexpr double kNewcomerShare = 0.5;
 
-/** Pieces of a stopping host's load, as a share of what is fair for a host. */
-constexpr double kPieceShare = 0.25;
-
 /** A piece may carry this much more than what is to be moved. */
 constexpr double kOvershoot = 1.3;
 
@@ -196,7 +194,7 @@
   auto givers = places.size();
   while (givers > 1 && m_pending.size() + moves.size() < most) {
     const auto mean = MeanLevel(places);
-    std::sort(places.begin(), places.begin() + givers, ByLevel);
+    std::ranges::sort(std::span(places).first(givers), ByLevel);
     auto& high = places[givers - 1];
     auto& low = *std::min_element(places.begin(), places.end(), ByLevel);
     const auto piece = PieceFor(high, low, mean, aLoad);
@@ -215,47 +213,4 @@
   return moves;
 }
 
-bool
-Rebalancer::IsPending(const RangeRow& aRow) const
-{
-  return std::any_of(
-    m_pending.begin(), m_pending.end(), [&](const Pending& aItem) {
-      return aItem.move.from == aRow.holder.host &&
-             aItem.move.range.Overlaps(aRow.range);
-    });
-}
-
-std::vector<PlannedMove>
-Rebalancer::Evacuate(const RangeRows& aRows,
-                     const std::set<HostName>& aLeaving,
-                     const std::vector<Taker>& aTakers,
-                     const LoadMap& aLoad,
-                     MonoTime aNow)
-{
-  std::vector<PlannedMove> moves;
-  if (aTakers.empty() || aLeaving.empty()) {
-    return moves;
-  }
-  ForgetDone(aRows, aNow);
-  auto places = MakePlaces(aRows, aTakers, aLoad);
-  CountPending(places, aLoad);
-  const auto fair =
-    aLoad.LoadOf(KeyRange{}) / static_cast<double>(aTakers.size());
-  for (const auto& row : aRows) {
-    if (row.Free() || !aLeaving.contains(row.holder.host) || IsPending(row)) {
-      continue;
-    }
-    const auto pieces =
-      std::max(1.0, std::ceil(aLoad.LoadOf(row.range) / (fair * kPieceShare)));
-    for (const auto& piece :
-         aLoad.Cut(row.range, static_cast<uint32_t>(pieces))) {
-      auto& place = *std::min_element(places.begin(), places.end(), ByLevel);
-      place.load += aLoad.LoadOf(piece);
-      moves.push_back(PlannedMove{ piece, row.holder.host, HostOf(place) });
-      m_pending.push_back(Pending{ moves.back(), aNow });
-    }
-  }
-  return moves;
-}
-
 }
--- a/src/Ranges/Rebalancer.h
+++ b/src/Ranges/Rebalancer.h
@@ -2,7 +2,6 @@
 #define PISTACHIOSHIFT_RANGES_REBALANCER_H
 
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "src/Ranges/Assigner.h"
@@ -69,16 +68,6 @@
                                 const LoadMap& aLoad,
                                 MonoTime aNow);
 
-  /**
-   * \brief Moves that empty hosts which stop soon, as far as others can take
-   * keys; pieces are spread so that no taker's load jumps by much.
-   */
-  std::vector<PlannedMove> Evacuate(const RangeRows& aRows,
-                                    const std::set<HostName>& aLeaving,
-                                    const std::vector<Taker>& aTakers,
-                                    const LoadMap& aLoad,
-                                    MonoTime aNow);
-
 private:
   struct Pending
   {
@@ -87,7 +76,6 @@
   };
 
   void ForgetDone(const RangeRows& aRows, MonoTime aNow);
-  bool IsPending(const RangeRow& aRow) const;
   void CountPending(std::vector<internal::Place>& aPlaces,
                     const LoadMap& aLoad) const;
   std::optional<KeyRange> PieceFor(const internal::Place& aHigh,
