--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** The rate of the host's link isn't among the settings. */
+constexpr double kNoBulkLimit = 0.0;
+
 /** R7: time after which a leaving daemon takes no new work. */
 constexpr Duration kLeaveGrace = std::chrono::seconds(2);
 constexpr Duration kLeaveInterval = std::chrono::milliseconds(50);
@@ -77,20 +80,23 @@
   , m_relay(aBase, m_random, m_mesh, m_document, m_peers, m_settings)
   , m_planner(aBase, m_clock, m_mesh, m_backend, m_logger)
   , m_rebalance(aBase, m_clock, m_mesh, m_backend, m_peers, m_planner, m_logger)
+  , m_bulk(aBase, m_clock, kNoBulkLimit)
   , m_inner(aBase,
             m_clock,
             m_settings.place.inner,
             m_boot,
             m_backend,
             MakeInnerServices(),
-            m_metrics)
+            m_metrics,
+            m_bulk)
   , m_dialect(m_clock, m_mesh, m_backend)
   , m_ingress(IngressContext{ aBase,
                               m_clock,
                               m_random,
                               m_dialect,
                               m_router,
-                              m_metrics },
+                              m_metrics,
+                              m_bulk },
               m_settings.place.callers,
               CallerLimits(m_settings))
   , m_operator(aBase, m_settings.place.operators)
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -60,6 +60,7 @@
   RelayTask m_relay;
   PlannerTask m_planner;
   RebalanceTask m_rebalance;
+  BulkQueue m_bulk;
   InnerServerTask m_inner;
   DocumentDialect m_dialect;
   IngressTask m_ingress;
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kVerdictGrace = milliseconds(100);
 constexpr int kServerErrors = 500;
 
+/** Of an answer, held for the host's link before its source is paused: most
+ * downloads are smaller, so that their backend server is free at once. */
+constexpr size_t kMostWaiting = size_t{ 256 } * 1024;
+
 }
 
 IngressSession::IngressSession(const IngressContext& aContext,
@@ -90,8 +94,23 @@
 void
 IngressSession::OnDrained()
 {
-  if (m_call) {
+  m_exchangeOpen = true;
+  UpdateFlow();
+}
+
+void
+IngressSession::UpdateFlow()
+{
+  const bool room = !m_sender || m_sender->Waiting() <= kMostWaiting;
+  const bool open = m_exchangeOpen && room;
+  if (!m_call || open == m_answerOpen) {
+    return;
+  }
+  m_answerOpen = open;
+  if (open) {
     m_call->ResumeBody();
+  } else {
+    m_call->PauseBody();
   }
 }
 
@@ -149,6 +168,7 @@
   m_known = m_context.router.Known(*m_destination);
   m_attemptStarted = m_context.clock.Now();
   m_attempt = std::make_shared<IngressAttempt>(shared_from_this());
+  m_answerOpen = true;
   m_call = m_context.router.Start(*m_destination, MakeRequest(), m_attempt);
   bool open = true;
   if (!m_body.empty()) {
@@ -230,6 +250,7 @@
   TellBalancer(failed ? InstanceResult::kFailed : InstanceResult::kDone);
   m_exchange->SendHead(*std::move(m_pendingHead));
   m_pendingHead.reset();
+  m_sender = std::make_shared<BulkSender>(m_context.bulk, weak_from_this());
 }
 
 void
@@ -237,9 +258,8 @@
 {
   SendPendingHead();
   m_resume.OnBytes(aData.size());
-  if (!m_exchange->SendBody(aData) && m_call) {
-    m_call->PauseBody();
-  }
+  m_sender->Send(aData);
+  UpdateFlow();
 }
 
 void
@@ -247,8 +267,37 @@
 {
   const auto self = shared_from_this();
   SendPendingHead();
-  m_exchange->Finish();
-  Done(Outcome::kDone);
+  CloseAttempt();
+  m_sender->Finish();
+}
+
+void
+IngressSession::SendNow(std::string_view aData)
+{
+  if (!m_ended) {
+    m_exchangeOpen = m_exchange->SendBody(aData);
+    UpdateFlow();
+  }
+}
+
+void
+IngressSession::FinishNow()
+{
+  const auto self = shared_from_this();
+  if (!m_ended) {
+    m_exchange->Finish();
+    Done(Outcome::kDone);
+  }
+}
+
+void
+IngressSession::EndNow()
+{
+  const auto self = shared_from_this();
+  if (m_sender) {
+    m_sender->Flush();
+  }
+  GiveUp(RefusalReason::kDraining);
 }
 
 void
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "src/Daemon/BulkSender.h"
 #include "src/Daemon/DownloadResume.h"
 #include "src/Daemon/IngressTask.h"
 #include "src/Daemon/Intake.h"
@@ -17,6 +18,7 @@
 /** \brief One request of a caller, over all its attempts. */
 class IngressSession
   : public ServerListener
+  , public BulkSink
   , public std::enable_shared_from_this<IngressSession>
 {
 public:
@@ -26,7 +28,7 @@
   void Start();
 
   /** \brief Gives a final answer now, as this process ends. */
-  void EndNow() { GiveUp(RefusalReason::kDraining); }
+  void EndNow();
 
   // ServerListener
   void OnBody(std::string_view aData) override;
@@ -34,6 +36,10 @@
   void OnDrained() override;
   void OnAborted(AbortReason aReason) override;
 
+  // BulkSink
+  void SendNow(std::string_view aData) override;
+  void FinishNow() override;
+
   // From the attempt in progress
   void OnHead(const ResponseHead& aHead, const FenceToken& aToken);
   void OnAnswerBody(std::string_view aData);
@@ -57,6 +63,7 @@
   void GiveUp(RefusalReason aReason);
   void CloseAttempt();
   void SendPendingHead();
+  void UpdateFlow();
   void OnTruncated();
   void TryResume();
   void TellBalancer(InstanceResult aResult);
@@ -76,6 +83,9 @@
   bool m_answerBegun = false;
   bool m_resuming = false;
   std::optional<ResponseHead> m_pendingHead; ///< Until a body byte follows.
+  std::shared_ptr<BulkSender> m_sender;      ///< From that byte on.
+  bool m_exchangeOpen = true; ///< The caller reads as fast as is sent.
+  bool m_answerOpen = true;   ///< The attempt's answer isn't paused.
   DownloadResume m_resume;
   bool m_ended = false;
   bool m_read = false; ///< The request names a known route.
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -6,6 +6,7 @@
 
 #include "Pistachioshift/Http"
 #include "src/Base/Random.h"
+#include "src/Daemon/BulkQueue.h"
 #include "src/Daemon/IngressDialect.h"
 #include "src/Daemon/Metrics.h"
 #include "src/Daemon/RequestRouter.h"
@@ -23,6 +24,7 @@
   IngressDialect& dialect;
   RequestRouter& router;
   Metrics& metrics;
+  BulkQueue& bulk; ///< Of the host's link.
 };
 
 /** \brief Takes callers' requests and sees each through to its outcome. */
--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -24,14 +24,14 @@
                                  CallServer& aCalls,
                                  InnerServices aServices,
                                  Metrics& aMetrics,
-                                 double aBulkRate)
+                                 BulkQueue& aBulk)
   : m_base(aBase)
   , m_clock(aClock)
   , m_boot(aBoot)
   , m_calls(aCalls)
   , m_services(std::move(aServices))
   , m_metrics(aMetrics)
-  , m_bulk(aBase, aClock, aBulkRate)
+  , m_bulk(aBulk)
 {
   const auto address = internal::ToSocketAddress(aEndpoint);
   m_listener = evconnlistener_new_bind(
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -34,7 +34,7 @@
 {
 public:
   /**
-   * \param aBulkRate bytes a second of large answers; 0: no limit.
+   * \param aBulk shared with the answers to the host's own callers.
    * \throws InnerError if the endpoint can't be bound.
    */
   InnerServerTask(event_base* aBase,
@@ -44,7 +44,7 @@
                   CallServer& aCalls,
                   InnerServices aServices,
                   Metrics& aMetrics,
-                  double aBulkRate = 0.0);
+                  BulkQueue& aBulk);
   ~InnerServerTask();
   InnerServerTask(const InnerServerTask&) = delete;
   InnerServerTask& operator=(const InnerServerTask&) = delete;
@@ -54,9 +54,6 @@
   /** \brief Whether answers wait for their turn on the link. */
   bool HasUnsent() const;
 
-  /** \brief Time that a large answer would wait for the link now. */
-  Duration Backlog() const { return m_bulk.Backlog(); }
-
 private:
   friend class InnerSession;
 
@@ -68,7 +65,7 @@
   CallServer& m_calls;
   InnerServices m_services;
   Metrics& m_metrics;
-  BulkQueue m_bulk;
+  BulkQueue& m_bulk;
   evconnlistener* m_listener = nullptr;
   std::set<std::shared_ptr<InnerSession>> m_sessions;
 };
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -216,19 +216,30 @@
 void
 InnerStream::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
 {
-  Send(ResponseOpen{ m_stream, aHead, aToken });
+  const auto session = m_session.lock();
+  if (!session) {
+    return;
+  }
+  m_sender = std::make_shared<BulkSender>(session->Bulk(), weak_from_this());
+  session->Send(ResponseOpen{ m_stream, aHead, aToken });
 }
 
 void
 InnerStream::OnBody(std::string_view aData)
 {
+  if (!m_sender) {
+    return;
+  }
   m_send.Consume(aData.size());
   if (!m_send.Open() && m_call) {
     m_call->PauseBody();
   }
-  if (Queue(aData)) {
-    return;
-  }
+  m_sender->Send(aData);
+}
+
+void
+InnerStream::SendNow(std::string_view aData)
+{
   while (!aData.empty()) {
     const auto piece = aData.substr(0, kBodyPieceBytes);
     Send(BodyPiece{ m_stream, std::string(piece), false });
@@ -236,59 +247,20 @@
   }
 }
 
-bool
-InnerStream::Queue(std::string_view aData)
-{
-  const auto session = m_session.lock();
-  if (!session || !session->Bulk().Limited()) {
-    return false;
-  }
-  m_direct += aData.size();
-  if (!m_queued && m_direct <= kDirectBytes) {
-    session->Bulk().Spend(aData.size());
-    return false;
-  }
-  m_bulk.append(aData);
-  if (!m_queued) {
-    m_queued = true;
-    session->Bulk().Add(weak_from_this());
-  }
-  return true;
-}
-
-size_t
-InnerStream::SendPiece(size_t aMost)
+void
+InnerStream::OnEnd()
 {
   const auto self = shared_from_this();
-  const auto piece = m_bulk.substr(m_bulkSent, aMost);
-  if (!piece.empty()) {
-    Send(BodyPiece{ m_stream, piece, false });
-  }
-  m_bulkSent += piece.size();
-  if (m_bulkSent < m_bulk.size()) {
-    return piece.size();
-  }
-  m_bulk.clear();
-  m_bulkSent = 0;
-  if (m_answered && m_queued) {
-    Send(BodyPiece{ m_stream, {}, true });
-    Remove();
-  }
-  if (piece.empty()) {
-    m_queued = false;
+  m_call.reset();
+  if (m_sender) {
+    m_sender->Finish();
   }
-  return piece.size();
 }
 
 void
-InnerStream::OnEnd()
+InnerStream::FinishNow()
 {
   const auto self = shared_from_this();
-  if (!m_bulk.empty()) {
-    m_answered = true;
-    m_call.reset();
-    return;
-  }
   Send(BodyPiece{ m_stream, {}, true });
   Remove();
 }
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "src/Daemon/BulkSender.h"
 #include "src/Daemon/FlowWindow.h"
 #include "src/Daemon/InnerServerTask.h"
 
@@ -45,7 +46,7 @@
 /** \brief Passes one request to the backend task and its answer back. */
 class InnerStream
   : public CallListener
-  , public BulkSource
+  , public BulkSink
   , public std::enable_shared_from_this<InnerStream>
 {
 public:
@@ -68,11 +69,12 @@
   void OnDrained() override;
   void OnRefused(const CallRefusal& aRefusal) override;
   void OnLost(CallLoss aLoss) override;
-  size_t SendPiece(size_t aMost) override;
-  size_t Waiting() const override { return m_bulk.size() - m_bulkSent; }
+
+  // BulkSink
+  void SendNow(std::string_view aData) override;
+  void FinishNow() override;
 
 private:
-  bool Queue(std::string_view aData);
   void Send(const Frame& aFrame);
   void Remove();
   void Grant(int64_t aBytes);
@@ -82,11 +84,7 @@
   std::shared_ptr<Call> m_call;
   SendWindow m_send;
   ReceiveWindow m_receive;
-  size_t m_direct = 0;   ///< Bytes of the answer that didn't wait.
-  std::string m_bulk;    ///< Waits for its turn on the link.
-  size_t m_bulkSent = 0; ///< Bytes of it that have gone out.
-  bool m_queued = false;
-  bool m_answered = false; ///< The answer ends with what waits.
+  std::shared_ptr<BulkSender> m_sender; ///< From the answer's head on.
 };
 
 }
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -16,8 +16,8 @@
 /** Between checks whether everything has ended. */
 constexpr Duration kLeaveInterval = milliseconds(50);
 
-/** Of the link, for large answers: the rest is for answers to the host's own
- * callers, small ones and heartbeats. */
+/** Of the link, for answers: the rest is for headers, requests and
+ * heartbeats. */
 constexpr double kBulkShare = 0.85;
 
 /** Time for the last answers to leave before a forced exit. */
@@ -74,6 +74,7 @@
   , m_peers(aBase, aClock, m_boot, aMetrics, PeerConnections())
   , m_router(aClock, aRandom, aState, m_server, m_peers)
   , m_coordinator(aBase, aClock, aState, m_server, m_peers, aLogger)
+  , m_bulk(aBase, aClock, aSettings.linkBytesPerSecond * kBulkShare)
   , m_inner(aBase,
             aClock,
             aSettings.inner,
@@ -81,7 +82,7 @@
             m_server,
             MakeInnerServices(),
             aMetrics,
-            aSettings.linkBytesPerSecond * kBulkShare)
+            m_bulk)
   , m_operator(aBase, aSettings.metrics)
   , m_leaveTimer(aBase, [this] { OnLeaveTick(); })
 {
@@ -91,7 +92,7 @@
   aState.SetOnAppended(
     [this](const StateUpdate& aUpdate) { SendUpdate(aUpdate); });
   aState.SetOnUnavailable([this] { AskPeers(); });
-  m_server.SetBacklog([this] { return m_inner.Backlog(); });
+  m_server.SetBacklog([this] { return m_bulk.Backlog(); });
   m_operator.OnGet("/metrics",
                    [this](const OperatorRequest&) { return RenderMetrics(); });
 }
@@ -172,7 +173,8 @@
 HostDaemon::Start(IngressDialect& aDialect, const HttpLimits& aLimits)
 {
   const IngressContext context{ m_base,   m_clock,  m_random,
-                                aDialect, m_router, m_metrics };
+                                aDialect, m_router, m_metrics,
+                                m_bulk };
   m_ingress =
     std::make_unique<IngressTask>(context, m_settings.callers, aLimits);
   m_dialect = &aDialect;
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -102,6 +102,7 @@
   PeersTask m_peers;
   RangeRouter m_router;
   CoordinatorTask m_coordinator;
+  BulkQueue m_bulk;
   InnerServerTask m_inner;
   OperatorTask m_operator;
   std::unique_ptr<IngressTask> m_ingress;
--- /dev/null
+++ b/test/Daemon/BulkSenderTest.cpp
@@ -0,0 +1,147 @@
+#include <string>
+
+#include <event2/event.h>
+#include <gtest/gtest.h>
+
+#include "src/Daemon/BulkSender.h"
+
+namespace pistachioshift {
+
+using std::chrono::milliseconds;
+
+class SinkDouble : public BulkSink
+{
+public:
+  void SendNow(std::string_view aData) override { received.append(aData); }
+  void FinishNow() override { ++finished; }
+
+  std::string received;
+  int finished = 0;
+};
+
+/** Answers of a host to its own callers and to other daemons on one link. */
+class BulkSenderTest : public ::testing::Test
+{
+protected:
+  static constexpr double kRate = 1e6; // bytes a second
+  static constexpr size_t kLarge = size_t{ 200 } * 1024;
+
+  ~BulkSenderTest() override { event_base_free(m_base); }
+
+  void RunFor(Duration aTime)
+  {
+    const auto until = m_clock.Now() + aTime;
+    while (m_clock.Now() < until) {
+      event_base_loop(m_base, EVLOOP_NONBLOCK);
+    }
+  }
+
+  std::shared_ptr<BulkSender> MakeSender()
+  {
+    return std::make_shared<BulkSender>(m_queue, m_sink);
+  }
+
+  event_base* m_base = event_base_new();
+  SystemClock m_clock;
+  BulkQueue m_queue{ m_base, m_clock, kRate };
+  std::shared_ptr<SinkDouble> m_sink = std::make_shared<SinkDouble>();
+};
+
+TEST_F(BulkSenderTest, Small_LinkFull_GoesAtOnce)
+{
+  m_queue.Spend(size_t{ 10 } * 1024 * 1024);
+  const auto sender = MakeSender();
+  sender->Send("answer");
+  sender->Finish();
+  EXPECT_EQ(m_sink->received, "answer");
+  EXPECT_EQ(m_sink->finished, 1);
+}
+
+TEST_F(BulkSenderTest, Large_LinkFull_BeginningGoesAndTheRestWaits)
+{
+  m_queue.Spend(size_t{ 10 } * 1024 * 1024);
+  const auto sender = MakeSender();
+  sender->Send(std::string(kDirectBytes, 'a'));
+  sender->Send(std::string(kLarge, 'b'));
+  sender->Finish();
+  EXPECT_EQ(m_sink->received.size(), kDirectBytes);
+  EXPECT_EQ(m_sink->finished, 0);
+  EXPECT_EQ(sender->Waiting(), kLarge);
+  EXPECT_GE(m_queue.Backlog(), milliseconds(200));
+}
+
+TEST_F(BulkSenderTest, Large_LinkFree_ArrivesWholeAndInOrderAtTheRate)
+{
+  const auto began = m_clock.Now();
+  const auto sender = MakeSender();
+  std::string sent;
+  for (char piece = 'a'; piece < 'k'; ++piece) {
+    sent.append(kLarge / 10, piece);
+    sender->Send(std::string(kLarge / 10, piece));
+  }
+  sender->Finish();
+  EXPECT_EQ(m_sink->finished, 0);
+  while (m_sink->finished == 0 && m_clock.Now() - began < milliseconds(5000)) {
+    RunFor(milliseconds(5));
+  }
+  EXPECT_EQ(m_sink->finished, 1);
+  EXPECT_EQ(m_sink->received, sent);
+  // 200 KiB less the burst of 64 KiB.
+  EXPECT_GE(m_clock.Now() - began, milliseconds(120));
+}
+
+TEST_F(BulkSenderTest, Two_SecondFromOtherKindOfPeer_ShareTheRate)
+{
+  const auto other = std::make_shared<SinkDouble>();
+  const auto first = MakeSender();
+  const auto second = std::make_shared<BulkSender>(m_queue, other);
+  const auto began = m_clock.Now();
+  first->Send(std::string(kLarge, 'a'));
+  second->Send(std::string(kLarge, 'b'));
+  RunFor(milliseconds(100));
+  const auto sent = m_sink->received.size() + other->received.size();
+  const std::chrono::duration<double> taken = m_clock.Now() - began;
+  const size_t burst = size_t{ 64 } * 1024 + kDirectBytes;
+  EXPECT_LE(sent, static_cast<size_t>(taken.count() * kRate) + burst);
+}
+
+TEST_F(BulkSenderTest, Flush_ProcessEnds_RestGoesAtOnce)
+{
+  m_queue.Spend(size_t{ 10 } * 1024 * 1024);
+  const auto sender = MakeSender();
+  sender->Send(std::string(kLarge, 'a'));
+  sender->Finish();
+  sender->Flush();
+  EXPECT_EQ(m_sink->received.size(), kLarge);
+  EXPECT_EQ(m_sink->finished, 1);
+  RunFor(milliseconds(20));
+  EXPECT_EQ(m_sink->finished, 1);
+}
+
+TEST_F(BulkSenderTest, Destroyed_WhileItWaits_NextOneIsSent)
+{
+  auto first = MakeSender();
+  first->Send(std::string(kLarge, 'a'));
+  first.reset();
+  const auto other = std::make_shared<SinkDouble>();
+  const auto second = std::make_shared<BulkSender>(m_queue, other);
+  second->Send(std::string(kDirectBytes * 2, 'b'));
+  second->Finish();
+  const auto began = m_clock.Now();
+  while (other->finished == 0 && m_clock.Now() - began < milliseconds(5000)) {
+    RunFor(milliseconds(5));
+  }
+  EXPECT_EQ(other->finished, 1);
+}
+
+TEST_F(BulkSenderTest, NoRate_Large_NeverWaits)
+{
+  BulkQueue unlimited(m_base, m_clock, 0.0);
+  const auto sender = std::make_shared<BulkSender>(unlimited, m_sink);
+  sender->Send(std::string(kLarge, 'a'));
+  sender->Finish();
+  EXPECT_EQ(m_sink->received.size(), kLarge);
+  EXPECT_EQ(m_sink->finished, 1);
+}
+
+}
