--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -111,6 +111,35 @@
   }
 }
 
+void
+StateTaskBase::TakeEntry(const StoreEntry& aEntry)
+{
+  const bool whole = IsTable(aEntry);
+  const auto before = whole ? m_state.Table() : RangeTable();
+  try {
+    m_state.Apply(aEntry);
+  } catch (const RangesGap&) {
+    throw;
+  } catch (const RangesError& error) {
+    m_logger.Warning("record-skipped",
+                     "offset={} key={} problem=\"{}\"",
+                     aEntry.offset,
+                     aEntry.key,
+                     error.what());
+  }
+  m_recent.push_back(aEntry);
+  // Peers have the table before as well.
+  const auto change =
+    whole ? Difference(before, m_state.Table()) : std::nullopt;
+  if (change && change->revision == change->base + 1) {
+    m_recent.back() = EncodeChange(*change);
+    m_recent.back().offset = aEntry.offset;
+  }
+  if (m_recent.size() > kMostRecent) {
+    m_recent.pop_front();
+  }
+}
+
 void
 StateTaskBase::Take(const std::vector<StoreEntry>& aEntries, int64_t aNext)
 {
@@ -118,18 +147,17 @@
     if (entry.offset < m_end) {
       continue;
     }
-    m_recent.push_back(entry);
-    if (m_recent.size() > kMostRecent) {
-      m_recent.pop_front();
-    }
     try {
-      m_state.Apply(entry);
-    } catch (const RangesError& error) {
-      m_logger.Warning("record-skipped",
-                       "offset={} key={} problem=\"{}\"",
+      TakeEntry(entry);
+    } catch (const RangesGap& gap) {
+      m_logger.Warning("change-without-base",
+                       "offset={} revision={} problem=\"{}\"",
                        entry.offset,
-                       entry.key,
-                       error.what());
+                       m_state.Table().revision,
+                       gap.what());
+      aNext = entry.offset;
+      Refresh();
+      break;
     }
   }
   m_end = std::max(m_end, aNext);
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -136,6 +136,7 @@
 
   /** Takes in records; \return whether any of them changed the state. */
   void Take(const std::vector<StoreEntry>& aEntries, int64_t aNext);
+  void TakeEntry(const StoreEntry& aEntry);
   void Confirm(MonoTime aSentAt);
   void Notify();
 
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -269,11 +269,16 @@
   for (auto& entry : aEntries) {
     entry.offset = offset++;
   }
+  const auto first = aEntries.front().offset;
+  const bool inTurn = first <= m_end;
+  if (inTurn) {
+    Take(aEntries, aEnd);
+  }
   if (m_onAppended) {
-    m_onAppended(StateUpdate{ aEntries, aEnd });
+    const auto kept = inTurn ? UpdateFrom(first) : std::nullopt;
+    m_onAppended(kept.value_or(StateUpdate{ aEntries, aEnd }));
   }
-  if (aEntries.front().offset <= m_end) {
-    Take(aEntries, aEnd);
+  if (inTurn) {
     Notify();
   } else {
     Poll();
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view kTableKey = "ranges";
+constexpr std::string_view kChangeKey = "ranges/change";
 constexpr std::string_view kHostPrefix = "host/";
 
 /** Items of one list in a record; above any deployment's rows. */
@@ -88,6 +89,30 @@
   }
 }
 
+std::map<ServiceName, RangeRows>
+FromWire(const std::vector<ranges_idl::WireServiceRows>& aServices)
+{
+  std::map<ServiceName, RangeRows> services;
+  for (const auto& service : aServices) {
+    RangeRows rows;
+    for (const auto& row : service.rows) {
+      rows.push_back(FromWire(row));
+    }
+    services.emplace(ServiceName(service.serviceName), std::move(rows));
+  }
+  return services;
+}
+
+std::vector<Suspicion>
+FromWire(const std::vector<ranges_idl::WireSuspicion>& aSuspicions)
+{
+  std::vector<Suspicion> suspicions;
+  for (const auto& item : aSuspicions) {
+    suspicions.push_back(Suspicion{ HostName(item.host), item.number });
+  }
+  return suspicions;
+}
+
 RangeTable
 FromWire(const ranges_idl::WireTable& aTable)
 {
@@ -95,18 +120,61 @@
   table.revision = aTable.revision;
   table.nextFence = aTable.nextFence;
   table.nextSuspicion = aTable.nextSuspicion;
-  for (const auto& service : aTable.services) {
-    RangeRows rows;
-    for (const auto& row : service.rows) {
-      rows.push_back(FromWire(row));
-    }
+  table.services = FromWire(aTable.services);
+  table.suspicions = FromWire(aTable.suspicions);
+  return table;
+}
+
+TableChange
+FromWire(const ranges_idl::WireTableChange& aChange)
+{
+  TableChange change;
+  change.base = aChange.base;
+  change.revision = aChange.revision;
+  change.nextFence = aChange.nextFence;
+  change.nextSuspicion = aChange.nextSuspicion;
+  change.rows = FromWire(aChange.services);
+  change.suspicions = FromWire(aChange.suspicions);
+  return change;
+}
+
+void
+CheckTable(const RangeTable& aTable)
+{
+  for (const auto& [service, rows] : aTable.services) {
     CheckRows(rows);
-    table.services.emplace(ServiceName(service.serviceName), std::move(rows));
   }
-  for (const auto& item : aTable.suspicions) {
-    table.suspicions.push_back(Suspicion{ HostName(item.host), item.number });
+}
+
+/** Tables and changes have these parts in common. */
+template<class Wire>
+void
+FillWire(Wire& aWire,
+         const std::map<ServiceName, RangeRows>& aServices,
+         const std::vector<Suspicion>& aSuspicions)
+{
+  for (const auto& [service, rows] : aServices) {
+    ranges_idl::WireServiceRows item;
+    item.serviceName = service.Value();
+    for (const auto& row : rows) {
+      ranges_idl::WireRow out;
+      out.first = static_cast<int32_t>(row.range.first);
+      out.last = static_cast<int32_t>(row.range.last);
+      out.host = row.holder.host.Value();
+      out.server = row.holder.life.id.Value();
+      out.bornMillis = ToMillis(row.holder.life.born);
+      out.fence = row.fence.Value();
+      out.handover = row.handover;
+      item.rows.push_back(std::move(out));
+    }
+    aWire.services.push_back(std::move(item));
+  }
+  for (const auto& suspicion : aSuspicions) {
+    ranges_idl::WireSuspicion item;
+    item.host = suspicion.host.Value();
+    item.number = suspicion.number;
+    aWire.suspicions.push_back(std::move(item));
   }
-  return table;
 }
 
 template<class Struct>
@@ -122,13 +190,25 @@
 
 }
 
+bool
+IsTable(const StoreEntry& aEntry)
+{
+  return aEntry.key == kTableKey;
+}
+
 void
 MeshState::Apply(const StoreEntry& aEntry)
 {
-  if (aEntry.key == kTableKey) {
-    m_table = aEntry.value
-                ? FromWire(Decode<ranges_idl::WireTable>(*aEntry.value))
-                : RangeTable();
+  if (IsTable(aEntry)) {
+    auto table = aEntry.value
+                   ? FromWire(Decode<ranges_idl::WireTable>(*aEntry.value))
+                   : RangeTable();
+    CheckTable(table);
+    m_table = std::move(table);
+    return;
+  }
+  if (aEntry.key == kChangeKey && aEntry.value) {
+    ApplyChange(FromWire(Decode<ranges_idl::WireTableChange>(*aEntry.value)));
     return;
   }
   if (!aEntry.key.starts_with(kHostPrefix)) {
@@ -146,6 +226,20 @@
   m_hosts[name] = std::move(host);
 }
 
+void
+MeshState::ApplyChange(const TableChange& aChange)
+{
+  if (aChange.revision <= m_table.revision) {
+    return; // The newest records, read key by key, had it already.
+  }
+  auto table = Changed(m_table, aChange);
+  if (!table) {
+    throw RangesGap("change of a table that isn't known");
+  }
+  CheckTable(*table);
+  m_table = *std::move(table);
+}
+
 const HostRecord*
 MeshState::FindHost(const HostName& aHost) const
 {
@@ -223,32 +317,26 @@
   wire.revision = aTable.revision;
   wire.nextFence = aTable.nextFence;
   wire.nextSuspicion = aTable.nextSuspicion;
-  for (const auto& [service, rows] : aTable.services) {
-    ranges_idl::WireServiceRows item;
-    item.serviceName = service.Value();
-    for (const auto& row : rows) {
-      ranges_idl::WireRow out;
-      out.first = static_cast<int32_t>(row.range.first);
-      out.last = static_cast<int32_t>(row.range.last);
-      out.host = row.holder.host.Value();
-      out.server = row.holder.life.id.Value();
-      out.bornMillis = ToMillis(row.holder.life.born);
-      out.fence = row.fence.Value();
-      out.handover = row.handover;
-      item.rows.push_back(std::move(out));
-    }
-    wire.services.push_back(std::move(item));
-  }
-  for (const auto& suspicion : aTable.suspicions) {
-    ranges_idl::WireSuspicion item;
-    item.host = suspicion.host.Value();
-    item.number = suspicion.number;
-    wire.suspicions.push_back(std::move(item));
-  }
+  FillWire(wire, aTable.services, aTable.suspicions);
   StoreEntry entry;
   entry.key = kTableKey;
   entry.value = internal::EncodeStruct(wire);
   return entry;
 }
 
+StoreEntry
+EncodeChange(const TableChange& aChange)
+{
+  ranges_idl::WireTableChange wire;
+  wire.base = aChange.base;
+  wire.revision = aChange.revision;
+  wire.nextFence = aChange.nextFence;
+  wire.nextSuspicion = aChange.nextSuspicion;
+  FillWire(wire, aChange.rows, aChange.suspicions);
+  StoreEntry entry;
+  entry.key = kChangeKey;
+  entry.value = internal::EncodeStruct(wire);
+  return entry;
+}
+
 }
--- a/src/Ranges/MeshState.h
+++ b/src/Ranges/MeshState.h
@@ -9,7 +9,7 @@
 
 #include "src/Base/Error.h"
 #include "src/Ranges/KeyedStore.h"
-#include "src/Ranges/RangeTable.h"
+#include "src/Ranges/TableChange.h"
 
 namespace pistachioshift {
 
@@ -20,6 +20,13 @@
   using Error::Error;
 };
 
+/** \brief A change comes without the one before it. */
+class RangesGap : public RangesError
+{
+public:
+  using RangesError::RangesError;
+};
+
 enum class ServerState : uint8_t
 {
   kReady,
@@ -62,8 +69,9 @@
 {
 public:
   /**
-   * \brief Takes in a record of the store.
-   * \throws RangesError if it can't be read; the state is then unchanged.
+   * \brief Takes in a record of the store, or a change of the table.
+   * \throws RangesError if it can't be read, RangesGap if earlier changes are
+   * missing; the state is then unchanged.
    */
   void Apply(const StoreEntry& aEntry);
 
@@ -81,6 +89,8 @@
   bool CanTake(const HostRecord& aHost) const;
 
 private:
+  void ApplyChange(const TableChange& aChange);
+
   RangeTable m_table;
   std::map<HostName, HostRecord> m_hosts;
 };
@@ -93,6 +103,12 @@
 
 StoreEntry EncodeTable(const RangeTable& aTable);
 
+/** \brief Whether a record holds a whole table. */
+bool IsTable(const StoreEntry& aEntry);
+
+/** \brief A change, to be told to other hosts instead of the table. */
+StoreEntry EncodeChange(const TableChange& aChange);
+
 }
 
 #endif
--- a/src/Ranges/gen/ranges_types.cpp
+++ b/src/Ranges/gen/ranges_types.cpp
@@ -1133,4 +1133,251 @@
   out << ")";
 }
 
+
+WireTableChange::~WireTableChange() noexcept {
+}
+
+
+void WireTableChange::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void WireTableChange::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void WireTableChange::__set_nextFence(const int64_t val) {
+  this->nextFence = val;
+}
+
+void WireTableChange::__set_nextSuspicion(const int64_t val) {
+  this->nextSuspicion = val;
+}
+
+void WireTableChange::__set_services(const std::vector<WireServiceRows> & val) {
+  this->services = val;
+}
+
+void WireTableChange::__set_suspicions(const std::vector<WireSuspicion> & val) {
+  this->suspicions = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireTableChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireTableChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_base = false;
+  bool isset_revision = false;
+  bool isset_nextFence = false;
+  bool isset_nextSuspicion = false;
+  bool isset_services = false;
+  bool isset_suspicions = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          isset_base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextFence);
+          isset_nextFence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextSuspicion);
+          isset_nextSuspicion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->services.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->services[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspicions.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->suspicions.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->suspicions[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_suspicions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_base)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nextFence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nextSuspicion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_suspicions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireTableChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireTableChange");
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextFence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextFence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextSuspicion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->nextSuspicion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<WireServiceRows> ::const_iterator _iter40;
+    for (_iter40 = this->services.begin(); _iter40 != this->services.end(); ++_iter40)
+    {
+      xfer += (*_iter40).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
+    std::vector<WireSuspicion> ::const_iterator _iter41;
+    for (_iter41 = this->suspicions.begin(); _iter41 != this->suspicions.end(); ++_iter41)
+    {
+      xfer += (*_iter41).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireTableChange &a, WireTableChange &b) {
+  using ::std::swap;
+  swap(a.base, b.base);
+  swap(a.revision, b.revision);
+  swap(a.nextFence, b.nextFence);
+  swap(a.nextSuspicion, b.nextSuspicion);
+  swap(a.services, b.services);
+  swap(a.suspicions, b.suspicions);
+}
+
+WireTableChange::WireTableChange(const WireTableChange& other42) {
+  base = other42.base;
+  revision = other42.revision;
+  nextFence = other42.nextFence;
+  nextSuspicion = other42.nextSuspicion;
+  services = other42.services;
+  suspicions = other42.suspicions;
+}
+WireTableChange& WireTableChange::operator=(const WireTableChange& other43) {
+  base = other43.base;
+  revision = other43.revision;
+  nextFence = other43.nextFence;
+  nextSuspicion = other43.nextSuspicion;
+  services = other43.services;
+  suspicions = other43.suspicions;
+  return *this;
+}
+void WireTableChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireTableChange(";
+  out << "base=" << to_string(base);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "nextFence=" << to_string(nextFence);
+  out << ", " << "nextSuspicion=" << to_string(nextSuspicion);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "suspicions=" << to_string(suspicions);
+  out << ")";
+}
+
 }} // namespace
--- a/src/Ranges/gen/ranges_types.h
+++ b/src/Ranges/gen/ranges_types.h
@@ -33,6 +33,8 @@
 
 class WireTable;
 
+class WireTableChange;
+
 
 class WireServer : public virtual ::apache::thrift::TBase {
  public:
@@ -391,6 +393,71 @@
 
 std::ostream& operator<<(std::ostream& out, const WireTable& obj);
 
+
+class WireTableChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireTableChange(const WireTableChange&);
+  WireTableChange& operator=(const WireTableChange&);
+  WireTableChange() noexcept
+                  : base(0),
+                    revision(0),
+                    nextFence(0),
+                    nextSuspicion(0) {
+  }
+
+  virtual ~WireTableChange() noexcept;
+  int64_t base;
+  int64_t revision;
+  int64_t nextFence;
+  int64_t nextSuspicion;
+  std::vector<WireServiceRows>  services;
+  std::vector<WireSuspicion>  suspicions;
+
+  void __set_base(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_nextFence(const int64_t val);
+
+  void __set_nextSuspicion(const int64_t val);
+
+  void __set_services(const std::vector<WireServiceRows> & val);
+
+  void __set_suspicions(const std::vector<WireSuspicion> & val);
+
+  bool operator == (const WireTableChange & rhs) const
+  {
+    if (!(base == rhs.base))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(nextFence == rhs.nextFence))
+      return false;
+    if (!(nextSuspicion == rhs.nextSuspicion))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(suspicions == rhs.suspicions))
+      return false;
+    return true;
+  }
+  bool operator != (const WireTableChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireTableChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireTableChange &a, WireTableChange &b);
+
+std::ostream& operator<<(std::ostream& out, const WireTableChange& obj);
+
 }} // namespace
 
 #endif
--- a/src/Ranges/idl/ranges.thrift
+++ b/src/Ranges/idl/ranges.thrift
@@ -47,3 +47,13 @@
   4: required list<WireServiceRows> services
   5: required list<WireSuspicion> suspicions
 }
+
+// Between hosts only; the store keeps whole tables.
+struct WireTableChange {
+  1: required i64 base
+  2: required i64 revision
+  3: required i64 nextFence
+  4: required i64 nextSuspicion
+  5: required list<WireServiceRows> services
+  6: required list<WireSuspicion> suspicions
+}
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -290,6 +290,48 @@
   EXPECT_EQ(a.store.reads, before);
 }
 
+TEST_F(StateTaskTest, Update_OwnChangeOfTheTable_PeersGetWhatChanged)
+{
+  auto& a = Start("a");
+  auto& b = Start("b", std::chrono::seconds(2));
+  a.task.Change("give", Give({ 0, 9 }, "a"));
+  Run();
+  b.task.TakeFromPeer(a.task.UpdateFrom(b.task.End())->entries, a.task.End());
+  std::vector<StateUpdate> sent;
+  a.task.SetOnAppended(
+    [&sent](const StateUpdate& aUpdate) { sent.push_back(aUpdate); });
+  a.task.Change("give", Give({ 20, 29 }, "b"));
+  Run(milliseconds(5));
+  ASSERT_EQ(sent.size(), 1U);
+  ASSERT_EQ(sent.front().entries.size(), 1U);
+  EXPECT_FALSE(IsTable(sent.front().entries.front()));
+  const auto before = b.store.reads;
+  EXPECT_TRUE(
+    b.task.TakeFromPeer(sent.front().entries, sent.front().next));
+  EXPECT_EQ(b.task.State().Table(), a.task.State().Table());
+  EXPECT_EQ(HolderAt(b, 25), HostName("b"));
+  EXPECT_EQ(b.store.reads, before);
+}
+
+TEST_F(StateTaskTest, Update_ChangeOfAnUnknownTable_StoreIsRead)
+{
+  auto& a = Start("a", std::chrono::seconds(2));
+  auto& b = Start("b");
+  b.task.Change("give", Give({ 0, 9 }, "b"));
+  Run();
+  const auto end = a.task.End();
+  RangeTable unknown;
+  unknown.revision = 7;
+  auto next = unknown;
+  ++next.revision;
+  auto entry = EncodeChange(*Difference(unknown, next));
+  entry.offset = end;
+  a.task.TakeFromPeer({ entry }, end + 1);
+  EXPECT_EQ(a.task.End(), end);
+  Run();
+  EXPECT_EQ(HolderAt(a, 5), HostName("b"));
+}
+
 TEST_F(StateTaskTest, Host_RemovedByOthers_JoinsAgain)
 {
   auto& a = Start("a");
