--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -134,6 +134,7 @@
   ResponseHead m_answerHead;
   std::string m_answerBody;
   size_t m_answerBytes = 0;
+  size_t m_expectedBytes = 0; ///< Counted among those the link will carry.
   bool m_answerTooLarge = false;
   Timer m_deadlineTimer;
   Timer m_holdTimer;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -92,7 +92,8 @@
   aState.SetOnAppended(
     [this](const StateUpdate& aUpdate) { SendUpdate(aUpdate); });
   aState.SetOnUnavailable([this] { AskPeers(); });
-  m_server.SetBacklog([this] { return m_bulk.Backlog(); });
+  m_server.SetLink(aSettings.linkBytesPerSecond * kBulkShare,
+                   [this] { return m_bulk.Backlog(); });
   m_operator.OnGet("/metrics",
                    [this](const OperatorRequest&) { return RenderMetrics(); });
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -211,9 +211,10 @@
     aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
     return;
   }
-  const auto backlog = m_backlog ? m_backlog() : Duration::zero();
-  if (!m_link.Admits(request.head.target, backlog, request.goal)) {
-    aCall->Refuse(RefusalReason::kCannotFinish, backlog);
+  aCall->m_class = ClassIndex(std::min(request.priority, kPriorities - 1));
+  const auto wait = LinkWait(*aCall);
+  if (!m_link.Admits(request.head.target, wait, request.goal)) {
+    aCall->Refuse(RefusalReason::kCannotFinish, wait);
     return;
   }
   const auto result = m_outcomes.Begin(request.id, request.known);
@@ -229,7 +230,8 @@
   m_calls[request.id] = aCall;
   aCall->m_state = OwnerCall::State::kQueued;
   aCall->ArmDeadline();
-  aCall->m_class = ClassIndex(std::min(request.priority, kPriorities - 1));
+  aCall->m_expectedBytes = m_link.Expected(request.head.target);
+  m_link.Commit(aCall->m_expectedBytes);
   const auto now = m_clock.Now();
   if (const auto key = ParseShardKey(request.key)) {
     m_load.Count(*key, 1.0);
@@ -238,6 +240,13 @@
   Apply(m_gate->Admit(GateRequest{ request.id, aCall->m_class, due }, now));
 }
 
+Duration
+RangeServerTask::LinkWait(const OwnerCall& aCall) const
+{
+  const auto backlog = m_backlog ? m_backlog() : Duration::zero();
+  return m_link.Wait(backlog, m_gate->ExpectedService(aCall.m_class));
+}
+
 Duration
 RangeServerTask::LongestStay(const OwnerCall& aCall) const
 {
@@ -351,6 +360,7 @@
     return;
   }
   m_calls.erase(known);
+  m_link.Release(std::exchange(aCall.m_expectedBytes, 0));
   if (!m_gate) {
     return;
   }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -66,9 +66,14 @@
   /** \brief Gives ranges to other hosts, as the coordinator asks. */
   void Move(const std::vector<MoveOrder>& aOrders);
 
-  /** \brief Tells how long a large answer would wait for the link. */
-  void SetBacklog(std::function<Duration()> aBacklog)
+  /**
+   * \brief Tells of the host's link.
+   * \param aBytesPerSecond rate of large answers; 0: no limit.
+   * \param aBacklog time that a large answer would wait now.
+   */
+  void SetLink(double aBytesPerSecond, std::function<Duration()> aBacklog)
   {
+    m_link = LinkAdmission(kDirectBytes, aBytesPerSecond);
     m_backlog = std::move(aBacklog);
   }
 
@@ -114,6 +119,7 @@
   void RetryHeld();
   void MakeGate(uint32_t aSlots);
   void LearnService(Duration aTaken);
+  Duration LinkWait(const OwnerCall& aCall) const;
   Duration LongestStay(const OwnerCall& aCall) const;
   bool Leaves(MonoTime aNow) const;
   std::vector<RangeRow> RowsOf(const ServerLife& aLife) const;
--- a/src/Routing/LinkAdmission.cpp
+++ b/src/Routing/LinkAdmission.cpp
@@ -1,5 +1,7 @@
 #include "src/Routing/LinkAdmission.h"
 
+#include <algorithm>
+
 namespace pistachioshift {
 
 namespace {
@@ -43,8 +45,28 @@
   if (aGoal <= Duration::zero() || aWait <= aGoal * kWaitShare) {
     return true;
   }
+  return Expected(aTarget) == 0;
+}
+
+size_t
+LinkAdmission::Expected(std::string_view aTarget) const
+{
   const auto known = m_meanBytes.find(FirstSegment(aTarget));
-  return known == m_meanBytes.end() || known->second <= m_directBytes;
+  const bool large =
+    known != m_meanBytes.end() && known->second > m_directBytes;
+  return large ? static_cast<size_t>(known->second) : 0;
+}
+
+Duration
+LinkAdmission::Wait(Duration aBacklog, Duration aService) const
+{
+  Duration ahead{};
+  if (m_rate > 0.0) {
+    const double seconds = static_cast<double>(m_committed) / m_rate;
+    ahead = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+  }
+  return std::max(aBacklog + ahead - aService, Duration::zero());
 }
 
 }
--- a/src/Routing/LinkAdmission.h
+++ b/src/Routing/LinkAdmission.h
@@ -20,23 +20,43 @@
 class LinkAdmission
 {
 public:
-  /** \param aDirectBytes answers up to this size never wait. */
-  explicit LinkAdmission(size_t aDirectBytes)
+  /**
+   * \param aDirectBytes answers up to this size never wait.
+   * \param aBytesPerSecond rate at which large ones go out; 0: not known.
+   */
+  explicit LinkAdmission(size_t aDirectBytes, double aBytesPerSecond = 0.0)
     : m_directBytes(static_cast<double>(aDirectBytes))
+    , m_rate(aBytesPerSecond)
   {
   }
 
   /** \brief Takes in the size of an answer. */
   void Learn(std::string_view aTarget, size_t aBytes);
 
+  /** \brief Bytes of the answer as far as they wait for the link, else 0. */
+  size_t Expected(std::string_view aTarget) const;
+
+  /** \brief Accounts for an answer that is being made. */
+  void Commit(size_t aBytes) { m_committed += aBytes; }
+  void Release(size_t aBytes) { m_committed -= aBytes; }
+
+  /**
+   * \brief Time that an answer will wait once it is made.
+   * \param aBacklog of the link, now.
+   * \param aService time that making the answer takes.
+   */
+  Duration Wait(Duration aBacklog, Duration aService) const;
+
   /**
-   * \param aWait time that a large answer would wait now.
+   * \param aWait time that a large answer would wait.
    * \param aGoal time in which the caller hopes for an answer; 0: none.
    */
   bool Admits(std::string_view aTarget, Duration aWait, Duration aGoal) const;
 
 private:
   double m_directBytes;
+  double m_rate;
+  size_t m_committed = 0; ///< Bytes of answers that are being made.
   std::unordered_map<std::string, double> m_meanBytes;
 };
 
--- a/test/Routing/LinkAdmissionTest.cpp
+++ b/test/Routing/LinkAdmissionTest.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <deque>
 
 #include <gtest/gtest.h>
 
@@ -80,4 +81,57 @@
   EXPECT_LT(inTime(false), 0.25);
 }
 
+TEST_F(LinkAdmissionTest, Wait_AnswersBeingMade_CountAsFarAsTheyAreAhead)
+{
+  LinkAdmission admission{ kDirect, 1e6 };
+  admission.Commit(900000);
+  EXPECT_EQ(admission.Wait(milliseconds(200), milliseconds(300)),
+            milliseconds(800));
+  EXPECT_EQ(admission.Wait(milliseconds(200), seconds(2)), Duration::zero());
+  admission.Release(900000);
+  EXPECT_EQ(admission.Wait(milliseconds(200), milliseconds(50)),
+            milliseconds(150));
+}
+
+/**
+ * Downloads are made by sixteen at a time before they need the link: what is
+ * being made counts, else it all arrives at a link that looked free.
+ */
+TEST_F(LinkAdmissionTest, Pattern_ManyAnswersBeingMade_StayInTime)
+{
+  constexpr double kRate = 1.8e6;
+  constexpr double kService = 0.3;
+  constexpr size_t kSlots = 16;
+  constexpr double kAskedPerSecond = 40.0; // The link carries half of them.
+  constexpr int kRequests = 4000;
+  const auto inTime = [&](double aKnownRate) {
+    LinkAdmission admission{ kDirect, aKnownRate };
+    admission.Learn("/patterns/17", kLarge);
+    double free = 0.0;          // When the link has sent all that waits.
+    std::deque<double> making; // When each answer was begun.
+    int served = 0;
+    for (int request = 0; request < kRequests; ++request) {
+      const double now = request / kAskedPerSecond;
+      while (!making.empty() && making.front() + kService <= now) {
+        const double ready = making.front() + kService;
+        free = std::max(free, ready) + static_cast<double>(kLarge) / kRate;
+        served += free - making.front() <= 1.0 ? 1 : 0;
+        making.pop_front();
+        admission.Release(kLarge);
+      }
+      const auto backlog = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::max(0.0, free - now)));
+      const auto wait = admission.Wait(backlog, milliseconds(300));
+      if (making.size() < kSlots &&
+          admission.Admits("/patterns/4", wait, seconds(1))) {
+        making.push_back(now);
+        admission.Commit(kLarge);
+      }
+    }
+    return static_cast<double>(served) / kRequests;
+  };
+  EXPECT_GT(inTime(kRate), 0.47);
+  EXPECT_LT(inTime(0.0), 0.40);
+}
+
 }
