Any-instance requests prefer the backend server on their own host

Cause: a download that comes in beside a server of its service went to another host's server eleven times of twelve and passed two full links instead of one.

--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -103,8 +103,12 @@
                             const AttemptHistory& aHistory)
 {
   auto& instances = m_instances[aPolicy.name];
+  std::optional<DaemonId> near;
+  if (aHistory.last != IdOf(m_state.Self()) && m_server.HasFreeSlot()) {
+    near = IdOf(m_state.Self());
+  }
   const auto chosen =
-    instances.balancer.Choose(m_random, m_clock.Now(), aHistory.last);
+    instances.balancer.Choose(m_random, m_clock.Now(), aHistory.last, near);
   if (!chosen) {
     return std::nullopt;
   }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -94,6 +94,10 @@
 
   size_t InFlight() const { return m_calls.size(); }
   size_t Running() const { return m_gate ? m_gate->RunningCount() : 0; }
+  bool HasFreeSlot() const
+  {
+    return m_gate && m_gate->RunningCount() < m_gate->Limit();
+  }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
 
   void OnState() override;
--- a/src/Routing/Balancer.cpp
+++ b/src/Routing/Balancer.cpp
@@ -15,6 +15,9 @@
 constexpr double kLatencySmoothing = 0.2;
 // Reports are late: one instance's dip must not draw all senders to it.
 constexpr double kReportSmoothing = 0.2;
+/** Cost factor of the instance on this host: it may be as much slower as makes
+ * others outliers. */
+constexpr double kNearCost = 0.25;
 constexpr double kShedSmoothing = 0.1;
 constexpr double kShedCost = 10.0; // Cost factor at a shed rate of 1, less 1.
 constexpr double kTrustSmoothing = 0.3;
@@ -56,22 +59,37 @@
 std::optional<DaemonId>
 Balancer::Choose(RandomEngine& aRandom,
                  MonoTime aNow,
-                 std::optional<DaemonId> aExcept)
+                 std::optional<DaemonId> aExcept,
+                 std::optional<DaemonId> aNear)
 {
   const auto usable = Usable(aNow, aExcept);
   if (usable.empty()) {
     return std::nullopt;
   }
-  if (usable.size() == 1) {
-    return usable.front();
+  const bool near =
+    aNear && std::find(usable.begin(), usable.end(), *aNear) != usable.end();
+  const auto far = ChooseOfTwo(usable, aRandom, aNow);
+  const auto cost = [&](DaemonId aId) {
+    return Cost(m_instances.at(aId), aNow);
+  };
+  return near && kNearCost * cost(*aNear) <= cost(far) ? *aNear : far;
+}
+
+DaemonId
+Balancer::ChooseOfTwo(const std::vector<DaemonId>& aUsable,
+                      RandomEngine& aRandom,
+                      MonoTime aNow) const
+{
+  if (aUsable.size() == 1) {
+    return aUsable.front();
   }
-  std::uniform_int_distribution<size_t> first(0, usable.size() - 1);
-  std::uniform_int_distribution<size_t> step(1, usable.size() - 1);
+  std::uniform_int_distribution<size_t> first(0, aUsable.size() - 1);
+  std::uniform_int_distribution<size_t> step(1, aUsable.size() - 1);
   const auto one = first(aRandom);
-  const auto two = (one + step(aRandom)) % usable.size();
-  const auto costOne = Cost(m_instances.at(usable[one]), aNow);
-  const auto costTwo = Cost(m_instances.at(usable[two]), aNow);
-  return costOne <= costTwo ? usable[one] : usable[two];
+  const auto two = (one + step(aRandom)) % aUsable.size();
+  const auto costOne = Cost(m_instances.at(aUsable[one]), aNow);
+  const auto costTwo = Cost(m_instances.at(aUsable[two]), aNow);
+  return costOne <= costTwo ? aUsable[one] : aUsable[two];
 }
 
 void
--- a/src/Routing/Balancer.h
+++ b/src/Routing/Balancer.h
@@ -53,10 +53,13 @@
   /**
    * \brief Instance for the next request; none if there is no instance.
    * \param aExcept instance to avoid if there is another, as on a retry.
+   * \param aNear instance on this host, preferred unless it costs far more:
+   * its answers pass one link instead of two.
    */
   std::optional<DaemonId> Choose(RandomEngine& aRandom,
                                  MonoTime aNow,
-                                 std::optional<DaemonId> aExcept = {});
+                                 std::optional<DaemonId> aExcept = {},
+                                 std::optional<DaemonId> aNear = {});
 
   void OnStart(DaemonId aInstance);
 
@@ -96,6 +99,9 @@
 
   std::vector<DaemonId> Usable(MonoTime aNow,
                                std::optional<DaemonId> aExcept) const;
+  DaemonId ChooseOfTwo(const std::vector<DaemonId>& aUsable,
+                       RandomEngine& aRandom,
+                       MonoTime aNow) const;
   double Cost(const Instance& aInstance, MonoTime aNow) const;
   double LatencyOf(const Instance& aInstance, MonoTime aNow) const;
   double SlowStartShare(const Instance& aInstance, MonoTime aNow) const;
--- a/test/Routing/BalancerTest.cpp
+++ b/test/Routing/BalancerTest.cpp
@@ -168,5 +168,44 @@
   EXPECT_FALSE(m_balancer.Choose(m_random, m_now).has_value());
 }
 
+TEST_F(BalancerTest, Choose_InstanceOnThisHost_IsPreferred)
+{
+  SetInstances(12);
+  for (const auto& id : Ids(12)) {
+    End(id, InstanceResult::kDone, milliseconds(200));
+  }
+  for (int request = 0; request < 100; ++request) {
+    EXPECT_EQ(m_balancer.Choose(m_random, m_now, {}, DaemonId(3)),
+              DaemonId(3));
+  }
+}
+
+TEST_F(BalancerTest, Choose_InstanceOnThisHostRefusesOrIsSlow_OthersAre)
+{
+  SetInstances(12);
+  for (const auto& id : Ids(12)) {
+    End(id, InstanceResult::kDone, milliseconds(200));
+  }
+  for (int answer = 0; answer < 20; ++answer) {
+    End(DaemonId(3), InstanceResult::kShed, milliseconds(2));
+    End(DaemonId(4), InstanceResult::kDone, milliseconds(2000));
+  }
+  for (int request = 0; request < 100; ++request) {
+    EXPECT_NE(m_balancer.Choose(m_random, m_now, {}, DaemonId(3)),
+              DaemonId(3));
+    EXPECT_NE(m_balancer.Choose(m_random, m_now, {}, DaemonId(4)),
+              DaemonId(4));
+  }
+}
+
+TEST_F(BalancerTest, Choose_RetryAfterThisHost_GoesElsewhere)
+{
+  SetInstances(3);
+  for (int request = 0; request < 100; ++request) {
+    EXPECT_NE(m_balancer.Choose(m_random, m_now, DaemonId(2), DaemonId(2)),
+              DaemonId(2));
+  }
+}
+
 }
 }
