--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -18,7 +18,7 @@
 
 /** Of the link, for answers: the rest is for headers, requests and
  * heartbeats. */
-constexpr double kBulkShare = 0.85;
+constexpr double kBulkShare = 0.93;
 
 /** Time for the last answers to leave before a forced exit. */
 constexpr Duration kFlushTime = milliseconds(200);
