--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -173,9 +173,8 @@
 void
 HostDaemon::Start(IngressDialect& aDialect, const HttpLimits& aLimits)
 {
-  const IngressContext context{ m_base,   m_clock,  m_random,
-                                aDialect, m_router, m_metrics,
-                                m_bulk };
+  const IngressContext context{ m_base,   m_clock,   m_random, aDialect,
+                                m_router, m_metrics, m_bulk };
   m_ingress =
     std::make_unique<IngressTask>(context, m_settings.callers, aLimits);
   m_dialect = &aDialect;
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -497,26 +497,7 @@
     "release",
     [holder, service = m_settings.service, ranges = std::move(aRanges)](
       TableDraft& aDraft, const MeshState& aState) {
-      bool changed = false;
-      for (const auto& item : ranges) {
-        const auto rows = aDraft.table.RowsOf(service);
-        for (const auto& row : rows) {
-          if (row.holder != holder || !row.range.Overlaps(item.range)) {
-            continue;
-          }
-          const auto part = row.range.Common(item.range);
-          const auto* next =
-            item.next ? aState.FindHost(item.next->host) : nullptr;
-          if (next != nullptr && aState.CanTake(*next) &&
-              next->server->life == item.next->life) {
-            aDraft.table.Assign(service, part, *item.next, item.handover);
-          } else {
-            aDraft.table.Free(service, part, item.handover);
-          }
-          changed = true;
-        }
-      }
-      return changed;
+      return HandOn(aDraft.table, aState, service, holder, ranges);
     });
 }
 
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -29,13 +29,6 @@
   Duration quietInterval = std::chrono::milliseconds(2200);
 };
 
-/** \brief A change of the table that is written as a whole. */
-struct TableDraft
-{
-  RangeTable table;
-  std::vector<HostName> dropped; ///< Hosts that are gone.
-};
-
 /** \brief Records in a row, up to an offset. */
 struct StateUpdate
 {
--- a/src/Ranges/HoldKeeper.cpp
+++ b/src/Ranges/HoldKeeper.cpp
@@ -163,7 +163,8 @@
     Leaving leaving{ row.range, row.fence, std::nullopt };
     leaving.released = true;
     m_leaving.push_back(leaving);
-    m_relinquished.push_back(Relinquished{ row.range, {}, std::nullopt });
+    m_relinquished.push_back(
+      Relinquished{ row.range, row.fence, {}, std::nullopt });
   }
 }
 
@@ -209,15 +210,18 @@
         left.push_back(part);
         continue;
       }
-      m_relinquished.push_back(Relinquished{
-        part.Common(released.range), released.handover, aLeaving.next });
+      m_relinquished.push_back(Relinquished{ part.Common(released.range),
+                                             aLeaving.fence,
+                                             released.handover,
+                                             aLeaving.next });
       const auto outside = Without(part, released.range);
       left.insert(left.end(), outside.begin(), outside.end());
     }
     rest = std::move(left);
   }
   for (const auto& part : rest) {
-    m_relinquished.push_back(Relinquished{ part, {}, aLeaving.next });
+    m_relinquished.push_back(
+      Relinquished{ part, aLeaving.fence, {}, aLeaving.next });
   }
 }
 
@@ -248,4 +252,34 @@
   return std::exchange(m_relinquished, {});
 }
 
+bool
+HandOn(RangeTable& aTable,
+       const MeshState& aState,
+       const ServiceName& aService,
+       const RangeHolder& aHolder,
+       const std::vector<Relinquished>& aRanges)
+{
+  bool changed = false;
+  for (const auto& item : aRanges) {
+    const auto rows = aTable.RowsOf(aService);
+    for (const auto& row : rows) {
+      // Under a higher fence the range has come back since.
+      if (row.holder != aHolder || row.fence != item.fence ||
+          !row.range.Overlaps(item.range)) {
+        continue;
+      }
+      const auto part = row.range.Common(item.range);
+      const auto* next = item.next ? aState.FindHost(item.next->host) : nullptr;
+      if (next != nullptr && aState.CanTake(*next) &&
+          next->server->life == item.next->life) {
+        aTable.Assign(aService, part, *item.next, item.handover);
+      } else {
+        aTable.Free(aService, part, item.handover);
+      }
+      changed = true;
+    }
+  }
+  return changed;
+}
+
 }
--- a/src/Ranges/HoldKeeper.h
+++ b/src/Ranges/HoldKeeper.h
@@ -60,6 +60,7 @@
 struct Relinquished
 {
   KeyRange range;
+  Fence fence; ///< Of the row that it was a part of.
   std::string handover;
   std::optional<RangeHolder> next; ///< None: to be assigned.
 };
@@ -172,6 +173,16 @@
   MonoTime m_holdEnds;    ///< The hold has certainly ended then.
 };
 
+/**
+ * \brief Gives relinquished ranges to who is to have them next, or frees them.
+ * \return whether the table was changed.
+ */
+bool HandOn(RangeTable& aTable,
+            const MeshState& aState,
+            const ServiceName& aService,
+            const RangeHolder& aHolder,
+            const std::vector<Relinquished>& aRanges);
+
 }
 
 #endif
--- a/src/Ranges/RangeTable.h
+++ b/src/Ranges/RangeTable.h
@@ -101,6 +101,13 @@
   void Replace(const ServiceName& aService, const RangeRow& aRow);
 };
 
+/** \brief A change of the table that is written as a whole. */
+struct TableDraft
+{
+  RangeTable table;
+  std::vector<HostName> dropped; ///< Hosts that are gone.
+};
+
 }
 
 #endif
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -306,8 +306,7 @@
   ASSERT_EQ(sent.front().entries.size(), 1U);
   EXPECT_FALSE(IsTable(sent.front().entries.front()));
   const auto before = b.store.reads;
-  EXPECT_TRUE(
-    b.task.TakeFromPeer(sent.front().entries, sent.front().next));
+  EXPECT_TRUE(b.task.TakeFromPeer(sent.front().entries, sent.front().next));
   EXPECT_EQ(b.task.State().Table(), a.task.State().Table());
   EXPECT_EQ(HolderAt(b, 25), HostName("b"));
   EXPECT_EQ(b.store.reads, before);
--- a/test/Ranges/HoldKeeperTest.cpp
+++ b/test/Ranges/HoldKeeperTest.cpp
@@ -257,4 +257,20 @@
   }
 }
 
+/**
+ * An append whose answer is lost is made again after the state has been read:
+ * by then the range may have come back to the same holder.
+ */
+TEST_F(HoldKeeperTest, HandOn_AgainAfterTheRangeCameBack_LeavesItAlone)
+{
+  const auto state = StateOf({ RecordOf("a") }, m_table);
+  const auto fence = m_table.RowsOf(kOrders).front().fence;
+  const Relinquished item{ { 10, 19 }, fence, "token", std::nullopt };
+  EXPECT_TRUE(HandOn(m_table, state, kOrders, HolderOf("a"), { item }));
+  EXPECT_TRUE(m_table.Find(kOrders, ShardKey(15))->Free());
+  m_table.Assign(kOrders, { 10, 19 }, HolderOf("a"), "token");
+  EXPECT_FALSE(HandOn(m_table, state, kOrders, HolderOf("a"), { item }));
+  EXPECT_EQ(m_table.Find(kOrders, ShardKey(15))->holder, HolderOf("a"));
+}
+
 }
--- a/test/Ranges/TableChangeTest.cpp
+++ b/test/Ranges/TableChangeTest.cpp
@@ -29,10 +29,8 @@
     for (uint32_t host = 0; host < aHosts; ++host) {
       const uint32_t first = host * width;
       const auto last = host + 1 == aHosts ? kShardKeys - 1 : first + width - 1;
-      table.Assign(kOrders,
-                   { first, last },
-                   HolderOf("host-" + std::to_string(host)),
-                   {});
+      table.Assign(
+        kOrders, { first, last }, HolderOf("host-" + std::to_string(host)), {});
     }
     table.revision = 1;
     return table;
--- a/test/Routing/BalancerTest.cpp
+++ b/test/Routing/BalancerTest.cpp
@@ -175,8 +175,7 @@
     End(id, InstanceResult::kDone, milliseconds(200));
   }
   for (int request = 0; request < 100; ++request) {
-    EXPECT_EQ(m_balancer.Choose(m_random, m_now, {}, DaemonId(3)),
-              DaemonId(3));
+    EXPECT_EQ(m_balancer.Choose(m_random, m_now, {}, DaemonId(3)), DaemonId(3));
   }
 }
 
@@ -191,10 +190,8 @@
     End(DaemonId(4), InstanceResult::kDone, milliseconds(2000));
   }
   for (int request = 0; request < 100; ++request) {
-    EXPECT_NE(m_balancer.Choose(m_random, m_now, {}, DaemonId(3)),
-              DaemonId(3));
-    EXPECT_NE(m_balancer.Choose(m_random, m_now, {}, DaemonId(4)),
-              DaemonId(4));
+    EXPECT_NE(m_balancer.Choose(m_random, m_now, {}, DaemonId(3)), DaemonId(3));
+    EXPECT_NE(m_balancer.Choose(m_random, m_now, {}, DaemonId(4)), DaemonId(4));
   }
 }
 
--- a/test/Routing/LinkAdmissionTest.cpp
+++ b/test/Routing/LinkAdmissionTest.cpp
@@ -107,7 +107,7 @@
   const auto inTime = [&](double aKnownRate) {
     LinkAdmission admission{ kDirect, aKnownRate };
     admission.Learn("/patterns/17", kLarge);
-    double free = 0.0;          // When the link has sent all that waits.
+    double free = 0.0;         // When the link has sent all that waits.
     std::deque<double> making; // When each answer was begun.
     int served = 0;
     for (int request = 0; request < kRequests; ++request) {
