--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -112,8 +112,9 @@
     return;
   }
   const auto heard = m_clock.Now() - m_seenAt;
-  const bool enough = !m_readsForOthers && m_end >= m_conflictEnd &&
-                      heard < m_settings.quietInterval;
+  const bool known = m_end >= m_conflictEnd || m_gapTimer.Running();
+  const bool enough =
+    !m_readsForOthers && known && heard < m_settings.quietInterval;
   if (!enough) {
     Poll();
     return;
@@ -136,7 +137,7 @@
 StateTask<Store>::OnGapTimer()
 {
   TakeEarly();
-  const bool behind = !m_early.empty();
+  const bool behind = !m_early.empty() || m_end < m_conflictEnd;
   m_early.clear();
   if (behind) {
     Poll();
@@ -344,7 +345,7 @@
       m_conflictEnd = std::max(aReply.end, m_draftAt + 1);
       RestoreEdits();
       if (m_end < m_conflictEnd) {
-        Poll();
+        RefreshSoon(); // The writer that was first mostly tells.
       }
       break;
     case AppendVerdict::kRefused:
--- a/test/HostDaemon/FakeStore.h
+++ b/test/HostDaemon/FakeStore.h
@@ -85,16 +85,20 @@
     Read({}, 0, {}, std::move(aCallback));
   }
 
-  void Read(const std::string&, int64_t aFrom, Duration, OnRead aCallback)
+  /** A read waits its whole time if there is nothing to read yet. */
+  void Read(const std::string&, int64_t aFrom, Duration aWait, OnRead aCallback)
   {
     ++reads;
-    Later([this, aFrom, callback = std::move(aCallback)] {
-      if (down) {
-        callback(StoreFailure::kUnavailable);
-      } else {
-        callback(m_topic.From(aFrom));
-      }
-    });
+    const bool waits = !down && m_topic.End() <= aFrom;
+    Later(
+      [this, aFrom, callback = std::move(aCallback)] {
+        if (down) {
+          callback(StoreFailure::kUnavailable);
+        } else {
+          callback(m_topic.From(aFrom));
+        }
+      },
+      waits ? aWait : Duration{});
   }
 
   void Append(const std::string&,
@@ -128,10 +132,13 @@
   int reads = 0;
 
 private:
-  void Later(std::function<void()> aAction)
+  void Later(std::function<void()> aAction, Duration aDelay = {})
   {
     auto* action = new std::function<void()>(std::move(aAction));
-    const timeval now{ 0, 0 };
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aDelay).count();
+    const timeval delay{ micros / 1000000,
+                         static_cast<suseconds_t>(micros % 1000000) };
     event_base_once(
       m_base,
       -1,
@@ -142,7 +149,7 @@
         (*run)();
       },
       action,
-      &now);
+      &delay);
   }
 
   event_base* m_base;
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -121,6 +121,27 @@
   }
 }
 
+/** Pattern RacingWriters: each lost race cost a read besides the append. */
+TEST_F(StateTaskTest, Change_RaceLostToAPeerThatTells_StoreIsNotRead)
+{
+  auto& a = Start("a", std::chrono::seconds(2));
+  auto& b = Start("b", std::chrono::seconds(2));
+  a.task.TakeFromPeer(b.task.UpdateFrom(a.task.End())->entries, b.task.End());
+  std::vector<StateUpdate> told;
+  b.task.SetOnAppended(
+    [&told](const StateUpdate& aUpdate) { told.push_back(aUpdate); });
+  const auto before = a.store.reads;
+  b.task.Change("give", Give({ 0, 9 }, "b"));
+  a.task.Change("give", Give({ 100, 109 }, "a"));
+  Run(milliseconds(20));
+  ASSERT_EQ(told.size(), 1U);
+  a.task.TakeFromPeer(told.front().entries, told.front().next);
+  Run(milliseconds(50));
+  EXPECT_EQ(HolderAt(a, 5), HostName("b"));
+  EXPECT_EQ(HolderAt(a, 105), HostName("a"));
+  EXPECT_EQ(a.store.reads, before);
+}
+
 TEST_F(StateTaskTest, Change_AnswerLost_IsMadeOnce)
 {
   auto& a = Start("a");
--- /dev/null
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -0,0 +1,136 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include <event2/event.h>
+#include <fmt/format.h>
+
+#include "platform/ConfigFollower.h"
+#include "test/HostDaemon/FakeStore.h"
+
+namespace pistachioshift::platform::test {
+
+using pistachioshift::test::FakeStore;
+using pistachioshift::test::FakeTopic;
+using std::chrono::milliseconds;
+
+class ConfigFollowerTest : public ::testing::Test
+{
+protected:
+  ~ConfigFollowerTest() override { event_base_free(m_base); }
+
+  void Run(Duration aFor)
+  {
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aFor).count();
+    const timeval wait{ 0, static_cast<suseconds_t>(micros) };
+    event_base_loopexit(m_base, &wait);
+    event_base_dispatch(m_base);
+  }
+
+  void Write(const std::string& aConfig)
+  {
+    m_topic.Append({ StoreEntry{ names::kConfigKey, aConfig, 0 } },
+                   ExpectedEnd{ m_topic.End() });
+  }
+
+  static std::string Config(int aVersion)
+  {
+    return fmt::format(
+      R"({{"version":"{:08x}","routes":{{}},"services":{{}},
+      "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000,
+      "headerTimeout":"3000ms","idleTimeout":"15000ms"}}}})",
+      aVersion);
+  }
+
+  event_base* m_base = event_base_new();
+  Logger m_logger{ "test", LogLevel::kError };
+  FakeTopic m_topic;
+  FakeStore m_store{ m_base, m_topic };
+  std::vector<uint64_t> m_applied;
+  ConfigFollower<FakeStore> m_follower{ m_base,
+                                        m_store,
+                                        m_logger,
+                                        [this](const OperatorConfig& aConfig) {
+                                          m_applied.push_back(aConfig.version);
+                                        },
+                                        ConfigFollowerSettings{
+                                          .pollWait = milliseconds(400),
+                                          .leadingWait = milliseconds(20),
+                                          .retryDelay = milliseconds(5),
+                                          .longestDelay = milliseconds(80) } };
+};
+
+TEST_F(ConfigFollowerTest, Start_SeveralVersions_NewestIsApplied)
+{
+  Write(Config(3));
+  Write(Config(4));
+  EXPECT_EQ(m_follower.Current(), nullptr);
+  m_follower.Start();
+  Run(milliseconds(20));
+  EXPECT_EQ(m_applied, std::vector<uint64_t>{ 4 });
+  EXPECT_EQ(m_follower.Position(), 2);
+}
+
+TEST_F(ConfigFollowerTest, Take_BrokenOrOlderOne_KeepsTheOneInForce)
+{
+  Write(Config(4));
+  m_follower.Start();
+  Run(milliseconds(20));
+  Write("{\"version\":");
+  m_follower.CatchUp(2);
+  Run(milliseconds(20));
+  Write(Config(3));
+  m_follower.CatchUp(3);
+  Run(milliseconds(20));
+  EXPECT_EQ(m_applied, std::vector<uint64_t>{ 4 });
+  EXPECT_EQ(m_follower.Current()->version, 4U);
+  EXPECT_EQ(m_follower.Position(), 3);
+}
+
+TEST_F(ConfigFollowerTest, CatchUp_PeerKnowsMore_ReadsBeforeThePollEnds)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  Write(Config(2));
+  const auto before = m_store.reads;
+  m_follower.CatchUp(1);
+  EXPECT_EQ(m_store.reads, before);
+  m_follower.CatchUp(2);
+  Run(milliseconds(20));
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+}
+
+/** Pattern ManyFollowers: seventy hosts ask a store that turns them away. */
+TEST_F(ConfigFollowerTest, StoreIsAway_HearsOthers_AsksLessAndLess)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  m_store.down = true;
+  Run(milliseconds(450));
+  const auto before = m_store.reads;
+  Run(milliseconds(300));
+  EXPECT_LE(m_store.reads - before, 6);
+  m_store.down = false;
+  Write(Config(2));
+  Run(milliseconds(200));
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+}
+
+TEST_F(ConfigFollowerTest, StoreIsAway_OthersHearFromThisOne_AsksOn)
+{
+  m_follower.SetLeads([] { return true; });
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  m_store.down = true;
+  Run(milliseconds(50));
+  const auto before = m_store.reads;
+  Run(milliseconds(300));
+  EXPECT_GE(m_store.reads - before, 10);
+}
+
+}
