SocketAddress stands once; IngressSession and RangeServerTask split

Two classes of the same name and namespace stood in Inner and Http, with different members. Base has the one; each layer keeps its own error. Answers of a session and holds of a backend server have files of their own.

--- /dev/null
+++ b/src/Daemon/IngressAnswer.cpp
@@ -0,0 +1,147 @@
+#include "src/Daemon/AnswerCodec.h"
+#include "src/Daemon/IngressSession.h"
+
+namespace pistachioshift {
+
+namespace {
+
+constexpr int kServerErrors = 500;
+
+/** Of an answer, held for the host's link before its source is paused: most
+ * downloads are smaller, so that their backend server is free at once. */
+constexpr size_t kMostWaiting = size_t{ 256 } * 1024;
+
+}
+
+void
+IngressSession::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
+{
+  if (m_resuming) {
+    if (!m_resume.IsRest(aHead)) {
+      OnTruncated();
+    }
+    return;
+  }
+  m_resume.OnHead(m_head, aHead);
+  auto head = aHead;
+  m_context.dialect.CompleteAnswer(head, *m_destination, aToken);
+  m_pendingHead = std::move(head);
+}
+
+void
+IngressSession::SendPendingHead()
+{
+  if (!m_pendingHead) {
+    return;
+  }
+  m_answerBegun = true;
+  m_deadlineTimer.Stop();
+  m_status = m_pendingHead->status;
+  const bool failed = m_status >= kServerErrors;
+  TellBalancer(failed ? InstanceResult::kFailed : InstanceResult::kDone);
+  m_exchange->SendHead(*std::move(m_pendingHead));
+  m_pendingHead.reset();
+  m_sender = std::make_shared<BulkSender>(m_context.bulk, weak_from_this());
+}
+
+void
+IngressSession::OnAnswerBody(std::string_view aData)
+{
+  SendPendingHead();
+  m_resume.OnBytes(aData.size());
+  m_sender->Send(aData);
+  UpdateFlow();
+}
+
+void
+IngressSession::OnAnswerEnd()
+{
+  const auto self = shared_from_this();
+  SendPendingHead();
+  CloseAttempt();
+  m_sender->Finish();
+}
+
+void
+IngressSession::SendNow(std::string_view aData)
+{
+  if (!m_ended) {
+    m_exchangeOpen = m_exchange->SendBody(aData);
+    UpdateFlow();
+  }
+}
+
+void
+IngressSession::FinishNow()
+{
+  const auto self = shared_from_this();
+  if (!m_ended) {
+    m_exchange->Finish();
+    Done(Outcome::kDone);
+  }
+}
+
+void
+IngressSession::UpdateFlow()
+{
+  const bool room = !m_sender || m_sender->Waiting() <= kMostWaiting;
+  const bool open = m_exchangeOpen && room;
+  if (!m_call || open == m_answerOpen) {
+    return;
+  }
+  m_answerOpen = open;
+  if (open) {
+    m_call->ResumeBody();
+  } else {
+    m_call->PauseBody();
+  }
+}
+
+void
+IngressSession::OnTruncated()
+{
+  if (m_answerBegun) {
+    TryResume();
+    return;
+  }
+  // The caller has seen nothing of it yet.
+  m_pendingHead.reset();
+  ++m_runs;
+  auto report = MakeReport();
+  report.end = AttemptEnd::kConnectionLost;
+  Decide(report);
+}
+
+void
+IngressSession::TryResume()
+{
+  CloseAttempt();
+  auto& budget = m_context.router.BudgetOf(m_intake.policy);
+  const bool allowed =
+    m_intake.requestClass.idempotent && m_resume.Possible() &&
+    m_history.attempts < kMostAttempts && m_runs + 1 < m_intake.retry.maxRuns;
+  if (!allowed || !budget.TrySpend()) {
+    m_exchange->Abort();
+    Done(Outcome::kUnknown);
+    return;
+  }
+  m_resuming = true;
+  ++m_runs;
+  // The deadline counts for the head of the answer, which the caller has.
+  m_deadline = m_context.clock.Now() + m_intake.requestClass.deadline;
+  m_context.metrics.CountRetry(RetryReason::kConnectionLost);
+  m_timer.StartOnce(kRedirectDelay);
+}
+
+void
+IngressSession::GiveAnswer(const KeptAnswer& aAnswer)
+{
+  const auto answer = DecodeAnswer(aAnswer);
+  OnHead(answer.head, FenceToken());
+  if (!answer.body.empty()) {
+    OnAnswerBody(answer.body);
+  }
+  OnAnswerEnd();
+}
+
+}
--- a/src/Http/internal/ClientCore.cpp
+++ b/src/Http/internal/ClientCore.cpp
@@ -17,7 +17,7 @@
   , m_limits(aLimits)
   , m_dispatch(event_new(aBase, -1, 0, HandleDispatch, this))
 {
-  SocketAddress check(aEndpoint); // Throws now rather than at a connect.
+  HttpAddressOf(aEndpoint); // Throws now rather than at a connect.
 }
 
 std::shared_ptr<ClientExchange>
--- a/src/Http/internal/ServerCore.cpp
+++ b/src/Http/internal/ServerCore.cpp
@@ -29,7 +29,7 @@
 void
 ServerCore::Listen(const Endpoint& aEndpoint)
 {
-  SocketAddress address(aEndpoint);
+  const auto address = HttpAddressOf(aEndpoint);
   constexpr unsigned kFlags =
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
   m_listener.reset(evconnlistener_new_bind(m_base,
@@ -38,7 +38,7 @@
                                            kFlags,
                                            kBacklog,
                                            address.Get(),
-                                           address.Size()));
+                                           static_cast<int>(address.Length())));
   if (!m_listener) {
     throw HttpError("can't listen on " + HostFieldOf(aEndpoint));
   }
--- a/src/Http/internal/SocketAddress.cpp
+++ b/src/Http/internal/SocketAddress.cpp
@@ -1,10 +1,6 @@
 #include "src/Http/internal/SocketAddress.h"
 
-#include <array>
-
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 
 #include "src/Http/HttpError.h"
 
@@ -27,55 +23,25 @@
            : fmt::format("{}:{}", aEndpoint.address, aEndpoint.port);
 }
 
-SocketAddress::SocketAddress(const Endpoint& aEndpoint)
+SocketAddress
+HttpAddressOf(const Endpoint& aEndpoint)
 {
-  // Without its port: evutil takes no port 0.
-  const char* text = aEndpoint.address.c_str();
-  if (evutil_parse_sockaddr_port(text, Get(), &m_size) != 0) {
+  const auto address = ParseSocketAddress(aEndpoint);
+  if (!address) {
     throw HttpError("'" + aEndpoint.address + "' is no IP address");
   }
-  in_port_t port = htons(aEndpoint.port);
-  if (m_storage.ss_family == AF_INET6) {
-    reinterpret_cast<sockaddr_in6*>(&m_storage)->sin6_port = port;
-  } else {
-    reinterpret_cast<sockaddr_in*>(&m_storage)->sin_port = port;
-  }
-}
-
-const sockaddr*
-SocketAddress::Get() const
-{
-  return reinterpret_cast<const sockaddr*>(&m_storage);
-}
-
-sockaddr*
-SocketAddress::Get()
-{
-  return reinterpret_cast<sockaddr*>(&m_storage);
+  return *address;
 }
 
 Endpoint
 LocalEndpointOf(evutil_socket_t aSocket)
 {
-  sockaddr_storage storage{};
-  socklen_t size = sizeof(storage);
-  if (getsockname(aSocket, reinterpret_cast<sockaddr*>(&storage), &size) != 0) {
+  SocketAddress address;
+  auto length = address.Length();
+  if (getsockname(aSocket, address.Get(), &length) != 0) {
     throw HttpError("the address of a socket can't be read");
   }
-  std::array<char, INET6_ADDRSTRLEN> text{};
-  const void* address = nullptr;
-  in_port_t port = 0;
-  if (storage.ss_family == AF_INET6) {
-    const auto* six = reinterpret_cast<const sockaddr_in6*>(&storage);
-    address = &six->sin6_addr;
-    port = six->sin6_port;
-  } else {
-    const auto* four = reinterpret_cast<const sockaddr_in*>(&storage);
-    address = &four->sin_addr;
-    port = four->sin_port;
-  }
-  evutil_inet_ntop(storage.ss_family, address, text.data(), text.size());
-  return { text.data(), ntohs(port) };
+  return ToEndpoint(address);
 }
 
 }
--- a/src/Http/internal/Stream.cpp
+++ b/src/Http/internal/Stream.cpp
@@ -116,9 +116,10 @@
 bool
 Stream::Connect(const Endpoint& aEndpoint)
 {
-  SocketAddress address(aEndpoint);
-  return bufferevent_socket_connect(
-           m_stream.get(), address.Get(), address.Size()) == 0;
+  const auto address = HttpAddressOf(aEndpoint);
+  return bufferevent_socket_connect(m_stream.get(),
+                                    address.Get(),
+                                    static_cast<int>(address.Length())) == 0;
 }
 
 void
--- a/src/Inner/SocketAddress.cpp
+++ b/src/Inner/SocketAddress.cpp
@@ -1,9 +1,5 @@
 #include "src/Inner/SocketAddress.h"
 
-#include <arpa/inet.h>
-
-#include <array>
-
 #include <fmt/format.h>
 
 #include "src/Inner/InnerError.h"
@@ -13,50 +9,11 @@
 SocketAddress
 ToSocketAddress(const Endpoint& aEndpoint)
 {
-  SocketAddress address;
-  auto* four = reinterpret_cast<sockaddr_in*>(address.Get());
-  if (inet_pton(AF_INET, aEndpoint.address.c_str(), &four->sin_addr) == 1) {
-    four->sin_family = AF_INET;
-    four->sin_port = htons(aEndpoint.port);
-    address.SetLength(sizeof(sockaddr_in));
-    return address;
-  }
-  auto* six = reinterpret_cast<sockaddr_in6*>(address.Get());
-  if (inet_pton(AF_INET6, aEndpoint.address.c_str(), &six->sin6_addr) == 1) {
-    six->sin6_family = AF_INET6;
-    six->sin6_port = htons(aEndpoint.port);
-    address.SetLength(sizeof(sockaddr_in6));
-    return address;
-  }
-  throw InnerError(fmt::format("no IP address: '{}'", aEndpoint.address));
-}
-
-Endpoint
-ToEndpoint(const SocketAddress& aAddress)
-{
-  std::array<char, INET6_ADDRSTRLEN> text{};
-  if (aAddress.Get()->sa_family == AF_INET6) {
-    const auto* six = reinterpret_cast<const sockaddr_in6*>(aAddress.Get());
-    inet_ntop(AF_INET6, &six->sin6_addr, text.data(), text.size());
-    return Endpoint{ text.data(), ntohs(six->sin6_port) };
+  const auto address = ParseSocketAddress(aEndpoint);
+  if (!address) {
+    throw InnerError(fmt::format("no IP address: '{}'", aEndpoint.address));
   }
-  const auto* four = reinterpret_cast<const sockaddr_in*>(aAddress.Get());
-  inet_ntop(AF_INET, &four->sin_addr, text.data(), text.size());
-  return Endpoint{ text.data(), ntohs(four->sin_port) };
-}
-
-timeval
-ToTimeval(Duration aDuration)
-{
-  using std::chrono::duration_cast;
-  using std::chrono::microseconds;
-  using std::chrono::seconds;
-  const auto whole = duration_cast<seconds>(aDuration);
-  const auto rest = duration_cast<microseconds>(aDuration - whole);
-  timeval value{};
-  value.tv_sec = whole.count();
-  value.tv_usec = rest.count();
-  return value;
+  return *address;
 }
 
 }
--- a/src/Inner/SocketAddress.h
+++ b/src/Inner/SocketAddress.h
@@ -1,44 +1,13 @@
 #ifndef PISTACHIOSHIFT_INNER_SOCKETADDRESS_H
 #define PISTACHIOSHIFT_INNER_SOCKETADDRESS_H
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-
-#include "src/Base/Clock.h"
-#include "src/Base/Ids.h"
+#include "src/Base/SocketAddress.h"
 
 namespace pistachioshift::internal {
 
-/** An IPv4 or IPv6 address in the form that the socket calls take. */
-class SocketAddress
-{
-public:
-  SocketAddress() = default;
-
-  sockaddr* Get() { return reinterpret_cast<sockaddr*>(&m_storage); }
-
-  const sockaddr* Get() const
-  {
-    return reinterpret_cast<const sockaddr*>(&m_storage);
-  }
-
-  socklen_t Length() const { return m_length; }
-  void SetLength(socklen_t aLength) { m_length = aLength; }
-
-private:
-  sockaddr_storage m_storage{};
-  socklen_t m_length = sizeof(sockaddr_storage);
-};
-
 /** Throws InnerError if the address is no IP address. */
 SocketAddress ToSocketAddress(const Endpoint& aEndpoint);
 
-/** Address and port of a socket address. */
-Endpoint ToEndpoint(const SocketAddress& aAddress);
-
-timeval ToTimeval(Duration aDuration);
-
 }
 
 #endif
--- a/test/Http/LoopbackSupport.cpp
+++ b/test/Http/LoopbackSupport.cpp
@@ -66,7 +66,7 @@
 RawPeer::RawPeer(event_base* aBase, const Endpoint& aEndpoint)
   : m_stream(bufferevent_socket_new(aBase, -1, BEV_OPT_CLOSE_ON_FREE))
 {
-  internal::SocketAddress address(aEndpoint);
+  const auto address = internal::HttpAddressOf(aEndpoint);
   bufferevent_setcb(
     m_stream.get(),
     nullptr,
@@ -78,7 +78,8 @@
     },
     &m_closed);
   bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
-  bufferevent_socket_connect(m_stream.get(), address.Get(), address.Size());
+  bufferevent_socket_connect(
+    m_stream.get(), address.Get(), static_cast<int>(address.Length()));
 }
 
 void
@@ -101,7 +102,7 @@
   , m_answer(std::move(aAnswer))
   , m_closeAfter(aCloseAfter)
 {
-  internal::SocketAddress address(kAnyPort);
+  const auto address = internal::HttpAddressOf(kAnyPort);
   auto accept =
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
       static_cast<RawServer*>(aSelf)->Accept(aSocket);
@@ -112,7 +113,7 @@
                                            LEV_OPT_CLOSE_ON_FREE,
                                            -1,
                                            address.Get(),
-                                           address.Size()));
+                                           static_cast<int>(address.Length())));
   m_endpoint =
     internal::LocalEndpointOf(evconnlistener_get_fd(m_listener.get()));
 }
