--- a/src/Base/SocketAddress.cpp
+++ b/src/Base/SocketAddress.cpp
@@ -44,15 +44,11 @@
 timeval
 ToTimeval(Duration aDuration)
 {
-  using std::chrono::duration_cast;
-  using std::chrono::microseconds;
-  using std::chrono::seconds;
-  const auto whole = duration_cast<seconds>(aDuration);
-  const auto rest = duration_cast<microseconds>(aDuration - whole);
-  timeval value{};
-  value.tv_sec = whole.count();
-  value.tv_usec = rest.count();
-  return value;
+  // Rounded up: a timer that is early finds nothing to do.
+  const auto micros =
+    std::chrono::ceil<std::chrono::microseconds>(aDuration).count();
+  return { static_cast<time_t>(micros / std::micro::den),
+           static_cast<suseconds_t>(micros % std::micro::den) };
 }
 
 }
--- a/src/Http/internal/EventHandles.h
+++ b/src/Http/internal/EventHandles.h
@@ -9,7 +9,7 @@
 #include <event2/listener.h>
 #include <sys/time.h>
 
-#include "src/Base/Clock.h"
+#include "src/Base/SocketAddress.h"
 
 namespace pistachioshift::internal {
 
@@ -29,14 +29,6 @@
 using ListenerPtr =
   std::unique_ptr<evconnlistener, FreeWith<evconnlistener_free>>;
 
-inline timeval
-ToTimeval(Duration aDuration)
-{
-  auto micros = std::chrono::ceil<std::chrono::microseconds>(aDuration).count();
-  return { static_cast<time_t>(micros / std::micro::den),
-           static_cast<suseconds_t>(micros % std::micro::den) };
-}
-
 }
 
 #endif
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -107,6 +107,7 @@
 FromWire(const std::vector<ranges_idl::WireSuspicion>& aSuspicions)
 {
   std::vector<Suspicion> suspicions;
+  suspicions.reserve(aSuspicions.size());
   for (const auto& item : aSuspicions) {
     suspicions.push_back(Suspicion{ HostName(item.host), item.number });
   }
--- a/test/Ranges/WorldSupport.cpp
+++ b/test/Ranges/WorldSupport.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace pistachioshift::test {
 
 namespace {
@@ -363,7 +365,7 @@
 World::Append(const DaemonPtr& aDaemon,
               const std::vector<StoreEntry>& aEntries,
               const AppendCondition& aCondition,
-              std::function<void(const AppendReply&)> aDone)
+              const std::function<void(const AppendReply&)>& aDone)
 {
   const auto answered = std::make_shared<bool>(false);
   const auto done =
@@ -734,7 +736,8 @@
       const auto now = Local(other.server.rate);
       for (const auto& hold : other.server.holds) {
         if (hold.ends > now && hold.range.Contains(key)) {
-          m_broken = "two backend servers hold a key: " + life + " and " + name;
+          m_broken =
+            fmt::format("two backend servers hold a key: {}, {}", life, name);
         }
       }
       for (const auto& work : other.server.works) {
--- a/test/Ranges/WorldSupport.h
+++ b/test/Ranges/WorldSupport.h
@@ -163,7 +163,7 @@
   void Append(const DaemonPtr& aDaemon,
               const std::vector<StoreEntry>& aEntries,
               const AppendCondition& aCondition,
-              std::function<void(const AppendReply&)> aDone);
+              const std::function<void(const AppendReply&)>& aDone);
   void SilentServer(WorldDaemon& aDaemon);
   void HandOnLater(WorldDaemon& aDaemon);
   void MoveSomething(WorldDaemon& aDaemon);
