A stopping daemon accepts only requests that end before it exits

What callers saw: after SIGTERM of their host a request at which a backend server was at work ended with 502 (LOST); non-idempotent ones stayed unknown.

Cause: a stopping daemon accepted requests from other daemons as long as own callers kept it running, up to 1.2 s before its forced exit. A request that ran longer was cut by the exit of the daemon beside its backend server. The caller's daemon was in a stop of its own, as in rolling restarts.

Change: a request is accepted or started during a stop only if its deadline is not after the latest exit; others are refused as not run. The fixed time before the exit is gone.

--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -24,10 +24,6 @@
 /** Time for sending the last answers before a forced exit. */
 constexpr Duration kFlushTime = milliseconds(200);
 
-/** Time for peers' requests that are still running when no new ones are
- * accepted. */
-constexpr Duration kPeerDrainTime = milliseconds(1200);
-
 /** Time without any request in progress before the process exits. */
 constexpr Duration kIdleBeforeExit = milliseconds(150);
 
@@ -204,7 +200,7 @@
   m_idleSince = m_leaveStartedAt;
   m_logger.Info("leave-begin", "in_flight={}", m_server.InFlight());
   m_ingress->BeginClosing();
-  m_server.BeginLeave();
+  m_server.BeginLeave(m_leaveStartedAt + m_settings.grace - kGraceMargin);
   m_leaveTimer.StartEvery(kLeaveInterval);
 }
 
@@ -237,10 +233,8 @@
     m_dialect->BeginClosing();
   }
   // Requests from peers are accepted as long as requests of this daemon's own
-  // callers keep the process running, or until the grace period nearly ends.
-  const bool endIsNear =
-    elapsed >= m_settings.grace - kGraceMargin - kPeerDrainTime;
-  if (!m_draining && (m_ingress->Active() == 0 || endIsNear)) {
+  // callers keep the process running.
+  if (!m_draining && m_ingress->Active() == 0) {
     m_draining = true;
     m_server.BeginDrain();
   }
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -41,8 +41,8 @@
   ServerStatus server;
   server.incarnation = aHeartbeat.incarnation;
   server.slots = aHeartbeat.slots;
-  server.state = m_leaving || m_grants.RevokingAll() ? ServerState::kDraining
-                                                     : ServerState::kReady;
+  server.state = m_exitAt || m_grants.RevokingAll() ? ServerState::kDraining
+                                                    : ServerState::kReady;
   m_state.PublishServer(server);
 }
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -140,6 +140,12 @@
   return m_draining || (m_drainEndsAt && aNow >= *m_drainEndsAt);
 }
 
+bool
+RangeServerTask::OutlastsProcess(const OwnerCall& aCall) const
+{
+  return m_exitAt && aCall.Request().deadline > *m_exitAt;
+}
+
 void
 RangeServerTask::Accept(const CallPtr& aCall)
 {
@@ -150,7 +156,7 @@
     aCall->Refuse(RefusalReason::kNotOwner, Duration::zero());
     return;
   }
-  if (RefusesNewCalls(now)) {
+  if (RefusesNewCalls(now) || OutlastsProcess(*aCall)) {
     aCall->Refuse(RefusalReason::kDraining, Duration::zero());
     return;
   }
@@ -276,9 +282,10 @@
     if (MayStart(*call)) {
       call->Start(m_pool);
     } else {
-      call->Refuse(RefusesNewCalls(m_clock.Now())
-                     ? RefusalReason::kDraining
-                     : RefusalReason::kLeaseNotHeld,
+      const bool draining =
+        RefusesNewCalls(m_clock.Now()) || OutlastsProcess(*call);
+      call->Refuse(draining ? RefusalReason::kDraining
+                            : RefusalReason::kLeaseNotHeld,
                    Duration::zero());
     }
   }
@@ -308,7 +315,8 @@
 RangeServerTask::MayStart(const OwnerCall& aCall) const
 {
   const auto now = m_clock.Now();
-  if (now >= aCall.Request().deadline || RefusesNewCalls(now)) {
+  if (now >= aCall.Request().deadline || RefusesNewCalls(now) ||
+      OutlastsProcess(aCall)) {
     return false;
   }
   const auto key = ParseShardKey(aCall.Request().key);
@@ -411,9 +419,9 @@
 }
 
 void
-RangeServerTask::BeginLeave()
+RangeServerTask::BeginLeave(MonoTime aExitAt)
 {
-  m_leaving = true;
+  m_exitAt = aExitAt;
   auto server = m_state.OwnRecord().server;
   if (server && server->state == ServerState::kReady) {
     server->state = ServerState::kDraining;
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -88,9 +88,11 @@
   /**
    * \brief Announces that this daemon will stop. It is assigned no more keys,
    * and requests that any instance can answer are routed to other hosts.
-   * Requests are still served until BeginDrain.
+   * Requests whose deadline is before the exit are served until BeginDrain;
+   * others are refused.
+   * \param aExitAt when the process exits at the latest.
    */
-  void BeginLeave();
+  void BeginLeave(MonoTime aExitAt);
 
   /** \brief Refuses new and queued requests from now on. */
   void BeginDrain();
@@ -132,6 +134,7 @@
   Duration LinkWait(const OwnerCall& aCall) const;
   Duration MaxTimeInSystem(const OwnerCall& aCall) const;
   bool RefusesNewCalls(MonoTime aNow) const;
+  bool OutlastsProcess(const OwnerCall& aCall) const;
   std::vector<RangeRow> RowsOf(const ServerIncarnation& aIncarnation) const;
   bool AssignedHere(ShardKey aKey) const;
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
@@ -154,12 +157,12 @@
   std::vector<CallPtr> m_newCalls;
   std::optional<ServerId> m_serverId;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
+  std::optional<MonoTime> m_exitAt;      ///< Set once the daemon is leaving.
   MonoTime m_lastHeartbeat;
   LinkAdmission m_link{ kDirectBytes };
   std::function<Duration()> m_backlog;
   double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
   bool m_sharded = false;
-  bool m_leaving = false;
   bool m_draining = false;
   Timer m_acceptTimer;
   Timer m_gateTimer;
--- a/test/process/PlatformTest.cpp
+++ b/test/process/PlatformTest.cpp
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <memory>
 #include <thread>
 
@@ -36,8 +38,10 @@
 
   static constexpr size_t kHosts = 3;
 
-  explicit PlatformTest(std::string aGrace = "6s")
+  explicit PlatformTest(std::string aGrace = "6s",
+                        milliseconds aWork = milliseconds(20))
     : m_grace(std::move(aGrace))
+    , m_work(aWork)
   {
     PickPorts();
     m_store = std::make_unique<ChildProcess>(
@@ -129,6 +133,7 @@
       std::vector<std::string>{ fmt::format("--port={}", host.ports[3]),
                                 fmt::format("--control={}", host.ports[2]),
                                 fmt::format("--id=i-{}", aIndex),
+                                fmt::format("--work-ms={}", m_work.count()),
                                 "--service=orders" });
   }
 
@@ -192,7 +197,39 @@
     return most;
   }
 
+  /** Sends one request for each part of the key space at the same time. */
+  std::vector<HttpReply> AskAllKeys(size_t aHost, const char* aPath)
+  {
+    std::vector<std::future<HttpReply>> pending;
+    for (int key = 0; key < 65536; key += 4096) {
+      pending.push_back(std::async(
+        std::launch::async, [=, this] { return Ask(aHost, aPath, key); }));
+    }
+    std::vector<HttpReply> replies;
+    replies.reserve(pending.size());
+    for (auto& reply : pending) {
+      replies.push_back(reply.get());
+    }
+    return replies;
+  }
+
+  /** Like WaitServed, for requests that take long. */
+  bool WaitAllServed(size_t aHost, seconds aLimit)
+  {
+    const auto end = steady_clock::now() + aLimit;
+    while (steady_clock::now() < end) {
+      const auto replies = AskAllKeys(aHost, "/r/x");
+      if (std::all_of(replies.begin(), replies.end(), [](const auto& aReply) {
+            return aReply.status == 200;
+          })) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   std::string m_grace;
+  milliseconds m_work; ///< Execution time of each request.
   uint16_t m_storePort = 0;
   std::unique_ptr<ChildProcess> m_store;
   std::vector<Host> m_hosts;
@@ -287,6 +324,33 @@
   EXPECT_EQ(cut, 0);
 }
 
+/** Requests that run for most of their route's timeout. */
+class LongRequestTest : public PlatformTest
+{
+protected:
+  LongRequestTest()
+    : PlatformTest("6s", milliseconds(2400))
+  {
+  }
+};
+
+// Guards against LOST: a stopping daemon accepted requests from peers that it
+// could not finish before its exit, and their callers got 502.
+TEST_F(LongRequestTest, Terminate_PeersRequestOutlastsTheStop_IsRefusedAsNotRun)
+{
+  ASSERT_TRUE(WaitAllServed(1, seconds(20)));
+  m_hosts[0].daemon->Signal(SIGTERM);
+  // Requests of own callers keep the process running until its forced exit.
+  std::this_thread::sleep_for(milliseconds(2000));
+  auto own = std::async(std::launch::async, [this] { AskAllKeys(0, "/r/x"); });
+  std::this_thread::sleep_for(milliseconds(1800));
+  for (const auto& reply : AskAllKeys(1, "/w/x")) {
+    EXPECT_TRUE(reply.status == 200 || reply.status == 503) << reply.status;
+  }
+  own.get();
+  EXPECT_EQ(m_hosts[0].daemon->Wait(), 0);
+}
+
 /** The grace ends before the route's timeout. */
 class ShortGraceTest : public PlatformTest
 {
