A stopping daemon tells its peers what it has not run

What callers saw: 502 with an unknown outcome for non-idempotent requests that had never run, a few at each planned stop of the daemon that holds their key.

Cause: requests that arrive while a process exits are reset with its sockets. The caller's daemon can't tell that from a crash, asks for the outcome, finds nobody or a new process that has forgotten, and must answer 502.

Change: a new frame Goodbye, the last one to each peer. It states that requests without an answer have not run and never will; later ones are ignored, no new connections are accepted. The peer counts them as not sent, so they may be sent again, and closes its connection; the process exits when all have, after half a second at the latest. At a forced exit what runs is ended with an unknown outcome first, and what is complete is flushed. A connection that has ended is closed at once; before, its socket stayed open until the next request to that peer.

Decoders of an earlier version end the connection at the unknown frame, which is what they saw before.

--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -43,7 +43,7 @@
 /** \brief How the connection to the key's holder failed. */
 enum class CallLoss
 {
-  kNotSent,   ///< Nothing left this process.
+  kNotSent,   ///< Nothing left this process, or the peer did not run it.
   kClosed,    ///< Closed or reset before the head of the response.
   kSilent,    ///< Heartbeats went unanswered before the head of the response.
   kTruncated, ///< Failed after the head of the response.
--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <fmt/format.h>
@@ -48,11 +50,64 @@
     throw InnerError(
       fmt::format("can't bind TCP {}:{}", aEndpoint.address, aEndpoint.port));
   }
+  auto bound = address;
+  socklen_t length = bound.Length();
+  getsockname(evconnlistener_get_fd(m_listener), bound.Get(), &length);
+  m_endpoint = internal::ToEndpoint(bound);
 }
 
 InnerServerTask::~InnerServerTask()
 {
-  evconnlistener_free(m_listener);
+  StopListening();
+}
+
+void
+InnerServerTask::StopListening()
+{
+  if (m_listener != nullptr) {
+    evconnlistener_free(m_listener);
+    m_listener = nullptr;
+  }
+}
+
+void
+InnerServerTask::AcceptWaiting()
+{
+  const auto listening = evconnlistener_get_fd(m_listener);
+  for (;;) {
+    const int one =
+      accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (one < 0) {
+      return;
+    }
+    OnAccepted(one);
+  }
+}
+
+void
+InnerServerTask::FailRunning()
+{
+  const auto sessions = m_sessions;
+  for (const auto& session : sessions) {
+    session->FailRunning();
+  }
+}
+
+void
+InnerServerTask::SayGoodbye()
+{
+  if (m_saidGoodbye) {
+    return;
+  }
+  // Closing the listener resets connections that have not been accepted yet,
+  // and their peers could not tell whether a request ran.
+  AcceptWaiting();
+  StopListening();
+  m_saidGoodbye = true;
+  const auto sessions = m_sessions;
+  for (const auto& session : sessions) {
+    session->Send(Goodbye{});
+  }
 }
 
 bool
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -49,8 +49,22 @@
   InnerServerTask(const InnerServerTask&) = delete;
   InnerServerTask& operator=(const InnerServerTask&) = delete;
 
+  /** \brief The bound endpoint, with the port that was picked for port 0. */
+  Endpoint LocalEndpoint() const { return m_endpoint; }
+
   size_t Sessions() const { return m_sessions.size(); }
 
+  /** \brief Ends all requests that have not been answered; called when the
+   * process must exit before they end. */
+  void FailRunning();
+
+  /**
+   * \brief Tells all peers that requests which they send from now on, or whose
+   * answer they don't have yet, will not run. They close their connections; no
+   * new ones are accepted.
+   */
+  void SayGoodbye();
+
   /** \brief Whether bytes are queued or in the buffer of a connection. */
   bool HasUnsent() const;
 
@@ -58,6 +72,8 @@
   friend class InnerSession;
 
   void OnAccepted(int aSocket);
+  void AcceptWaiting();
+  void StopListening();
 
   event_base* m_base;
   const Clock& m_clock;
@@ -66,8 +82,10 @@
   InnerServices m_services;
   Metrics& m_metrics;
   BulkQueue& m_bulk;
+  Endpoint m_endpoint;
   evconnlistener* m_listener = nullptr;
   std::set<std::shared_ptr<InnerSession>> m_sessions;
+  bool m_saidGoodbye = false;
 };
 
 }
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -37,6 +37,15 @@
                             m_task.m_calls.Position() });
 }
 
+void
+InnerSession::FailRunning()
+{
+  const auto streams = m_streams;
+  for (const auto& [id, stream] : streams) {
+    stream->FailRunning();
+  }
+}
+
 void
 InnerSession::Remove(StreamId aStream)
 {
@@ -87,6 +96,9 @@
 void
 InnerSession::Open(RequestOpen aOpen)
 {
+  if (m_task.m_saidGoodbye) {
+    return; // The peer has been told that it does not run.
+  }
   if (m_streams.contains(aOpen.stream)) {
     m_connection->Close();
     return;
@@ -213,6 +225,21 @@
   }
 }
 
+void
+InnerStream::FailRunning()
+{
+  const auto self = shared_from_this();
+  if (const auto call = std::move(m_call)) {
+    call->Cancel();
+    CallRefusal refusal;
+    refusal.outcome = Outcome::kUnknown;
+    refusal.reason = RefusalReason::kDraining;
+    OnRefused(refusal);
+  } else if (m_sender) {
+    m_sender->Flush();
+  }
+}
+
 void
 InnerStream::OnHead(const ResponseHead& aHead, const FenceToken& aToken)
 {
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -28,6 +28,7 @@
   void Send(const Frame& aFrame) { m_connection->Send(aFrame); }
   void Remove(StreamId aStream);
   BulkQueue& Bulk() { return m_task.m_bulk; }
+  void FailRunning();
   bool HasUnsent() const { return m_connection->BufferedBytes() > 0; }
 
   void OnFrame(Connection& aConnection, Frame aFrame) override;
@@ -63,6 +64,10 @@
   void Cancel();
   void Abandon();
 
+  /** \brief Ends a request that runs with an unknown outcome; sends what is
+   * left of an answer that is complete here. */
+  void FailRunning();
+
   void OnHead(const ResponseHead& aHead, const FenceToken& aToken) override;
   void OnBody(std::string_view aData) override;
   void OnEnd() override;
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -81,6 +81,9 @@
 {
   std::erase_if(m_queryLinks,
                 [&](const auto& aItem) { return aItem.get() == &aLink; });
+  if (m_link.get() == &aLink) {
+    m_link.reset(); // Closes the socket, for which a stopping peer waits.
+  }
   if (aEnd == CloseReason::kLocal) {
     return;
   }
@@ -100,6 +103,17 @@
   m_failedAt = m_task.m_clock.Now();
 }
 
+void
+Peer::OnGoodbye(size_t aCalls)
+{
+  m_failedAt = m_task.m_clock.Now();
+  m_task.m_logger.Info("peer-stops",
+                       "peer={}:{} not_run={}",
+                       m_endpoint.address,
+                       m_endpoint.port,
+                       aCalls);
+}
+
 void
 PeerLink::Connect(event_base* aBase,
                   const Clock& aClock,
@@ -184,6 +198,8 @@
     m_peer.OnPosition(pong->position);
   } else if (const auto* hello = std::get_if<Hello>(&aFrame)) {
     m_peer.OnHello(*hello);
+  } else if (std::holds_alternative<Goodbye>(aFrame)) {
+    OnGoodbye();
   } else if (const auto* reply = std::get_if<OutcomeReply>(&aFrame)) {
     auto query = m_queries.extract(reply->query);
     if (!query.empty()) {
@@ -209,6 +225,21 @@
   }
 }
 
+void
+PeerLink::OnGoodbye()
+{
+  m_peerLeft = true;
+  const auto calls = std::exchange(m_calls, {});
+  m_peer.OnGoodbye(calls.size());
+  UpdateBusy();
+  for (const auto& [stream, call] : calls) {
+    call->OnGoodbye();
+  }
+  if (IsIdle()) {
+    Close();
+  }
+}
+
 void
 PeerLink::OnDrained(Connection&)
 {
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -46,7 +46,10 @@
     m_onOrders = std::move(aCallback);
   }
 
-  bool Usable() const { return m_connection && !m_connection->Ended(); }
+  bool Usable() const
+  {
+    return m_connection && !m_connection->Ended() && !m_peerLeft;
+  }
   bool IsIdle() const;
   size_t Calls() const { return m_calls.size(); }
   const Connection& Transport() const { return *m_connection; }
@@ -58,6 +61,7 @@
 
 private:
   void UpdateBusy();
+  void OnGoodbye();
 
   Peer& m_peer;
   std::shared_ptr<Connection> m_connection;
@@ -67,6 +71,7 @@
   PeersTask::StateCallback m_onState;
   PeersTask::OrdersCallback m_onOrders;
   int64_t m_lastStream = 0;
+  bool m_peerLeft = false; ///< The peer runs no more requests.
 };
 
 /** \brief Another daemon, identified by its endpoint. */
@@ -90,6 +95,7 @@
   void OnHello(const Hello& aHello);
   void OnPosition(TablePosition aPosition);
   void OnLinkEnded(const PeerLink& aLink, CloseReason aEnd);
+  void OnGoodbye(size_t aCalls);
 
 private:
   PeersTask& m_task;
@@ -122,6 +128,7 @@
   void OnFrame(const BodyChunk& aPiece);
   void OnFrame(const Credit& aCredit);
   void OnFrame(const Refused& aRefused);
+  void OnGoodbye();
   void OnLinkEnded(CloseReason aEnd);
 
 private:
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -190,6 +190,16 @@
   }
 }
 
+void
+RemoteCall::OnGoodbye()
+{
+  const auto listener = std::move(m_listener);
+  m_listener.reset();
+  if (listener) {
+    listener->OnLost(m_headSeen ? CallLoss::kTruncated : CallLoss::kNotSent);
+  }
+}
+
 void
 RemoteCall::OnLinkEnded(CloseReason aEnd)
 {
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -27,6 +27,9 @@
 /** Time without any request in progress before the process exits. */
 constexpr Duration kIdleBeforeExit = milliseconds(150);
 
+/** Time for peers to close their connections once they know of the exit. */
+constexpr Duration kGoodbyeTime = milliseconds(500);
+
 /** Number of peers queried for the state while the store does not answer. */
 constexpr size_t kQueriedPeers = 2;
 
@@ -210,18 +213,7 @@
   const auto now = m_clock.Now();
   const auto elapsed = now - m_leaveStartedAt;
   if (elapsed >= m_settings.grace - kGraceMargin) {
-    if (!m_forced) {
-      m_forced = true;
-      m_logger.Warning("leave-forced",
-                       "in_flight={} callers={}",
-                       m_server.InFlight(),
-                       m_ingress->Active());
-      m_ingress->FailPendingRequests();
-    }
-    if (elapsed >= m_settings.grace - kGraceMargin + kFlushTime) {
-      LogLeaveEnd(now);
-      event_base_loopbreak(m_base);
-    }
+    ForceLeave(now);
     return;
   }
   if (elapsed < kReadinessNoticeTime) {
@@ -244,11 +236,45 @@
     return;
   }
   if (now - m_idleSince >= kIdleBeforeExit) {
-    LogLeaveEnd(now);
+    FinishLeave(now);
+  }
+}
+
+void
+HostDaemon::ForceLeave(MonoTime aNow)
+{
+  if (!m_forced) {
+    m_forced = true;
+    m_logger.Warning("leave-forced",
+                     "in_flight={} callers={}",
+                     m_server.InFlight(),
+                     m_ingress->Active());
+    m_ingress->FailPendingRequests();
+    m_server.BeginDrain();
+    m_inner.FailRunning();
+    m_inner.SayGoodbye();
+  }
+  const auto elapsed = aNow - m_leaveStartedAt;
+  if (elapsed >= m_settings.grace - kGraceMargin + kFlushTime) {
+    LogLeaveEnd(aNow);
     event_base_loopbreak(m_base);
   }
 }
 
+void
+HostDaemon::FinishLeave(MonoTime aNow)
+{
+  if (!m_goodbyeAt) {
+    m_goodbyeAt = aNow;
+    m_inner.SayGoodbye();
+  }
+  if (m_inner.Sessions() > 0 && aNow - *m_goodbyeAt < kGoodbyeTime) {
+    return;
+  }
+  LogLeaveEnd(aNow);
+  event_base_loopbreak(m_base);
+}
+
 void
 HostDaemon::LogLeaveEnd(MonoTime aNow) const
 {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_HOSTDAEMON_HOSTDAEMON_H
 
 #include <functional>
+#include <optional>
 #include <set>
 
 #include "src/Base/Random.h"
@@ -96,6 +97,8 @@
   void BroadcastUpdate(const StateUpdate& aUpdate);
   void QueryPeers();
   void OnLeaveTick();
+  void ForceLeave(MonoTime aNow);
+  void FinishLeave(MonoTime aNow);
   void LogLeaveEnd(MonoTime aNow) const;
   OperatorAnswer RenderMetrics();
 
@@ -124,6 +127,7 @@
   bool m_dialectClosing = false;
   bool m_draining = false;
   bool m_forced = false;
+  std::optional<MonoTime> m_goodbyeAt; ///< When peers were told of the exit.
 };
 
 }
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -206,6 +206,11 @@
     frame.__set_refused(refused);
   }
 
+  void operator()(const Goodbye&) const
+  {
+    frame.__set_goodbye(wire::WireGoodbye());
+  }
+
   void operator()(const CancelStream& aCancel) const
   {
     wire::WireCancel cancel;
@@ -486,6 +491,9 @@
   if (isset.stateReply) {
     return hosts::FromWire(aFrame.stateReply);
   }
+  if (isset.goodbye) {
+    return Goodbye{};
+  }
   throw InnerError("unknown frame type");
 }
 
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -201,6 +201,13 @@
   std::vector<StoreEntry> entries;
 };
 
+/**
+ * \brief Last frame of a daemon that stops. Requests on this connection that it
+ * has not answered by now have not run and never will.
+ */
+struct Goodbye
+{};
+
 using Frame = std::variant<Hello,
                            RequestOpen,
                            BodyChunk,
@@ -218,7 +225,8 @@
                            HostReport,
                            HostOrders,
                            StateQuery,
-                           StateReply>;
+                           StateReply,
+                           Goodbye>;
 
 }
 
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -4069,6 +4069,74 @@
 }
 
 
+WireGoodbye::~WireGoodbye() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const WireGoodbye& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireGoodbye::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WireGoodbye::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireGoodbye");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireGoodbye &a, WireGoodbye &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+WireGoodbye::WireGoodbye(const WireGoodbye& other102) noexcept {
+  (void) other102;
+}
+WireGoodbye& WireGoodbye::operator=(const WireGoodbye& other103) noexcept {
+  (void) other103;
+  return *this;
+}
+void WireGoodbye::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireGoodbye(";
+  out << ")";
+}
+
+
 WireFrame::~WireFrame() noexcept {
 }
 
@@ -4162,6 +4230,11 @@
   this->stateReply = val;
 __isset.stateReply = true;
 }
+
+void WireFrame::__set_goodbye(const WireGoodbye& val) {
+  this->goodbye = val;
+__isset.goodbye = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireFrame& obj)
 {
   obj.printTo(out);
@@ -4334,6 +4407,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->goodbye.read(iprot);
+          this->__isset.goodbye = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4441,6 +4522,11 @@
     xfer += this->stateReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.goodbye) {
+    xfer += oprot->writeFieldBegin("goodbye", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->goodbye.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4466,50 +4552,53 @@
   swap(a.hostOrders, b.hostOrders);
   swap(a.stateQuery, b.stateQuery);
   swap(a.stateReply, b.stateReply);
+  swap(a.goodbye, b.goodbye);
   swap(a.__isset, b.__isset);
 }
 
-WireFrame::WireFrame(const WireFrame& other102) {
-  hello = other102.hello;
-  requestOpen = other102.requestOpen;
-  body = other102.body;
-  credit = other102.credit;
-  responseOpen = other102.responseOpen;
-  refused = other102.refused;
-  cancel = other102.cancel;
-  ping = other102.ping;
-  pong = other102.pong;
-  outcomeQuery = other102.outcomeQuery;
-  outcomeReply = other102.outcomeReply;
-  recordsQuery = other102.recordsQuery;
-  recordsReply = other102.recordsReply;
-  loadReport = other102.loadReport;
-  hostReport = other102.hostReport;
-  hostOrders = other102.hostOrders;
-  stateQuery = other102.stateQuery;
-  stateReply = other102.stateReply;
-  __isset = other102.__isset;
-}
-WireFrame& WireFrame::operator=(const WireFrame& other103) {
-  hello = other103.hello;
-  requestOpen = other103.requestOpen;
-  body = other103.body;
-  credit = other103.credit;
-  responseOpen = other103.responseOpen;
-  refused = other103.refused;
-  cancel = other103.cancel;
-  ping = other103.ping;
-  pong = other103.pong;
-  outcomeQuery = other103.outcomeQuery;
-  outcomeReply = other103.outcomeReply;
-  recordsQuery = other103.recordsQuery;
-  recordsReply = other103.recordsReply;
-  loadReport = other103.loadReport;
-  hostReport = other103.hostReport;
-  hostOrders = other103.hostOrders;
-  stateQuery = other103.stateQuery;
-  stateReply = other103.stateReply;
-  __isset = other103.__isset;
+WireFrame::WireFrame(const WireFrame& other104) {
+  hello = other104.hello;
+  requestOpen = other104.requestOpen;
+  body = other104.body;
+  credit = other104.credit;
+  responseOpen = other104.responseOpen;
+  refused = other104.refused;
+  cancel = other104.cancel;
+  ping = other104.ping;
+  pong = other104.pong;
+  outcomeQuery = other104.outcomeQuery;
+  outcomeReply = other104.outcomeReply;
+  recordsQuery = other104.recordsQuery;
+  recordsReply = other104.recordsReply;
+  loadReport = other104.loadReport;
+  hostReport = other104.hostReport;
+  hostOrders = other104.hostOrders;
+  stateQuery = other104.stateQuery;
+  stateReply = other104.stateReply;
+  goodbye = other104.goodbye;
+  __isset = other104.__isset;
+}
+WireFrame& WireFrame::operator=(const WireFrame& other105) {
+  hello = other105.hello;
+  requestOpen = other105.requestOpen;
+  body = other105.body;
+  credit = other105.credit;
+  responseOpen = other105.responseOpen;
+  refused = other105.refused;
+  cancel = other105.cancel;
+  ping = other105.ping;
+  pong = other105.pong;
+  outcomeQuery = other105.outcomeQuery;
+  outcomeReply = other105.outcomeReply;
+  recordsQuery = other105.recordsQuery;
+  recordsReply = other105.recordsReply;
+  loadReport = other105.loadReport;
+  hostReport = other105.hostReport;
+  hostOrders = other105.hostOrders;
+  stateQuery = other105.stateQuery;
+  stateReply = other105.stateReply;
+  goodbye = other105.goodbye;
+  __isset = other105.__isset;
   return *this;
 }
 void WireFrame::printTo(std::ostream& out) const {
@@ -4533,6 +4622,7 @@
   out << ", " << "hostOrders="; (__isset.hostOrders ? (out << to_string(hostOrders)) : (out << "<null>"));
   out << ", " << "stateQuery="; (__isset.stateQuery ? (out << to_string(stateQuery)) : (out << "<null>"));
   out << ", " << "stateReply="; (__isset.stateReply ? (out << to_string(stateReply)) : (out << "<null>"));
+  out << ", " << "goodbye="; (__isset.goodbye ? (out << to_string(goodbye)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -75,6 +75,8 @@
 
 class WireStateReply;
 
+class WireGoodbye;
+
 class WireFrame;
 
 
@@ -1491,8 +1493,39 @@
 
 std::ostream& operator<<(std::ostream& out, const WireStateReply& obj);
 
+
+class WireGoodbye : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireGoodbye(const WireGoodbye&) noexcept;
+  WireGoodbye& operator=(const WireGoodbye&) noexcept;
+  WireGoodbye() noexcept {
+  }
+
+  virtual ~WireGoodbye() noexcept;
+
+  bool operator == (const WireGoodbye & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const WireGoodbye &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireGoodbye & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireGoodbye &a, WireGoodbye &b);
+
+std::ostream& operator<<(std::ostream& out, const WireGoodbye& obj);
+
 typedef struct _WireFrame__isset {
-  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false), hostReport(false), hostOrders(false), stateQuery(false), stateReply(false) {}
+  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false), hostReport(false), hostOrders(false), stateQuery(false), stateReply(false), goodbye(false) {}
   bool hello :1;
   bool requestOpen :1;
   bool body :1;
@@ -1511,6 +1544,7 @@
   bool hostOrders :1;
   bool stateQuery :1;
   bool stateReply :1;
+  bool goodbye :1;
 } _WireFrame__isset;
 
 class WireFrame : public virtual ::apache::thrift::TBase {
@@ -1540,6 +1574,7 @@
   WireHostOrders hostOrders;
   WireStateQuery stateQuery;
   WireStateReply stateReply;
+  WireGoodbye goodbye;
 
   _WireFrame__isset __isset;
 
@@ -1579,6 +1614,8 @@
 
   void __set_stateReply(const WireStateReply& val);
 
+  void __set_goodbye(const WireGoodbye& val);
+
   bool operator == (const WireFrame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1653,6 +1690,10 @@
       return false;
     else if (__isset.stateReply && !(stateReply == rhs.stateReply))
       return false;
+    if (__isset.goodbye != rhs.__isset.goodbye)
+      return false;
+    else if (__isset.goodbye && !(goodbye == rhs.goodbye))
+      return false;
     return true;
   }
   bool operator != (const WireFrame &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -171,6 +171,9 @@
   3: required list<WireStateEntry> entries
 }
 
+struct WireGoodbye {
+}
+
 union WireFrame {
   1: WireHello hello
   2: WireRequestOpen requestOpen
@@ -190,4 +193,5 @@
   16: WireHostOrders hostOrders
   17: WireStateQuery stateQuery
   18: WireStateReply stateReply
+  19: WireGoodbye goodbye
 }
--- /dev/null
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -0,0 +1,211 @@
+#include <event2/event.h>
+#include <gtest/gtest.h>
+
+#include "src/Daemon/InnerServerTask.h"
+#include "src/Daemon/PeersTask.h"
+
+namespace pistachioshift {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kUnlimitedRate = 0.0;
+constexpr Duration kTestTimeout = 10s;
+
+/** \brief A call that never ends by itself. */
+class PendingCall : public Call
+{
+public:
+  bool SendBody(std::string_view) override { return true; }
+  void Finish() override {}
+  void PauseBody() override {}
+  void ResumeBody() override {}
+  void Cancel() override { cancelled = true; }
+
+  bool cancelled = false;
+};
+
+/** \brief Accepts requests and leaves their answers to the test. */
+class PendingServer : public CallServer
+{
+public:
+  std::shared_ptr<Call> Start(CallRequest,
+                              std::shared_ptr<CallListener> aListener) override
+  {
+    listeners.push_back(std::move(aListener));
+    calls.push_back(std::make_shared<PendingCall>());
+    return calls.back();
+  }
+
+  OutcomeQueryResult QueryOutcome(const RequestId&, TablePosition) override
+  {
+    return { RequestState::kDone, CachedResponse{ 200, "kept" } };
+  }
+
+  TablePosition Position() const override { return {}; }
+
+  std::vector<std::shared_ptr<CallListener>> listeners;
+  std::vector<std::shared_ptr<PendingCall>> calls;
+};
+
+/** \brief Records how a call ended. */
+class RecordingListener : public CallListener
+{
+public:
+  void OnHead(const ResponseHead& aHead, const FenceToken&) override
+  {
+    status = aHead.status;
+  }
+  void OnBody(std::string_view aData) override { body += aData; }
+  void OnEnd() override { whole = true; }
+  void OnDrained() override {}
+  void OnRefused(const CallRefusal& aRefusal) override { refusal = aRefusal; }
+  void OnLost(CallLoss aLoss) override { loss = aLoss; }
+
+  bool Ended() const { return whole || refusal || loss; }
+
+  int status = 0;
+  std::string body;
+  bool whole = false;
+  std::optional<CallRefusal> refusal;
+  std::optional<CallLoss> loss;
+};
+
+/** \brief Two daemons' connection tasks on one event loop. */
+class GoodbyeTest : public ::testing::Test
+{
+protected:
+  GoodbyeTest()
+    : m_base(event_base_new(), event_base_free)
+    , m_bulk(m_base.get(), m_clock, kUnlimitedRate)
+    , m_inner(std::make_unique<InnerServerTask>(m_base.get(),
+                                                m_clock,
+                                                Endpoint{ "127.0.0.1", 0 },
+                                                BootId(1),
+                                                m_server,
+                                                Services(),
+                                                m_metrics,
+                                                m_bulk))
+    , m_peers(std::make_unique<PeersTask>(m_base.get(),
+                                          m_clock,
+                                          BootId(2),
+                                          m_logger,
+                                          m_metrics))
+  {
+  }
+
+  static InnerServices Services()
+  {
+    InnerServices services;
+    services.self = [] { return DaemonId(); };
+    return services;
+  }
+
+  std::shared_ptr<RecordingListener> Send()
+  {
+    CallRequest request;
+    request.id = { 1, ++m_lastId };
+    request.head.method = "GET";
+    request.head.target = "/";
+    request.deadline = m_clock.Now() + kTestTimeout;
+    auto listener = std::make_shared<RecordingListener>();
+    m_sent.push_back(
+      m_peers->Start(m_inner->LocalEndpoint(), request, listener));
+    return listener;
+  }
+
+  template<class Condition>
+  bool WaitFor(Condition aCondition)
+  {
+    const auto end = m_clock.Now() + kTestTimeout;
+    while (!aCondition() && m_clock.Now() < end) {
+      event_base_loop(m_base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+    return aCondition();
+  }
+
+  std::unique_ptr<event_base, decltype(&event_base_free)> m_base;
+  SystemClock m_clock;
+  Metrics m_metrics;
+  Logger m_logger{ "test", LogLevel::kError };
+  PendingServer m_server;
+  BulkQueue m_bulk;
+  std::unique_ptr<InnerServerTask> m_inner;
+  std::unique_ptr<PeersTask> m_peers;
+  std::vector<std::shared_ptr<Call>> m_sent;
+  uint64_t m_lastId = 0;
+};
+
+// Guards against 502 for a request that a stopping daemon never read: its
+// sender took the closed connection for an unknown outcome.
+TEST_F(GoodbyeTest, Goodbye_RequestOnItsWay_IsKnownNotToRun)
+{
+  const auto first = Send();
+  ASSERT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+  m_server.listeners.front()->OnRefused({});
+  ASSERT_TRUE(WaitFor([&] { return first->Ended(); }));
+  const auto onItsWay = Send();
+  m_inner->SayGoodbye();
+  ASSERT_TRUE(WaitFor([&] { return onItsWay->Ended(); }));
+  EXPECT_EQ(onItsWay->loss, CallLoss::kNotSent);
+  EXPECT_EQ(m_server.listeners.size(), 1U) << "it was started all the same";
+}
+
+// Guards against an exit that waits for its peers although all know of it.
+TEST_F(GoodbyeTest, Goodbye_PeersKnow_TheyCloseTheirConnections)
+{
+  const auto call = Send();
+  ASSERT_TRUE(WaitFor([&] { return m_inner->Sessions() == 1; }));
+  m_inner->SayGoodbye();
+  EXPECT_TRUE(WaitFor([&] { return m_inner->Sessions() == 0; }));
+  EXPECT_EQ(call->loss, CallLoss::kNotSent);
+}
+
+// Guards against "not run" for a request that its backend server worked on.
+TEST_F(GoodbyeTest, Goodbye_RequestRuns_OutcomeStaysUnknown)
+{
+  const auto call = Send();
+  ASSERT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+  m_inner->FailRunning();
+  m_inner->SayGoodbye();
+  ASSERT_TRUE(WaitFor([&] { return call->Ended(); }));
+  ASSERT_TRUE(call->refusal);
+  EXPECT_EQ(call->refusal->outcome, Outcome::kUnknown);
+  EXPECT_TRUE(m_server.calls.front()->cancelled);
+}
+
+// Guards against an answer lost at a stop although it was complete.
+TEST_F(GoodbyeTest, Goodbye_AnswerSentBefore_IsDelivered)
+{
+  const auto call = Send();
+  ASSERT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+  const auto answer = m_server.listeners.front();
+  answer->OnHead(ResponseHead{ .status = 200, .contentLength = 5 }, {});
+  answer->OnBody("whole");
+  answer->OnEnd();
+  m_inner->SayGoodbye();
+  ASSERT_TRUE(WaitFor([&] { return call->Ended(); }));
+  EXPECT_TRUE(call->whole);
+  EXPECT_EQ(call->body, "whole");
+}
+
+// Guards against an unknown outcome where the stopping daemon still knows it.
+TEST_F(GoodbyeTest, Goodbye_OutcomeQueryPending_IsAnswered)
+{
+  std::optional<OutcomeQueryResult> result;
+  bool connected = false;
+  const auto call = Send();
+  ASSERT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+  m_peers->QueryOutcome(m_inner->LocalEndpoint(),
+                        { 1, 1 },
+                        {},
+                        [&](const auto& aResult) { result = aResult; });
+  connected = WaitFor([&] { return m_inner->Sessions() == 2; });
+  ASSERT_TRUE(connected);
+  m_inner->SayGoodbye();
+  ASSERT_TRUE(WaitFor([&] { return result.has_value(); }));
+  EXPECT_EQ(result->state, RequestState::kDone);
+}
+
+}
+}
--- a/test/process/PlatformTest.cpp
+++ b/test/process/PlatformTest.cpp
@@ -324,6 +324,33 @@
   EXPECT_EQ(cut, 0);
 }
 
+// Guards against 502 for writes that reach a stopping daemon as it exits: they
+// had not run, but nothing told their caller's daemon so.
+TEST_F(PlatformTest, Terminate_WritesFromPeers_NoOutcomeIsUnknown)
+{
+  ASSERT_TRUE(WaitServed(1, seconds(15)));
+  std::atomic<int> unknown{ 0 };
+  std::atomic<bool> stop{ false };
+  std::vector<std::thread> callers;
+  for (int number = 0; number < 32; ++number) {
+    callers.emplace_back([&, number] {
+      for (int turn = 0; !stop; ++turn) {
+        const int key = (turn * 977 + number * 2048) % 65536;
+        const auto reply = Ask(1, "/w/x", key);
+        unknown += reply.status == 200 || reply.status == 503 ? 0 : 1;
+      }
+    });
+  }
+  EXPECT_EQ(m_hosts[0].daemon->Stop(), 0);
+  std::this_thread::sleep_for(milliseconds(300));
+  stop = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(unknown, 0);
+  EXPECT_EQ(MostRuns(), 1);
+}
+
 /** Requests that run for most of their route's timeout. */
 class LongRequestTest : public PlatformTest
 {
