Decide the steps of a planned stop in a class of its own

Cause: HostDaemon::OnLeaveTick mixed the decision when a step of the stop is due with carrying it out, so the decision could only be tested with processes.

Change: LeaveSchedule decides, from the time and from what is left to do; it has no socket, loop or clock. HostDaemon carries the steps out. The times and conditions are those of before. The line `leave-end` is now also logged at a forced exit, with the counts.

Result: LeaveScheduleTest (3 tests) passes; PlatformTest.Terminate_* and ShortGraceTest pass as before.

--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -10,10 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/** Time in which callers notice that the daemon is not ready: two of their
- * checks, which come once a second. */
-constexpr Duration kReadinessNoticeTime = milliseconds(2300);
-
 /** Interval of checks whether all requests have ended. */
 constexpr Duration kLeaveInterval = milliseconds(50);
 
@@ -21,22 +17,9 @@
  * requests and heartbeats. */
 constexpr double kAnswerLinkShare = 0.93;
 
-/** Time for sending the last answers before a forced exit. */
-constexpr Duration kFlushTime = milliseconds(200);
-
-/** Time for peers' requests that are still running when no new ones are
- * accepted. */
-constexpr Duration kPeerDrainTime = milliseconds(1200);
-
-/** Time without any request in progress before the process exits. */
-constexpr Duration kIdleBeforeExit = milliseconds(150);
-
 /** Number of peers queried for the state while the store does not answer. */
 constexpr size_t kQueriedPeers = 2;
 
-/** The process exits by itself this long before it would be killed. */
-constexpr Duration kGraceMargin = milliseconds(500);
-
 /** Allows up to one second (four heartbeats) without an answer. On a 10 Mbit/s
  * link that is busy with downloads, the answer to a heartbeat can take most of
  * a second. After that, opening a new connection costs no more than waiting. */
@@ -196,12 +179,10 @@
 void
 HostDaemon::BeginLeave()
 {
-  if (m_leaving) {
+  if (m_leave) {
     return;
   }
-  m_leaving = true;
-  m_leaveStartedAt = m_clock.Now();
-  m_idleSince = m_leaveStartedAt;
+  m_leave.emplace(m_clock.Now(), m_settings.grace);
   m_logger.Info("leave-begin", "in_flight={}", m_server.InFlight());
   m_ingress->BeginClosing();
   m_server.BeginLeave();
@@ -211,45 +192,24 @@
 void
 HostDaemon::OnLeaveTick()
 {
-  const auto now = m_clock.Now();
-  const auto elapsed = now - m_leaveStartedAt;
-  if (elapsed >= m_settings.grace - kGraceMargin) {
-    if (!m_forced) {
-      m_forced = true;
-      m_logger.Warning("leave-forced",
-                       "in_flight={} callers={}",
-                       m_server.InFlight(),
-                       m_ingress->Active());
-      m_ingress->FailPendingRequests();
-    }
-    if (elapsed >= m_settings.grace - kGraceMargin + kFlushTime) {
-      event_base_loopbreak(m_base);
-    }
-    return;
-  }
-  if (elapsed < kReadinessNoticeTime) {
-    m_idleSince = now;
-    return;
-  }
-  if (!m_dialectClosing) {
-    m_dialectClosing = true;
+  const LeaveWork work{ .calls = m_server.InFlight(),
+                        .callers = m_ingress->Active(),
+                        .peersHaveUnsent = m_inner.HasUnsent() };
+  const auto steps = m_leave->Next(m_clock.Now(), work);
+  if (steps.refuseCallers) {
     m_dialect->BeginClosing();
   }
-  // Requests from peers are accepted as long as requests of this daemon's own
-  // callers keep the process running, or until the grace period nearly ends.
-  const bool endIsNear =
-    elapsed >= m_settings.grace - kGraceMargin - kPeerDrainTime;
-  if (!m_draining && (m_ingress->Active() == 0 || endIsNear)) {
-    m_draining = true;
+  if (steps.drainPeers) {
     m_server.BeginDrain();
   }
-  if (m_server.InFlight() > 0 || m_ingress->Active() > 0 ||
-      m_inner.HasUnsent()) {
-    m_idleSince = now;
-    return;
+  if (steps.force) {
+    m_logger.Warning(
+      "leave-forced", "in_flight={} callers={}", work.calls, work.callers);
+    m_ingress->FailPendingRequests();
   }
-  if (now - m_idleSince >= kIdleBeforeExit) {
-    m_logger.Info("leave-end", "in_flight=0");
+  if (steps.exit) {
+    m_logger.Info(
+      "leave-end", "in_flight={} callers={}", work.calls, work.callers);
     event_base_loopbreak(m_base);
   }
 }
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_HOSTDAEMON_HOSTDAEMON_H
 
 #include <functional>
+#include <optional>
 #include <set>
 
 #include "src/Base/Random.h"
@@ -9,6 +10,7 @@
 #include "src/Daemon/InnerServerTask.h"
 #include "src/Daemon/OperatorTask.h"
 #include "src/HostDaemon/CoordinatorTask.h"
+#include "src/HostDaemon/LeaveSchedule.h"
 #include "src/HostDaemon/RangeRouter.h"
 
 namespace pistachioshift {
@@ -78,7 +80,7 @@
   void SetShardedServices(const std::set<ServiceName>& aServices);
 
   /** \brief Whether new callers should use this daemon (readiness check). */
-  bool Ready() const { return m_state.Joined() && m_configured && !m_leaving; }
+  bool Ready() const { return m_state.Joined() && m_configured && !m_leave; }
 
   /**
    * \brief Starts a graceful stop. The event loop ends when no request is in
@@ -116,13 +118,8 @@
   std::unique_ptr<IngressTask> m_ingress;
   IngressDialect* m_dialect = nullptr;
   Timer m_leaveTimer;
-  MonoTime m_leaveStartedAt;
-  MonoTime m_idleSince;
+  std::optional<LeaveSchedule> m_leave; ///< Set once the stop has begun.
   bool m_configured = false;
-  bool m_leaving = false;
-  bool m_dialectClosing = false;
-  bool m_draining = false;
-  bool m_forced = false;
 };
 
 }
--- /dev/null
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -0,0 +1,78 @@
+#include "src/HostDaemon/LeaveSchedule.h"
+
+#include <utility>
+
+namespace pistachioshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time in which callers notice that the daemon is not ready: two of their
+ * checks, which come once a second. */
+constexpr Duration kReadinessNoticeTime = milliseconds(2300);
+
+/** The process exits by itself this long before it would be killed. */
+constexpr Duration kGraceMargin = milliseconds(500);
+
+/** Time for sending the last answers before a forced exit. */
+constexpr Duration kFlushTime = milliseconds(200);
+
+/** Time for peers' requests that are still running when no new ones are
+ * accepted. */
+constexpr Duration kPeerDrainTime = milliseconds(1200);
+
+/** Time without any request in progress before the process exits. */
+constexpr Duration kIdleBeforeExit = milliseconds(150);
+
+}
+
+LeaveSchedule::LeaveSchedule(MonoTime aStartedAt, Duration aGrace)
+  : m_startedAt(aStartedAt)
+  , m_idleSince(aStartedAt)
+  , m_forceAfter(aGrace - kGraceMargin)
+{
+}
+
+LeaveSteps
+LeaveSchedule::Next(MonoTime aNow, const LeaveWork& aWork)
+{
+  const auto elapsed = aNow - m_startedAt;
+  if (elapsed >= m_forceAfter) {
+    return NextForced(elapsed);
+  }
+  LeaveSteps steps;
+  if (elapsed < kReadinessNoticeTime) {
+    m_idleSince = aNow;
+    return steps;
+  }
+  steps.refuseCallers = !std::exchange(m_refused, true);
+  // Requests from peers are accepted as long as requests of this daemon's own
+  // callers keep the process running, or until the grace period nearly ends.
+  const bool endIsNear = elapsed >= m_forceAfter - kPeerDrainTime;
+  if (aWork.callers == 0 || endIsNear) {
+    steps.drainPeers = !std::exchange(m_draining, true);
+  }
+  steps.exit = IsIdle(aNow, aWork);
+  return steps;
+}
+
+LeaveSteps
+LeaveSchedule::NextForced(Duration aElapsed)
+{
+  LeaveSteps steps;
+  steps.force = !std::exchange(m_forced, true);
+  steps.exit = aElapsed >= m_forceAfter + kFlushTime;
+  return steps;
+}
+
+bool
+LeaveSchedule::IsIdle(MonoTime aNow, const LeaveWork& aWork)
+{
+  if (aWork.calls > 0 || aWork.callers > 0 || aWork.peersHaveUnsent) {
+    m_idleSince = aNow;
+  }
+  return aNow - m_idleSince >= kIdleBeforeExit;
+}
+
+}
--- /dev/null
+++ b/src/HostDaemon/LeaveSchedule.h
@@ -0,0 +1,50 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_LEAVESCHEDULE_H
+#define PISTACHIOSHIFT_HOSTDAEMON_LEAVESCHEDULE_H
+
+#include <cstddef>
+
+#include "src/Base/Clock.h"
+
+namespace pistachioshift {
+
+/** \brief What a leaving daemon still has to do. */
+struct LeaveWork
+{
+  size_t calls = 0;             ///< Calls at the backend server, or queued.
+  size_t callers = 0;           ///< Callers' requests without a whole answer.
+  bool peersHaveUnsent = false; ///< Bytes wait for other daemons.
+};
+
+/** \brief Steps of a planned stop that are due; each is reported once. */
+struct LeaveSteps
+{
+  bool refuseCallers = false; ///< Refuse new requests of callers.
+  bool drainPeers = false;    ///< Refuse new requests of other daemons.
+  bool force = false;         ///< Answer the requests that still wait.
+  bool exit = false;
+};
+
+/** \brief Decides when the steps of a planned stop are due. Pure. */
+class LeaveSchedule
+{
+public:
+  /** \param aGrace time from the start until the process is killed. */
+  LeaveSchedule(MonoTime aStartedAt, Duration aGrace);
+
+  LeaveSteps Next(MonoTime aNow, const LeaveWork& aWork);
+
+private:
+  LeaveSteps NextForced(Duration aElapsed);
+  bool IsIdle(MonoTime aNow, const LeaveWork& aWork);
+
+  MonoTime m_startedAt;
+  MonoTime m_idleSince;
+  Duration m_forceAfter;
+  bool m_refused = false;
+  bool m_draining = false;
+  bool m_forced = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/test/HostDaemon/LeaveScheduleTest.cpp
@@ -0,0 +1,68 @@
+#include <gtest/gtest.h>
+
+#include "src/HostDaemon/LeaveSchedule.h"
+
+namespace pistachioshift {
+
+using std::chrono::milliseconds;
+
+/** A stop with a grace period of 6 s, asked every 50 ms as the daemon does. */
+class LeaveScheduleTest : public ::testing::Test
+{
+protected:
+  static constexpr Duration kGrace = milliseconds(6000);
+  static constexpr Duration kInterval = milliseconds(50);
+
+  /** Asks up to a time after the start; the steps that were due until then. */
+  LeaveSteps AskUntil(Duration aTime, const LeaveWork& aWork)
+  {
+    LeaveSteps due;
+    while (m_elapsed < aTime) {
+      m_elapsed += kInterval;
+      const auto steps = m_schedule.Next(m_start + m_elapsed, aWork);
+      due.refuseCallers |= steps.refuseCallers;
+      due.drainPeers |= steps.drainPeers;
+      due.force |= steps.force;
+      due.exit |= steps.exit;
+    }
+    return due;
+  }
+
+  MonoTime m_start{ std::chrono::hours(1) };
+  Duration m_elapsed{};
+  LeaveSchedule m_schedule{ m_start, kGrace };
+};
+
+// Guards against an exit before callers have seen that the daemon isn't ready.
+TEST_F(LeaveScheduleTest, Next_IdleFromTheStart_ExitsOnlyAfterTheNotice)
+{
+  const auto early = AskUntil(milliseconds(2250), {});
+  EXPECT_FALSE(early.refuseCallers);
+  EXPECT_FALSE(early.exit);
+  const auto later = AskUntil(milliseconds(3000), {});
+  EXPECT_TRUE(later.refuseCallers);
+  EXPECT_TRUE(later.drainPeers);
+  EXPECT_TRUE(later.exit);
+  EXPECT_FALSE(later.force);
+}
+
+// Guards against an exit while a request is in progress, and against a stop
+// that a request without an answer holds up beyond the grace period.
+TEST_F(LeaveScheduleTest, Next_CallerWaits_ForcedBeforeTheGraceEnds)
+{
+  const LeaveWork work{ .callers = 1 };
+  EXPECT_FALSE(AskUntil(milliseconds(5400), work).exit);
+  const auto end = AskUntil(kGrace - kInterval, work);
+  EXPECT_TRUE(end.force);
+  EXPECT_TRUE(end.exit);
+}
+
+// Guards against peers' requests that keep the daemon running to the end.
+TEST_F(LeaveScheduleTest, Next_OwnCallersWait_PeersAreServedUntilTheEndIsNear)
+{
+  const LeaveWork work{ .calls = 2, .callers = 1 };
+  EXPECT_FALSE(AskUntil(milliseconds(4200), work).drainPeers);
+  EXPECT_TRUE(AskUntil(milliseconds(4400), work).drainPeers);
+}
+
+}
