Deliver all frames that arrived before a peer closed its connection

What callers saw: an answer that had arrived whole at the caller's daemon was cut (or asked for again) when the daemon that sent it exited right after it.

Cause, two cases in Connection::OnEvent. (1) At the end of a connection at most 64 frames were handled and the others dropped. One call of OnRead handles 64 frames; libevent runs at most 32 such calls per turn of its loop, so a backlog builds up when many connections are busy. (2) When a write failed because the peer had closed and reset the connection, the bytes that waited in the socket were not read at all.

Evidence (before): Close_ManyFramesArrivedBefore_AllAreDelivered, 60 connections with 1000 frames each: "listener->frames Which is: 320, kFrames Which is: 1000". Send_PeerHasReset_FramesArrivedBeforeAreDelivered: "m_listener->frames Which is: 3, kFrames Which is: 40". With a single busy connection case (1) did not show: 1000 of 1000.

Change: at the end of a connection every complete frame is handled; after a failed write the socket is read to its end first.

Result: Inner_ConnectionTest passes (10 tests); both tests failed before.

--- a/src/Inner/Connection.cpp
+++ b/src/Inner/Connection.cpp
@@ -205,11 +205,27 @@
     }
     return;
   }
-  // Handles the frames that arrived before the peer closed.
-  OnRead();
+  if ((aEvents & BEV_EVENT_WRITING) != 0) {
+    ReadRemaining();
+  }
+  // Frames that arrived before the peer closed.
+  while (!m_ended && ReadFrame()) {
+  }
   End(m_connected ? CloseReason::kClosed : CloseReason::kConnectFailed);
 }
 
+void
+Connection::ReadRemaining()
+{
+  // A failed write is reported before the bytes that the peer sent earlier have
+  // been read from the socket.
+  auto* input = bufferevent_get_input(m_bufferEvent);
+  evbuffer_unfreeze(input, 0);
+  while (evbuffer_read(input, bufferevent_getfd(m_bufferEvent), -1) > 0) {
+  }
+  evbuffer_freeze(input, 0);
+}
+
 void
 Connection::OnWritable()
 {
--- a/src/Inner/Connection.h
+++ b/src/Inner/Connection.h
@@ -110,6 +110,7 @@
   void OnEvent(short aEvents);
   void OnTimer();
   bool ReadFrame();
+  void ReadRemaining();
   void Dispatch(Frame aFrame);
   void End(CloseReason aReason);
 
--- a/test/Inner/ConnectionTest.cpp
+++ b/test/Inner/ConnectionTest.cpp
@@ -77,6 +77,35 @@
     return ends[1];
   }
 
+  /** \brief Creates m_connection on one end of a TCP connection.
+   * \return the other end, which takes few bytes that were not read */
+  int ConnectTcp()
+  {
+    const int window = 4096;
+    const int other = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(other, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    listen(m_listeningSocket, 8);
+    const auto address = internal::ToSocketAddress(m_peer);
+    EXPECT_EQ(connect(other, address.Get(), address.Length()), 0);
+    const int accepted = accept4(
+      m_listeningSocket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    m_connection = Connection::Accept(
+      m_base, m_clock, accepted, ConnectionSettings(), m_listener);
+    m_sockets.push_back(other);
+    return other;
+  }
+
+  /** \brief Writes frames to the other end of m_connection. */
+  static void WriteFrames(int aSocket, const Frame& aFrame, int aCount)
+  {
+    std::string bytes;
+    for (int count = 0; count < aCount; ++count) {
+      bytes += EncodeFrame(aFrame);
+    }
+    EXPECT_EQ(write(aSocket, bytes.data(), bytes.size()),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
   /** \brief Fills the accept queue of the listening socket. */
   void FillBacklog()
   {
@@ -201,5 +230,46 @@
   EXPECT_EQ(m_listener->frames, 0);
 }
 
+// Guards against an answer that arrived whole, followed by the peer's planned
+// exit, being taken for a truncated one while other connections are busy too.
+TEST_F(ConnectionTest, Close_ManyFramesArrivedBefore_AllAreDelivered)
+{
+  constexpr int kFrames = 1000;
+  constexpr int kConnections = 60;
+  std::vector<std::shared_ptr<Connection>> connections;
+  std::vector<std::shared_ptr<RecordingListener>> listeners;
+  for (int count = 0; count < kConnections; ++count) {
+    m_listener = std::make_shared<RecordingListener>();
+    const int peer = ConnectPair();
+    WriteFrames(peer, Pong{ 1, TablePosition() }, kFrames);
+    shutdown(peer, SHUT_WR);
+    connections.push_back(m_connection);
+    listeners.push_back(m_listener);
+  }
+  for (const auto& listener : listeners) {
+    ASSERT_TRUE(RunUntil([&] { return listener->end.has_value(); }));
+    EXPECT_EQ(listener->end, CloseReason::kClosed);
+    EXPECT_EQ(listener->frames, kFrames);
+  }
+}
+
+// Guards against the loss of frames that wait in the socket when the peer has
+// closed and a frame to it can't be sent any more.
+TEST_F(ConnectionTest, Send_PeerHasReset_FramesArrivedBeforeAreDelivered)
+{
+  constexpr int kFrames = 40;
+  const int peer = ConnectTcp();
+  WriteFrames(
+    peer, BodyChunk{ StreamId(1), std::string(1024, 'a'), false }, kFrames);
+  const linger reset{ 1, 0 };
+  setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close(peer);
+  m_sockets.pop_back();
+  m_connection->Send(Pong{ 1, TablePosition() });
+  ASSERT_TRUE(RunUntilEnd());
+  EXPECT_EQ(m_listener->end, CloseReason::kClosed);
+  EXPECT_EQ(m_listener->frames, kFrames);
+}
+
 }
 }
