Keep a connection whose answer did not announce its end

What callers saw: at the begin of a planned stop, a request on a kept connection was read and dropped and the connection closed, without an answer.

Cause: ServerConnection::NextRequest closed after the answer whenever the server was stopping, also if the head of that answer had been sent before the stop and so had no `Connection: close`. A request that the caller sent meanwhile was read and discarded in the state kLingering.

Evidence (before): Closing_AnswerBegunBefore_NextRequestIsAnswered and Stop_AnswerBegunBefore_ConnectionWaitsOnlyForALateRequest: "Value of: peer.Closed(), Actual: true, Expected: false".

Change: only an answer that announced it ends the connection. While the port is closed, a connection that waits for a request ends after lingerTimeout instead of idleTimeout, whether it was used before or not.

--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -75,10 +75,9 @@
   }
   if (m_served) {
     Close(AbortReason::kShutdown);
-  } else if (!m_stopping) {
+  } else {
     // The first request of a new connection may be on its way.
-    m_stopping = true;
-    m_stream->StartTimer(m_limits.lingerTimeout);
+    UpdateTimer();
   }
 }
 
@@ -274,7 +273,9 @@
   m_headTimed = false;
   m_served = true;
   m_state = State::kHead;
-  if (!m_keepAlive || m_core->Stopping()) {
+  // An answer that was begun before the server stopped did not announce the end
+  // of the connection, so another request may be on its way.
+  if (!m_keepAlive) {
     FlushAndClose();
     return;
   }
@@ -344,7 +345,8 @@
   switch (m_state) {
     case State::kHead:
       if (!m_headBegun) {
-        m_stream->StartTimer(m_limits.idleTimeout);
+        m_stream->StartTimer(m_core->Accepting() ? m_limits.idleTimeout
+                                                 : m_limits.lingerTimeout);
       } else if (!m_headTimed) {
         m_headTimed = true;
         m_stream->StartTimer(m_limits.headTimeout);
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -80,8 +80,7 @@
   bool m_reading = false;
   bool m_headBegun = false;
   bool m_headTimed = false;
-  bool m_served = false;   ///< A request was answered before.
-  bool m_stopping = false; ///< Closes soon unless a request comes.
+  bool m_served = false; ///< A request was answered before.
   bool m_bodyPaused = false;
   bool m_bodyEnded = false;
   bool m_headSent = false;
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -32,6 +32,7 @@
   event_base* Base() const { return m_base; }
   const HttpLimits& Limits() const { return m_limits; }
   bool Stopping() const { return m_stopping; }
+  bool Accepting() const { return m_listener != nullptr; }
   void Handle(std::shared_ptr<ServerExchange> aExchange);
   void CountRefusal(HttpRefusal aRefusal);
   void ExchangeEnded() { --m_active; }
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -245,6 +245,58 @@
   EXPECT_TRUE(Contains(peer, "/late"));
 }
 
+// Guards against a request that is read and dropped, because the answer before
+// it did not announce that the connection ends.
+TEST_F(ServerTest, Closing_AnswerBegunBefore_NextRequestIsAnswered)
+{
+  StartRecording();
+  RawPeer peer = Connect();
+  peer.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  m_exchange->SendHead({ .status = 200, .contentLength = 5 });
+  m_server->BeginClosing();
+  const auto first = std::exchange(m_exchange, nullptr);
+  first->SendBody("first");
+  first->Finish();
+  ASSERT_TRUE(Contains(peer, "first"));
+  peer.Write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange || peer.Closed(); }));
+  ASSERT_FALSE(peer.Closed());
+  Answer(*m_exchange, "second");
+  EXPECT_TRUE(Contains(peer, "Connection: close\r\n\r\nsecond"));
+  EXPECT_TRUE(RunUntil([&] { return peer.Closed(); }));
+}
+
+// Guards against the same when the port is closed already, and against a
+// connection that stays open then though no request comes.
+TEST_F(ServerTest, Stop_AnswerBegunBefore_ConnectionWaitsOnlyForALateRequest)
+{
+  m_limits.lingerTimeout = std::chrono::milliseconds(200);
+  StartRecording();
+  RawPeer late = Connect();
+  late.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  const auto first = std::exchange(m_exchange, nullptr);
+  first->SendHead({ .status = 200, .contentLength = 5 });
+  RawPeer idle = Connect();
+  idle.Write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  const auto second = std::exchange(m_exchange, nullptr);
+  second->SendHead({ .status = 200, .contentLength = 5 });
+  m_server->StopAccepting();
+  first->SendBody("whole");
+  first->Finish();
+  second->SendBody("whole");
+  second->Finish();
+  ASSERT_TRUE(Contains(late, "whole"));
+  late.Write("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange || late.Closed(); }));
+  ASSERT_FALSE(late.Closed());
+  Answer(*m_exchange, "third");
+  EXPECT_TRUE(Contains(late, "Connection: close\r\n\r\nthird"));
+  EXPECT_TRUE(RunUntil([&] { return idle.Closed() && late.Closed(); }));
+}
+
 TEST_F(ServerTest, Server_Destroyed_ListenersAreTold)
 {
   StartRecording();
