Wait at a planned stop until finished answers have been sent

What callers saw: around a SIGTERM of their daemon an answer broke off in the middle, if they or the link took it slowly.

Cause: HttpServer::Active() counts an exchange as ended when its last byte is in the buffer of the connection. HostDaemon left 150 ms after the last exchange and call had ended and asked only the connections to other daemons for unsent bytes, so up to 256 KiB for each caller were dropped at the exit. The same holds for a short answer of the daemon itself that was written in the last turn of the loop.

Evidence (before): SlowCallerTest, Terminate_CallerReadsLate_AnswerIsWhole, a real daemon and a caller that reads 3.5 s after the SIGTERM: "answer.size() - head - 4, Which is: 81717, kSlowAnswerBytes, Which is: 245760". LeaveScheduleTest, Next_FinishedAnswerWaits_NoExitUntilItIsSent: failed.

Change: HttpServer::UnsentBytes() sums the bytes that wait in the connections; the daemon isn't idle while there are any. They are also logged by `leave-forced` and `leave-end`. The stand-in instance answers with as many bytes as asked for.

Result: the same tests pass; a caller that never reads holds the daemon up until the forced exit (SlowCallerTest, Terminate_CallerNeverReads_ExitsByItself). HostDaemon_LeaveScheduleTest, Http_ServerTest and PlatformTest, filter *Terminate*, pass.

--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -194,6 +194,7 @@
 {
   const LeaveWork work{ .calls = m_server.InFlight(),
                         .callers = m_ingress->Active(),
+                        .unsentBytes = m_ingress->UnsentBytes(),
                         .peersHaveUnsent = m_inner.HasUnsent() };
   const auto steps = m_leave->Next(m_clock.Now(), work);
   if (steps.refuseCallers) {
@@ -203,13 +204,19 @@
     m_server.BeginDrain();
   }
   if (steps.force) {
-    m_logger.Warning(
-      "leave-forced", "in_flight={} callers={}", work.calls, work.callers);
+    m_logger.Warning("leave-forced",
+                     "in_flight={} callers={} unsent={}",
+                     work.calls,
+                     work.callers,
+                     work.unsentBytes);
     m_ingress->FailPendingRequests();
   }
   if (steps.exit) {
-    m_logger.Info(
-      "leave-end", "in_flight={} callers={}", work.calls, work.callers);
+    m_logger.Info("leave-end",
+                  "in_flight={} callers={} unsent={}",
+                  work.calls,
+                  work.callers,
+                  work.unsentBytes);
     event_base_loopbreak(m_base);
   }
 }
--- a/src/HostDaemon/LeaveSchedule.cpp
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -69,7 +69,8 @@
 bool
 LeaveSchedule::IsIdle(MonoTime aNow, const LeaveWork& aWork)
 {
-  if (aWork.calls > 0 || aWork.callers > 0 || aWork.peersHaveUnsent) {
+  if (aWork.calls > 0 || aWork.callers > 0 || aWork.unsentBytes > 0 ||
+      aWork.peersHaveUnsent) {
     m_idleSince = aNow;
   }
   return aNow - m_idleSince >= kIdleBeforeExit;
--- a/src/HostDaemon/LeaveSchedule.h
+++ b/src/HostDaemon/LeaveSchedule.h
@@ -10,8 +10,9 @@
 /** \brief What a leaving daemon still has to do. */
 struct LeaveWork
 {
-  size_t calls = 0;             ///< Calls at the backend server, or queued.
-  size_t callers = 0;           ///< Callers' requests without a whole answer.
+  size_t calls = 0;       ///< Calls at the backend server, or queued.
+  size_t callers = 0;     ///< Callers' requests without a finished answer.
+  size_t unsentBytes = 0; ///< Of answers to callers, finished or not.
   bool peersHaveUnsent = false; ///< Bytes wait for other daemons.
 };
 
--- a/standin/instance/Main.cpp
+++ b/standin/instance/Main.cpp
@@ -21,7 +21,8 @@
  * HTTP server that stands in for a backend server of the platform in tests.
  * Sends heartbeats to its daemon, holds the key ranges that the daemon grants,
  * and executes requests for keys in these ranges. GET /runs returns how often
- * each request was executed, as JSON by attempt ID.
+ * each request was executed, as JSON by attempt ID. The query `bytes=N` asks
+ * for a body of N bytes.
  */
 
 namespace pistachioshift::standin {
@@ -106,6 +107,17 @@
     evbuffer_free(body);
   }
 
+  /** Body of the response to a request: as long as its query asks for. */
+  std::string MakeBody(const std::string& aUri) const
+  {
+    const std::string field = "?bytes=";
+    const auto found = aUri.find(field);
+    if (found == std::string::npos) {
+      return m_options.id;
+    }
+    return std::string(std::stoul(aUri.substr(found + field.size())), 'b');
+  }
+
   bool HoldsKey(int64_t aKey) const
   {
     return std::chrono::steady_clock::now() < m_holdExpiresAt &&
@@ -153,7 +165,7 @@
       m_pendingRequests.erase(pending);
       SetHeader(aRequest, "Pistachioshift-Attempt-Id", attempt.c_str());
       SetHeader(aRequest, "Pistachioshift-Response-Signature", "signed");
-      Reply(aRequest, kOk, m_options.id);
+      Reply(aRequest, kOk, MakeBody(uri));
     });
     (*timer)->StartOnce(milliseconds(m_options.workMs));
   }
--- a/test/HostDaemon/LeaveScheduleTest.cpp
+++ b/test/HostDaemon/LeaveScheduleTest.cpp
@@ -65,4 +65,12 @@
   EXPECT_TRUE(AskUntil(milliseconds(4400), work).drainPeers);
 }
 
+// Guards against an exit that drops a finished answer whose caller, or whose
+// link, takes the bytes slowly.
+TEST_F(LeaveScheduleTest, Next_FinishedAnswerWaits_NoExitUntilItIsSent)
+{
+  EXPECT_FALSE(AskUntil(milliseconds(5400), { .unsentBytes = 1 }).exit);
+  EXPECT_TRUE(AskUntil(milliseconds(5800), {}).exit);
+}
+
 }
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -1,6 +1,10 @@
 #include <string>
 #include <utility>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "src/Http/internal/SocketAddress.h"
 #include "test/Http/LoopbackSupport.h"
 
 namespace pistachioshift::test {
@@ -297,6 +301,26 @@
   EXPECT_TRUE(RunUntil([&] { return idle.Closed() && late.Closed(); }));
 }
 
+// Guards against a server that seems to be done while bytes of an answer wait.
+TEST_F(ServerTest, Answer_PeerDoesNotRead_UnsentBytesAreCounted)
+{
+  constexpr size_t kBytes = size_t{ 32 } * internal::kKiB * internal::kKiB;
+  StartServer([&](const ExchangePtr& aExchange) {
+    Answer(*aExchange, std::string(kBytes, 'x'));
+  });
+  EXPECT_EQ(m_server->UnsentBytes(), 0U);
+  const int peer = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto address = internal::HttpAddressOf(m_server->LocalEndpoint());
+  ASSERT_EQ(connect(peer, address.Get(), address.Length()), 0);
+  const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  ASSERT_EQ(write(peer, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  EXPECT_TRUE(RunUntil([&] { return m_server->UnsentBytes() > 0; }));
+  EXPECT_EQ(m_server->Active(), 0U);
+  close(peer);
+  EXPECT_TRUE(RunUntil([&] { return m_server->UnsentBytes() == 0; }));
+}
+
 TEST_F(ServerTest, Server_Destroyed_ListenersAreTold)
 {
   StartRecording();
--- a/test/process/PlatformTest.cpp
+++ b/test/process/PlatformTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -7,9 +8,12 @@
 #include <thread>
 
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "src/Inner/SocketAddress.h"
 #include "test/process/HttpSupport.h"
 #include "test/process/PortSupport.h"
 #include "test/process/ProcessSupport.h"
@@ -287,6 +291,99 @@
   EXPECT_EQ(cut, 0);
 }
 
+/** A caller on a slow path: its system takes few bytes that it has not read. */
+class SlowCaller
+{
+public:
+  explicit SlowCaller(uint16_t aPort)
+    : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    // Small segments also keep the sender's buffer small.
+    const int segment = 536;
+    const int buffer = 4096;
+    const timeval patience{ 20, 0 };
+    setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+    setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+    setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    auto address = internal::ToSocketAddress({ "127.0.0.1", aPort });
+    EXPECT_EQ(connect(m_socket, address.Get(), address.Length()), 0);
+  }
+
+  ~SlowCaller() { close(m_socket); }
+  SlowCaller(const SlowCaller&) = delete;
+  SlowCaller& operator=(const SlowCaller&) = delete;
+
+  void Send(const std::string& aText) const
+  {
+    EXPECT_EQ(write(m_socket, aText.data(), aText.size()),
+              static_cast<ssize_t>(aText.size()));
+  }
+
+  /** What arrives until the connection ends. */
+  std::string ReadAll() const
+  {
+    std::string text;
+    std::array<char, 16384> part{};
+    for (;;) {
+      const auto count = read(m_socket, part.data(), part.size());
+      if (count <= 0) {
+        return text;
+      }
+      text.append(part.data(), static_cast<size_t>(count));
+    }
+  }
+
+private:
+  int m_socket;
+};
+
+/** Bytes of the answer: too many for a slow caller's socket, but few enough
+ * that the daemon takes all of them at once from the backend server. */
+constexpr size_t kSlowAnswerBytes = size_t{ 240 } * 1024;
+
+class SlowCallerTest : public PlatformTest
+{
+protected:
+  void Request(const SlowCaller& aCaller)
+  {
+    aCaller.Send(fmt::format("GET /r/x?bytes={} HTTP/1.1\r\n"
+                             "Host: a.example\r\n"
+                             "Pistachioshift-Attempt-Id: slow-{}\r\n"
+                             "Pistachioshift-Deadline-Ms: 3000\r\n"
+                             "Pistachioshift-Shard-Key: 100\r\n\r\n",
+                             kSlowAnswerBytes,
+                             ++m_requests));
+    // Until the backend server has answered.
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+};
+
+// Guards against an exit while an answer that is complete at the daemon still
+// waits for its caller to read.
+TEST_F(SlowCallerTest, Terminate_CallerReadsLate_AnswerIsWhole)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  const SlowCaller caller(m_hosts[0].ports[0]);
+  Request(caller);
+  m_hosts[0].daemon->Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(3500));
+  const auto answer = caller.ReadAll();
+  const auto head = answer.find("\r\n\r\n");
+  ASSERT_NE(head, std::string::npos);
+  EXPECT_EQ(answer.size() - head - 4, kSlowAnswerBytes);
+  EXPECT_EQ(m_hosts[0].daemon->Wait(), 0);
+}
+
+// Guards against a stop that waits for its callers without end. That it ends
+// within the grace period is shown by LeaveScheduleTest.
+TEST_F(SlowCallerTest, Terminate_CallerNeverReads_ExitsByItself)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  const SlowCaller caller(m_hosts[0].ports[0]);
+  Request(caller);
+  EXPECT_EQ(m_hosts[0].daemon->Stop(), 0);
+}
+
 /** The grace ends before the route's timeout. */
 class ShortGraceTest : public PlatformTest
 {
