--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -10,10 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/** Time in which callers notice that the daemon is not ready: two of their
- * checks, which come once a second. */
-constexpr Duration kReadinessNoticeTime = milliseconds(2300);
-
 /** Interval of checks whether all requests have ended. */
 constexpr Duration kLeaveInterval = milliseconds(50);
 
@@ -21,21 +17,9 @@
  * requests and heartbeats. */
 constexpr double kAnswerLinkShare = 0.93;
 
-/** Time for sending the last answers before a forced exit. */
-constexpr Duration kFlushTime = milliseconds(200);
-
-/** Time without any request in progress before the process exits. */
-constexpr Duration kIdleBeforeExit = milliseconds(150);
-
-/** Time for peers to close their connections once they know of the exit. */
-constexpr Duration kGoodbyeTime = milliseconds(500);
-
 /** Number of peers queried for the state while the store does not answer. */
 constexpr size_t kQueriedPeers = 2;
 
-/** The process exits by itself this long before it would be killed. */
-constexpr Duration kGraceMargin = milliseconds(500);
-
 /** Allows up to one second (four heartbeats) without an answer. On a 10 Mbit/s
  * link that is busy with downloads, the answer to a heartbeat can take most of
  * a second. After that, opening a new connection costs no more than waiting. */
@@ -195,99 +179,62 @@
 void
 HostDaemon::BeginLeave()
 {
-  if (m_leaving) {
+  if (m_leave) {
     return;
   }
-  m_leaving = true;
-  m_leaveStartedAt = m_clock.Now();
-  m_idleSince = m_leaveStartedAt;
+  m_leave.emplace(m_clock.Now(), m_settings.grace);
   m_logger.Info("leave-begin", "in_flight={}", m_server.InFlight());
   m_ingress->BeginClosing();
-  m_server.BeginLeave(m_leaveStartedAt + m_settings.grace - kGraceMargin);
+  m_server.BeginLeave(m_leave->ForcedAt());
   m_leaveTimer.StartEvery(kLeaveInterval);
 }
 
 void
 HostDaemon::OnLeaveTick()
 {
-  const auto now = m_clock.Now();
-  const auto elapsed = now - m_leaveStartedAt;
-  if (elapsed >= m_settings.grace - kGraceMargin) {
-    ForceLeave(now);
-    return;
-  }
-  if (elapsed < kReadinessNoticeTime) {
-    m_idleSince = now;
-    return;
-  }
-  if (!m_dialectClosing) {
-    m_dialectClosing = true;
+  const LeaveWork work{ .calls = m_server.InFlight(),
+                        .callers = m_ingress->Active(),
+                        .unsentBytes = m_ingress->UnsentBytes(),
+                        .peersHaveUnsent = m_inner.HasUnsent(),
+                        .peers = m_inner.Sessions() };
+  const auto steps = m_leave->Next(m_clock.Now(), work);
+  if (steps.refuseCallers) {
     m_dialect->BeginClosing();
   }
-  // Requests from peers are accepted as long as requests of this daemon's own
-  // callers keep the process running.
-  if (!m_draining && m_ingress->Active() == 0) {
-    m_draining = true;
+  if (steps.drainPeers) {
     m_server.BeginDrain();
   }
-  if (m_server.InFlight() > 0 || m_ingress->Active() > 0 ||
-      m_inner.HasUnsent()) {
-    m_idleSince = now;
-    return;
-  }
-  if (now - m_idleSince >= kIdleBeforeExit) {
-    FinishLeave(now);
-  }
-}
-
-void
-HostDaemon::ForceLeave(MonoTime aNow)
-{
-  if (!m_forced) {
-    m_forced = true;
+  if (steps.force) {
     m_logger.Warning("leave-forced",
-                     "in_flight={} callers={}",
-                     m_server.InFlight(),
-                     m_ingress->Active());
+                     "in_flight={} callers={} unsent={}",
+                     work.calls,
+                     work.callers,
+                     work.unsentBytes);
     m_ingress->FailPendingRequests();
     m_server.BeginDrain();
     m_inner.FailRunning();
-    m_inner.SayGoodbye();
-  }
-  const auto elapsed = aNow - m_leaveStartedAt;
-  if (elapsed >= m_settings.grace - kGraceMargin + kFlushTime) {
-    LogLeaveEnd(aNow);
-    event_base_loopbreak(m_base);
   }
-}
-
-void
-HostDaemon::FinishLeave(MonoTime aNow)
-{
-  if (!m_goodbyeAt) {
-    m_goodbyeAt = aNow;
+  if (steps.sayGoodbye) {
     m_inner.SayGoodbye();
   }
-  if (m_inner.Sessions() > 0 && aNow - *m_goodbyeAt < kGoodbyeTime) {
-    return;
+  if (steps.exit) {
+    LogLeaveEnd(work);
+    event_base_loopbreak(m_base);
   }
-  LogLeaveEnd(aNow);
-  event_base_loopbreak(m_base);
 }
 
 void
-HostDaemon::LogLeaveEnd(MonoTime aNow) const
+HostDaemon::LogLeaveEnd(const LeaveWork& aWork) const
 {
-  m_logger.Info(
-    "leave-end",
-    "in_flight={} callers={} connections={} unsent={} "
-    "peers_unsent={} ms={}",
-    m_server.InFlight(),
-    m_ingress->Active(),
-    m_ingress->Connections(),
-    m_ingress->UnsentBytes(),
-    m_inner.HasUnsent(),
-    std::chrono::duration_cast<milliseconds>(aNow - m_leaveStartedAt).count());
+  m_logger.Info("leave-end",
+                "in_flight={} callers={} connections={} unsent={} "
+                "peers={} peers_unsent={}",
+                aWork.calls,
+                aWork.callers,
+                m_ingress->Connections(),
+                aWork.unsentBytes,
+                aWork.peers,
+                aWork.peersHaveUnsent);
 }
 
 OperatorAnswer
--- /dev/null
+++ b/test/HostDaemon/LeaveScheduleTest.cpp
@@ -0,0 +1,95 @@
+#include <gtest/gtest.h>
+
+#include "src/HostDaemon/LeaveSchedule.h"
+
+namespace pistachioshift {
+
+using std::chrono::milliseconds;
+
+/** A stop with a grace period of 6 s, asked every 50 ms as the daemon does. */
+class LeaveScheduleTest : public ::testing::Test
+{
+protected:
+  static constexpr Duration kGrace = milliseconds(6000);
+  static constexpr Duration kInterval = milliseconds(50);
+
+  /** Asks up to a time after the start; the steps that were due until then. */
+  LeaveSteps AskUntil(Duration aTime, const LeaveWork& aWork)
+  {
+    LeaveSteps due;
+    while (m_elapsed < aTime) {
+      m_elapsed += kInterval;
+      const auto steps = m_schedule.Next(m_start + m_elapsed, aWork);
+      due.refuseCallers |= steps.refuseCallers;
+      due.drainPeers |= steps.drainPeers;
+      due.force |= steps.force;
+      due.sayGoodbye |= steps.sayGoodbye;
+      due.exit |= steps.exit;
+    }
+    return due;
+  }
+
+  MonoTime m_start{ std::chrono::hours(1) };
+  Duration m_elapsed{};
+  LeaveSchedule m_schedule{ m_start, kGrace };
+};
+
+// Guards against an exit before callers have seen that the daemon isn't ready.
+TEST_F(LeaveScheduleTest, Next_IdleFromTheStart_ExitsOnlyAfterTheNotice)
+{
+  const auto early = AskUntil(milliseconds(2250), {});
+  EXPECT_FALSE(early.refuseCallers);
+  EXPECT_FALSE(early.exit);
+  const auto later = AskUntil(milliseconds(3000), {});
+  EXPECT_TRUE(later.refuseCallers);
+  EXPECT_TRUE(later.drainPeers);
+  EXPECT_TRUE(later.exit);
+  EXPECT_FALSE(later.force);
+}
+
+// Guards against an exit while a request is in progress, and against a stop
+// that a request without an answer holds up beyond the grace period.
+TEST_F(LeaveScheduleTest, Next_CallerWaits_ForcedBeforeTheGraceEnds)
+{
+  const LeaveWork work{ .callers = 1 };
+  EXPECT_FALSE(AskUntil(milliseconds(5400), work).exit);
+  const auto end = AskUntil(kGrace - kInterval, work);
+  EXPECT_TRUE(end.force);
+  EXPECT_TRUE(end.exit);
+}
+
+// Guards against keys that nobody serves while the process runs on for its own
+// callers, and against peers' requests that keep it running without them.
+TEST_F(LeaveScheduleTest, Next_OwnCallersWait_PeersAreServedUntilTheyAreDone)
+{
+  EXPECT_FALSE(
+    AskUntil(milliseconds(4200), { .calls = 2, .callers = 1 }).drainPeers);
+  const auto due = AskUntil(milliseconds(4400), { .calls = 2 });
+  EXPECT_TRUE(due.drainPeers);
+  EXPECT_FALSE(due.sayGoodbye);
+}
+
+// Guards against an exit that resets requests which peers have just sent.
+TEST_F(LeaveScheduleTest, Next_Idle_WaitsForPeersThatKnowOfTheExit)
+{
+  const auto told = AskUntil(milliseconds(2600), { .peers = 1 });
+  EXPECT_TRUE(told.sayGoodbye);
+  EXPECT_FALSE(told.exit);
+  EXPECT_TRUE(AskUntil(milliseconds(2650), {}).exit);
+}
+
+// Guards against a peer without an ear that holds the exit up.
+TEST_F(LeaveScheduleTest, Next_PeerStays_ExitsAllTheSame)
+{
+  EXPECT_TRUE(AskUntil(milliseconds(3200), { .peers = 1 }).exit);
+}
+
+// Guards against an exit that drops a finished answer whose caller, or whose
+// link, takes the bytes slowly.
+TEST_F(LeaveScheduleTest, Next_FinishedAnswerWaits_NoExitUntilItIsSent)
+{
+  EXPECT_FALSE(AskUntil(milliseconds(5400), { .unsentBytes = 1 }).exit);
+  EXPECT_TRUE(AskUntil(milliseconds(5800), {}).exit);
+}
+
+}
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -1,6 +1,10 @@
 #include <string>
 #include <utility>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "src/Http/internal/SocketAddress.h"
 #include "test/Http/LoopbackSupport.h"
 
 namespace pistachioshift::test {
@@ -245,6 +249,78 @@
   EXPECT_TRUE(Contains(peer, "/late"));
 }
 
+// Guards against a request that is read and dropped, because the answer before
+// it did not announce that the connection ends.
+TEST_F(ServerTest, Closing_AnswerBegunBefore_NextRequestIsAnswered)
+{
+  StartRecording();
+  RawPeer peer = Connect();
+  peer.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  m_exchange->SendHead({ .status = 200, .contentLength = 5 });
+  m_server->BeginClosing();
+  const auto first = std::exchange(m_exchange, nullptr);
+  first->SendBody("first");
+  first->Finish();
+  ASSERT_TRUE(Contains(peer, "first"));
+  peer.Write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange || peer.Closed(); }));
+  ASSERT_FALSE(peer.Closed());
+  Answer(*m_exchange, "second");
+  EXPECT_TRUE(Contains(peer, "Connection: close\r\n\r\nsecond"));
+  EXPECT_TRUE(RunUntil([&] { return peer.Closed(); }));
+}
+
+// Guards against the same when the port is closed already, and against a
+// connection that stays open then though no request comes.
+TEST_F(ServerTest, Stop_AnswerBegunBefore_ConnectionWaitsOnlyForALateRequest)
+{
+  m_limits.lingerTimeout = std::chrono::milliseconds(200);
+  StartRecording();
+  RawPeer late = Connect();
+  late.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  const auto first = std::exchange(m_exchange, nullptr);
+  first->SendHead({ .status = 200, .contentLength = 5 });
+  RawPeer idle = Connect();
+  idle.Write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  const auto second = std::exchange(m_exchange, nullptr);
+  second->SendHead({ .status = 200, .contentLength = 5 });
+  m_server->StopAccepting();
+  first->SendBody("whole");
+  first->Finish();
+  second->SendBody("whole");
+  second->Finish();
+  ASSERT_TRUE(Contains(late, "whole"));
+  late.Write("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange || late.Closed(); }));
+  ASSERT_FALSE(late.Closed());
+  Answer(*m_exchange, "third");
+  EXPECT_TRUE(Contains(late, "Connection: close\r\n\r\nthird"));
+  EXPECT_TRUE(RunUntil([&] { return idle.Closed() && late.Closed(); }));
+}
+
+// Guards against a server that seems to be done while bytes of an answer wait.
+TEST_F(ServerTest, Answer_PeerDoesNotRead_UnsentBytesAreCounted)
+{
+  constexpr size_t kBytes = size_t{ 32 } * internal::kKiB * internal::kKiB;
+  StartServer([&](const ExchangePtr& aExchange) {
+    Answer(*aExchange, std::string(kBytes, 'x'));
+  });
+  EXPECT_EQ(m_server->UnsentBytes(), 0U);
+  const int peer = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto address = internal::HttpAddressOf(m_server->LocalEndpoint());
+  ASSERT_EQ(connect(peer, address.Get(), address.Length()), 0);
+  const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  ASSERT_EQ(write(peer, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  EXPECT_TRUE(RunUntil([&] { return m_server->UnsentBytes() > 0; }));
+  EXPECT_EQ(m_server->Active(), 0U);
+  close(peer);
+  EXPECT_TRUE(RunUntil([&] { return m_server->UnsentBytes() == 0; }));
+}
+
 TEST_F(ServerTest, Server_Destroyed_ListenersAreTold)
 {
   StartRecording();
