Use the whole grace period to send the last answers

What callers saw: answers cut at a forced exit, though 300 ms of the grace period were left; answers for callers of other daemons, complete at this daemon, were cut too.

Cause: 500 ms before the end of the grace period the requests that still waited were answered, and 200 ms later the process exited, whatever was unsent. The answers in the queue of the host's link were flushed only for own callers, not for other daemons; at the rate of the link the rest went lost. On the other hand the process stayed for these 200 ms also if nothing was left to send.

Evidence (before): LeaveScheduleTest, Next_ForcedAnswerWaits_ UsesTheTimeThatIsLeft ("Actual: true, Expected: false" for an exit at 5.8 s of 6 s) and Next_ForcedAllSent_ExitsAtOnce failed. That the queue of answers to other daemons was dropped is read from the code; no run with it.

Change: at the forced exit BulkQueue::StopLimiting() sends all that is queued and what follows at once. The process exits as soon as all is sent, at the latest 150 ms before it would be killed.

Result: HostDaemon_LeaveScheduleTest (6), Daemon_BulkSenderTest (8) and PlatformTest, filter *Terminate* (4), pass.

--- a/src/Daemon/BulkQueue.cpp
+++ b/src/Daemon/BulkQueue.cpp
@@ -48,6 +48,13 @@
     std::chrono::duration<double>(static_cast<double>(bytes) / m_rate));
 }
 
+void
+BulkQueue::StopLimiting()
+{
+  m_budget = LinkBudget(0.0, kBurstBytes, m_clock.Now());
+  SendPending();
+}
+
 void
 BulkQueue::SendPending()
 {
--- a/src/Daemon/BulkQueue.h
+++ b/src/Daemon/BulkQueue.h
@@ -50,6 +50,10 @@
   /** \brief Appends a source that isn't in the queue yet. */
   void Add(std::weak_ptr<BulkSource> aSource);
 
+  /** \brief Sends the pending bytes at once, and later ones without queueing;
+   * called shortly before the process exits. */
+  void StopLimiting();
+
   size_t Size() const { return m_sources.size(); }
 
   /** \brief Time needed to send all pending bytes at the rate of the link. */
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -209,6 +209,7 @@
                      work.calls,
                      work.callers,
                      work.unsentBytes);
+    m_bulk.StopLimiting();
     m_ingress->FailPendingRequests();
   }
   if (steps.exit) {
--- a/src/HostDaemon/LeaveSchedule.cpp
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -12,11 +12,12 @@
  * checks, which come once a second. */
 constexpr Duration kReadinessNoticeTime = milliseconds(2300);
 
-/** The process exits by itself this long before it would be killed. */
-constexpr Duration kGraceMargin = milliseconds(500);
+/** Requests that still wait are answered this long before the process would be
+ * killed; the rest of the time is for sending the answers. */
+constexpr Duration kForceMargin = milliseconds(500);
 
-/** Time for sending the last answers before a forced exit. */
-constexpr Duration kFlushTime = milliseconds(200);
+/** The process exits by itself this long before it would be killed. */
+constexpr Duration kExitMargin = milliseconds(150);
 
 /** Time for peers' requests that are still running when no new ones are
  * accepted. */
@@ -25,12 +26,20 @@
 /** Time without any request in progress before the process exits. */
 constexpr Duration kIdleBeforeExit = milliseconds(150);
 
+bool
+IsBusy(const LeaveWork& aWork)
+{
+  return aWork.calls > 0 || aWork.callers > 0 || aWork.unsentBytes > 0 ||
+         aWork.peersHaveUnsent;
+}
+
 }
 
 LeaveSchedule::LeaveSchedule(MonoTime aStartedAt, Duration aGrace)
   : m_startedAt(aStartedAt)
   , m_idleSince(aStartedAt)
-  , m_forceAfter(aGrace - kGraceMargin)
+  , m_forceAfter(aGrace - kForceMargin)
+  , m_exitAfter(aGrace - kExitMargin)
 {
 }
 
@@ -39,7 +48,7 @@
 {
   const auto elapsed = aNow - m_startedAt;
   if (elapsed >= m_forceAfter) {
-    return NextForced(elapsed);
+    return NextForced(elapsed, aWork);
   }
   LeaveSteps steps;
   if (elapsed < kReadinessNoticeTime) {
@@ -53,27 +62,21 @@
   if (aWork.callers == 0 || endIsNear) {
     steps.drainPeers = !std::exchange(m_draining, true);
   }
-  steps.exit = IsIdle(aNow, aWork);
+  if (IsBusy(aWork)) {
+    m_idleSince = aNow;
+  }
+  steps.exit = aNow - m_idleSince >= kIdleBeforeExit;
   return steps;
 }
 
 LeaveSteps
-LeaveSchedule::NextForced(Duration aElapsed)
+LeaveSchedule::NextForced(Duration aElapsed, const LeaveWork& aWork)
 {
   LeaveSteps steps;
   steps.force = !std::exchange(m_forced, true);
-  steps.exit = aElapsed >= m_forceAfter + kFlushTime;
+  const bool allSent = !steps.force && !IsBusy(aWork);
+  steps.exit = allSent || aElapsed >= m_exitAfter;
   return steps;
 }
 
-bool
-LeaveSchedule::IsIdle(MonoTime aNow, const LeaveWork& aWork)
-{
-  if (aWork.calls > 0 || aWork.callers > 0 || aWork.unsentBytes > 0 ||
-      aWork.peersHaveUnsent) {
-    m_idleSince = aNow;
-  }
-  return aNow - m_idleSince >= kIdleBeforeExit;
-}
-
 }
--- a/src/HostDaemon/LeaveSchedule.h
+++ b/src/HostDaemon/LeaveSchedule.h
@@ -35,12 +35,12 @@
   LeaveSteps Next(MonoTime aNow, const LeaveWork& aWork);
 
 private:
-  LeaveSteps NextForced(Duration aElapsed);
-  bool IsIdle(MonoTime aNow, const LeaveWork& aWork);
+  LeaveSteps NextForced(Duration aElapsed, const LeaveWork& aWork);
 
   MonoTime m_startedAt;
   MonoTime m_idleSince;
   Duration m_forceAfter;
+  Duration m_exitAfter;
   bool m_refused = false;
   bool m_draining = false;
   bool m_forced = false;
--- a/test/Daemon/BulkSenderTest.cpp
+++ b/test/Daemon/BulkSenderTest.cpp
@@ -118,6 +118,29 @@
   EXPECT_EQ(m_sink->finished, 1);
 }
 
+// Guards against a forced exit that drops the answers which wait for the link,
+// those to other daemons included.
+TEST_F(BulkSenderTest, StopLimiting_BytesPending_AllAreSentAtOnceAndLaterOnes)
+{
+  m_queue.Consume(size_t{ 10 } * 1024 * 1024);
+  const auto other = std::make_shared<SinkDouble>();
+  const auto first = MakeSender();
+  const auto second = std::make_shared<BulkSender>(m_queue, other);
+  first->Send(std::string(kLarge, 'a'));
+  first->Finish();
+  second->Send(std::string(kLarge, 'b'));
+  EXPECT_EQ(m_sink->finished, 0);
+  m_queue.StopLimiting();
+  EXPECT_EQ(m_sink->received.size(), kLarge);
+  EXPECT_EQ(m_sink->finished, 1);
+  EXPECT_EQ(other->received.size(), kLarge);
+  EXPECT_EQ(m_queue.Size(), 0U);
+  second->Send(std::string(kLarge, 'b'));
+  second->Finish();
+  EXPECT_EQ(other->received.size(), 2 * kLarge);
+  EXPECT_EQ(other->finished, 1);
+}
+
 TEST_F(BulkSenderTest, Destructor_BytesPending_NextSourceIsSent)
 {
   auto first = MakeSender();
--- a/test/HostDaemon/LeaveScheduleTest.cpp
+++ b/test/HostDaemon/LeaveScheduleTest.cpp
@@ -73,4 +73,20 @@
   EXPECT_TRUE(AskUntil(milliseconds(5800), {}).exit);
 }
 
+// Guards against a forced exit that drops answers although time is left.
+TEST_F(LeaveScheduleTest, Next_ForcedAnswerWaits_UsesTheTimeThatIsLeft)
+{
+  EXPECT_TRUE(AskUntil(milliseconds(5500), { .callers = 1 }).force);
+  EXPECT_FALSE(AskUntil(milliseconds(5800), { .unsentBytes = 1 }).exit);
+  EXPECT_TRUE(AskUntil(milliseconds(5950), { .unsentBytes = 1 }).exit);
+}
+
+// Guards against a forced exit that waits although nothing is left to send.
+TEST_F(LeaveScheduleTest, Next_ForcedAllSent_ExitsAtOnce)
+{
+  EXPECT_TRUE(AskUntil(milliseconds(5500), { .callers = 1 }).force);
+  const auto end = AskUntil(milliseconds(5600), {});
+  EXPECT_TRUE(end.exit);
+}
+
 }
