End connections without a reset before the process exits

What callers saw: an answer that the owner's daemon had written whole was cut at the daemon of the caller, when the owner's daemon exited in a planned stop.

Cause: the exit closed the sockets at once. A socket that holds unread input (the other daemon sends heartbeats, credit and reports all the time), or that gets some after the close, is reset, and what the other end has not received yet is lost: on a link of 17 Mbit/s a good part of the answer. Towards callers the same happens to an early answer while the caller still sends the body.

Evidence (before): a test that does what the exit did, with 300 KB written, one frame unread and the connection destroyed: "received Which is: 4096, size Which is: 300014". LeaveScheduleTest, Next_PeersHaveNotClosed_ExitWaitsForThemBriefly and Next_CallsNeverEnd_ConnectionsAreEndedBeforeTheExit: failed.

Change: when all is sent, the daemon closes the callers' port, ends idle connections and shuts down its direction of the connections from other daemons (Connection::FinishSending); it exits when they are closed, 200 ms later at the latest. A daemon whose peer has ended a connection shuts down its direction, which tells the peer that everything was received.

Result: Inner_ConnectionTest (12; FinishSending_* 2), HostDaemon_ LeaveScheduleTest (8) and PlatformTest, filter *Terminate* (4), pass. That a system under load cuts fewer answers was not measured here.

--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -65,6 +65,24 @@
                                           });
 }
 
+void
+InnerServerTask::FinishSending()
+{
+  for (const auto& session : m_sessions) {
+    session->FinishSending();
+  }
+}
+
+size_t
+InnerServerTask::Finishing() const
+{
+  const auto finishing =
+    std::count_if(m_sessions.begin(),
+                  m_sessions.end(),
+                  [](const auto& aSession) { return aSession->Finishing(); });
+  return static_cast<size_t>(finishing);
+}
+
 void
 InnerServerTask::OnAccepted(int aSocket)
 {
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -54,6 +54,16 @@
   /** \brief Whether bytes are queued or in the buffer of a connection. */
   bool HasUnsent() const;
 
+  /**
+   * \brief Sends what waits in the connections and ends them; called before the
+   * process exits. New connections are still accepted.
+   */
+  void FinishSending();
+
+  /** \brief Connections that FinishSending() has begun to end and whose peers
+   * have not closed yet. */
+  size_t Finishing() const;
+
 private:
   friend class InnerSession;
 
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -29,6 +29,8 @@
   void Remove(StreamId aStream);
   BulkQueue& Bulk() { return m_task.m_bulk; }
   bool HasUnsent() const { return m_connection->BufferedBytes() > 0; }
+  void FinishSending() { m_connection->FinishSending(); }
+  bool Finishing() const { return m_connection->Finishing(); }
 
   void OnFrame(Connection& aConnection, Frame aFrame) override;
   void OnDrained(Connection& aConnection) override;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -195,7 +195,9 @@
   const LeaveWork work{ .calls = m_server.InFlight(),
                         .callers = m_ingress->Active(),
                         .unsentBytes = m_ingress->UnsentBytes(),
-                        .peersHaveUnsent = m_inner.HasUnsent() };
+                        .peersHaveUnsent = m_inner.HasUnsent(),
+                        .closing =
+                          m_inner.Finishing() + m_ingress->Connections() };
   const auto steps = m_leave->Next(m_clock.Now(), work);
   if (steps.refuseCallers) {
     m_dialect->BeginClosing();
@@ -212,6 +214,10 @@
     m_bulk.StopLimiting();
     m_ingress->FailPendingRequests();
   }
+  if (steps.finishSending) {
+    m_ingress->StopAccepting();
+    m_inner.FinishSending();
+  }
   if (steps.exit) {
     m_logger.Info("leave-end",
                   "in_flight={} callers={} unsent={}",
--- a/src/HostDaemon/LeaveSchedule.cpp
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -19,6 +19,13 @@
 /** The process exits by itself this long before it would be killed. */
 constexpr Duration kExitMargin = milliseconds(150);
 
+/** Before a forced exit, the connections are ended this long after the last
+ * answers, even if calls are still in progress. */
+constexpr Duration kFlushTime = milliseconds(250);
+
+/** Time in which the other ends close connections that were ended here. */
+constexpr Duration kCloseTime = milliseconds(200);
+
 /** Time for peers' requests that are still running when no new ones are
  * accepted. */
 constexpr Duration kPeerDrainTime = milliseconds(1200);
@@ -47,11 +54,9 @@
 LeaveSchedule::Next(MonoTime aNow, const LeaveWork& aWork)
 {
   const auto elapsed = aNow - m_startedAt;
-  if (elapsed >= m_forceAfter) {
-    return NextForced(elapsed, aWork);
-  }
   LeaveSteps steps;
-  if (elapsed < kReadinessNoticeTime) {
+  steps.force = elapsed >= m_forceAfter && !std::exchange(m_forced, true);
+  if (elapsed < kReadinessNoticeTime && !m_forced) {
     m_idleSince = aNow;
     return steps;
   }
@@ -62,21 +67,35 @@
   if (aWork.callers == 0 || endIsNear) {
     steps.drainPeers = !std::exchange(m_draining, true);
   }
-  if (IsBusy(aWork)) {
+  if (IsBusy(aWork) || steps.force) {
     m_idleSince = aNow;
   }
-  steps.exit = aNow - m_idleSince >= kIdleBeforeExit;
+  steps.exit = MayExit(aNow, aWork);
+  steps.finishSending = !m_finishedAt && MayFinishSending(aNow);
+  if (steps.finishSending) {
+    m_finishedAt = aNow;
+  }
   return steps;
 }
 
-LeaveSteps
-LeaveSchedule::NextForced(Duration aElapsed, const LeaveWork& aWork)
+bool
+LeaveSchedule::MayFinishSending(MonoTime aNow) const
 {
-  LeaveSteps steps;
-  steps.force = !std::exchange(m_forced, true);
-  const bool allSent = !steps.force && !IsBusy(aWork);
-  steps.exit = allSent || aElapsed >= m_exitAfter;
-  return steps;
+  const auto idle = aNow - m_idleSince;
+  const bool flushed = aNow - m_startedAt >= m_forceAfter + kFlushTime;
+  return idle >= kIdleBeforeExit || (m_forced && idle > Duration{}) || flushed;
+}
+
+bool
+LeaveSchedule::MayExit(MonoTime aNow, const LeaveWork& aWork) const
+{
+  if (aNow - m_startedAt >= m_exitAfter) {
+    return true;
+  }
+  if (!m_finishedAt || IsBusy(aWork)) {
+    return false;
+  }
+  return aWork.closing == 0 || aNow - *m_finishedAt >= kCloseTime;
 }
 
 }
--- a/src/HostDaemon/LeaveSchedule.h
+++ b/src/HostDaemon/LeaveSchedule.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_HOSTDAEMON_LEAVESCHEDULE_H
 
 #include <cstddef>
+#include <optional>
 
 #include "src/Base/Clock.h"
 
@@ -14,6 +15,7 @@
   size_t callers = 0;     ///< Callers' requests without a finished answer.
   size_t unsentBytes = 0; ///< Of answers to callers, finished or not.
   bool peersHaveUnsent = false; ///< Bytes wait for other daemons.
+  size_t closing = 0; ///< Connections still open after `finishSending`.
 };
 
 /** \brief Steps of a planned stop that are due; each is reported once. */
@@ -22,6 +24,7 @@
   bool refuseCallers = false; ///< Refuse new requests of callers.
   bool drainPeers = false;    ///< Refuse new requests of other daemons.
   bool force = false;         ///< Answer the requests that still wait.
+  bool finishSending = false; ///< End the connections once all is sent.
   bool exit = false;
 };
 
@@ -35,12 +38,14 @@
   LeaveSteps Next(MonoTime aNow, const LeaveWork& aWork);
 
 private:
-  LeaveSteps NextForced(Duration aElapsed, const LeaveWork& aWork);
+  bool MayFinishSending(MonoTime aNow) const;
+  bool MayExit(MonoTime aNow, const LeaveWork& aWork) const;
 
   MonoTime m_startedAt;
   MonoTime m_idleSince;
   Duration m_forceAfter;
   Duration m_exitAfter;
+  std::optional<MonoTime> m_finishedAt; ///< When `finishSending` was due.
   bool m_refused = false;
   bool m_draining = false;
   bool m_forced = false;
--- a/src/Inner/Connection.cpp
+++ b/src/Inner/Connection.cpp
@@ -151,7 +151,7 @@
 void
 Connection::Send(const Frame& aFrame)
 {
-  if (m_ended) {
+  if (m_ended || m_finishing) {
     return;
   }
   const auto bytes = EncodeFrame(aFrame);
@@ -226,9 +226,32 @@
   evbuffer_freeze(input, 0);
 }
 
+void
+Connection::FinishSending()
+{
+  if (m_ended || m_finishing) {
+    return;
+  }
+  m_finishing = true;
+  bufferevent_setwatermark(m_bufferEvent, EV_WRITE, 0, 0);
+  ShutDownIfSent();
+}
+
+void
+Connection::ShutDownIfSent()
+{
+  if (BufferedBytes() == 0) {
+    shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
+  }
+}
+
 void
 Connection::OnWritable()
 {
+  if (m_finishing && !m_ended) {
+    ShutDownIfSent();
+    return;
+  }
   const auto listener = m_listener.lock();
   if (listener && !m_ended) {
     listener->OnDrained(*this);
@@ -253,6 +276,10 @@
 Connection::ReadFrame()
 {
   auto* input = bufferevent_get_input(m_bufferEvent);
+  if (m_finishing) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return false;
+  }
   uint32_t networkLength = 0;
   if (evbuffer_copyout(input, &networkLength, kFrameLengthBytes) <
       static_cast<ev_ssize_t>(kFrameLengthBytes)) {
@@ -329,6 +356,10 @@
   event_del(m_timer);
   bufferevent_disable(m_bufferEvent, EV_READ | EV_WRITE);
   bufferevent_setcb(m_bufferEvent, nullptr, nullptr, nullptr, nullptr);
+  if (aReason == CloseReason::kClosed) {
+    // The peer may wait for this in FinishSending().
+    shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
+  }
   const auto listener = m_listener.lock();
   if (listener) {
     listener->OnClosed(*this, aReason);
--- a/src/Inner/Connection.h
+++ b/src/Inner/Connection.h
@@ -88,11 +88,21 @@
   /** \brief Sets the outcome table position that pongs report. */
   void SetPosition(TablePosition aPosition) { m_position = aPosition; }
 
+  /**
+   * \brief Sends the queued frames and no others, then waits for the peer to
+   * close; discards the frames that still arrive.
+   *
+   * A close with unread input would reset the connection, and the peer could
+   * lose the last frames.
+   */
+  void FinishSending();
+
   /** \brief Ends the connection; the listener gets OnClosed with kLocal. */
   void Close() { End(CloseReason::kLocal); }
 
   bool Connected() const { return m_connected; }
   bool Ended() const { return m_ended; }
+  bool Finishing() const { return m_finishing; }
 
   /** \brief Bytes queued in this process, not yet written to the socket. */
   size_t BufferedBytes() const;
@@ -111,6 +121,7 @@
   void OnTimer();
   bool ReadFrame();
   void ReadRemaining();
+  void ShutDownIfSent();
   void Dispatch(Frame aFrame);
   void End(CloseReason aReason);
 
@@ -127,6 +138,7 @@
   int m_missedHeartbeats = 0;
   bool m_connected = false;
   bool m_heartbeatsEnabled = false;
+  bool m_finishing = false; ///< FinishSending() was called.
   bool m_ended = false;
 };
 
--- a/test/HostDaemon/LeaveScheduleTest.cpp
+++ b/test/HostDaemon/LeaveScheduleTest.cpp
@@ -23,6 +23,7 @@
       due.refuseCallers |= steps.refuseCallers;
       due.drainPeers |= steps.drainPeers;
       due.force |= steps.force;
+      due.finishSending |= steps.finishSending;
       due.exit |= steps.exit;
     }
     return due;
@@ -86,7 +87,32 @@
 {
   EXPECT_TRUE(AskUntil(milliseconds(5500), { .callers = 1 }).force);
   const auto end = AskUntil(milliseconds(5600), {});
+  EXPECT_TRUE(end.finishSending);
   EXPECT_TRUE(end.exit);
 }
 
+// Guards against an exit that resets connections to other daemons while they
+// have not taken everything, and against a peer that holds up the exit.
+TEST_F(LeaveScheduleTest, Next_PeersHaveNotClosed_ExitWaitsForThemBriefly)
+{
+  Duration finished{};
+  while (finished == Duration{} && m_elapsed < kGrace) {
+    const auto steps = AskUntil(m_elapsed + kInterval, {});
+    EXPECT_FALSE(steps.exit && !steps.finishSending);
+    finished = steps.finishSending ? m_elapsed : Duration{};
+  }
+  EXPECT_FALSE(AskUntil(finished + milliseconds(100), { .closing = 1 }).exit);
+  EXPECT_TRUE(AskUntil(finished + milliseconds(400), { .closing = 1 }).exit);
+}
+
+// Guards against a stop whose forced end never ends the connections.
+TEST_F(LeaveScheduleTest, Next_CallsNeverEnd_ConnectionsAreEndedBeforeTheExit)
+{
+  const LeaveWork work{ .calls = 1, .peersHaveUnsent = true };
+  const auto forced = AskUntil(milliseconds(5750), work);
+  EXPECT_TRUE(forced.finishSending);
+  EXPECT_FALSE(forced.exit);
+  EXPECT_TRUE(AskUntil(milliseconds(5950), work).exit);
+}
+
 }
--- a/test/Inner/ConnectionTest.cpp
+++ b/test/Inner/ConnectionTest.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -106,6 +107,22 @@
               static_cast<ssize_t>(bytes.size()));
   }
 
+  /** \brief Bytes that arrive at a socket until its connection ends. */
+  static size_t ReadAll(int aSocket)
+  {
+    const timeval patience{ 10, 0 };
+    setsockopt(aSocket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    std::array<char, 16384> part{};
+    size_t bytes = 0;
+    for (;;) {
+      const auto count = read(aSocket, part.data(), part.size());
+      if (count <= 0) {
+        return bytes;
+      }
+      bytes += static_cast<size_t>(count);
+    }
+  }
+
   /** \brief Fills the accept queue of the listening socket. */
   void FillBacklog()
   {
@@ -271,5 +288,48 @@
   EXPECT_EQ(m_listener->frames, kFrames);
 }
 
+// Guards against the loss of frames that the peer has not taken yet when this
+// end closes with input unread, which resets the connection.
+TEST_F(ConnectionTest, FinishSending_InputUnread_PeerGetsAllFrames)
+{
+  const int peer = ConnectTcp();
+  const auto frame = BodyChunk{ StreamId(1), std::string(300'000, 'a'), true };
+  m_connection->Send(frame);
+  ASSERT_TRUE(RunUntil([this] { return m_connection->BufferedBytes() == 0; }));
+  WriteFrames(peer, Pong{ 1, TablePosition() }, 1);
+  m_connection->FinishSending();
+  EXPECT_EQ(ReadAll(peer), EncodeFrame(frame).size());
+  EXPECT_FALSE(m_listener->end);
+  shutdown(peer, SHUT_WR);
+  ASSERT_TRUE(RunUntilEnd());
+  EXPECT_EQ(m_listener->end, CloseReason::kClosed);
+  EXPECT_EQ(m_listener->frames, 0);
+}
+
+// Guards against an end of the sending direction before the queued frames, and
+// against a peer that doesn't close although it has received everything.
+TEST_F(ConnectionTest, FinishSending_FramesQueued_PeerGetsThemAndCloses)
+{
+  constexpr int kFrames = 100;
+  listen(m_listeningSocket, 8);
+  Connect();
+  ASSERT_TRUE(RunUntil([this] { return m_connection->Connected(); }));
+  const auto other = std::make_shared<RecordingListener>();
+  const int socketFd =
+    accept4(m_listeningSocket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  const auto sender =
+    Connection::Accept(m_base, m_clock, socketFd, ConnectionSettings(), other);
+  for (int count = 0; count < kFrames; ++count) {
+    sender->Send(BodyChunk{ StreamId(1), std::string(100'000, 'a'), false });
+  }
+  sender->FinishSending();
+  sender->Send(Pong{ 1, TablePosition() });
+  EXPECT_GT(sender->BufferedBytes(), 0U);
+  ASSERT_TRUE(RunUntil([&] { return other->end.has_value(); }));
+  EXPECT_EQ(other->end, CloseReason::kClosed);
+  EXPECT_EQ(m_listener->end, CloseReason::kClosed);
+  EXPECT_EQ(m_listener->frames, kFrames);
+}
+
 }
 }
