Don't cut a caller's answer that can still be given whole

What callers saw: their connection was closed in the middle of an answer when the daemon of the owner ended its connection, for example in a planned stop, though this daemon goes on.

Cause: IngressSession sent the head to the caller as soon as the first byte of the body came. From then on only a download with a strong ETag could go on; any other answer was cut (TryResume, ServerExchange::Abort), also if all its bytes had arrived and only the frame that ends it was missing. Abort also drops bytes that were already in the buffer of the caller's connection.

Evidence (before): IngressTest, Truncated_ShortAnswer_RequestIsSentAgain: "WaitForAttempt(2), Actual: false"; Truncated_AllBytesArrived_AnswerIsWhole: "m_caller->ended, Actual: false", "m_caller->body.size(), Which is: 0, kBytes, Which is: 32768".

Change: an answer of stated length up to kDirectBytes is passed on when it is whole; if it is truncated the usual decision about another attempt or a query follows. A longer one whose bytes have all arrived is finished. Longer answers that lack bytes are still cut. A short answer is now due as a whole by the request's deadline, not its head alone.

--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "src/Daemon/AnswerCodec.h"
 #include "src/Daemon/IngressSession.h"
 
@@ -37,18 +39,38 @@
   }
   m_answerBegun = true;
   m_deadlineTimer.Stop();
+  m_answerLength = m_pendingHead->contentLength;
   m_status = m_pendingHead->status;
   const bool failed = m_status >= kFirstServerErrorStatus;
   ReportToBalancer(failed ? InstanceResult::kFailed : InstanceResult::kDone);
   m_exchange->SendHead(*std::move(m_pendingHead));
   m_pendingHead.reset();
   m_sender = std::make_shared<BulkSender>(m_context.bulk, weak_from_this());
+  if (!m_heldBody.empty()) {
+    SendAnswerBody(std::exchange(m_heldBody, {}));
+  }
 }
 
 void
 IngressSession::OnAnswerBody(std::string_view aData)
 {
+  // A short answer is sent when it is whole: until then another attempt can
+  // take the place of one that ends in the middle.
+  if (m_pendingHead &&
+      m_pendingHead->contentLength.value_or(SIZE_MAX) <= kDirectBytes) {
+    m_heldBody.append(aData);
+    if (m_heldBody.size() >= *m_pendingHead->contentLength) {
+      SendPendingHead();
+    }
+    return;
+  }
   SendPendingHead();
+  SendAnswerBody(aData);
+}
+
+void
+IngressSession::SendAnswerBody(std::string_view aData)
+{
   m_resume.OnBytes(aData.size());
   m_sender->Send(aData);
   UpdateFlow();
@@ -102,11 +124,16 @@
 IngressSession::OnTruncated()
 {
   if (m_answerBegun) {
-    TryResume();
+    if (m_answerLength == m_resume.Sent()) {
+      m_sender->Finish(); // Only the end is missing.
+    } else {
+      TryResume();
+    }
     return;
   }
   // Nothing has been sent to the caller yet, so the request can be retried.
   m_pendingHead.reset();
+  m_heldBody.clear();
   ++m_possibleRuns;
   auto report = MakeReport();
   report.end = AttemptEnd::kConnectionLost;
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -66,6 +66,7 @@
   void GiveUp(RefusalReason aReason);
   void CloseAttempt();
   void SendPendingHead();
+  void SendAnswerBody(std::string_view aData);
   void UpdateFlow();
   void OnTruncated();
   void TryResume();
@@ -86,8 +87,10 @@
   bool m_answerBegun = false; ///< The caller has been sent the head.
   bool m_resuming = false;    ///< A download continues on another attempt.
   std::optional<ResponseHead> m_pendingHead; ///< Held until the body starts.
-  std::shared_ptr<BulkSender> m_sender; ///< Set once the head has been sent.
-  bool m_callerWritable = true;         ///< The exchange accepts more bytes.
+  std::string m_heldBody; ///< Start of a short answer that isn't whole yet.
+  std::optional<uint64_t> m_answerLength; ///< In the head, if it was sent.
+  std::shared_ptr<BulkSender> m_sender;   ///< Set once the head has been sent.
+  bool m_callerWritable = true;           ///< The exchange accepts more bytes.
   bool m_answerFlowing = true; ///< The attempt's response isn't paused.
   DownloadResume m_resume;
   bool m_ended = false;
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -36,6 +36,9 @@
               const Endpoint& aEndpoint,
               const HttpLimits& aLimits);
 
+  /** \brief The bound endpoint, with the port that was picked. */
+  Endpoint LocalEndpoint() const { return m_server.LocalEndpoint(); }
+
   /** \brief Asks callers to open their next connection elsewhere. */
   void BeginClosing() { m_server.BeginClosing(); }
 
