--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -196,7 +196,8 @@
                         .callers = m_ingress->Active(),
                         .unsentBytes = m_ingress->UnsentBytes(),
                         .peersHaveUnsent = m_inner.HasUnsent(),
-                        .peers = m_inner.Sessions() };
+                        .closing =
+                          m_inner.Finishing() + m_ingress->Connections() };
   const auto steps = m_leave->Next(m_clock.Now(), work);
   if (steps.refuseCallers) {
     m_dialect->BeginClosing();
@@ -210,12 +211,14 @@
                      work.calls,
                      work.callers,
                      work.unsentBytes);
+    m_bulk.StopLimiting();
     m_ingress->FailPendingRequests();
-    m_server.BeginDrain();
     m_inner.FailRunning();
   }
-  if (steps.sayGoodbye) {
+  if (steps.finishSending) {
+    m_ingress->StopAccepting();
     m_inner.SayGoodbye();
+    m_inner.FinishSending();
   }
   if (steps.exit) {
     LogLeaveEnd(work);
@@ -227,14 +230,12 @@
 HostDaemon::LogLeaveEnd(const LeaveWork& aWork) const
 {
   m_logger.Info("leave-end",
-                "in_flight={} callers={} connections={} unsent={} "
-                "peers={} peers_unsent={}",
+                "in_flight={} callers={} unsent={} peers_unsent={} closing={}",
                 aWork.calls,
                 aWork.callers,
-                m_ingress->Connections(),
                 aWork.unsentBytes,
-                aWork.peers,
-                aWork.peersHaveUnsent);
+                aWork.peersHaveUnsent,
+                aWork.closing);
 }
 
 OperatorAnswer
--- a/src/HostDaemon/LeaveSchedule.cpp
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -12,24 +12,37 @@
  * checks, which come once a second. */
 constexpr Duration kReadinessNoticeTime = milliseconds(2300);
 
+/** Requests that still wait are answered this long before the process would be
+ * killed; the rest of the time is for sending the answers. */
+constexpr Duration kForceMargin = milliseconds(500);
+
 /** The process exits by itself this long before it would be killed. */
-constexpr Duration kGraceMargin = milliseconds(500);
+constexpr Duration kExitMargin = milliseconds(150);
 
-/** Time for sending the last answers before a forced exit. */
-constexpr Duration kFlushTime = milliseconds(200);
+/** Before a forced exit, the connections are ended this long after the last
+ * answers, even if calls are still in progress. */
+constexpr Duration kFlushTime = milliseconds(250);
 
-/** Time for peers to close their connections once they know of the exit. */
-constexpr Duration kGoodbyeTime = milliseconds(500);
+/** Time in which the other ends close connections that were ended here. */
+constexpr Duration kCloseTime = milliseconds(200);
 
 /** Time without any request in progress before the process exits. */
 constexpr Duration kIdleBeforeExit = milliseconds(150);
 
+bool
+IsBusy(const LeaveWork& aWork)
+{
+  return aWork.calls > 0 || aWork.callers > 0 || aWork.unsentBytes > 0 ||
+         aWork.peersHaveUnsent;
+}
+
 }
 
 LeaveSchedule::LeaveSchedule(MonoTime aStartedAt, Duration aGrace)
   : m_startedAt(aStartedAt)
   , m_idleSince(aStartedAt)
-  , m_forceAfter(aGrace - kGraceMargin)
+  , m_forceAfter(aGrace - kForceMargin)
+  , m_exitAfter(aGrace - kExitMargin)
 {
 }
 
@@ -37,46 +50,47 @@
 LeaveSchedule::Next(MonoTime aNow, const LeaveWork& aWork)
 {
   const auto elapsed = aNow - m_startedAt;
-  if (elapsed >= m_forceAfter) {
-    return NextForced(elapsed);
-  }
   LeaveSteps steps;
-  if (elapsed < kReadinessNoticeTime) {
+  steps.force = elapsed >= m_forceAfter && !std::exchange(m_forced, true);
+  if (elapsed < kReadinessNoticeTime && !m_forced) {
     m_idleSince = aNow;
     return steps;
   }
   steps.refuseCallers = !std::exchange(m_refused, true);
   // Requests from peers are accepted as long as requests of this daemon's own
   // callers keep the process running.
-  if (aWork.callers == 0) {
+  if (aWork.callers == 0 || m_forced) {
     steps.drainPeers = !std::exchange(m_draining, true);
   }
-  if (IsIdle(aNow, aWork)) {
-    steps.sayGoodbye = !m_goodbyeAt;
-    m_goodbyeAt = m_goodbyeAt.value_or(aNow);
-    steps.exit = aWork.peers == 0 || aNow - *m_goodbyeAt >= kGoodbyeTime;
+  if (IsBusy(aWork) || steps.force) {
+    m_idleSince = aNow;
+  }
+  steps.exit = MayExit(aNow, aWork);
+  steps.finishSending = !m_finishedAt && MayFinishSending(aNow);
+  if (steps.finishSending) {
+    m_finishedAt = aNow;
   }
   return steps;
 }
 
-LeaveSteps
-LeaveSchedule::NextForced(Duration aElapsed)
+bool
+LeaveSchedule::MayFinishSending(MonoTime aNow) const
 {
-  LeaveSteps steps;
-  steps.force = !std::exchange(m_forced, true);
-  steps.sayGoodbye = steps.force;
-  steps.exit = aElapsed >= m_forceAfter + kFlushTime;
-  return steps;
+  const auto idle = aNow - m_idleSince;
+  const bool flushed = aNow - m_startedAt >= m_forceAfter + kFlushTime;
+  return idle >= kIdleBeforeExit || (m_forced && idle > Duration{}) || flushed;
 }
 
 bool
-LeaveSchedule::IsIdle(MonoTime aNow, const LeaveWork& aWork)
+LeaveSchedule::MayExit(MonoTime aNow, const LeaveWork& aWork) const
 {
-  if (aWork.calls > 0 || aWork.callers > 0 || aWork.unsentBytes > 0 ||
-      aWork.peersHaveUnsent) {
-    m_idleSince = aNow;
+  if (aNow - m_startedAt >= m_exitAfter) {
+    return true;
+  }
+  if (!m_finishedAt || IsBusy(aWork)) {
+    return false;
   }
-  return aNow - m_idleSince >= kIdleBeforeExit;
+  return aWork.closing == 0 || aNow - *m_finishedAt >= kCloseTime;
 }
 
 }
