Answers 1xx, 204 and 304 end with their head, whatever their fields say

What callers saw: a backend server that sent a 1xx answer with Content-Length or chunks ended the daemon; every request on that host was lost. A 204 or 304 with a Content-Length took the bytes that followed for its body, or waited for them. Cause: http_parser reads a body for these statuses if the head has a length. The client passed the 1xx's body on before any final head, and IngressSession had no sender yet. Http_EndlessAnswerTest without the change: InterimAnswer_WithBody_IsMalformed and BodylessStatus_LengthDeclared_EndsWithItsHead fail (body "xxxxxxxxx"). Change: the parser skips the body of these statuses; the bytes are then no answer. The tests Head_, Framing_ and CompleteAnswer_ of the same file passed at once. Measured: all tests of Http pass.

--- a/src/Http/internal/MessageParser.cpp
+++ b/src/Http/internal/MessageParser.cpp
@@ -42,6 +42,15 @@
   return aText.find_first_of(" \t") != std::string_view::npos;
 }
 
+/** Whether an answer with this status ends with its head, whatever fields of
+ * the head say of a body (RFC 9112, 6.3). */
+bool
+IsBodyless(unsigned int aStatus)
+{
+  return aStatus < HTTP_STATUS_OK || aStatus == HTTP_STATUS_NO_CONTENT ||
+         aStatus == HTTP_STATUS_NOT_MODIFIED;
+}
+
 size_t
 CountOf(const Headers& aHeaders, std::string_view aName)
 {
@@ -139,7 +148,9 @@
     m_contentLength = m_parser.content_length;
   }
   Emit(ParseEvent::kHead);
-  return m_withoutBody ? 1 : 0;
+  const bool bodyless =
+    m_kind == MessageKind::kResponse && IsBodyless(m_parser.status_code);
+  return m_withoutBody || bodyless ? 1 : 0;
 }
 
 int
