Bound 1xx answers, bodies and the time of an answer in the HTTP client

What callers saw: 1xx answers one after another held their request and slot until the deadline; a body without end was read for as long as the backend server sent. Cause: the client bounded heads only, and its silence timeout starts anew with each byte. The tests of the bounds need the new settings. Change: HttpClientLimits has maxInterimAnswers (64), maxBodyBytes (16 GiB, for a stated length; above, the request fails at the head), maxUndeclaredBodyBytes (256 MiB) and answerTimeout (none by default). ClientFailure::kAnswerTooLarge says that the request may have run.

--- a/src/Http/Client.cpp
+++ b/src/Http/Client.cpp
@@ -25,6 +25,8 @@
       return "truncated-answer";
     case ClientFailure::kMalformedAnswer:
       return "malformed-answer";
+    case ClientFailure::kAnswerTooLarge:
+      return "answer-too-large";
     case ClientFailure::kTimeout:
       return "timeout";
   }
@@ -43,6 +45,7 @@
     case ClientFailure::kClosedBeforeAnswer:
     case ClientFailure::kTruncatedAnswer:
     case ClientFailure::kMalformedAnswer:
+    case ClientFailure::kAnswerTooLarge:
     case ClientFailure::kTimeout:
       return true;
   }
--- a/src/Http/Client.h
+++ b/src/Http/Client.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_HTTP_CLIENT_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -27,6 +28,12 @@
   size_t maxWaiting = 1024;                  ///< Requests without a connection.
   size_t maxHeadBytes = 64 * internal::kKiB; ///< Of an answer.
   size_t maxHeaders = 128;                   ///< Of an answer.
+  size_t maxInterimAnswers = 64;             ///< 1xx, before the final answer.
+  uint64_t maxBodyBytes = 16 * internal::kKiB * internal::kKiB *
+                          internal::kKiB; ///< Of an answer that states its
+                                          ///< length.
+  /// Of an answer that doesn't: chunked, or until the connection is closed.
+  uint64_t maxUndeclaredBodyBytes = 256 * internal::kKiB * internal::kKiB;
   size_t inputHighWatermark = 64 * internal::kKiB; ///< Bytes read ahead.
   size_t outputHighWatermark =
     256 * internal::kKiB; ///< SendBody answers false above.
@@ -34,7 +41,10 @@
   Duration connectTimeout = std::chrono::seconds(1);
   Duration silenceTimeout = std::chrono::seconds(60); ///< Without a byte read
                                                       ///< or written.
-  Duration idleTimeout = std::chrono::seconds(30);    ///< Between requests.
+  /// From the write of the request to the end of its answer, however many bytes
+  /// arrive meanwhile; zero: no bound.
+  Duration answerTimeout{};
+  Duration idleTimeout = std::chrono::seconds(30); ///< Between requests.
   /// Interval of TCP keep-alive probes, three of which may go unanswered; zero:
   /// none are sent.
   std::chrono::seconds probeInterval{};
@@ -50,7 +60,9 @@
   kClosedBeforeAnswer, ///< Closed or reset before the head of the answer.
   kTruncatedAnswer,    ///< Closed or reset within the body of the answer.
   kMalformedAnswer,
-  kTimeout, ///< Silent for too long after the request was written.
+  kAnswerTooLarge, ///< States a larger body than allowed, or sent one.
+  kTimeout, ///< Silent, or not at its end, for too long after the request was
+            ///< written.
 };
 
 std::string_view ToString(ClientFailure aFailure);
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -18,6 +18,7 @@
       -1,
       StreamBounds{ m_limits.inputHighWatermark, m_limits.outputLowWatermark },
       *this))
+  , m_answerTimer(event_new(m_core->Base(), -1, 0, HandleAnswerTimeout, this))
   , m_parser(MessageKind::kResponse,
              { m_limits.maxHeadBytes, m_limits.maxHeaders })
 {
@@ -83,7 +84,12 @@
   m_state = State::kBusy;
   m_headSeen = false;
   m_interim = false;
+  m_interimAnswers = 0;
   m_parser.Reset(state.isHead);
+  if (m_limits.answerTimeout > Duration::zero()) {
+    const timeval timeout = ToTimeval(m_limits.answerTimeout);
+    event_add(m_answerTimer.get(), &timeout);
+  }
   UpdateTimer();
   return WriteResult::kWritten;
 }
@@ -108,6 +114,7 @@
 {
   auto exchange = std::move(m_exchange);
   m_exchange.reset();
+  event_del(m_answerTimer.get());
   return exchange->m_state->End();
 }
 
@@ -179,11 +186,9 @@
     case ParseEvent::kHead:
       HandleHead();
       return;
-    case ParseEvent::kBody: {
-      std::shared_ptr<ClientListener> listener = Current().listener;
-      listener->OnBody(aStep.body);
+    case ParseEvent::kBody:
+      HandleBody(aStep.body);
       return;
-    }
     case ParseEvent::kEnd:
       HandleEnd();
       return;
@@ -203,6 +208,15 @@
   }
   m_interim = head.status < kFirstFinalStatus;
   if (m_interim) {
+    if (++m_interimAnswers > m_limits.maxInterimAnswers) {
+      Fail(ClientFailure::kMalformedAnswer);
+    }
+    return;
+  }
+  m_bodyBytesLeft = head.contentLength ? m_limits.maxBodyBytes
+                                       : m_limits.maxUndeclaredBodyBytes;
+  if (!Current().isHead && head.contentLength.value_or(0) > m_bodyBytesLeft) {
+    Fail(ClientFailure::kAnswerTooLarge);
     return;
   }
   m_headSeen = true;
@@ -210,6 +224,18 @@
   listener->OnHead(head);
 }
 
+void
+ClientConnection::HandleBody(std::string_view aData)
+{
+  if (aData.size() > m_bodyBytesLeft) {
+    Fail(ClientFailure::kAnswerTooLarge);
+    return;
+  }
+  m_bodyBytesLeft -= aData.size();
+  std::shared_ptr<ClientListener> listener = Current().listener;
+  listener->OnBody(aData);
+}
+
 void
 ClientConnection::HandleEnd()
 {
@@ -302,6 +328,14 @@
   }
 }
 
+void
+ClientConnection::HandleAnswerTimeout(evutil_socket_t /*aSocket*/,
+                                      short /*aWhat*/,
+                                      void* aSelf)
+{
+  static_cast<ClientConnection*>(aSelf)->Fail(ClientFailure::kTimeout);
+}
+
 void
 ClientConnection::UpdateTimer()
 {
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -62,15 +62,20 @@
   bool ReadOnce();
   void HandleStep(const ParseStep& aStep);
   void HandleHead();
+  void HandleBody(std::string_view aData);
   void HandleEnd();
   void HandleEof();
   void Fail(ClientFailure aFailure);
   std::shared_ptr<ClientListener> EndExchange();
   ClientState& Current() const;
+  static void HandleAnswerTimeout(evutil_socket_t aSocket,
+                                  short aWhat,
+                                  void* aSelf);
 
   std::shared_ptr<ClientCore> m_core;
   const HttpClientLimits& m_limits;
   std::unique_ptr<Stream> m_stream;
+  EventPtr m_answerTimer;
   MessageParser m_parser;
   State m_state = State::kConnecting;
   std::shared_ptr<ClientExchange> m_exchange;
@@ -79,6 +84,8 @@
   bool m_reading = false;
   bool m_interim = false; ///< Within a 1xx answer.
   bool m_headSeen = false;
+  size_t m_interimAnswers = 0;  ///< Of this exchange.
+  uint64_t m_bodyBytesLeft = 0; ///< That the answer may still have.
 };
 
 }
--- a/test/Http/EndlessAnswerTest.cpp
+++ b/test/Http/EndlessAnswerTest.cpp
@@ -175,6 +175,13 @@
   }
 }
 
+// Guards against 1xx answers that keep a request waiting for its final one.
+TEST_F(EndlessAnswerTest, InterimAnswers_WithoutEnd_AreMalformed)
+{
+  EXPECT_EQ(FailureOf({ "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" }),
+            ClientFailure::kMalformedAnswer);
+}
+
 // Guards against a body that is passed on before any final head.
 TEST_F(EndlessAnswerTest, InterimAnswer_WithBody_IsMalformed)
 {
@@ -229,6 +236,86 @@
   EXPECT_TRUE(Ask(server)->ended);
 }
 
+// Guards against a body of unknown length that is read for ever.
+TEST_F(EndlessAnswerTest, Body_LengthUndeclared_EndsAtItsBound)
+{
+  m_clientLimits.maxUndeclaredBodyBytes = 100 * internal::kKiB;
+  const Endless kBodies[] = {
+    { kStatus + "\r\n", "x" },
+    { kChunkedHead, "1\r\nx\r\n" },
+    { kChunkedHead, "1;ext=" + std::string(1000, 'e') + "\r\nx\r\n" },
+  };
+  for (const auto& body : kBodies) {
+    SCOPED_TRACE(body.start + body.unit);
+    EndlessServer server(m_base.get(), body);
+    const auto answer = Ask(server);
+    EXPECT_EQ(answer->failure, ClientFailure::kAnswerTooLarge);
+    EXPECT_TRUE(answer->head);
+    EXPECT_LE(answer->body.size(), m_clientLimits.maxUndeclaredBodyBytes);
+    EXPECT_TRUE(MayHaveRun(*answer->failure));
+  }
+}
+
+// Guards against a length that is stated only to send for ever.
+TEST_F(EndlessAnswerTest, Body_LengthDeclaredTooLarge_FailsAtTheHead)
+{
+  EndlessServer server(
+    m_base.get(),
+    { kStatus + "Content-Length: 1234567890123456789\r\n\r\n", "x" });
+  const auto answer = Ask(server);
+  EXPECT_EQ(answer->failure, ClientFailure::kAnswerTooLarge);
+  EXPECT_FALSE(answer->head);
+}
+
+// Guards against the bound being applied where a length is declared.
+TEST_F(EndlessAnswerTest, Body_LengthDeclared_MayExceedTheUndeclaredBound)
+{
+  m_clientLimits.maxUndeclaredBodyBytes = 1;
+  EndlessServer server(m_base.get(),
+                       { kStatus + "Content-Length: 90000\r\n\r\n", "x" });
+  const auto answer = Ask(server);
+  EXPECT_TRUE(answer->ended);
+  EXPECT_EQ(answer->body.size(), 90000U);
+}
+
+// Guards against bytes that come slowly and keep the silence timeout off.
+TEST_F(EndlessAnswerTest, Answer_TricklesWithoutEnd_TimesOut)
+{
+  m_clientLimits.answerTimeout = milliseconds(300);
+  const Endless kAnswers[] = {
+    { "", "\r\n" },
+    { kStatus + "X: ", "y" },
+    { "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    { kStatus + "\r\n", "x" },
+    { kStatus + "Content-Length: 99999\r\n\r\n", "x" },
+    { kChunkedHead, "1\r\nx\r\n" },
+    { kChunkedHead + "1;", "x" },
+    { kChunkedHead + "0\r\nT: ", "u" },
+  };
+  for (const auto& trickle : kAnswers) {
+    SCOPED_TRACE(trickle.start + trickle.unit);
+    EndlessServer server(m_base.get(), trickle);
+    server.SendSlowly(milliseconds(20));
+    EXPECT_EQ(Ask(server)->failure, ClientFailure::kTimeout);
+  }
+}
+
+// Guards against a timeout of one request that ends the next one.
+TEST_F(EndlessAnswerTest, AnswerTimeout_RequestEnded_LeavesTheConnection)
+{
+  m_clientLimits.answerTimeout = milliseconds(50);
+  StartServer([](const std::shared_ptr<ServerExchange>& aExchange) {
+    Answer(*aExchange, "ok");
+  });
+  StartPool();
+  auto answer = std::make_shared<AnswerRecorder>();
+  m_pool->Start({ .method = "GET", .target = "/" }, answer)->Finish();
+  ASSERT_TRUE(RunUntil([&] { return answer->Done(); }));
+  const auto end = SystemClock().Now() + milliseconds(200);
+  RunUntil([&] { return SystemClock().Now() > end; });
+  EXPECT_EQ(m_pool->IdleConnections(), 1U);
+}
+
 // Guards against a wait for the body of an answer that has none.
 TEST_F(EndlessAnswerTest, BodylessStatus_LengthDeclared_EndsWithItsHead)
 {
