--- a/src/Daemon/ServerProbe.cpp
+++ b/src/Daemon/ServerProbe.cpp
@@ -17,12 +17,15 @@
   limits.maxConnections = 2;
   limits.connectTimeout = std::chrono::milliseconds(500);
   limits.silenceTimeout = std::chrono::seconds(1);
+  limits.answerTimeout = std::chrono::seconds(2);
+  limits.maxBodyBytes = kMaxBodyBytes;
+  limits.maxUndeclaredBodyBytes = kMaxBodyBytes;
   return limits;
 }
 
 }
 
-/** Collects a response body of up to kMaxBodyBytes. */
+/** Collects a response body. */
 class ServerProbe::ResponseCollector : public ClientListener
 {
 public:
@@ -35,12 +38,7 @@
 
   void OnHead(const ResponseHead& aHead) override { m_status = aHead.status; }
 
-  void OnBody(std::string_view aData) override
-  {
-    if (m_body.size() + aData.size() <= kMaxBodyBytes) {
-      m_body.append(aData);
-    }
-  }
+  void OnBody(std::string_view aData) override { m_body.append(aData); }
 
   void OnEnd() override { m_callback(m_status == kStatusOk, m_body); }
   void OnDrained() override {}
