A queued answer drops the bytes that it has sent

What was seen: the daemon's memory grew by each byte of a long answer on a full link. Cause: BulkSender freed its buffer only when nothing was pending. A backend server that sends faster than the link refills it to 256 KiB all the time. Change: the sent part is erased once it is at least as large as what is pending.

--- a/src/Daemon/BulkSender.cpp
+++ b/src/Daemon/BulkSender.cpp
@@ -36,8 +36,9 @@
   const auto sink = m_sink.lock();
   const auto piece = m_buffer.substr(m_sent, aMaxBytes);
   m_sent += piece.size();
-  if (PendingBytes() == 0) {
-    m_buffer.clear();
+  // While more is added all the time, nothing pending may never come.
+  if (m_sent >= PendingBytes()) {
+    m_buffer.erase(0, m_sent);
     m_sent = 0;
   }
   if (piece.empty()) {
