--- a/src/Daemon/BulkQueue.h
+++ b/src/Daemon/BulkQueue.h
@@ -31,7 +31,8 @@
 };
 
 /**
- * \brief Sends large answers at the rate of the host's link, one after another.
+ * \brief Sends large answers at the rate of the host's link, one after another;
+ * those without an end in sight take turns with the others.
  *
  * Without this queue the data would queue up in the link and delay every
  * heartbeat, cancellation and small answer sent after it.
@@ -62,6 +63,7 @@
   double m_rate; ///< Bytes per second.
   LinkBudget m_budget;
   std::deque<std::weak_ptr<BulkSource>> m_sources;
+  size_t m_turnBytes = 0; ///< Sent of the first source in this turn.
   Timer m_timer;
 };
 
--- a/test/Daemon/BulkSenderTest.cpp
+++ b/test/Daemon/BulkSenderTest.cpp
@@ -19,6 +19,20 @@
   int finished = 0;
 };
 
+/** Always has more to send. */
+class EndlessSource : public BulkSource
+{
+public:
+  size_t SendPiece(size_t aMaxBytes) override
+  {
+    sent += aMaxBytes;
+    return aMaxBytes;
+  }
+  size_t PendingBytes() const override { return 1; }
+
+  size_t sent = 0;
+};
+
 /** The link is shared by answers to own callers and to other daemons. */
 class BulkSenderTest : public ::testing::Test
 {
@@ -144,4 +158,21 @@
   EXPECT_EQ(m_sink->finished, 1);
 }
 
+// Guards against a body without end that keeps the link from all others.
+TEST_F(BulkSenderTest, Send_AnotherAnswerWithoutEnd_TakesTurns)
+{
+  constexpr double kFastRate = 50e6; // bytes per second
+  BulkQueue queue(m_base, m_clock, kFastRate);
+  const auto endless = std::make_shared<EndlessSource>();
+  queue.Add(endless);
+  const auto sender = std::make_shared<BulkSender>(queue, m_sink);
+  sender->Send(std::string(kLarge, 'a'));
+  sender->Finish();
+  while (m_sink->finished == 0 && endless->sent < 100 * kLarge) {
+    RunFor(milliseconds(10));
+  }
+  EXPECT_EQ(m_sink->finished, 1);
+  EXPECT_EQ(queue.Size(), 1U);
+}
+
 }
