A body that makes no progress ends 5 s after the deadline

What callers saw: a backend server that trickled a body held its slot, its connection and its caller for as long as the caller stayed. Cause: the deadline timers stop at the head, and the silence timeout of 60 s starts anew with each byte. Change: BodyTimeLimit (pure): waiting uses up the time until the deadline and 5 s more, bytes add to it at 64 KiB/s. A longer body is never late while it arrives at that rate on average, and time in which the caller or a link takes nothing doesn't count. When it is used up the connection to the backend server is closed and the answer to the caller is cut, which chunks and lengths show.

--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -46,6 +46,7 @@
   , m_request(std::move(aRequest))
   , m_listener(std::move(aListener))
   , m_deadlineTimer(aBase, [this] { OnDeadline(); })
+  , m_bodyTimer(aBase, [this] { OnBodyTimer(); })
   , m_holdTimer(aBase, [this] { OnHoldExpired(); })
 {
 }
@@ -83,6 +84,8 @@
 OwnerCall::PauseBody()
 {
   m_paused = true;
+  m_bodyLimit.Pause(m_delegate.m_clock.Now());
+  m_bodyTimer.Stop();
   if (m_exchange) {
     m_exchange->PauseBody();
   }
@@ -92,6 +95,10 @@
 OwnerCall::ResumeBody()
 {
   m_paused = false;
+  if (m_headSeen) {
+    m_bodyLimit.Resume(m_delegate.m_clock.Now());
+    StartBodyTimer();
+  }
   if (m_exchange) {
     m_exchange->ResumeBody();
   }
@@ -145,6 +152,25 @@
   Refuse(refusal);
 }
 
+void
+OwnerCall::StartBodyTimer()
+{
+  if (m_state == State::kRunning) {
+    m_bodyTimer.StartOnce(m_bodyLimit.Left(m_delegate.m_clock.Now()));
+  }
+}
+
+void
+OwnerCall::OnBodyTimer()
+{
+  // Bytes that came meanwhile have moved the limit, but not the timer.
+  if (m_bodyLimit.Left(m_delegate.m_clock.Now()) > Duration::zero()) {
+    StartBodyTimer();
+    return;
+  }
+  OnFailed(ClientFailure::kTimeout);
+}
+
 void
 OwnerCall::OnHoldExpired()
 {
@@ -234,6 +260,7 @@
 OwnerCall::EndWith(ServiceResult aResult)
 {
   m_deadlineTimer.Stop();
+  m_bodyTimer.Stop();
   m_holdTimer.Stop();
   const auto exchange = std::move(m_exchange);
   m_exchange = nullptr;
@@ -272,6 +299,8 @@
   }
   m_headSeen = true;
   m_deadlineTimer.Stop();
+  m_bodyLimit.Begin(m_delegate.m_clock.Now(), m_request.deadline);
+  StartBodyTimer();
   m_answerHead = aHead;
   StripHopByHop(m_answerHead.headers);
   m_listener->OnHead(m_answerHead, m_token.value_or(FenceToken()));
@@ -307,6 +336,7 @@
     return;
   }
   m_answerBytes += aData.size();
+  m_bodyLimit.OnBytes(m_delegate.m_clock.Now(), aData.size());
   CacheAnswerBytes(aData);
   m_listener->OnBody(aData);
 }
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -6,6 +6,7 @@
 
 #include "Pistachioshift/Http"
 #include "Pistachioshift/Routing"
+#include "src/Daemon/BodyTimeLimit.h"
 #include "src/Daemon/Call.h"
 #include "src/Daemon/EntryTable.h"
 #include "src/Daemon/Fields.h"
@@ -104,6 +105,8 @@
   void StartDeadlineTimer();
   void StartHoldTimer(Duration aMaxHold);
   void OnDeadline();
+  void StartBodyTimer();
+  void OnBodyTimer();
   void OnHoldExpired();
   /**
    * Sends the request to the backend server. CallDelegate::MayStart is checked
@@ -141,7 +144,9 @@
   /// Expected response size that is reserved on the link.
   size_t m_reservedLinkBytes = 0;
   bool m_answerTooLarge = false;
+  BodyTimeLimit m_bodyLimit; ///< From the head of the answer on.
   Timer m_deadlineTimer;
+  Timer m_bodyTimer;
   Timer m_holdTimer;
 };
 
