A resumed download takes no more bytes than its first head stated

What callers saw: the daemon ended ("a body exceeds its content length") when the server that sent the rest of a download sent more than the rest. Cause: the length of the answer to the range request isn't bound to that of the first answer, and the caller's exchange throws when more is written. Change: bytes beyond the stated length count as a truncated answer: it is resumed again within the attempts, or else cut.

--- a/src/Daemon/DownloadResume.h
+++ b/src/Daemon/DownloadResume.h
@@ -26,6 +26,13 @@
 
   uint64_t Sent() const { return m_sent; }
 
+  /** \brief Whether that many more bytes belong to the body, as far as its
+   * first head has told its length. */
+  bool Expects(size_t aBytes) const
+  {
+    return !m_canResume || aBytes <= m_length - m_sent;
+  }
+
   /** \brief Whether another attempt can fetch the remaining bytes. */
   bool CanResume() const { return m_canResume; }
 
--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -48,6 +48,10 @@
 void
 IngressSession::OnAnswerBody(std::string_view aData)
 {
+  if (!m_resume.Expects(aData.size())) {
+    OnTruncated(); // More than the head of the first attempt has promised.
+    return;
+  }
   SendPendingHead();
   m_resume.OnBytes(aData.size());
   m_sender->Send(aData);
--- a/test/Daemon/DownloadResumeTest.cpp
+++ b/test/Daemon/DownloadResumeTest.cpp
@@ -82,5 +82,15 @@
   EXPECT_FALSE(m_resume.IsRemainder(m_remainder));
 }
 
+// Guards against bytes that the caller's answer has no room for.
+TEST_F(DownloadResumeTest, Expects_MoreThanTheLength_IsFalse)
+{
+  Begin();
+  EXPECT_TRUE(m_resume.Expects(600));
+  EXPECT_FALSE(m_resume.Expects(601));
+  m_resume.OnBytes(600);
+  EXPECT_FALSE(m_resume.Expects(1));
+}
+
 }
 }
