A request whose deadline has passed at the owner isn't tried again

What callers saw: 503, which promises that a request has not run, for an idempotent one that may have run until its deadline. Cause: the owner's timer ran out 2 ms before the ingress's; in these the request was tried again, and the outcome is that of the last attempt. Evidence: process_EndlessAnswerTest, /r/interim before the bound on 1xx answers: 503, and in a second run "retry reason=connection-lost ms=1497" of a deadline of 1500 ms. RetryTest, Idempotent_DeadlineExpiredAtServer_OutcomeIsUnknown failed. Change: refusals that are final end a request also if its outcome is unknown (504).

--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -164,6 +164,9 @@
 {
   const bool failed = aReport.end == AttemptEnd::kServerFailed;
   const auto outcome = failed ? Outcome::kDone : Outcome::kUnknown;
+  if (aReport.end == AttemptEnd::kUnknown && IsFinal(aReport.refusal)) {
+    return GiveUp(outcome, aReport.refusal);
+  }
   const bool mayRun = aReport.runs < aSettings.maxRuns;
   if (!mayRun || !CanRetry(aReport, aSettings, Duration{}) ||
       !aBudget.TrySpend()) {
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -48,8 +48,9 @@
 struct AttemptReport
 {
   AttemptEnd end = AttemptEnd::kAnswered;
-  RefusalReason refusal = RefusalReason::kQueueFull; ///< For kNotRun.
-  Duration retryAfter{};                             ///< For kNotRun.
+  RefusalReason refusal =
+    RefusalReason::kQueueFull; ///< For kNotRun and kUnknown.
+  Duration retryAfter{};       ///< For kNotRun.
   bool idempotent = false;
   bool replayable = true;   ///< The whole body is still buffered.
   bool answerBegun = false; ///< Part of the answer was sent to the caller.
--- a/test/Routing/RetryTest.cpp
+++ b/test/Routing/RetryTest.cpp
@@ -59,6 +59,25 @@
   }
 }
 
+// Guards against a retry of the last milliseconds, whose refusal would say that
+// a request which may have run has not.
+TEST_F(RetryTest, Idempotent_DeadlineExpiredAtServer_OutcomeIsUnknown)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kUnknown;
+  report.refusal = RefusalReason::kDeadlineExpired;
+  report.idempotent = true;
+  report.runs = 1;
+  report.left = milliseconds(5);
+  RetryBudget budget(1.0);
+  RetrySettings settings;
+  settings.maxRuns = 2;
+  const auto decision = DecideRetry(report, settings, budget);
+  EXPECT_EQ(decision.step, RetryStep::kGiveUp);
+  EXPECT_EQ(decision.outcome, Outcome::kUnknown);
+  EXPECT_EQ(decision.refusal, RefusalReason::kDeadlineExpired);
+}
+
 RC_GTEST_FIXTURE_PROP(RetryTest,
                       AnyReport_Retried_WithinDeadlineAndAttempts,
                       ())
