An idle backend server is tried although its estimate says "too late"

What callers saw: 503 (cannot-finish) for every request of a priority class on a host whose slots were all free, without end. Cause: the admission controller refuses a request whose expected service time exceeds its deadline, and learns service times only from answers. Bodies that callers read slowly count as long service; the first answer of a class sets the estimate alone. Evidence: process_EndlessAnswerTest while it was written: after two downloads of 9.5 s, "call-refused reason=cannot-finish left_ms=1499 running=0 queued=0". AdmissionControllerTest, Admit_IdleAndServiceWasLong_IsTried failed. Change: with nothing running and nothing queued a request starts if its deadline hasn't passed; its answer corrects the estimate. Measured: Routing_AdmissionControllerTest, Routing_OverloadPatternTest and Daemon_AdmissionTableTest pass.

--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -186,8 +186,12 @@
   QueueEntry queueEntry;
   queueEntry.id = aRequest.id;
   queueEntry.sequence = ++m_sequence;
+  // An idle server tries the request even if it is expected to be late: an
+  // estimate that refuses all requests would never be corrected.
+  const bool isIdle = m_running.empty() && m_queued.empty();
   queueEntry.latestStart =
-    aRequest.deadline - ExpectedService(aRequest.requestClass);
+    isIdle ? aRequest.deadline
+           : aRequest.deadline - ExpectedService(aRequest.requestClass);
   switch (m_settings.order) {
     case QueueOrder::kLaxity:
       queueEntry.key = queueEntry.latestStart;
--- a/test/Routing/AdmissionControllerTest.cpp
+++ b/test/Routing/AdmissionControllerTest.cpp
@@ -287,6 +287,25 @@
   RC_ASSERT(longest <= milliseconds(400));
 }
 
+// Guards against a class that is refused for ever after answers that took long,
+// because a caller read slowly: nothing would correct the estimate.
+TEST_F(AdmissionControllerTest, Admit_IdleAndServiceWasLong_IsTried)
+{
+  AdmissionSettings settings;
+  settings.slots = 2;
+  settings.classes = { AdmissionClass{ 1.0, 8 } };
+  AdmissionController controller(settings);
+  const auto slow = Next(0, seconds(20));
+  ASSERT_EQ(controller.Admit(slow, m_now).starts.size(), 1U);
+  m_now += seconds(10);
+  controller.Finished(slow.id, ServiceResult::kDone, m_now);
+  const auto tried = Next(0, seconds(1));
+  EXPECT_EQ(controller.Admit(tried, m_now).starts.size(), 1U);
+  const auto second = controller.Admit(Next(0, seconds(1)), m_now);
+  ASSERT_EQ(second.refusals.size(), 1U);
+  EXPECT_EQ(second.refusals[0].reason, RefusalReason::kCannotFinish);
+}
+
 TEST_F(AdmissionControllerTest, Admit_CannotFinishBehindQueue_RefusedOnArrival)
 {
   auto settings = SettingsOf(1, { 1.0 }, 100);
