--- a/test/process/EndlessAnswerTest.cpp
+++ b/test/process/EndlessAnswerTest.cpp
@@ -22,12 +22,14 @@
 
 namespace {
 
-constexpr int kDeadlineMs = 1500;
+constexpr int kDeadlineMs = 1000;
 /** Beyond the deadline, on a busy machine. */
 constexpr auto kSlack = seconds(1);
 /** Body bytes may be awaited this long after the deadline. */
 constexpr auto kBodyGrace = seconds(5);
 constexpr size_t kLargeBytes = size_t{ 300 } * 1024;
+/** More than the buffers between two ends hold. */
+constexpr size_t kLongBytes = size_t{ 24 } * 1024 * 1024;
 /** Sent in some three seconds on the link of the settings. */
 constexpr size_t kMuchBytes = size_t{ 64 } * 1024 * 1024;
 
@@ -152,6 +154,9 @@
       "read":{"hostname":"a.example","pathPrefix":"/r/",
         "routeType":"idempotent","timeout":"3000ms","targetLatency":"600ms",
         "priority":2,"service":"orders","attempts":2},
+      "long":{"hostname":"a.example","pathPrefix":"/l/",
+        "routeType":"download","timeout":"3000ms","targetLatency":"600ms",
+        "priority":5,"service":"orders","attempts":2},
       "write":{"hostname":"a.example","pathPrefix":"/w/",
         "routeType":"non_idempotent","timeout":"3000ms",
         "targetLatency":"600ms","priority":1,"service":"orders","attempts":2}},
@@ -199,12 +204,12 @@
     m_hosts.push_back(std::move(host));
   }
 
-  /** Sends the heartbeats of all backend servers. */
-  void StartHeartbeats(int aSlots)
+  /** Sends the heartbeats of the first backend servers. */
+  void StartHeartbeats(int aSlots, size_t aServers = 1)
   {
-    m_heart = std::thread([this, aSlots] {
+    m_heart = std::thread([this, aSlots, aServers] {
       for (int beat = 1; !m_stop; ++beat) {
-        for (size_t index = 0; index < m_hosts.size(); ++index) {
+        for (size_t index = 0; index < aServers; ++index) {
           HttpPost(
             m_hosts[index].ports.control,
             fmt::format("/api/instances/i-{}", index),
@@ -221,10 +226,10 @@
     });
   }
 
-  HttpCall MakeCall(const std::string& aPath)
+  HttpCall MakeCall(const std::string& aPath, size_t aHost = 0)
   {
     HttpCall call;
-    call.port = m_hosts[0].ports.callers;
+    call.port = m_hosts[aHost].ports.callers;
     call.path = aPath;
     call.headers = {
       { "Host", "a.example" },
@@ -234,12 +239,15 @@
     return call;
   }
 
-  HttpReply Ask(const std::string& aPath) { return HttpSend(MakeCall(aPath)); }
+  HttpReply Ask(const std::string& aPath, size_t aHost = 0)
+  {
+    return HttpSend(MakeCall(aPath, aHost));
+  }
 
   /** A caller that doesn't leave. */
-  std::unique_ptr<RawCaller> Call(const std::string& aPath)
+  std::unique_ptr<RawCaller> Call(const std::string& aPath, size_t aHost = 0)
   {
-    const auto call = MakeCall(aPath);
+    const auto call = MakeCall(aPath, aHost);
     auto request = fmt::format("GET {} HTTP/1.1\r\n", aPath);
     for (const auto& [name, value] : call.headers) {
       request += fmt::format("{}: {}\r\n", name, value);
@@ -247,6 +255,21 @@
     return std::make_unique<RawCaller>(call.port, request + "\r\n");
   }
 
+  /** Reads for longer than any body may be awaited. */
+  void ReadLongBody(size_t aHost)
+  {
+    const auto caller = Call("/l/long", aHost);
+    const auto until =
+      steady_clock::now() + milliseconds(kDeadlineMs) + kBodyGrace + kSlack;
+    while (steady_clock::now() < until) {
+      EXPECT_GT(caller->Read(seconds(1)), 0U);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    while (caller->Read(seconds(1)) > 0) {
+    }
+    EXPECT_GT(caller->Received(), kLongBytes) << "at host " << aHost;
+  }
+
   static bool WaitUntil(const std::function<bool()>& aDone)
   {
     const auto end = steady_clock::now() + kPatience;
@@ -315,7 +338,7 @@
   StartStore();
   AddHost({ { "/r/x", { "", "garbage" } }, { "/w/x", { "", "garbage" } } });
   AddHost({ { "/r/x", { Whole(2), "" } }, { "/w/x", { Whole(2), "" } } });
-  StartHeartbeats(1);
+  StartHeartbeats(1, 2);
   ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok").status == 200; }));
   ASSERT_TRUE(WaitUntil([this] { return Ask("/r/x").status == 200; }));
   const auto write = Ask("/w/x");
@@ -326,25 +349,34 @@
   EXPECT_EQ(write.status, local ? 502 : 200);
 }
 
-// Guards against a body that holds its slot and its caller for ever, and
-// against one that looks complete.
-TEST_F(EndlessAnswerTest, Body_WithoutEnd_IsCutAndSlotIsFree)
+// Guards against a body that holds its slot and its caller for ever, against
+// one that looks complete, and against a cut of a long one that is read slowly.
+TEST_F(EndlessAnswerTest, Body_WithoutEnd_IsCutAndLongOneIsWhole)
 {
+  auto answers = SlowBodies();
+  answers["/l/long"] = { Whole(kLongBytes), "", {}, true };
   StartStore();
-  AddHost(SlowBodies());
-  StartHeartbeats(static_cast<int>(SlowBodies().size()));
-  ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok").status == 200; }));
+  AddHost(answers);
+  AddHost({}); // Without a backend server.
+  StartHeartbeats(2 * static_cast<int>(answers.size()));
+  ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok", 0).status == 200; }));
+  ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok", 1).status == 200; }));
   const auto limit =
     steady_clock::now() + milliseconds(kDeadlineMs) + kBodyGrace + 2 * kSlack;
-  std::map<std::string, std::unique_ptr<RawCaller>> callers;
-  for (const auto& [path, answer] : SlowBodies()) {
-    callers[path] = Call(path);
+  std::vector<std::thread> readers;
+  for (const size_t host : { 0, 1 }) {
+    readers.emplace_back([this, host] { ReadLongBody(host); });
+    for (const auto& [path, answer] : SlowBodies()) {
+      readers.emplace_back([this, path, host, limit] {
+        const auto caller = Call(path, host);
+        EXPECT_TRUE(caller->ReadToClose(limit)) << path << " at " << host;
+        EXPECT_GT(caller->Received(), 0U) << path;
+        EXPECT_FALSE(caller->Tail().ends_with("0\r\n\r\n")) << path;
+      });
+    }
   }
-  for (const auto& [path, caller] : callers) {
-    SCOPED_TRACE(path);
-    EXPECT_TRUE(caller->ReadToClose(limit));
-    EXPECT_GT(caller->Received(), 0U);
-    EXPECT_FALSE(caller->Tail().ends_with("0\r\n\r\n")) << caller->Tail();
+  for (auto& reader : readers) {
+    reader.join();
   }
   EXPECT_TRUE(SlotIsFree());
 }
