--- a/test/process/EndlessAnswerTest.cpp
+++ b/test/process/EndlessAnswerTest.cpp
@@ -460,7 +460,7 @@
   AddHost({});
   StartHeartbeats(1);
   ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok").status == 200; }));
-  const std::string piece(64 * 1024, ' ');
+  const std::string piece(size_t{ 64 } * 1024, ' ');
   std::string request = "PUT /api/instances/i-0 HTTP/1.1\r\nHost: h\r\n"
                         "Transfer-Encoding: chunked\r\n\r\n";
   for (int count = 0; count < 20; ++count) {
