--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -56,6 +56,10 @@
 void
 IngressSession::OnAnswerBody(std::string_view aData)
 {
+  if (!m_resume.Expects(aData.size())) {
+    OnTruncated(); // More than the head of the first attempt has promised.
+    return;
+  }
   // A short answer is sent when it is whole: until then another attempt can
   // take the place of one that ends in the middle.
   if (m_pendingHead &&
