--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -55,6 +55,16 @@
   evconnlistener_free(m_listener);
 }
 
+Endpoint
+InnerServerTask::LocalEndpoint() const
+{
+  internal::SocketAddress address;
+  socklen_t length = address.Length();
+  getsockname(evconnlistener_get_fd(m_listener), address.Get(), &length);
+  address.SetLength(length);
+  return internal::ToEndpoint(address);
+}
+
 bool
 InnerServerTask::HasUnsent() const
 {
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -49,6 +49,9 @@
   InnerServerTask(const InnerServerTask&) = delete;
   InnerServerTask& operator=(const InnerServerTask&) = delete;
 
+  /** \brief The bound endpoint, with the port that was picked. */
+  Endpoint LocalEndpoint() const;
+
   size_t Sessions() const { return m_sessions.size(); }
 
   /** \brief Whether bytes are queued or in the buffer of a connection. */
