An answer with a status below 100 or above 599 is malformed

What callers saw: when a backend server sent such a status, all requests between its host and the caller's host were lost or cut, those to other callers as well. Cause: the head was passed on, the daemon of the caller can't decode the frame ("status out of bounds"), and closes the connection to the other daemon. The same held for a Content-Length above 2^63 in an answer to HEAD, which the bound of 16 GiB passed over. Change: the client fails the request with kMalformedAnswer (502); the bound on a stated length holds for HEAD too.

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -6,7 +6,9 @@
 namespace {
 
 constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 }
 
@@ -202,7 +204,9 @@
 ClientConnection::HandleHead()
 {
   ResponseHead head = m_parser.TakeResponseHead();
-  if (head.status == kSwitchingProtocols) {
+  const bool isStatus =
+    head.status >= kFirstStatus && head.status <= kLastStatus;
+  if (!isStatus || head.status == kSwitchingProtocols) {
     Fail(ClientFailure::kMalformedAnswer);
     return;
   }
@@ -215,7 +219,7 @@
   }
   m_bodyBytesLeft = head.contentLength ? m_limits.maxBodyBytes
                                        : m_limits.maxUndeclaredBodyBytes;
-  if (!Current().isHead && head.contentLength.value_or(0) > m_bodyBytesLeft) {
+  if (head.contentLength.value_or(0) > m_bodyBytesLeft) {
     Fail(ClientFailure::kAnswerTooLarge);
     return;
   }
--- a/test/Http/EndlessAnswerTest.cpp
+++ b/test/Http/EndlessAnswerTest.cpp
@@ -198,6 +198,16 @@
   }
 }
 
+// Guards against a status that is none being passed on.
+TEST_F(EndlessAnswerTest, Status_OutOfRange_IsMalformed)
+{
+  for (const char* status : { "000", "99", "600", "999" }) {
+    SCOPED_TRACE(status);
+    const auto start = std::string("HTTP/1.1 ") + status + " Odd\r\n\r\n";
+    EXPECT_EQ(FailureOf({ start, "x" }), ClientFailure::kMalformedAnswer);
+  }
+}
+
 // Guards against framing around the body that is read for ever.
 TEST_F(EndlessAnswerTest, Framing_WithoutEnd_IsMalformed)
 {
--- a/test/process/EndlessAnswerTest.cpp
+++ b/test/process/EndlessAnswerTest.cpp
@@ -449,6 +449,23 @@
   EXPECT_TRUE(SlotIsFree());
 }
 
+// Guards against a status that the protocol between daemons can't carry, so
+// that all requests on the connection to the other host are lost.
+TEST_F(EndlessAnswerTest, Status_OutOfRange_OtherRequestsGoOn)
+{
+  auto answers = SlowBodies();
+  answers["/r/odd"] = { "HTTP/1.1 777 Odd\r\nContent-Length: 0\r\n\r\n", "" };
+  StartStore();
+  AddHost(answers);
+  AddHost({}); // Without a backend server.
+  StartHeartbeats(4);
+  ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok", 1).status == 200; }));
+  const auto other = Call("/r/chunks", 1);
+  ASSERT_GT(other->Read(seconds(5)), 0U);
+  EXPECT_EQ(Ask("/r/odd", 1).status, 502);
+  EXPECT_FALSE(other->ReadToClose(steady_clock::now() + milliseconds(500)));
+}
+
 // Guards against a call to the store that never ends, so that the daemon reads
 // nothing more.
 TEST_F(EndlessAnswerTest, StoreAnswer_TricklesWithoutEnd_IsAskedAgain)
