A length over 63 bits is malformed

What callers saw: in deployments of pistachiod a request with such a Content-Length reaches the frames between daemons, where it is "negative content length": the daemon of the owner closes the connection and all requests on it are lost. On the platform the operator's limit refuses it before (413). Evidence: HostileInputTest, Server_LengthOver63Bits_RefusesTheRequest failed: the request was handled. That the connection is lost was read from FrameCodec, not run. Change: the parser refuses the head (400; an answer is malformed). Measured: all tests of Http pass.

--- a/src/Http/internal/MessageParser.cpp
+++ b/src/Http/internal/MessageParser.cpp
@@ -1,6 +1,7 @@
 #include "src/Http/internal/MessageParser.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace pistachioshift::internal {
 namespace {
@@ -238,7 +239,8 @@
     m_problem = ParseProblem::kAmbiguousLength;
     return false;
   }
-  return true;
+  // The frames between daemons carry a length as a signed number.
+  return m_contentLength.value_or(0) <= INT64_MAX;
 }
 
 bool
--- a/test/Http/HostileInputTest.cpp
+++ b/test/Http/HostileInputTest.cpp
@@ -238,6 +238,20 @@
   RC_ASSERT(mixed.targetsGood);
 }
 
+// Guards against a length that the protocol between daemons can't carry, so
+// that all requests on a connection to another daemon are lost.
+TEST_F(HostileInputTest, Server_LengthOver63Bits_RefusesTheRequest)
+{
+  int handled = 0;
+  StartServer([&](const std::shared_ptr<ServerExchange>&) { ++handled; });
+  RawPeer peer(m_base.get(), m_server->LocalEndpoint());
+  peer.Write("PUT / HTTP/1.1\r\nHost: h\r\n"
+             "Content-Length: 9223372036854775808\r\n\r\nx");
+  EXPECT_TRUE(RunUntil([&] { return handled > 0 || peer.Closed(); }));
+  EXPECT_EQ(handled, 0);
+  EXPECT_TRUE(peer.Received().starts_with("HTTP/1.1 400"));
+}
+
 RC_GTEST_FIXTURE_PROP(HostileInputTest, Client_AnyAnswer_EndsOnceOrFails, ())
 {
   m_clientLimits.silenceTimeout = std::chrono::milliseconds(5);
