--- a/test/process/EndlessAnswerTest.cpp
+++ b/test/process/EndlessAnswerTest.cpp
@@ -129,19 +129,16 @@
     }
     for (const auto& host : m_hosts) {
       std::remove(host.settings.c_str());
-      if (HasFailure()) {
-        PrintLog(*host.daemon);
+      while (HasFailure()) {
+        const auto line = host.daemon->WaitForLine("", milliseconds(100));
+        if (!line) {
+          break;
+        }
+        fmt::print(stderr, "{}\n", *line);
       }
     }
   }
 
-  static void PrintLog(ChildProcess& aDaemon)
-  {
-    while (const auto line = aDaemon.WaitForLine("", milliseconds(100))) {
-      fmt::print(stderr, "{}\n", *line);
-    }
-  }
-
   void StartStore()
   {
     m_store = std::make_unique<ChildProcess>(
