LargeBodyTest says when a transfer failed and what the daemons counted

Cause: the list of known failures says "status 0, 0 bytes" in a run of 37 s, which doesn't tell a closed connection from an early answer: the client of the test gives up at the end of the stream while it is still writing. Change: a failed transfer is reported with its time; after a failure the counters of refusals, retries, lost connections and failures of the backend server are printed.

--- a/test/process/LargeBodyTest.cpp
+++ b/test/process/LargeBodyTest.cpp
@@ -2,6 +2,7 @@
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -74,17 +75,32 @@
   {
   }
 
-  static std::string Outcome(const test::HttpReply& aReply, bool aWhole)
+  std::string Outcome(const test::HttpReply& aReply, bool aWhole) const
   {
     constexpr size_t kShown = 200;
+    const std::chrono::duration<double> taken = Clock::now() - m_started;
     return aReply.status == 200 && aWhole
              ? ""
-             : fmt::format("status {}, {} bytes: {}",
+             : fmt::format("status {}, {} bytes after {:.1f} s: {}",
                            aReply.status,
                            aReply.body.size(),
+                           taken.count(),
                            aReply.body.substr(0, kShown));
   }
 
+  /** \brief Says why daemons refused or lost requests, if they did. */
+  static void PrintReasons(const test::MeshHost& aHost)
+  {
+    std::istringstream lines(test::HttpGet(aHost.operators, "/metrics").body);
+    std::string line;
+    while (std::getline(lines, line)) {
+      const bool reason = line.find("_total{reason=") != std::string::npos;
+      if (reason && !line.ends_with(" 0")) {
+        std::cout << aHost.settingsFile << ": " << line << '\n';
+      }
+    }
+  }
+
   uint16_t Port(size_t aNumber)
   {
     return m_mesh.Host(aNumber % kThrough).callers;
@@ -94,7 +110,7 @@
   {
     const auto path =
       fmt::format("/orders/large-{}/blob?bytes={}", aNumber, kBodyBytes);
-    return std::async(std::launch::async, [=, port = Port(aNumber)] {
+    return std::async(std::launch::async, [=, this, port = Port(aNumber)] {
       BlobCheck check;
       const auto reply =
         test::HttpSend({ .port = port,
@@ -112,31 +128,37 @@
   Pending StartUpload(size_t aNumber, const std::string& aBody)
   {
     const auto path = fmt::format("/orders/large-{}/sink", aNumber);
-    return std::async(std::launch::async, [=, &aBody, port = Port(aNumber)] {
-      const auto reply = test::HttpSend({ .port = port,
-                                          .path = path,
-                                          .isPost = true,
-                                          .body = aBody,
-                                          .timeout = kTimeout });
-      return Outcome(reply, reply.body == std::to_string(aBody.size()) + "\n");
-    });
+    return std::async(
+      std::launch::async, [=, this, &aBody, port = Port(aNumber)] {
+        const auto reply = test::HttpSend({ .port = port,
+                                            .path = path,
+                                            .isPost = true,
+                                            .body = aBody,
+                                            .timeout = kTimeout });
+        return Outcome(reply,
+                       reply.body == std::to_string(aBody.size()) + "\n");
+      });
   }
 
   /** \brief Uploads a body and gets it back. */
   Pending StartEcho(size_t aNumber, const std::string& aBody)
   {
     const auto path = fmt::format("/orders/large-{}/echo", aNumber);
-    return std::async(std::launch::async, [=, &aBody, port = Port(aNumber)] {
-      const auto reply = test::HttpSend({ .port = port,
-                                          .path = path,
-                                          .isPost = true,
-                                          .body = aBody,
-                                          .timeout = kTimeout });
-      return Outcome(reply, reply.body == aBody);
-    });
+    return std::async(
+      std::launch::async, [=, this, &aBody, port = Port(aNumber)] {
+        const auto reply = test::HttpSend({ .port = port,
+                                            .path = path,
+                                            .isPost = true,
+                                            .body = aBody,
+                                            .timeout = kTimeout });
+        return Outcome(reply, reply.body == aBody);
+      });
   }
 
+  using Clock = std::chrono::steady_clock;
+
   test::Mesh m_mesh;
+  Clock::time_point m_started = Clock::now();
 };
 
 TEST_F(LargeBodyTest, Bodies_ManyAtOnce_AreWholeAndMemoryIsBounded)
@@ -160,6 +182,9 @@
   for (size_t number = 0; number < pending.size(); ++number) {
     EXPECT_EQ(pending[number].get(), "") << "transfer " << number;
   }
+  for (size_t index = 0; HasFailure() && index < m_mesh.Size(); ++index) {
+    PrintReasons(m_mesh.Host(index));
+  }
   for (size_t index = 0; index < m_mesh.Size(); ++index) {
     const auto peak = PeakResidentKiB(m_mesh.Host(index).daemonProcess->Pid());
     std::cout << "daemon " << index + 1 << ": peak " << peak << " KiB" << '\n';
