A full output stays full until OnDrained

Cause: SendBody of both ends of HTTP set "output full" anew with each part. A receiver between daemons goes on to pass the parts that are on their way, up to its window of 256 KiB, after SendBody has returned false. If the output had drained a little and the last such part fitted below the high watermark, the mark was gone, OnDrained never came, and the window of the stream was never granted again. Change: the mark stays until OnDrained, and SendBody returns false until then.

--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -75,7 +75,11 @@
 public:
   virtual ~Call() = default;
 
-  /** \brief Sends body bytes; after false, wait for OnDrained. */
+  /**
+   * \brief Sends body bytes.
+   * \return false from when too many wait until OnDrained. A part that is sent
+   * in between is accepted too.
+   */
   virtual bool SendBody(std::string_view aData) = 0;
 
   /** \brief Ends the request body; required also if the request has none. */
--- a/src/Http/Client.cpp
+++ b/src/Http/Client.cpp
@@ -83,7 +83,9 @@
   if (!m_state->body.Write(output, aData)) {
     throw HttpError("a body exceeds its content length");
   }
-  m_state->outputFull = BufferedBytes() > m_state->outputHighWatermark;
+  // Stays set until OnDrained, although a later part may fit again.
+  m_state->outputFull =
+    m_state->outputFull || BufferedBytes() > m_state->outputHighWatermark;
   return !m_state->outputFull;
 }
 
--- a/src/Http/Server.h
+++ b/src/Http/Server.h
@@ -111,7 +111,8 @@
 
   /**
    * \brief Sends a part of the body.
-   * \return false above the high watermark: wait for OnDrained.
+   * \return false from above the high watermark until OnDrained. A part that
+   * is sent in between is accepted too.
    */
   bool SendBody(std::string_view aData);
 
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -443,7 +443,9 @@
   if (!m_body.Write(m_stream->Output(), aData)) {
     throw HttpError("a body exceeds its content length");
   }
-  m_outputFull = m_stream->OutputBytes() > m_limits.outputHighWatermark;
+  // Stays set until OnDrained, although a later part may fit again.
+  m_outputFull =
+    m_outputFull || m_stream->OutputBytes() > m_limits.outputHighWatermark;
   return !m_outputFull;
 }
 
--- a/test/Http/StreamingTest.cpp
+++ b/test/Http/StreamingTest.cpp
@@ -192,6 +192,66 @@
   reader->exchange.reset();
 }
 
+// Guards against an upload that stalls for good: a part that fits again, sent
+// after SendBody has returned false, must not suppress OnDrained.
+TEST_P(StreamingTest, Upload_PartSentWhileFull_SenderIsStillToldWhenDrained)
+{
+  auto reader = std::make_shared<UploadServer>();
+  StartServer([&](const ExchangePtr& aExchange) {
+    reader->exchange = aExchange;
+    aExchange->SetListener(reader);
+  });
+  StartPool();
+  auto sender = std::make_shared<AnswerRecorder>();
+  auto exchange = m_pool->Start({ .method = "PUT",
+                                  .target = "/",
+                                  .contentLength = Length(),
+                                  .chunked = Chunked() },
+                                sender);
+  ASSERT_TRUE(RunUntil([&] { return reader->exchange != nullptr; }));
+  const size_t high = m_clientLimits.outputHighWatermark;
+  EXPECT_FALSE(exchange->SendBody(std::string(high + kPart, 'x')));
+  ASSERT_TRUE(
+    RunUntil([&] { return exchange->BufferedBytes() + kPart < high; }));
+  ASSERT_GT(exchange->BufferedBytes(), m_clientLimits.outputLowWatermark);
+
+  EXPECT_FALSE(exchange->SendBody(std::string(kPart, 'x')));
+  ASSERT_TRUE(
+    RunUntil([&] { return reader->sink.received == high + 2 * kPart; }));
+  EXPECT_EQ(sender->drained, 1);
+  exchange->Cancel();
+  reader->exchange.reset();
+}
+
+// The same for a download.
+TEST_P(StreamingTest, Download_PartSentWhileFull_SenderIsStillToldWhenDrained)
+{
+  ExchangePtr exchange;
+  auto sender = std::make_shared<RequestRecorder>();
+  StartServer([&](const ExchangePtr& aExchange) {
+    exchange = aExchange;
+    aExchange->SetListener(sender);
+    aExchange->SendHead({ .status = 200, .contentLength = Length() });
+  });
+  StartPool();
+  auto reader = std::make_shared<Download>();
+  auto request = m_pool->Start({ .method = "GET", .target = "/" }, reader);
+  request->Finish();
+  ASSERT_TRUE(RunUntil([&] { return reader->head.has_value(); }));
+  const size_t high = m_limits.outputHighWatermark;
+  EXPECT_FALSE(exchange->SendBody(std::string(high + kPart, 'x')));
+  ASSERT_TRUE(
+    RunUntil([&] { return exchange->BufferedBytes() + kPart < high; }));
+  ASSERT_GT(exchange->BufferedBytes(), m_limits.outputLowWatermark);
+
+  EXPECT_FALSE(exchange->SendBody(std::string(kPart, 'x')));
+  ASSERT_TRUE(
+    RunUntil([&] { return reader->sink.received == high + 2 * kPart; }));
+  EXPECT_EQ(sender->drained, 1);
+  request->Cancel();
+  exchange.reset();
+}
+
 INSTANTIATE_TEST_SUITE_P(Framing,
                          StreamingTest,
                          ::testing::Bool(),
