--- a/test/process/LargeBodyTest.cpp
+++ b/test/process/LargeBodyTest.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <random>
 #include <sstream>
 #include <thread>
 
@@ -23,6 +25,9 @@
 constexpr size_t kThrough = 2;  ///< Daemons that callers go through.
 constexpr size_t kPeriod = 251; ///< Of the stand-in's blob: p modulo this.
 constexpr auto kReadPause = 1ms;
+constexpr int kServerPauses = 100;
+constexpr int kMinServerPauseMs = 20;
+constexpr int kMaxServerPauseMs = 200;
 constexpr auto kTimeout = 150s;
 /** Stated target of memory per daemon. */
 constexpr size_t kMaxResidentKiB = size_t{ 256 } * 1024;
@@ -155,6 +160,37 @@
       });
   }
 
+  /** \brief Stops one backend server after the other, for a moment each. */
+  void PauseServersDuring(const std::vector<Pending>& aTransfers)
+  {
+    std::mt19937 random(1);
+    std::uniform_int_distribution<size_t> host(0, m_mesh.Size() - 1);
+    std::uniform_int_distribution<int> length(kMinServerPauseMs,
+                                              kMaxServerPauseMs);
+    const auto ended = [](const Pending& aTransfer) {
+      return aTransfer.wait_for(0s) == std::future_status::ready;
+    };
+    for (int pause = 0; pause < kServerPauses; ++pause) {
+      if (std::all_of(aTransfers.begin(), aTransfers.end(), ended)) {
+        return;
+      }
+      const auto& server = *m_mesh.Host(host(random)).serverProcess;
+      server.Signal(SIGSTOP);
+      std::this_thread::sleep_for(std::chrono::milliseconds(length(random)));
+      server.Signal(SIGCONT);
+    }
+  }
+
+  void ExpectWhole(std::vector<Pending>& aTransfers)
+  {
+    for (size_t number = 0; number < aTransfers.size(); ++number) {
+      EXPECT_EQ(aTransfers[number].get(), "") << "transfer " << number;
+    }
+    for (size_t index = 0; HasFailure() && index < m_mesh.Size(); ++index) {
+      PrintReasons(m_mesh.Host(index));
+    }
+  }
+
   using Clock = std::chrono::steady_clock;
 
   test::Mesh m_mesh;
@@ -179,12 +215,7 @@
   for (size_t number = 0; number < kThrough; ++number) {
     pending.push_back(StartEcho(number, echo));
   }
-  for (size_t number = 0; number < pending.size(); ++number) {
-    EXPECT_EQ(pending[number].get(), "") << "transfer " << number;
-  }
-  for (size_t index = 0; HasFailure() && index < m_mesh.Size(); ++index) {
-    PrintReasons(m_mesh.Host(index));
-  }
+  ExpectWhole(pending);
   for (size_t index = 0; index < m_mesh.Size(); ++index) {
     const auto peak = PeakResidentKiB(m_mesh.Host(index).daemonProcess->Pid());
     std::cout << "daemon " << index + 1 << ": peak " << peak << " KiB" << '\n';
@@ -193,5 +224,18 @@
   }
 }
 
+// Guards against an upload that stalls for good after its server read slowly.
+TEST_F(LargeBodyTest, Uploads_BackendServersPauseBriefly_AreWhole)
+{
+  const std::string body(kBodyBytes, 'u');
+  std::vector<Pending> pending;
+  pending.reserve(kEachWay);
+  for (size_t number = 0; number < kEachWay; ++number) {
+    pending.push_back(StartUpload(number, body));
+  }
+  PauseServersDuring(pending);
+  ExpectWhole(pending);
+}
+
 }
 }
