Answer a caller whose upload has stalled, then close

Cause: 30 s after the last byte of a body ServerConnection closed the connection without an answer, even when nothing of the request had been passed on and "not run" was true, and also when it had been passed on to a sound backend server. Change: ServerListener::OnBodyTimeout lets the listener finish an answer first; it says Connection: close. IngressSession refuses with the new reason body-timeout: not-run if no attempt began, else unknown after it has cancelled the attempt. The statuses of the dialects stay (503 and 502 or 504): 503 promises the same as 408. A route's deadline that is shorter than 30 s still comes first, as before. The write timeout can't answer: the caller doesn't read. Http, Retry, Codec, RequestPath, UploadRetry and Drain tests pass.

--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -37,6 +37,7 @@
   void OnBody(std::string_view aData) override;
   void OnBodyEnd() override;
   void OnDrained() override;
+  void OnBodyTimeout() override { GiveUp(RefusalReason::kBodyTimeout); }
   void OnAborted(AbortReason aReason) override;
 
   // BulkSink
--- a/src/Http/Server.h
+++ b/src/Http/Server.h
@@ -71,6 +71,10 @@
  *
  * OnBody and OnBodyEnd stop after the answer was finished. Nothing is called
  * after OnAborted or once the answer was finished.
+ *
+ * OnBodyTimeout is called when no byte of the body came for
+ * HttpLimits::bodyTimeout and the answer has not begun. An exchange that is not
+ * finished on return is aborted; the connection ends in any case.
  */
 class ServerListener
 {
@@ -79,6 +83,7 @@
   virtual void OnBody(std::string_view aData) = 0;
   virtual void OnBodyEnd() = 0;
   virtual void OnDrained() = 0;
+  virtual void OnBodyTimeout() {}
   virtual void OnAborted(AbortReason aReason) = 0;
 };
 
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -335,9 +335,25 @@
     Refuse(HttpRefusal::kHeadTimeout);
     return;
   }
+  if (m_state == State::kExchange && AnswersBodyTimeout()) {
+    FlushAndClose();
+    return;
+  }
   Close(AbortReason::kTimeout);
 }
 
+bool
+ServerConnection::AnswersBodyTimeout()
+{
+  const std::shared_ptr<ServerListener> listener = m_exchange->m_listener;
+  if (m_headSent || !listener) {
+    return false;
+  }
+  m_keepAlive = false;
+  listener->OnBodyTimeout();
+  return m_state == State::kDiscarding;
+}
+
 void
 ServerConnection::UpdateTimer()
 {
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -63,6 +63,8 @@
   void Refuse(HttpRefusal aRefusal);
   void EndExchange();
   void AbortExchange(AbortReason aReason);
+  /** Whether the listener has finished an answer to a stalled request. */
+  bool AnswersBodyTimeout();
   void FlushAndClose();
   void Linger();
   void UpdateTimer();
--- a/src/Routing/Outcome.cpp
+++ b/src/Routing/Outcome.cpp
@@ -34,6 +34,7 @@
   "no-key",
   "retries-spent",
   "body-too-large",
+  "body-timeout",
 };
 
 constexpr std::array<std::string_view, kRetryReasonCount> kRetryNames{
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -71,6 +71,7 @@
     case RefusalReason::kNoKey:
     case RefusalReason::kRetriesSpent:
     case RefusalReason::kBodyTooLarge:
+    case RefusalReason::kBodyTimeout:
       return true;
     default:
       return false;
--- a/test/Http/LoopbackSupport.h
+++ b/test/Http/LoopbackSupport.h
@@ -70,7 +70,14 @@
   void OnBodyEnd() override { ended = true; }
   void OnDrained() override { ++drained; }
   void OnAborted(AbortReason aReason) override { aborted = aReason; }
+  void OnBodyTimeout() override
+  {
+    if (onBodyTimeout) {
+      onBodyTimeout();
+    }
+  }
 
+  std::function<void()> onBodyTimeout;
   std::string body;
   std::optional<AbortReason> aborted;
   int drained = 0;
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -266,6 +266,34 @@
   EXPECT_EQ(m_refusals[HttpRefusal::kHeadTimeout], 1);
 }
 
+// Guards against a stalled upload that holds its connection for good.
+TEST_F(ServerTest, Body_StalledAndUnanswered_ExchangeIsAborted)
+{
+  m_limits.bodyTimeout = std::chrono::milliseconds(30);
+  StartRecording();
+  RawPeer peer = Connect();
+  peer.Write("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  ASSERT_TRUE(RunUntil([&] { return peer.Closed(); }));
+  EXPECT_EQ(peer.Received(), "");
+  EXPECT_EQ(m_listener->aborted, AbortReason::kTimeout);
+}
+
+// Guards against a connection that ends without the answer that its listener
+// has for a stalled upload.
+TEST_F(ServerTest, Body_StalledAndAnswered_AnswerArrivesBeforeTheEnd)
+{
+  m_limits.bodyTimeout = std::chrono::milliseconds(30);
+  StartRecording();
+  RawPeer peer = Connect();
+  peer.Write("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  ASSERT_TRUE(RunUntil([&] { return m_listener && m_listener->body == "ab"; }));
+  m_listener->onBodyTimeout = [&] { Answer(*m_exchange, "too slow"); };
+  ASSERT_TRUE(RunUntil([&] { return peer.Closed(); }));
+  EXPECT_NE(peer.Received().find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(peer.Received().ends_with("too slow"));
+  EXPECT_FALSE(m_listener->aborted);
+}
+
 TEST_F(ServerTest, Connections_AboveTheBound_AreClosedAndCounted)
 {
   m_limits.maxConnections = 1;
