--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -336,9 +336,25 @@
     Refuse(HttpRefusal::kHeadTimeout);
     return;
   }
+  if (m_state == State::kExchange && AnswersBodyTimeout()) {
+    FlushAndClose();
+    return;
+  }
   Close(AbortReason::kTimeout);
 }
 
+bool
+ServerConnection::AnswersBodyTimeout()
+{
+  const std::shared_ptr<ServerListener> listener = m_exchange->m_listener;
+  if (m_headSent || !listener) {
+    return false;
+  }
+  m_keepAlive = false;
+  listener->OnBodyTimeout();
+  return m_state == State::kDiscarding;
+}
+
 void
 ServerConnection::UpdateTimer()
 {
@@ -445,7 +461,9 @@
   if (!m_body.Write(m_stream->Output(), aData)) {
     throw HttpError("a body exceeds its content length");
   }
-  m_outputFull = m_stream->OutputBytes() > m_limits.outputHighWatermark;
+  // Stays set until OnDrained, although a later part may fit again.
+  m_outputFull =
+    m_outputFull || m_stream->OutputBytes() > m_limits.outputHighWatermark;
   return !m_outputFull;
 }
 
--- a/test/process/LargeBodyTest.cpp
+++ b/test/process/LargeBodyTest.cpp
@@ -1,7 +1,10 @@
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <random>
+#include <sstream>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -22,6 +25,9 @@
 constexpr size_t kThrough = 2;  ///< Daemons that callers go through.
 constexpr size_t kPeriod = 251; ///< Of the stand-in's blob: p modulo this.
 constexpr auto kReadPause = 1ms;
+constexpr int kServerPauses = 100;
+constexpr int kMinServerPauseMs = 20;
+constexpr int kMaxServerPauseMs = 200;
 constexpr auto kTimeout = 150s;
 /** Stated target of memory per daemon. */
 constexpr size_t kMaxResidentKiB = size_t{ 256 } * 1024;
@@ -74,17 +80,32 @@
   {
   }
 
-  static std::string Outcome(const test::HttpReply& aReply, bool aWhole)
+  std::string Outcome(const test::HttpReply& aReply, bool aWhole) const
   {
     constexpr size_t kShown = 200;
+    const std::chrono::duration<double> taken = Clock::now() - m_started;
     return aReply.status == 200 && aWhole
              ? ""
-             : fmt::format("status {}, {} bytes: {}",
+             : fmt::format("status {}, {} bytes after {:.1f} s: {}",
                            aReply.status,
                            aReply.body.size(),
+                           taken.count(),
                            aReply.body.substr(0, kShown));
   }
 
+  /** \brief Says why daemons refused or lost requests, if they did. */
+  static void PrintReasons(const test::MeshHost& aHost)
+  {
+    std::istringstream lines(test::HttpGet(aHost.operators, "/metrics").body);
+    std::string line;
+    while (std::getline(lines, line)) {
+      const bool reason = line.find("_total{reason=") != std::string::npos;
+      if (reason && !line.ends_with(" 0")) {
+        std::cout << aHost.settingsFile << ": " << line << '\n';
+      }
+    }
+  }
+
   uint16_t Port(size_t aNumber)
   {
     return m_mesh.Host(aNumber % kThrough).callers;
@@ -94,7 +115,7 @@
   {
     const auto path =
       fmt::format("/orders/large-{}/blob?bytes={}", aNumber, kBodyBytes);
-    return std::async(std::launch::async, [=, port = Port(aNumber)] {
+    return std::async(std::launch::async, [=, this, port = Port(aNumber)] {
       BlobCheck check;
       const auto reply =
         test::HttpSend({ .port = port,
@@ -112,31 +133,68 @@
   Pending StartUpload(size_t aNumber, const std::string& aBody)
   {
     const auto path = fmt::format("/orders/large-{}/sink", aNumber);
-    return std::async(std::launch::async, [=, &aBody, port = Port(aNumber)] {
-      const auto reply = test::HttpSend({ .port = port,
-                                          .path = path,
-                                          .isPost = true,
-                                          .body = aBody,
-                                          .timeout = kTimeout });
-      return Outcome(reply, reply.body == std::to_string(aBody.size()) + "\n");
-    });
+    return std::async(
+      std::launch::async, [=, this, &aBody, port = Port(aNumber)] {
+        const auto reply = test::HttpSend({ .port = port,
+                                            .path = path,
+                                            .isPost = true,
+                                            .body = aBody,
+                                            .timeout = kTimeout });
+        return Outcome(reply,
+                       reply.body == std::to_string(aBody.size()) + "\n");
+      });
   }
 
   /** \brief Uploads a body and gets it back. */
   Pending StartEcho(size_t aNumber, const std::string& aBody)
   {
     const auto path = fmt::format("/orders/large-{}/echo", aNumber);
-    return std::async(std::launch::async, [=, &aBody, port = Port(aNumber)] {
-      const auto reply = test::HttpSend({ .port = port,
-                                          .path = path,
-                                          .isPost = true,
-                                          .body = aBody,
-                                          .timeout = kTimeout });
-      return Outcome(reply, reply.body == aBody);
-    });
+    return std::async(
+      std::launch::async, [=, this, &aBody, port = Port(aNumber)] {
+        const auto reply = test::HttpSend({ .port = port,
+                                            .path = path,
+                                            .isPost = true,
+                                            .body = aBody,
+                                            .timeout = kTimeout });
+        return Outcome(reply, reply.body == aBody);
+      });
   }
 
+  /** \brief Stops one backend server after the other, for a moment each. */
+  void PauseServersDuring(const std::vector<Pending>& aTransfers)
+  {
+    std::mt19937 random(1);
+    std::uniform_int_distribution<size_t> host(0, m_mesh.Size() - 1);
+    std::uniform_int_distribution<int> length(kMinServerPauseMs,
+                                              kMaxServerPauseMs);
+    const auto ended = [](const Pending& aTransfer) {
+      return aTransfer.wait_for(0s) == std::future_status::ready;
+    };
+    for (int pause = 0; pause < kServerPauses; ++pause) {
+      if (std::all_of(aTransfers.begin(), aTransfers.end(), ended)) {
+        return;
+      }
+      const auto& server = *m_mesh.Host(host(random)).serverProcess;
+      server.Signal(SIGSTOP);
+      std::this_thread::sleep_for(std::chrono::milliseconds(length(random)));
+      server.Signal(SIGCONT);
+    }
+  }
+
+  void ExpectWhole(std::vector<Pending>& aTransfers)
+  {
+    for (size_t number = 0; number < aTransfers.size(); ++number) {
+      EXPECT_EQ(aTransfers[number].get(), "") << "transfer " << number;
+    }
+    for (size_t index = 0; HasFailure() && index < m_mesh.Size(); ++index) {
+      PrintReasons(m_mesh.Host(index));
+    }
+  }
+
+  using Clock = std::chrono::steady_clock;
+
   test::Mesh m_mesh;
+  Clock::time_point m_started = Clock::now();
 };
 
 TEST_F(LargeBodyTest, Bodies_ManyAtOnce_AreWholeAndMemoryIsBounded)
@@ -157,9 +215,7 @@
   for (size_t number = 0; number < kThrough; ++number) {
     pending.push_back(StartEcho(number, echo));
   }
-  for (size_t number = 0; number < pending.size(); ++number) {
-    EXPECT_EQ(pending[number].get(), "") << "transfer " << number;
-  }
+  ExpectWhole(pending);
   for (size_t index = 0; index < m_mesh.Size(); ++index) {
     const auto peak = PeakResidentKiB(m_mesh.Host(index).daemonProcess->Pid());
     std::cout << "daemon " << index + 1 << ": peak " << peak << " KiB" << '\n';
@@ -168,5 +224,18 @@
   }
 }
 
+// Guards against an upload that stalls for good after its server read slowly.
+TEST_F(LargeBodyTest, Uploads_BackendServersPauseBriefly_AreWhole)
+{
+  const std::string body(kBodyBytes, 'u');
+  std::vector<Pending> pending;
+  pending.reserve(kEachWay);
+  for (size_t number = 0; number < kEachWay; ++number) {
+    pending.push_back(StartUpload(number, body));
+  }
+  PauseServersDuring(pending);
+  ExpectWhole(pending);
+}
+
 }
 }
