pistachiod also tells its peers what it has not run before it exits

Change: when idle it says goodbye, ends its direction of the connections and exits when its peers have closed theirs, after two seconds at the latest.

--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -23,6 +23,10 @@
  */
 constexpr Duration kIdleTimeBeforeExit = std::chrono::milliseconds(300);
 
+/** Time in which other daemons take their last answers and close their
+ * connections. */
+constexpr Duration kMaxCloseTime = std::chrono::seconds(2);
+
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusConflict = 409;
 
@@ -211,9 +215,25 @@
     return;
   }
   if (now - m_lastBusyAt >= kIdleTimeBeforeExit) {
-    m_logger.Info("leave-end", "in_flight=0");
-    event_base_loopbreak(m_base);
+    FinishLeave(now);
+  }
+}
+
+void
+Daemon::FinishLeave(MonoTime aNow)
+{
+  if (!m_finishedAt) {
+    m_finishedAt = aNow;
+    m_inner.SayGoodbye();
+    m_inner.FinishSending();
+    return;
+  }
+  if (m_inner.Finishing() > 0 && aNow - *m_finishedAt < kMaxCloseTime) {
+    return;
   }
+  m_logger.Info(
+    "leave-end", "in_flight=0 peers_unsent={}", m_inner.HasUnsent());
+  event_base_loopbreak(m_base);
 }
 
 std::string
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -2,6 +2,7 @@
 #define PISTACHIOSHIFT_DAEMON_DAEMON_H
 
 #include <memory>
+#include <optional>
 
 #include "src/Base/Clock.h"
 #include "src/Base/Logger.h"
@@ -42,6 +43,7 @@
   void OnDocument(const DocumentState& aState);
   void OnServerReady(bool aReady);
   void OnLeaveTick();
+  void FinishLeave(MonoTime aNow);
   void AddOperatorHandlers();
   OperatorAnswer HandleMove(const OperatorRequest& aRequest);
   std::string RenderMetrics();
@@ -74,7 +76,8 @@
   MonoTime m_lastBusyAt; ///< During a leave: with work or connections.
   bool m_serverWasReady = false;
   bool m_leaving = false;
-  bool m_acceptStopped = false; ///< The callers' port is closed.
+  std::optional<MonoTime> m_finishedAt; ///< When peers were told of the exit.
+  bool m_acceptStopped = false;         ///< The callers' port is closed.
 };
 
 }
