--- a/test/Daemon/BulkSenderTest.cpp
+++ b/test/Daemon/BulkSenderTest.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <utility>
 
 #include <event2/event.h>
 #include <gtest/gtest.h>
@@ -198,4 +199,38 @@
   EXPECT_EQ(queue.Size(), 1U);
 }
 
+/** Gets the rest of an answer as soon as there is room: like a paused call to
+ * another daemon, which passes on the bytes that it has kept meanwhile. */
+class ResumingSink : public SinkDouble
+{
+public:
+  void SendNow(std::string_view aData) override
+  {
+    SinkDouble::SendNow(aData);
+    const auto rest = std::exchange(kept, {});
+    if (!rest.empty()) {
+      sender->Send(rest);
+    }
+  }
+
+  BulkSender* sender = nullptr;
+  std::string kept;
+};
+
+// Guards against an answer whose parts change places at a forced exit.
+TEST_F(BulkSenderTest, StopLimiting_MoreComesMeanwhile_StaysInOrder)
+{
+  const auto sink = std::make_shared<ResumingSink>();
+  const auto sender = std::make_shared<BulkSender>(m_queue, sink);
+  m_queue.Consume(size_t{ 10 } * 1024 * 1024);
+  sender->Send(std::string(kLarge, 'a'));
+  sink->sender = sender.get();
+  sink->kept = std::string(kLarge, 'b');
+  m_queue.StopLimiting();
+  sender->Finish();
+  EXPECT_EQ(sink->received.find('b'), kLarge);
+  EXPECT_EQ(sink->received.size(), 2 * kLarge);
+  EXPECT_EQ(sink->finished, 1);
+}
+
 }
--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -1,6 +1,7 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include "Pistachioshift/Routing"
 #include "src/Daemon/InnerServerTask.h"
 #include "src/Daemon/PeersTask.h"
 
@@ -207,5 +208,89 @@
   EXPECT_EQ(result->state, RequestState::kDone);
 }
 
+// Guards against an unknown outcome where the stopping daemon still knows it: the
+// daemon ends its connections in the same step in which it says goodbye.
+TEST_F(GoodbyeTest, Goodbye_QueryPendingAndConnectionsEnded_IsAnswered)
+{
+  std::optional<OutcomeQueryResult> result;
+  const auto call = Send();
+  ASSERT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+  m_peers->QueryOutcome(m_inner->LocalEndpoint(),
+                        { 1, 1 },
+                        {},
+                        [&](const auto& aResult) { result = aResult; });
+  ASSERT_TRUE(WaitFor([&] { return m_inner->Sessions() == 2; }));
+  m_inner->SayGoodbye();
+  m_inner->FinishSending();
+  ASSERT_TRUE(WaitFor([&] { return result.has_value(); }));
+  EXPECT_EQ(result->state, RequestState::kDone);
+}
+
+/** \brief Accepts requests and answers queries as an owner's daemon does. */
+class TableServer : public PendingServer
+{
+public:
+  std::shared_ptr<Call> Start(CallRequest aRequest,
+                              std::shared_ptr<CallListener> aListener) override
+  {
+    table.Begin(aRequest.id, aRequest.known);
+    return PendingServer::Start(std::move(aRequest), std::move(aListener));
+  }
+
+  OutcomeQueryResult QueryOutcome(const RequestId& aId,
+                                  TablePosition aKnown) override
+  {
+    return table.Query(aId, aKnown);
+  }
+
+  TablePosition Position() const override { return table.Position(); }
+
+  OutcomeTable table;
+};
+
+// Guards against TWICE: the process that ran a write has been replaced when its
+// outcome is asked for, and the new one, which knows nothing of it, says that it
+// has never seen it.
+TEST_F(GoodbyeTest, Query_ProcessWasReplaced_IsNotTakenForNeverSeen)
+{
+  const auto endpoint = m_inner->LocalEndpoint();
+  m_inner.reset();
+  const auto start = [&](BootId aBoot, TableServer& aServer) {
+    m_inner = std::make_unique<InnerServerTask>(m_base.get(),
+                                                m_clock,
+                                                endpoint,
+                                                aBoot,
+                                                aServer,
+                                                Services(),
+                                                m_metrics,
+                                                m_bulk);
+  };
+  TableServer before;
+  start(BootId(3), before);
+  CallRequest request;
+  request.id = { 1, 1 };
+  request.head.method = "POST";
+  request.head.target = "/";
+  request.deadline = m_clock.Now() + kTestTimeout;
+  request.known = m_peers->KnownPosition(endpoint);
+  const auto listener = std::make_shared<RecordingListener>();
+  const auto call = m_peers->Start(endpoint, request, listener);
+  ASSERT_TRUE(WaitFor([&] { return before.listeners.size() == 1; }));
+  m_inner.reset();
+  ASSERT_TRUE(WaitFor([&] { return listener->Ended(); }));
+  EXPECT_EQ(listener->loss, CallLoss::kClosed);
+  TableServer after;
+  start(BootId(4), after);
+  std::optional<OutcomeQueryResult> result;
+  m_peers->QueryOutcome(endpoint,
+                        request.id,
+                        request.known,
+                        [&](const auto& aResult) { result = aResult; });
+  ASSERT_TRUE(WaitFor([&] { return result.has_value(); }));
+  EXPECT_NE(result->state, RequestState::kNeverSeen)
+    << "the request would be sent again";
+  m_inner.reset();
+}
+
 }
 }
--- a/test/Daemon/IngressTest.cpp
+++ b/test/Daemon/IngressTest.cpp
@@ -1,6 +1,8 @@
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <event2/event.h>
 #include <gtest/gtest.h>
@@ -18,8 +20,15 @@
   bool SendBody(std::string_view) override { return true; }
   void Finish() override {}
   void PauseBody() override {}
-  void ResumeBody() override {}
+  void ResumeBody() override
+  {
+    if (const auto resumed = std::exchange(onResume, {})) {
+      resumed();
+    }
+  }
   void Cancel() override {}
+
+  std::function<void()> onResume;
 };
 
 /** Keeps the listeners of the attempts. */
@@ -38,7 +47,8 @@
                               std::shared_ptr<CallListener> aListener) override
   {
     attempts.push_back(std::move(aListener));
-    return std::make_shared<CallDouble>();
+    calls.push_back(std::make_shared<CallDouble>());
+    return calls.back();
   }
 
   void QueryOutcome(const Destination&,
@@ -60,6 +70,7 @@
   RetryBudget& BudgetOf(const ServicePolicy&) override { return m_budget; }
 
   std::vector<std::shared_ptr<CallListener>> attempts;
+  std::vector<std::shared_ptr<CallDouble>> calls;
 
 private:
   RetryBudget m_budget{ 1.0 };
@@ -107,7 +118,8 @@
 class IngressTest : public ::testing::Test
 {
 protected:
-  IngressTest()
+  explicit IngressTest(double aLinkRate = 0.0)
+    : m_bulk(m_base, m_clock, aLinkRate)
   {
     m_ingress = std::make_unique<IngressTask>(
       IngressContext{
@@ -155,7 +167,7 @@
   Metrics m_metrics;
   DialectDouble m_dialect;
   RouterDouble m_router;
-  BulkQueue m_bulk{ m_base, m_clock, 0.0 };
+  BulkQueue m_bulk;
   std::unique_ptr<IngressTask> m_ingress;
   std::unique_ptr<HttpClientPool> m_pool;
   std::shared_ptr<CallerDouble> m_caller = std::make_shared<CallerDouble>();
@@ -210,4 +222,38 @@
   EXPECT_TRUE(m_caller->failed);
 }
 
+/** The host's link is slow, so most of a large answer waits for it. */
+class SlowLinkTest : public IngressTest
+{
+protected:
+  SlowLinkTest()
+    : IngressTest(1000.0)
+  {
+  }
+};
+
+// Guards against MIXED: at a forced exit the bytes that a paused call had kept
+// overtook those that waited for the link.
+TEST_F(SlowLinkTest, StopLimiting_AnswerOfAPausedCall_StaysInOrder)
+{
+  constexpr size_t kFirst = size_t{ 400 } * 1024;
+  constexpr size_t kRest = size_t{ 100 } * 1024;
+  ASSERT_TRUE(WaitForAttempt(1));
+  const auto attempt = m_router.attempts[0];
+  attempt->OnHead({ .status = 200, .contentLength = kFirst + kRest },
+                  FenceToken());
+  attempt->OnBody(std::string(kFirst, 'a')); // Pauses the call.
+  m_router.calls[0]->onResume = [&] {
+    // As RemoteCall does with the bytes that came while it was paused.
+    attempt->OnBody(std::string(kRest, 'b'));
+    attempt->OnEnd();
+  };
+  m_bulk.StopLimiting();
+  ASSERT_TRUE(RunUntil([&] { return m_caller->ended || m_caller->failed; }));
+  ASSERT_TRUE(m_caller->ended);
+  EXPECT_EQ(m_caller->status, 200);
+  EXPECT_EQ(m_caller->body.size(), kFirst + kRest);
+  EXPECT_EQ(m_caller->body.find('b'), kFirst);
+}
+
 }
--- a/test/HostDaemon/LeaveScheduleTest.cpp
+++ b/test/HostDaemon/LeaveScheduleTest.cpp
@@ -128,4 +128,24 @@
   EXPECT_TRUE(AskUntil(milliseconds(5950), work).exit);
 }
 
+// Guards against an exit in the step that fails what still runs: its answers are
+// not written before the event loop goes on.
+TEST_F(LeaveScheduleTest, Next_CheckComesLate_StepsAreNotTakenAtOnce)
+{
+  const LeaveWork work{ .calls = 1, .callers = 1 };
+  EXPECT_FALSE(AskUntil(milliseconds(5450), work).force);
+  const auto late = m_schedule.Next(m_start + milliseconds(5870), work);
+  EXPECT_TRUE(late.force);
+  EXPECT_FALSE(late.exit);
+  EXPECT_TRUE(AskUntil(milliseconds(5950), {}).exit);
+}
+
+// Guards against keys without service for the whole grace period because one
+// peer takes no bytes.
+TEST_F(LeaveScheduleTest, Next_OnePeerTakesNothing_ExitIsNotHeldUp)
+{
+  const LeaveWork work{ .peersHaveUnsent = true };
+  EXPECT_TRUE(AskUntil(milliseconds(4500), work).exit);
+}
+
 }
