Queued bytes go before later ones, and no exit before the last steps are written

BulkSender sent bytes that came within StopLimiting ahead of those that it had queued. LeaveSchedule told to exit in the same call as to force and to finish. Daemon_BulkSenderTest (10), Daemon_IngressTest (4): pass, one each failed before.

--- a/src/Daemon/BulkSender.cpp
+++ b/src/Daemon/BulkSender.cpp
@@ -6,7 +6,7 @@
 BulkSender::MustQueue(size_t aBytes)
 {
   if (!m_queue.IsLimited()) {
-    return false;
+    return m_queued; // Bytes that were queued before go first.
   }
   m_acceptedBytes += aBytes;
   return m_queued || m_acceptedBytes > kDirectBytes;
--- a/src/HostDaemon/LeaveSchedule.cpp
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -84,10 +84,13 @@
 bool
 LeaveSchedule::MayExit(MonoTime aNow, const LeaveWork& aWork) const
 {
+  if (!m_finishedAt) {
+    return false; // What the steps before send is not written yet.
+  }
   if (aNow - m_startedAt >= m_exitAfter) {
     return true;
   }
-  if (!m_finishedAt || IsBusy(aWork)) {
+  if (IsBusy(aWork)) {
     return false;
   }
   return aWork.closing == 0 || aNow - *m_finishedAt >= kCloseTime;
