Only the process that was sent a request may say that it never came

What callers could see: a write that runs twice. After a lost connection the caller's daemon asks for the outcome; a process started meanwhile at the same address has an empty table and answered "never seen", so the write was sent again. A closed port, the usual case between two processes, was safe already.

Change: a link keeps the boot of its Hello; of a request whose link ended the boot is remembered, and "never seen" from another one counts as forgotten, which ends as unknown. If no Hello had come before the loss, the outcome is unknown as well.

--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -10,6 +10,9 @@
 /** Time after a failed connection for which other daemons are preferred. */
 constexpr Duration kFailureRetention = std::chrono::milliseconds(1000);
 
+/** Requests whose process is remembered for a query of their outcome. */
+constexpr size_t kMaxLostRequests = 4096;
+
 }
 
 Peer::Peer(PeersTask& aTask, Endpoint aEndpoint)
@@ -103,6 +106,27 @@
   m_failedAt = m_task.m_clock.Now();
 }
 
+void
+Peer::AddLostRequest(const RequestId& aRequest, std::optional<BootId> aBoot)
+{
+  if (!aBoot || !m_bootOfLost.emplace(aRequest, *aBoot).second) {
+    return;
+  }
+  m_lostRequests.push_back(aRequest);
+  if (m_lostRequests.size() > kMaxLostRequests) {
+    m_bootOfLost.erase(m_lostRequests.front());
+    m_lostRequests.pop_front();
+  }
+}
+
+std::optional<BootId>
+Peer::BootOf(const RequestId& aRequest) const
+{
+  const auto found = m_bootOfLost.find(aRequest);
+  return found == m_bootOfLost.end() ? std::nullopt
+                                     : std::optional(found->second);
+}
+
 void
 Peer::OnGoodbye(size_t aCalls)
 {
@@ -142,9 +166,11 @@
 }
 
 void
-PeerLink::AddQuery(QueryId aQuery, PeersTask::OutcomeCallback aCallback)
+PeerLink::AddQuery(QueryId aQuery,
+                   std::optional<BootId> aBoot,
+                   PeersTask::OutcomeCallback aCallback)
 {
-  m_queries.emplace(aQuery, std::move(aCallback));
+  m_queries.emplace(aQuery, PendingQuery{ aBoot, std::move(aCallback) });
   UpdateBusy();
 }
 
@@ -197,15 +223,12 @@
   } else if (const auto* pong = std::get_if<Pong>(&aFrame)) {
     m_peer.OnPosition(pong->position);
   } else if (const auto* hello = std::get_if<Hello>(&aFrame)) {
+    m_boot = hello->boot;
     m_peer.OnHello(*hello);
   } else if (std::holds_alternative<Goodbye>(aFrame)) {
     OnGoodbye();
   } else if (const auto* reply = std::get_if<OutcomeReply>(&aFrame)) {
-    auto query = m_queries.extract(reply->query);
-    if (!query.empty()) {
-      query.mapped()(reply->result);
-      Close();
-    }
+    OnOutcome(*reply);
   } else if (const auto* records = std::get_if<RecordsReply>(&aFrame)) {
     const auto callbacks = std::move(m_recordsQueries);
     m_recordsQueries.clear();
@@ -240,6 +263,23 @@
   }
 }
 
+void
+PeerLink::OnOutcome(const OutcomeReply& aReply)
+{
+  auto query = m_queries.extract(aReply.query);
+  if (query.empty()) {
+    return;
+  }
+  auto result = aReply.result;
+  const auto& boot = query.mapped().boot;
+  const bool sameProcess = boot && boot == m_boot;
+  if (result.state == RequestState::kNeverSeen && !sameProcess) {
+    result.state = RequestState::kForgotten;
+  }
+  query.mapped().callback(result);
+  Close();
+}
+
 void
 PeerLink::OnDrained(Connection&)
 {
@@ -256,10 +296,11 @@
   m_queries.clear();
   m_recordsQueries.clear();
   for (const auto& [stream, call] : calls) {
+    m_peer.AddLostRequest(call->Request(), m_boot);
     call->OnLinkEnded(aEnd);
   }
-  for (const auto& [query, callback] : queries) {
-    callback(OutcomeQueryResult());
+  for (const auto& [id, query] : queries) {
+    query.callback(OutcomeQueryResult());
   }
 }
 
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -1,8 +1,11 @@
 #ifndef PISTACHIOSHIFT_DAEMON_PEER_H
 #define PISTACHIOSHIFT_DAEMON_PEER_H
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
+#include <unordered_map>
 
 #include "Pistachioshift/Inner"
 #include "src/Daemon/FlowWindow.h"
@@ -37,7 +40,14 @@
   StreamId Add(const std::shared_ptr<RemoteCall>& aCall);
   void Remove(StreamId aStream);
   void Send(const Frame& aFrame) { m_connection->Send(aFrame); }
-  void AddQuery(QueryId aQuery, PeersTask::OutcomeCallback aCallback);
+
+  /**
+   * \param aBoot process that was sent the request. Another one can't tell
+   * that it never ran.
+   */
+  void AddQuery(QueryId aQuery,
+                std::optional<BootId> aBoot,
+                PeersTask::OutcomeCallback aCallback);
   void AddRecordsQuery(PeersTask::RecordsCallback aCallback);
 
   void AddStateQuery(PeersTask::StateCallback aCallback);
@@ -60,18 +70,26 @@
   void OnClosed(Connection& aConnection, CloseReason aEnd) override;
 
 private:
+  struct PendingQuery
+  {
+    std::optional<BootId> boot;
+    PeersTask::OutcomeCallback callback;
+  };
+
   void UpdateBusy();
   void OnGoodbye();
+  void OnOutcome(const OutcomeReply& aReply);
 
   Peer& m_peer;
   std::shared_ptr<Connection> m_connection;
   std::map<StreamId, std::shared_ptr<RemoteCall>> m_calls;
-  std::map<QueryId, PeersTask::OutcomeCallback> m_queries;
+  std::map<QueryId, PendingQuery> m_queries;
   std::vector<PeersTask::RecordsCallback> m_recordsQueries;
   PeersTask::StateCallback m_onState;
   PeersTask::OrdersCallback m_onOrders;
   int64_t m_lastStream = 0;
-  bool m_peerLeft = false; ///< The peer runs no more requests.
+  std::optional<BootId> m_boot; ///< Of the process at the other end.
+  bool m_peerLeft = false;      ///< The peer runs no more requests.
 };
 
 /** \brief Another daemon, identified by its endpoint. */
@@ -97,12 +115,20 @@
   void OnLinkEnded(const PeerLink& aLink, CloseReason aEnd);
   void OnGoodbye(size_t aCalls);
 
+  /** \brief Keeps the process that was sent a request whose link ended. */
+  void AddLostRequest(const RequestId& aRequest, std::optional<BootId> aBoot);
+
+  /** \brief Process that was sent a lost request, if it is known. */
+  std::optional<BootId> BootOf(const RequestId& aRequest) const;
+
 private:
   PeersTask& m_task;
   Endpoint m_endpoint;
   std::shared_ptr<PeerLink> m_link;
   std::vector<std::shared_ptr<PeerLink>> m_queryLinks;
   BootId m_boot;
+  std::unordered_map<RequestId, BootId> m_bootOfLost;
+  std::deque<RequestId> m_lostRequests; ///< Keys of m_bootOfLost, oldest first.
   TablePosition m_knownPosition;
   MonoTime m_failedAt;
 };
@@ -117,6 +143,7 @@
              std::shared_ptr<CallListener> aListener);
 
   void Open(const CallRequest& aRequest, Duration aRemaining);
+  const RequestId& Request() const { return m_request; }
 
   bool SendBody(std::string_view aData) override;
   void Finish() override;
@@ -139,6 +166,7 @@
   std::weak_ptr<PeerLink> m_link;
   std::shared_ptr<CallListener> m_listener;
   StreamId m_stream;
+  RequestId m_request;
   SendWindow m_send;
   ReceiveWindow m_receive;
   std::string m_pausedBody; ///< Body that arrived while paused.
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -49,9 +49,10 @@
                         TablePosition aKnown,
                         OutcomeCallback aCallback)
 {
-  const auto link = Find(aPeer)->NewQueryLink();
+  const auto peer = Find(aPeer);
+  const auto link = peer->NewQueryLink();
   const QueryId query(1);
-  link->AddQuery(query, std::move(aCallback));
+  link->AddQuery(query, peer->BootOf(aRequest), std::move(aCallback));
   link->Send(OutcomeQuery{ query, aRequest, aKnown });
 }
 
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -16,6 +16,7 @@
 {
   const auto link = m_link.lock();
   m_stream = link->Add(shared_from_this());
+  m_request = aRequest.id;
   RequestOpen open;
   open.stream = m_stream;
   open.request = aRequest.id;
