A stop answers outcome queries that cross its goodbye

What callers saw: 502 for a request whose outcome the stopping daemon still knew.

Cause: the goodbye and the end of the connections were one step, and frames that arrive after the latter are dropped.

Change: the connections are ended one step after the goodbye, and the exit waits until all of callers and peers are closed, 400 ms at the latest, instead of 200 ms for those that it has ended itself: a peer closes only when it has read everything. pistachiod does the same.

--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -222,13 +222,13 @@
 void
 Daemon::FinishLeave(MonoTime aNow)
 {
-  if (!m_finishedAt) {
-    m_finishedAt = aNow;
+  if (!m_goodbyeAt) {
+    m_goodbyeAt = aNow;
     m_inner.SayGoodbye();
-    m_inner.FinishSending();
     return;
   }
-  if (m_inner.Finishing() > 0 && aNow - *m_finishedAt < kMaxCloseTime) {
+  m_inner.FinishSending();
+  if (m_inner.Sessions() > 0 && aNow - *m_goodbyeAt < kMaxCloseTime) {
     return;
   }
   m_logger.Info(
--- a/src/Daemon/Daemon.h
+++ b/src/Daemon/Daemon.h
@@ -76,8 +76,8 @@
   MonoTime m_lastBusyAt; ///< During a leave: with work or connections.
   bool m_serverWasReady = false;
   bool m_leaving = false;
-  std::optional<MonoTime> m_finishedAt; ///< When peers were told of the exit.
-  bool m_acceptStopped = false;         ///< The callers' port is closed.
+  std::optional<MonoTime> m_goodbyeAt; ///< When peers were told of the exit.
+  bool m_acceptStopped = false;        ///< The callers' port is closed.
 };
 
 }
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -196,8 +196,8 @@
                         .callers = m_ingress->Active(),
                         .unsentBytes = m_ingress->UnsentBytes(),
                         .peersHaveUnsent = m_inner.HasUnsent(),
-                        .closing =
-                          m_inner.Finishing() + m_ingress->Connections() };
+                        .connections =
+                          m_inner.Sessions() + m_ingress->Connections() };
   const auto steps = m_leave->Next(m_clock.Now(), work);
   if (steps.refuseCallers) {
     m_dialect->BeginClosing();
@@ -215,9 +215,11 @@
     m_ingress->FailPendingRequests();
     m_inner.FailRunning();
   }
-  if (steps.finishSending) {
+  if (steps.sayGoodbye) {
     m_ingress->StopAccepting();
     m_inner.SayGoodbye();
+  }
+  if (steps.finishSending) {
     m_inner.FinishSending();
   }
   if (steps.exit) {
@@ -230,12 +232,13 @@
 HostDaemon::LogLeaveEnd(const LeaveWork& aWork) const
 {
   m_logger.Info("leave-end",
-                "in_flight={} callers={} unsent={} peers_unsent={} closing={}",
+                "in_flight={} callers={} unsent={} peers_unsent={} "
+                "connections={}",
                 aWork.calls,
                 aWork.callers,
                 aWork.unsentBytes,
                 aWork.peersHaveUnsent,
-                aWork.closing);
+                aWork.connections);
 }
 
 OperatorAnswer
--- a/src/HostDaemon/LeaveSchedule.cpp
+++ b/src/HostDaemon/LeaveSchedule.cpp
@@ -21,10 +21,10 @@
 
 /** Before a forced exit, the connections are ended this long after the last
  * answers, even if calls are still in progress. */
-constexpr Duration kFlushTime = milliseconds(250);
+constexpr Duration kFlushTime = milliseconds(200);
 
 /** Time in which the other ends close connections that were ended here. */
-constexpr Duration kCloseTime = milliseconds(200);
+constexpr Duration kCloseTime = milliseconds(400);
 
 /** Time without any request in progress before the process exits. */
 constexpr Duration kIdleBeforeExit = milliseconds(150);
@@ -66,15 +66,17 @@
     m_idleSince = aNow;
   }
   steps.exit = MayExit(aNow, aWork);
-  steps.finishSending = !m_finishedAt && MayFinishSending(aNow);
-  if (steps.finishSending) {
-    m_finishedAt = aNow;
+  if (MayEndConnections(aNow)) {
+    // Queries that cross the goodbye are answered until the next step.
+    steps.finishSending = m_goodbyeAt && !std::exchange(m_finished, true);
+    steps.sayGoodbye = !m_goodbyeAt;
+    m_goodbyeAt = m_goodbyeAt.value_or(aNow);
   }
   return steps;
 }
 
 bool
-LeaveSchedule::MayFinishSending(MonoTime aNow) const
+LeaveSchedule::MayEndConnections(MonoTime aNow) const
 {
   const auto idle = aNow - m_idleSince;
   const bool flushed = aNow - m_startedAt >= m_forceAfter + kFlushTime;
@@ -84,7 +86,7 @@
 bool
 LeaveSchedule::MayExit(MonoTime aNow, const LeaveWork& aWork) const
 {
-  if (!m_finishedAt) {
+  if (!m_goodbyeAt) {
     return false; // What the steps before send is not written yet.
   }
   if (aNow - m_startedAt >= m_exitAfter) {
@@ -93,7 +95,7 @@
   if (IsBusy(aWork)) {
     return false;
   }
-  return aWork.closing == 0 || aNow - *m_finishedAt >= kCloseTime;
+  return aWork.connections == 0 || aNow - *m_goodbyeAt >= kCloseTime;
 }
 
 }
--- a/src/HostDaemon/LeaveSchedule.h
+++ b/src/HostDaemon/LeaveSchedule.h
@@ -15,7 +15,7 @@
   size_t callers = 0;     ///< Callers' requests without a finished answer.
   size_t unsentBytes = 0; ///< Of answers to callers, finished or not.
   bool peersHaveUnsent = false; ///< Bytes wait for other daemons.
-  size_t closing = 0; ///< Connections still open after `finishSending`.
+  size_t connections = 0;       ///< Of callers and of other daemons.
 };
 
 /** \brief Steps of a planned stop that are due; each is reported once. */
@@ -24,7 +24,8 @@
   bool refuseCallers = false; ///< Refuse new requests of callers.
   bool drainPeers = false;    ///< Refuse new requests of other daemons.
   bool force = false;         ///< Answer the requests that still wait.
-  bool finishSending = false; ///< End the connections once all is sent.
+  bool sayGoodbye = false;    ///< Tell peers that nothing more will run.
+  bool finishSending = false; ///< End the connections that are still open.
   bool exit = false;
 };
 
@@ -41,17 +42,18 @@
   MonoTime ForcedAt() const { return m_startedAt + m_forceAfter; }
 
 private:
-  bool MayFinishSending(MonoTime aNow) const;
+  bool MayEndConnections(MonoTime aNow) const;
   bool MayExit(MonoTime aNow, const LeaveWork& aWork) const;
 
   MonoTime m_startedAt;
   MonoTime m_idleSince;
   Duration m_forceAfter;
   Duration m_exitAfter;
-  std::optional<MonoTime> m_finishedAt; ///< When `finishSending` was due.
+  std::optional<MonoTime> m_goodbyeAt; ///< When `sayGoodbye` was due.
   bool m_refused = false;
   bool m_draining = false;
   bool m_forced = false;
+  bool m_finished = false;
 };
 
 }
