A drain refuses calls that were just received; extra bytes end their attempt

A resumed download that gets more bytes than its head stated closes that attempt before it starts another one, so that it can't feed the session any more.

--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -57,7 +57,9 @@
 IngressSession::OnAnswerBody(std::string_view aData)
 {
   if (!m_resume.Expects(aData.size())) {
-    OnTruncated(); // More than the head of the first attempt has promised.
+    // More than the head of the first attempt has promised.
+    CloseAttempt();
+    OnTruncated();
     return;
   }
   // A short answer is sent when it is whole: until then another attempt can
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -433,6 +433,7 @@
 RangeServerTask::BeginDrain()
 {
   m_draining = true;
+  AcceptNewCalls(); // They are refused as not run.
   if (m_gate) {
     ApplyGateActions(m_gate->RefuseQueued(RefusalReason::kDraining));
   }
