--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -78,7 +78,7 @@
                m_logger,
                m_metrics)
   , m_backend(aBase, m_clock, m_settings, m_mesh, m_logger, m_metrics)
-  , m_peers(aBase, m_clock, m_boot, m_metrics)
+  , m_peers(aBase, m_clock, m_boot, m_logger, m_metrics)
   , m_router(m_clock, m_random, m_mesh, m_backend, m_peers)
   , m_relay(aBase, m_random, m_mesh, m_document, m_peers, m_settings)
   , m_planner(aBase, m_clock, m_mesh, m_backend, m_logger)
--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -12,6 +12,8 @@
  * free at once, however busy the link. */
 constexpr size_t kMaxQueuedBytes = size_t{ 256 } * 1024;
 
+constexpr std::string_view kTruncated = "truncated";
+
 }
 
 void
@@ -67,6 +69,7 @@
 IngressSession::SendNow(std::string_view aData)
 {
   if (!m_ended) {
+    m_answerBytes += aData.size();
     m_callerWritable = m_exchange->SendBody(aData);
     UpdateFlow();
   }
@@ -123,6 +126,7 @@
                        m_history.attempts < kMaxRequestAttempts &&
                        m_possibleRuns + 1 < m_resolved.retry.maxRuns;
   if (!allowed || !budget.TrySpend()) {
+    m_cut = kTruncated;
     m_exchange->Abort();
     Done(Outcome::kUnknown);
     return;
--- a/src/Daemon/IngressDialect.h
+++ b/src/Daemon/IngressDialect.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "src/Daemon/RequestRouter.h"
@@ -28,6 +29,9 @@
   /// None if a backend server's response was forwarded.
   std::optional<RefusalReason> reason;
   int status = 0; ///< 0: the connection was closed without a response.
+  /// Why the response is incomplete or missing; empty if it was finished.
+  std::string_view cut;
+  size_t answerBytes = 0; ///< Bytes of the response's body sent so far.
   uint32_t attempts = 0;
   std::optional<DaemonId> daemon; ///< Daemon of the last attempt.
   Duration elapsed{};
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -94,9 +94,10 @@
 }
 
 void
-IngressSession::OnAborted(AbortReason)
+IngressSession::OnAborted(AbortReason aReason)
 {
   const auto self = shared_from_this();
+  m_cut = ToString(aReason);
   if (m_call) {
     m_call->Cancel();
   }
@@ -389,6 +390,8 @@
   record.resolved = m_isResolved ? &m_resolved : nullptr;
   record.reason = m_reason;
   record.status = m_status;
+  record.cut = m_cut;
+  record.answerBytes = m_answerBytes;
   record.attempts = m_history.attempts;
   record.daemon = m_history.last;
   record.elapsed = m_context.clock.Now() - m_arrived;
@@ -406,6 +409,9 @@
   m_timer.Stop();
   m_deadlineTimer.Stop();
   m_context.metrics.CountAnswer(aOutcome);
+  if (!m_cut.empty()) {
+    m_context.metrics.CountCutAnswer(m_cut);
+  }
   const auto elapsed = m_context.clock.Now() - m_arrived;
   m_context.metrics.ObserveLatency(elapsed);
   auto record = MakeRecord();
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -95,6 +95,8 @@
   uint32_t m_possibleRuns = 0; ///< Attempts that may have run.
   int m_status = 0;            ///< Sent to the caller; 0: none.
   std::optional<RefusalReason> m_reason;
+  std::string_view m_cut;   ///< Why the response isn't complete, if so.
+  size_t m_answerBytes = 0; ///< Of the response's body, sent to the caller.
   AttemptHistory m_history;
   AttemptReport m_report; ///< Last attempt, kept for the outcome query.
   std::optional<Destination> m_destination;
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -50,6 +50,7 @@
 
   size_t Active() const { return m_server.Active(); }
   size_t Connections() const { return m_server.Connections(); }
+  size_t UnsentBytes() const { return m_server.UnsentBytes(); }
 
 private:
   void Begin(std::shared_ptr<ServerExchange> aExchange);
--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -25,6 +25,9 @@
                   "its backend server, by reason"))
   , m_retries(
       AddCounters("pistachio_retries_total", "Retries of requests, by reason"))
+  , m_cutAnswers(AddCounters("pistachio_cut_answers_total",
+                             "Requests whose connection was closed before the "
+                             "end of the answer, by reason"))
   , m_httpRefusals(
       AddCounters("pistachio_http_refusals_total",
                   "Requests refused by the HTTP server, by reason"))
@@ -102,6 +105,12 @@
   CountLabel(m_retries, "reason", ToString(aReason));
 }
 
+void
+Metrics::CountCutAnswer(std::string_view aReason)
+{
+  CountLabel(m_cutAnswers, "reason", aReason);
+}
+
 void
 Metrics::CountHttpRefusal(std::string_view aReason)
 {
--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -30,6 +30,8 @@
   /** \brief Counts a refusal to pass a request to the backend server. */
   void CountAdmissionRefusal(RefusalReason aReason);
   void CountRetry(RetryReason aReason);
+  /** \brief Counts an answer whose connection was closed before its end. */
+  void CountCutAnswer(std::string_view aReason);
   void CountHttpRefusal(std::string_view aReason);
   void CountConnectionEnd(std::string_view aReason);
   void CountServerFailure(std::string_view aReason);
@@ -58,6 +60,7 @@
   Counters& m_refusals;
   Counters& m_admissionRefusals;
   Counters& m_retries;
+  Counters& m_cutAnswers;
   Counters& m_httpRefusals;
   Counters& m_connectionEnds;
   Counters& m_serverFailures;
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -85,6 +85,18 @@
     return;
   }
   m_task.m_metrics.CountConnectionEnd(ToString(aEnd));
+  if (aLink.Calls() > 0) {
+    const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aLink.Transport().SilentFor());
+    m_task.m_logger.Info("peer-lost",
+                         "peer={}:{} reason={} calls={} silent_ms={} unsent={}",
+                         m_endpoint.address,
+                         m_endpoint.port,
+                         ToString(aEnd),
+                         aLink.Calls(),
+                         silent.count(),
+                         aLink.Transport().BufferedBytes());
+  }
   m_failedAt = m_task.m_clock.Now();
 }
 
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -48,6 +48,8 @@
 
   bool Usable() const { return m_connection && !m_connection->Ended(); }
   bool IsIdle() const;
+  size_t Calls() const { return m_calls.size(); }
+  const Connection& Transport() const { return *m_connection; }
   void Close() { m_connection->Close(); }
 
   void OnFrame(Connection& aConnection, Frame aFrame) override;
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -7,11 +7,13 @@
 PeersTask::PeersTask(event_base* aBase,
                      const Clock& aClock,
                      BootId aBoot,
+                     const Logger& aLogger,
                      Metrics& aMetrics,
                      const ConnectionSettings& aSettings)
   : m_base(aBase)
   , m_clock(aClock)
   , m_boot(aBoot)
+  , m_logger(aLogger)
   , m_metrics(aMetrics)
   , m_settings(aSettings)
 {
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Pistachioshift/Inner"
+#include "src/Base/Logger.h"
 #include "src/Daemon/Call.h"
 #include "src/Daemon/Metrics.h"
 
@@ -31,6 +32,7 @@
   PeersTask(event_base* aBase,
             const Clock& aClock,
             BootId aBoot,
+            const Logger& aLogger,
             Metrics& aMetrics,
             const ConnectionSettings& aSettings = {});
   ~PeersTask();
@@ -90,6 +92,7 @@
   event_base* m_base;
   const Clock& m_clock;
   BootId m_boot;
+  const Logger& m_logger;
   Metrics& m_metrics;
   ConnectionSettings m_settings;
   std::map<Endpoint, std::shared_ptr<Peer>> m_peers;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -74,7 +74,7 @@
              aServerDialect,
              aLogger,
              aMetrics)
-  , m_peers(aBase, aClock, m_boot, aMetrics, PeerConnectionSettings())
+  , m_peers(aBase, aClock, m_boot, aLogger, aMetrics, PeerConnectionSettings())
   , m_router(aClock, aRandom, aState, m_server, m_peers)
   , m_coordinator(aBase, aClock, aState, m_server, m_peers, aLogger)
   , m_bulk(aBase, aClock, aSettings.linkBytesPerSecond * kAnswerLinkShare)
@@ -223,6 +223,7 @@
       m_ingress->FailPendingRequests();
     }
     if (elapsed >= m_settings.grace - kGraceMargin + kFlushTime) {
+      LogLeaveEnd(now);
       event_base_loopbreak(m_base);
     }
     return;
@@ -249,11 +250,26 @@
     return;
   }
   if (now - m_idleSince >= kIdleBeforeExit) {
-    m_logger.Info("leave-end", "in_flight=0");
+    LogLeaveEnd(now);
     event_base_loopbreak(m_base);
   }
 }
 
+void
+HostDaemon::LogLeaveEnd(MonoTime aNow) const
+{
+  m_logger.Info(
+    "leave-end",
+    "in_flight={} callers={} connections={} unsent={} "
+    "peers_unsent={} ms={}",
+    m_server.InFlight(),
+    m_ingress->Active(),
+    m_ingress->Connections(),
+    m_ingress->UnsentBytes(),
+    m_inner.HasUnsent(),
+    std::chrono::duration_cast<milliseconds>(aNow - m_leaveStartedAt).count());
+}
+
 OperatorAnswer
 HostDaemon::RenderMetrics()
 {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -96,6 +96,7 @@
   void BroadcastUpdate(const StateUpdate& aUpdate);
   void QueryPeers();
   void OnLeaveTick();
+  void LogLeaveEnd(MonoTime aNow) const;
   OperatorAnswer RenderMetrics();
 
   event_base* m_base;
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -366,6 +366,12 @@
     return;
   }
   m_calls.erase(known);
+  if (aResult == ServiceResult::kFailed && aCall.m_headSeen) {
+    m_logger.Info("answer-truncated",
+                  "id={} bytes={}",
+                  m_dialect.RequestLabel(aCall.Request().head),
+                  aCall.m_answerBytes);
+  }
   m_link.Release(std::exchange(aCall.m_reservedLinkBytes, 0));
   if (!m_gate) {
     return;
--- a/src/Http/Server.cpp
+++ b/src/Http/Server.cpp
@@ -169,4 +169,10 @@
   return m_core->Connections();
 }
 
+size_t
+HttpServer::UnsentBytes() const
+{
+  return m_core->UnsentBytes();
+}
+
 }
--- a/src/Http/Server.h
+++ b/src/Http/Server.h
@@ -183,6 +183,9 @@
   /** \brief Open connections. */
   size_t Connections() const;
 
+  /** \brief Bytes of answers that wait in this process, finished or not. */
+  size_t UnsentBytes() const;
+
 private:
   std::shared_ptr<internal::ServerCore> m_core;
 };
--- a/src/Http/internal/ServerCore.cpp
+++ b/src/Http/internal/ServerCore.cpp
@@ -130,6 +130,16 @@
   }
 }
 
+size_t
+ServerCore::UnsentBytes() const
+{
+  size_t bytes = 0;
+  for (const auto& connection : m_connections) {
+    bytes += connection->BufferedBytes();
+  }
+  return bytes;
+}
+
 void
 ServerCore::Handle(std::shared_ptr<ServerExchange> aExchange)
 {
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -27,6 +27,7 @@
   Endpoint LocalEndpoint() const { return m_endpoint; }
   size_t Connections() const { return m_connections.size(); }
   size_t Active() const { return m_active; }
+  size_t UnsentBytes() const;
 
   // For connections.
   event_base* Base() const { return m_base; }
--- a/src/Inner/Connection.h
+++ b/src/Inner/Connection.h
@@ -97,6 +97,9 @@
   /** \brief Bytes queued in this process, not yet written to the socket. */
   size_t BufferedBytes() const;
 
+  /** \brief Time since bytes were last read from the peer. */
+  Duration SilentFor() const { return m_clock.Now() - m_lastRead; }
+
 private:
   Connection(event_base* aBase,
              const Clock& aClock,
