Test answers whose head is cut at any byte

Other operators saw a 200 with a short body, framed as whole, after a server had stopped in its answer's head. Looked for here: the client never ends such an answer; the test passes on the code as it stood.

--- a/test/Http/ClientTest.cpp
+++ b/test/Http/ClientTest.cpp
@@ -196,6 +196,19 @@
   }
 }
 
+/** A server may stop anywhere in its answer's head and close. */
+TEST_F(ClientTest, Answer_HeadCutAtAnyByte_NeverEnds)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nServer: s\r\nContent-Length: 2\r\n\r\n";
+  for (size_t bytes = 1; bytes <= head.size(); ++bytes) {
+    const auto answer = AnswerTo(head.substr(0, bytes));
+    EXPECT_FALSE(answer->ended) << bytes;
+    EXPECT_TRUE(answer->failure.has_value()) << bytes;
+    EXPECT_EQ(answer->head.has_value(), bytes == head.size()) << bytes;
+  }
+}
+
 TEST_F(ClientTest, Answer_CutShort_IsTruncated)
 {
   for (const char* bytes : { "Content-Length: 9\r\n\r\nfour",
