Balancer prefers instances of the own zone, and overflows by cost

Change: of two drawn nearby instances the cheaper one is taken unless another instance costs less than 0.4 of it; the host's own instance still goes first.

--- a/src/Routing/Balancer.cpp
+++ b/src/Routing/Balancer.cpp
@@ -20,6 +20,10 @@
 /** Cost factor of the instance on this host. It is preferred up to 4 times the
  * cost of another one; a larger latency ratio counts as an outlier. */
 constexpr double kLocalCostFactor = 0.25;
+/** Cost factor of the instances in this host's zone. It is larger than the
+ * ratio of the speeds of sound instances, so that only queues or faults make
+ * requests leave the zone. */
+constexpr double kNearbyCostFactor = 0.4;
 constexpr double kShedSmoothing = 0.1;
 // Cost factor at a shed rate of 1, less the factor of 1 without shedding.
 constexpr double kShedCostIncrease = 10.0;
@@ -45,7 +49,9 @@
 }
 
 void
-Balancer::SetInstances(std::span<const DaemonId> aInstances, MonoTime aNow)
+Balancer::SetInstances(std::span<const DaemonId> aInstances,
+                       MonoTime aNow,
+                       std::span<const DaemonId> aNearby)
 {
   // Slow start is relative to established instances; the first set has none.
   const auto start = m_instances.empty() ? aNow - m_settings.slowStart : aNow;
@@ -58,6 +64,10 @@
     }
     next[id].slowStartFrom = start;
   }
+  for (auto& [id, instance] : next) {
+    instance.nearby =
+      std::find(aNearby.begin(), aNearby.end(), id) != aNearby.end();
+  }
   m_instances = std::move(next);
 }
 
@@ -71,15 +81,36 @@
   if (usable.empty()) {
     return std::nullopt;
   }
-  const bool localUsable =
-    aLocal && std::find(usable.begin(), usable.end(), *aLocal) != usable.end();
-  const auto drawn = ChooseOfTwo(usable, aRandom, aNow);
-  const auto cost = [&](DaemonId aId) {
-    return Cost(m_instances.at(aId), aNow);
+  auto chosen = ChooseOfTwo(usable, aRandom, aNow);
+  auto least = Cost(m_instances.at(chosen), aNow);
+  const auto prefer = [&](DaemonId aId, double aFactor) {
+    const auto cost = aFactor * Cost(m_instances.at(aId), aNow);
+    if (cost <= least) {
+      chosen = aId;
+      least = cost;
+    }
   };
-  return localUsable && kLocalCostFactor * cost(*aLocal) <= cost(drawn)
-           ? *aLocal
-           : drawn;
+  const auto nearby = NearbyOf(usable);
+  if (!nearby.empty()) {
+    prefer(ChooseOfTwo(nearby, aRandom, aNow), kNearbyCostFactor);
+  }
+  if (aLocal &&
+      std::find(usable.begin(), usable.end(), *aLocal) != usable.end()) {
+    prefer(*aLocal, kLocalCostFactor);
+  }
+  return chosen;
+}
+
+std::vector<DaemonId>
+Balancer::NearbyOf(const std::vector<DaemonId>& aIds) const
+{
+  std::vector<DaemonId> nearby;
+  for (const auto& id : aIds) {
+    if (m_instances.at(id).nearby) {
+      nearby.push_back(id);
+    }
+  }
+  return nearby;
 }
 
 DaemonId
--- a/src/Routing/Balancer.h
+++ b/src/Routing/Balancer.h
@@ -61,14 +61,19 @@
    * \brief Replaces the set of instances; new ones begin in slow start.
    *
    * The first set skips slow start, since all instances are new.
+   * \param aNearby the instances in this host's availability zone; traffic
+   * between zones is expensive.
    */
-  void SetInstances(std::span<const DaemonId> aInstances, MonoTime aNow);
+  void SetInstances(std::span<const DaemonId> aInstances,
+                    MonoTime aNow,
+                    std::span<const DaemonId> aNearby = {});
 
   /**
    * \brief Instance for the next request; none if there is no instance.
    * \param aExcluded instance to avoid if there is another, as on a retry.
    * \param aLocal instance on this host, preferred unless its cost is much
-   * higher: its answers cross one link instead of two.
+   * higher: its answers cross one link instead of two. Nearby instances are
+   * preferred likewise, but less.
    */
   std::optional<DaemonId> Choose(RandomEngine& aRandom,
                                  MonoTime aNow,
@@ -107,12 +112,14 @@
     MonoTime slowStartFrom;
     MonoTime ejectedUntil;
     uint32_t ejections = 0;
+    bool nearby = false;
   };
 
   using Instances = std::map<DaemonId, Instance>;
 
   std::vector<DaemonId> Usable(MonoTime aNow,
                                std::optional<DaemonId> aExcluded) const;
+  std::vector<DaemonId> NearbyOf(const std::vector<DaemonId>& aIds) const;
   DaemonId ChooseOfTwo(const std::vector<DaemonId>& aUsable,
                        RandomEngine& aRandom,
                        MonoTime aNow) const;
