Bursts of retries are bounded over all daemons; redirects wait longer in turn

Cause: each daemon could save up 20 retries, whatever their number; with 295 daemons that is 5,900 at once where the operator allows 630 beyond the share (test Budget_AllDaemonsRetryAtOnce_*: over the allowed number before, within it now). Six redirects took 25 ms, less than a new owner needs to be known to 300 hosts; their delay can double now. A request whose owner cannot be reached can be refused at once.

--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -12,6 +12,7 @@
 constexpr double kInitialTokens = 5.0;
 constexpr double kMinLatencySeconds = 50e-6;
 constexpr double kBucketRatio = 1.1;
+constexpr uint32_t kMaxDelayDoublings = 16;
 constexpr double kMaxSamples = 5000.0; // At this number, counts are halved.
 constexpr double kMinSamples = 50.0;
 
@@ -126,7 +127,15 @@
   if (!IsRedirect(aReport.refusal)) {
     return std::max(aReport.retryAfter, aSettings.redirectDelay);
   }
-  return aReport.attempts > 1 ? aSettings.redirectDelay : Duration{};
+  if (aReport.attempts <= 1) {
+    return Duration{};
+  }
+  if (!aSettings.maxRedirectDelay) {
+    return aSettings.redirectDelay;
+  }
+  const auto doublings = std::min(aReport.attempts - 2, kMaxDelayDoublings);
+  return std::min(aSettings.redirectDelay * (1U << doublings),
+                  *aSettings.maxRedirectDelay);
 }
 
 RetryDecision
@@ -148,6 +157,9 @@
     if (aReport.attempts >= aSettings.maxRedirects) {
       return giveUp;
     }
+  } else if (aReport.refusal == RefusalReason::kOwnerUnreachable &&
+             !aSettings.retryUnreachable) {
+    return giveUp;
   } else if (IsRedirect(aReport.refusal)) {
     if (aReport.elapsed >= aSettings.redirectLimit) {
       return giveUp;
@@ -206,13 +218,21 @@
 RetryBudget::RetryBudget(double aShare)
   : m_share(std::clamp(aShare, 0.0, 1.0))
   , m_tokens(m_share > 0.0 ? kInitialTokens : 0.0)
+  , m_maxTokens(kMaxTokens)
+{
+}
+
+void
+RetryBudget::SetMaxTokens(double aTokens)
 {
+  m_maxTokens = std::clamp(aTokens, 1.0, kMaxTokens);
+  m_tokens = std::min(m_tokens, m_maxTokens);
 }
 
 void
 RetryBudget::OnFirstAttempt()
 {
-  m_tokens = std::min(m_tokens + m_share, kMaxTokens);
+  m_tokens = std::min(m_tokens + m_share, m_maxTokens);
 }
 
 bool
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -22,6 +22,13 @@
   /** \param aShare retries per first attempt, 0 to 1. */
   explicit RetryBudget(double aShare);
 
+  /**
+   * \brief Sets the largest burst of retries, at least 1.
+   *
+   * The bursts of all daemons add up if all of them see the same fault.
+   */
+  void SetMaxTokens(double aTokens);
+
   void OnFirstAttempt();
 
   /** \brief Consumes one token; false if there is none. */
@@ -32,6 +39,7 @@
 private:
   double m_share;
   double m_tokens;
+  double m_maxTokens;
 };
 
 /** \brief How one attempt ended, from the view of the daemon that sent it. */
@@ -85,6 +93,10 @@
   uint32_t maxAttempts = 4;
   /// Delay of each redirect after the first, and least delay of other retries.
   Duration redirectDelay = std::chrono::milliseconds(5);
+  /// Limit of the delay of redirects, which doubles with each one; none by
+  /// default. A new owner is known to all hosts after some tens of
+  /// milliseconds.
+  std::optional<Duration> maxRedirectDelay;
   /// Time that must be left until the deadline for another attempt.
   Duration minRemaining = std::chrono::milliseconds(2);
   /// Time since arrival from which refusals without a usable owner are final.
@@ -97,6 +109,9 @@
   uint32_t maxRuns = UINT32_MAX;
   /// Whether refusals for other reasons, such as overload, are retried.
   bool retryRefusals = true;
+  /// Whether a request whose owner cannot be reached is retried until
+  /// redirectLimit; if not, it is refused at once.
+  bool retryUnreachable = true;
 };
 
 /**
--- a/test/Routing/RetryTest.cpp
+++ b/test/Routing/RetryTest.cpp
@@ -173,6 +173,75 @@
   EXPECT_EQ(DecideRetry(report, {}, budget).step, RetryStep::kGiveUp);
 }
 
+/** A change of the owner takes some tens of milliseconds to reach all hosts. */
+TEST_F(RetryTest, Redirect_OwnerNotKnownYet_SixAttemptsSpanItsSpread)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kNotOwner;
+  report.left = std::chrono::seconds(5);
+  RetryBudget budget(0.0);
+  RetrySettings settings;
+  settings.maxAttempts = 64;
+  settings.maxRedirects = 6;
+  settings.maxRedirectDelay = milliseconds(60);
+  Duration waited{};
+  for (report.attempts = 1; report.attempts < 6; ++report.attempts) {
+    waited += DecideRetry(report, settings, budget).delay;
+  }
+  EXPECT_EQ(waited, milliseconds(5 + 10 + 20 + 40));
+}
+
+/** A caller should not wait for an owner that is known to be cut off. */
+TEST_F(RetryTest, OwnerUnreachable_NoOtherOwner_IsRefusedAtOnceAsNotRun)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kOwnerUnreachable;
+  report.left = std::chrono::seconds(5);
+  RetryBudget budget(1.0);
+  RetrySettings settings;
+  EXPECT_EQ(DecideRetry(report, settings, budget).step, RetryStep::kRetryNow);
+  settings.retryUnreachable = false;
+  const auto decision = DecideRetry(report, settings, budget);
+  EXPECT_EQ(decision.step, RetryStep::kGiveUp);
+  EXPECT_EQ(decision.outcome, Outcome::kNotRun);
+}
+
+/**
+ * Pattern ManyDaemons: 295 daemons send 5,300 requests a second, and a fault
+ * lets all of them retry whatever they may. Over 10 s the operator allows 0.2
+ * retries per request and 630 more.
+ */
+TEST_F(RetryTest, Budget_AllDaemonsRetryAtOnce_StayWithinTheirShareAndSlack)
+{
+  constexpr int kDaemons = 295;
+  constexpr int kRequests = 53000;
+  constexpr double kShare = 0.17;
+  constexpr double kSlack = 630.0;
+  const auto spend = [&](double aMaxTokens) {
+    int spent = 0;
+    for (int daemon = 0; daemon < kDaemons; ++daemon) {
+      RetryBudget budget(kShare);
+      budget.SetMaxTokens(aMaxTokens);
+      for (int request = 0; request < 1000; ++request) {
+        budget.OnFirstAttempt(); // Before the fault.
+      }
+      for (int request = 0; request < kRequests / kDaemons; ++request) {
+        budget.OnFirstAttempt();
+        while (budget.TrySpend()) {
+          ++spent;
+        }
+      }
+    }
+    return spent;
+  };
+  constexpr double kAllowed = 0.2 * kRequests + kSlack;
+  constexpr double kUnlimited = 20.0;
+  EXPECT_GT(spend(kUnlimited), kAllowed); // For comparison.
+  EXPECT_LE(spend(0.6 * kSlack / kDaemons), kAllowed);
+}
+
 TEST_F(RetryTest, Hedge_UniformLatencies_DelayAtQuantile)
 {
   HedgePolicy policy(0.95);
@@ -247,6 +316,7 @@
   RetrySettings settings;
   settings.maxAttempts = 100;
   settings.redirectLimit = std::chrono::milliseconds(150);
+  settings.maxAttempts = 64;
   settings.maxRedirects = 6;
   AttemptReport report;
   report.end = AttemptEnd::kNotRun;
