--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -27,6 +27,8 @@
   std::function<HostOrders(const HostReport&)> report;
   std::function<std::optional<StateReply>(const StateQuery&)> state;
   std::function<void(const StateReply&)> update;
+  std::function<void(const RangeRelease&)> release;
+  std::function<void(const ConfigurationUpdate&)> configuration;
 };
 
 /** \brief Accepts connections of other daemons and serves their requests. */
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -84,6 +84,14 @@
     Send(m_task.m_services.report(*report));
   } else if (const auto* update = std::get_if<StateReply>(&aFrame)) {
     m_task.m_services.update(*update);
+  } else if (const auto* release = std::get_if<RangeRelease>(&aFrame)) {
+    if (m_task.m_services.release) {
+      m_task.m_services.release(*release);
+    }
+  } else if (const auto* config = std::get_if<ConfigurationUpdate>(&aFrame)) {
+    if (m_task.m_services.configuration) {
+      m_task.m_services.configuration(*config);
+    }
   } else if (const auto* state = std::get_if<StateQuery>(&aFrame)) {
     if (const auto reply = m_task.m_services.state(*state)) {
       Send(*reply);
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -10,6 +10,10 @@
 /** Time after a failed connection for which other daemons are preferred. */
 constexpr Duration kFailureRetention = std::chrono::milliseconds(1000);
 
+/** Interval of connection attempts for requests to a peer that cannot be
+ * reached. */
+constexpr Duration kReconnectInterval = std::chrono::milliseconds(400);
+
 /** Requests whose process is remembered for a query of their outcome. */
 constexpr size_t kMaxLostRequests = 4096;
 
@@ -61,9 +65,21 @@
          m_task.m_clock.Now() - m_failedAt < kFailureRetention;
 }
 
+bool
+Peer::IsUnreachable() const
+{
+  if (!m_connectFailed) {
+    return false;
+  }
+  const bool connecting = Connected() && !m_link->Transport().Connected();
+  return connecting || (!Connected() &&
+                        m_task.m_clock.Now() - m_failedAt < kReconnectInterval);
+}
+
 void
 Peer::OnHello(const Hello& aHello)
 {
+  m_connectFailed = false;
   if (aHello.boot != m_boot) {
     // Positions of an earlier process are invalid for this one.
     m_boot = aHello.boot;
@@ -90,6 +106,7 @@
   if (aEnd == CloseReason::kLocal) {
     return;
   }
+  m_connectFailed = m_connectFailed || aEnd == CloseReason::kConnectFailed;
   m_task.m_metrics.CountConnectionEnd(ToString(aEnd));
   if (aLink.Calls() > 0) {
     const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -106,6 +106,12 @@
 
   TablePosition KnownPosition() const { return m_knownPosition; }
   bool HasRecentFailure() const;
+
+  /**
+   * \brief Whether requests fail without a connection attempt: the last
+   * attempt has failed, and a new one is not due yet or still in progress.
+   */
+  bool IsUnreachable() const;
   bool Connected() const { return m_link && m_link->Usable(); }
 
   const ConnectionSettings& Settings() const;
@@ -131,6 +137,7 @@
   std::deque<RequestId> m_lostRequests; ///< Keys of m_bootOfLost, oldest first.
   TablePosition m_knownPosition;
   MonoTime m_failedAt;
+  bool m_connectFailed = false; ///< No connection succeeded since.
 };
 
 /** \brief Requester's side of one request on a link. */
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -16,6 +16,7 @@
   , m_logger(aLogger)
   , m_metrics(aMetrics)
   , m_settings(aSettings)
+  , m_failTimer(aBase, [this] { FailUnreachable(); })
 {
 }
 
@@ -36,13 +37,29 @@
                  const CallRequest& aRequest,
                  std::shared_ptr<CallListener> aListener)
 {
-  auto& link = Find(aPeer)->Link();
+  const auto peer = Find(aPeer);
+  if (peer->IsUnreachable()) {
+    const auto call = std::make_shared<RemoteCall>(std::weak_ptr<PeerLink>(),
+                                                   std::move(aListener));
+    m_unreachable.push_back(call);
+    m_failTimer.StartOnce(Duration::zero());
+    return call;
+  }
+  auto& link = peer->Link();
   const auto call =
     std::make_shared<RemoteCall>(link.weak_from_this(), std::move(aListener));
   call->Open(aRequest, aRequest.deadline - m_clock.Now());
   return call;
 }
 
+void
+PeersTask::FailUnreachable()
+{
+  for (const auto& call : std::exchange(m_unreachable, {})) {
+    call->OnLinkEnded(CloseReason::kConnectFailed);
+  }
+}
+
 void
 PeersTask::QueryOutcome(const Endpoint& aPeer,
                         const RequestId& aRequest,
@@ -82,6 +99,19 @@
   Find(aPeer)->Link().Send(aUpdate);
 }
 
+void
+PeersTask::SendConfiguration(const Endpoint& aPeer,
+                             const ConfigurationUpdate& aUpdate)
+{
+  Find(aPeer)->Link().Send(aUpdate);
+}
+
+void
+PeersTask::SendRelease(const Endpoint& aPeer, const RangeRelease& aRelease)
+{
+  Find(aPeer)->Link().Send(aRelease);
+}
+
 void
 PeersTask::Report(const Endpoint& aPeer,
                   const HostReport& aReport,
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -10,10 +10,12 @@
 #include "src/Base/Logger.h"
 #include "src/Daemon/Call.h"
 #include "src/Daemon/Metrics.h"
+#include "src/Daemon/Timer.h"
 
 namespace pistachioshift {
 
 class Peer;
+class RemoteCall;
 
 /**
  * \brief Connections to other daemons, opened on demand and reused.
@@ -37,7 +39,8 @@
             const ConnectionSettings& aSettings = {});
   ~PeersTask();
 
-  /** \brief Starts an attempt at another daemon. */
+  /** \brief Starts an attempt at another daemon; it fails at once, as not
+   * sent, while that daemon is known to be unreachable. */
   std::shared_ptr<Call> Start(const Endpoint& aPeer,
                               const CallRequest& aRequest,
                               std::shared_ptr<CallListener> aListener);
@@ -67,6 +70,13 @@
   /** \brief Sends appended records; unacknowledged, may be lost. */
   void SendUpdate(const Endpoint& aPeer, const StateReply& aUpdate);
 
+  /** \brief Sends the configuration; unacknowledged, may be lost. */
+  void SendConfiguration(const Endpoint& aPeer,
+                         const ConfigurationUpdate& aUpdate);
+
+  /** \brief Sends released ranges; unacknowledged, may be lost. */
+  void SendRelease(const Endpoint& aPeer, const RangeRelease& aRelease);
+
   /**
    * \brief Requests the state that a peer has read from the store; no callback
    * on failure or if the peer has no newer state.
@@ -88,6 +98,7 @@
   friend class Peer;
 
   std::shared_ptr<Peer> Find(const Endpoint& aPeer);
+  void FailUnreachable();
 
   event_base* m_base;
   const Clock& m_clock;
@@ -96,6 +107,9 @@
   Metrics& m_metrics;
   ConnectionSettings m_settings;
   std::map<Endpoint, std::shared_ptr<Peer>> m_peers;
+  /// Calls to peers that cannot be reached.
+  std::vector<std::shared_ptr<RemoteCall>> m_unreachable;
+  Timer m_failTimer;
 };
 
 }
--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -20,6 +20,10 @@
 /** Ticks between reports to a host that does not answer. */
 constexpr uint64_t kProbeTicks = 20;
 
+/** Time in which records that another host has read usually arrive with a
+ * broadcast. */
+constexpr Duration kCatchUpDelay = milliseconds(150);
+
 /** A host that left two reports unanswered is not the coordinator any more. */
 constexpr Duration kAnswerTimeout = milliseconds(1200);
 
@@ -34,6 +38,9 @@
  * take its keys has been the same for one heartbeat interval. */
 constexpr Duration kSettleTime = milliseconds(1000);
 
+/** Delay of a tick after which this process counts as stalled. */
+constexpr Duration kStallTime = milliseconds(600);
+
 /** If a smaller share of the hosts reports, the coordinator assumes that it is
  * itself partitioned from the others, and suspects no host. */
 constexpr double kMinReportingShare = 0.3;
@@ -42,6 +49,23 @@
  * so that ranges without measured load count by their size. */
 constexpr double kUniformLoadShare = 0.1;
 
+/** The load by key is collected anew after the time in which each host reports
+ * once. */
+constexpr Duration kLoadInterval = milliseconds(500);
+
+/** Bounds of the buckets in all reports together, and in one report. */
+constexpr size_t kMaxMeshBuckets = 8192;
+constexpr size_t kMaxReportBuckets = 128;
+constexpr size_t kMinReportBuckets = 24;
+
+size_t
+MaxBuckets(size_t aHosts)
+{
+  return std::clamp(kMaxMeshBuckets / std::max<size_t>(aHosts, 1),
+                    kMinReportBuckets,
+                    kMaxReportBuckets);
+}
+
 }
 
 CoordinatorTask::CoordinatorTask(event_base* aBase,
@@ -56,13 +80,15 @@
   , m_peers(aPeers)
   , m_logger(aLogger)
   , m_tick(aBase, [this] { OnTick(); })
+  , m_catchUpTimer(aBase, [this] { CatchUp(); })
 {
 }
 
 void
 CoordinatorTask::Start()
 {
-  m_startedAt = m_clock.Now();
+  m_watchingSince = m_clock.Now();
+  m_lastTickAt = m_watchingSince;
   m_tick.StartEvery(kTickInterval);
 }
 
@@ -75,6 +101,20 @@
 void
 CoordinatorTask::OnStateChanged()
 {
+  RecordFirstSights();
+  if (m_active) {
+    AssignFreeRanges();
+  }
+}
+
+void
+CoordinatorTask::RecordFirstSights()
+{
+  const auto version = m_state.State().HostsVersion();
+  if (m_seenVersion == version) {
+    return;
+  }
+  m_seenVersion = version;
   const auto now = m_clock.Now();
   for (const auto& [name, host] : m_state.State().Hosts()) {
     m_hostFirstSeenAt.try_emplace(name, now);
@@ -92,9 +132,6 @@
         return aOne.number == aItem.first;
       });
   });
-  if (m_active) {
-    AssignFreeRanges();
-  }
 }
 
 bool
@@ -105,16 +142,26 @@
          m_clock.Now() - found->second < kAnswerTimeout;
 }
 
-std::vector<HostName>
+const std::vector<HostName>&
 CoordinatorTask::CoordinatorCandidates() const
 {
-  std::vector<HostName> candidates;
-  for (const auto& [name, host] : m_state.State().Hosts()) {
-    if (!m_state.State().Suspected(name)) {
-      candidates.push_back(name);
+  const auto version = m_state.State().HostsVersion();
+  if (m_candidatesVersion != version) {
+    m_candidates = CoordinationOrder(m_state.State());
+    m_candidatesVersion = version;
+  }
+  return m_candidates;
+}
+
+const HostRecord*
+CoordinatorTask::Coordinator() const
+{
+  for (const auto& name : CoordinatorCandidates()) {
+    if (name != m_state.Self() && IsResponsive(name)) {
+      return m_state.State().FindHost(name);
     }
   }
-  return candidates;
+  return nullptr;
 }
 
 void
@@ -147,8 +194,18 @@
   if (m_onPeerConfiguration) {
     m_onPeerConfiguration(aOrders.configurationOffset);
   }
-  if (aOrders.nextOffset <= m_state.End()) {
-    m_state.RenewLeaseFromPeer(aSentAt - aOrders.age, aOrders.nextOffset);
+  m_state.RenewLeaseFromPeer(aSentAt - aOrders.age, aOrders.nextOffset);
+  if (aOrders.nextOffset > m_state.End() && !m_catchUpTimer.Running()) {
+    m_ahead = PeerAhead{ aHost, aOrders.nextOffset };
+    m_catchUpTimer.StartOnce(kCatchUpDelay);
+  }
+}
+
+void
+CoordinatorTask::CatchUp()
+{
+  const auto* host = m_state.State().FindHost(m_ahead.host);
+  if (host == nullptr || m_ahead.end <= m_state.End()) {
     return;
   }
   m_peers.QueryState(
@@ -163,8 +220,11 @@
 void
 CoordinatorTask::SendReport()
 {
-  const auto report = m_server.MakeReport();
-  const auto candidates = CoordinatorCandidates();
+  const auto report =
+    m_server.MakeReport(MaxBuckets(m_state.State().Hosts().size()));
+  auto summary = report;
+  summary.buckets.clear();
+  const auto& candidates = CoordinatorCandidates();
   // The hosts that would succeed the coordinator also get all reports, so that
   // one of them can take over immediately.
   size_t targetCount = 0;
@@ -179,8 +239,9 @@
       }
       ++targetCount;
     } else if (IsResponsive(name)) {
+      // Only the coordinator needs the load of each bucket.
+      ReportTo(name, precedingAnswers ? summary : report);
       precedingAnswers = true;
-      ReportTo(name, report);
       ++targetCount;
     } else if (m_ticks % kProbeTicks == 0) {
       ReportTo(name, report);
@@ -189,9 +250,11 @@
       break;
     }
   }
+  m_state.SetRole(active                  ? StateRole::kCoordinator
+                  : ReceivesPeerReports() ? StateRole::kStandby
+                                          : StateRole::kFollower);
   if (active != m_active) {
     m_active = active;
-    m_state.SetAlwaysPolls(active);
     m_logger.Info(active ? "coordinator-begin" : "coordinator-end",
                   "hosts={} end={}",
                   m_state.State().Hosts().size(),
@@ -225,6 +288,12 @@
 CoordinatorTask::OnTick()
 {
   ++m_ticks;
+  const auto now = m_clock.Now();
+  if (now - m_lastTickAt >= kStallTime) {
+    // Reports that arrived during a stall of this process have not been read.
+    m_watchingSince = now;
+  }
+  m_lastTickAt = now;
   if (!m_state.Joined()) {
     return;
   }
@@ -271,8 +340,19 @@
   return targets;
 }
 
+const LoadMap&
+CoordinatorTask::LoadOf(const ServiceName& aService)
+{
+  const auto now = m_clock.Now();
+  auto& cached = m_loads[aService];
+  if (now - cached.collectedAt >= kLoadInterval) {
+    cached = CachedLoad{ CollectLoad(aService), now };
+  }
+  return cached.load;
+}
+
 LoadMap
-CoordinatorTask::LoadOf(const ServiceName& aService) const
+CoordinatorTask::CollectLoad(const ServiceName& aService) const
 {
   double total = 0.0;
   std::vector<LoadBucket> buckets;
@@ -292,14 +372,15 @@
 }
 
 bool
-CoordinatorTask::TargetsStable(const std::vector<PlacementTarget>& aTargets)
+CoordinatorTask::TargetsStable(const ServiceName& aService)
 {
   const auto now = m_clock.Now();
-  if (aTargets.size() != m_targetCount) {
-    m_targetCount = aTargets.size();
-    m_targetsChangedAt = now;
+  const auto count = PlacementTargetsOf(aService).size();
+  auto& known = m_targetCounts[aService];
+  if (known.count != count) {
+    known = TargetCount{ count, now };
   }
-  return !aTargets.empty() && now - m_targetsChangedAt >= kSettleTime;
+  return count > 0 && now - known.changedAt >= kSettleTime;
 }
 
 void
@@ -322,24 +403,40 @@
   if (!free) {
     return;
   }
-  const auto targets = PlacementTargetsOf(aService);
   const bool first = !state.Table().services.contains(aService);
-  if (targets.empty() || (first && !TargetsStable(targets))) {
+  if (first && !TargetsStable(aService)) {
     return;
   }
+  // The targets are collected when the edit is applied: while a write is in
+  // progress, each change of the state replaces the edit.
   m_state.SubmitOrReplaceEdit(
     "assign/" + aService.Value(),
-    [aService, targets, load = LoadOf(aService)](TableDraft& aDraft,
-                                                 const MeshState& aState) {
-      std::vector<PlacementTarget> eligible;
-      for (const auto& target : targets) {
-        const auto* host = aState.FindHost(target.holder.host);
-        if (host != nullptr && aState.CanTakeKeys(*host) &&
-            host->server->incarnation == target.holder.incarnation) {
-          eligible.push_back(target);
-        }
+    [this, aService](TableDraft& aDraft, const MeshState&) {
+      return AssignFreeRows(aService, aDraft);
+    });
+}
+
+bool
+CoordinatorTask::AssignFreeRows(const ServiceName& aService, TableDraft& aDraft)
+{
+  return pistachioshift::AssignFreeRows(aDraft.table,
+                                        m_state.State(),
+                                        aService,
+                                        PlacementTargetsOf(aService),
+                                        LoadOf(aService));
+}
+
+void
+CoordinatorTask::OnRelease(const RangeRelease& aRelease)
+{
+  m_state.SubmitEdit(
+    "release/" + aRelease.holder.host.Value(),
+    [this, aRelease](TableDraft& aDraft, const MeshState& aState) {
+      const bool changed = ReassignRelinquished(aDraft.table, aState, aRelease);
+      if (changed && m_active) {
+        AssignFreeRows(aRelease.service, aDraft);
       }
-      return AssignFreeRows(aDraft.table, aState, aService, eligible, load);
+      return changed;
     });
 }
 
@@ -372,7 +469,7 @@
   size_t reporting = 0;
   for (const auto& [name, host] : hosts) {
     reporting += HasRecentReport(name) ? 1 : 0;
-    const auto since = std::max(m_startedAt, m_hostFirstSeenAt[name]);
+    const auto since = std::max(m_watchingSince, m_hostFirstSeenAt[name]);
     const bool overdue =
       !HasRecentReport(name) && now - since >= kReportTimeout;
     if (overdue && !m_state.State().Suspected(name)) {
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -18,7 +19,7 @@
  * \brief Assigns free ranges, plans moves and suspects hosts that no longer
  * report.
  *
- * Every daemon sends its report to the hosts in the order of their names. The
+ * Every daemon sends its report to the first hosts of CoordinationOrder. The
  * first host that answers is the coordinator. Two coordinators at the same time
  * are safe, because each change of the table is a conditional append that fails
  * if another host has changed the table in the meantime.
@@ -60,9 +61,37 @@
   /** \brief Whether this host is currently the coordinator. */
   bool Active() const { return m_active; }
 
+  /** \brief The host that this host takes for the coordinator; nullptr if it
+   * knows none other than itself. */
+  const HostRecord* Coordinator() const;
+
+  /** \brief Writes released ranges to the table and assigns those without a
+   * next holder. */
+  void OnRelease(const RangeRelease& aRelease);
+
   void OnStateChanged() override;
 
 private:
+  struct CachedLoad
+  {
+    LoadMap load;
+    MonoTime collectedAt{ -std::chrono::hours(1) };
+  };
+
+  /** Hosts to which the ranges of a service can be assigned. */
+  struct TargetCount
+  {
+    size_t count = 0;
+    MonoTime changedAt;
+  };
+
+  /** A host that has read further than this one. */
+  struct PeerAhead
+  {
+    HostName host;
+    int64_t end = 0;
+  };
+
   struct ReceivedReport
   {
     HostReport report;
@@ -70,23 +99,27 @@
   };
 
   void OnTick();
+  void RecordFirstSights();
   void SendReport();
-  std::vector<HostName> CoordinatorCandidates() const;
+  const std::vector<HostName>& CoordinatorCandidates() const;
   bool IsResponsive(const HostName& aHost) const;
   void AssignFreeRanges();
   void AssignFreeRanges(const ServiceName& aService);
-  bool TargetsStable(const std::vector<PlacementTarget>& aTargets);
+  bool TargetsStable(const ServiceName& aService);
+  bool AssignFreeRows(const ServiceName& aService, TableDraft& aDraft);
   void PlanMoves();
   void SuspectSilentHosts();
   void ReportTo(const HostName& aHost, const HostReport& aReport);
   void OnOrders(const HostName& aHost,
                 MonoTime aSentAt,
                 const HostOrders& aOrders);
+  void CatchUp();
   void RemoveSuspectedHosts();
   std::vector<PlacementTarget> PlacementTargetsOf(
     const ServiceName& aService) const;
   bool HasRecentReport(const HostName& aHost) const;
-  LoadMap LoadOf(const ServiceName& aService) const;
+  const LoadMap& LoadOf(const ServiceName& aService);
+  LoadMap CollectLoad(const ServiceName& aService) const;
 
   const Clock& m_clock;
   StateTaskBase& m_state;
@@ -94,20 +127,27 @@
   PeersTask& m_peers;
   const Logger& m_logger;
   Timer m_tick;
+  Timer m_catchUpTimer;
   std::set<ServiceName> m_sharded;
   std::map<HostName, ReceivedReport> m_reports;
   /// Time of the first unanswered report.
   std::map<HostName, MonoTime> m_unansweredSince;
   std::map<HostName, HostOrders> m_pendingOrders;
   std::map<ServiceName, Rebalancer> m_rebalancers;
+  std::map<ServiceName, CachedLoad> m_loads;
+  mutable std::vector<HostName> m_candidates;
+  /// HostsVersion() of m_candidates and of the times of first sight.
+  mutable std::optional<uint64_t> m_candidatesVersion;
+  std::optional<uint64_t> m_seenVersion;
   /// When a host's record was first read.
   std::map<HostName, MonoTime> m_hostFirstSeenAt;
   /// When a suspicion was first read, by its number.
   std::map<int64_t, MonoTime> m_suspicionFirstSeenAt;
-  MonoTime m_targetsChangedAt; ///< Last change of m_targetCount.
-  size_t m_targetCount = 0;
-  MonoTime m_startedAt;
+  std::map<ServiceName, TargetCount> m_targetCounts;
+  MonoTime m_watchingSince; ///< Start, or end of the last stall.
+  MonoTime m_lastTickAt;
   MonoTime m_lastPeerReportAt;
+  PeerAhead m_ahead; ///< When m_catchUpTimer was started.
   int64_t m_configuration = 0;
   std::function<void(int64_t)> m_onPeerConfiguration;
   bool m_active = false;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -60,6 +60,8 @@
   , m_peers(aBase, aClock, m_boot, aLogger, aMetrics, PeerConnectionSettings())
   , m_router(aClock, aRandom, aState, m_server, m_peers)
   , m_coordinator(aBase, aClock, aState, m_server, m_peers, aLogger)
+  , m_releases(aBase, aClock, aState, m_coordinator, m_peers)
+  , m_broadcaster(aBase, aClock, aState, m_coordinator, m_peers)
   , m_bulk(aBase, aClock, aSettings.linkBytesPerSecond * kAnswerLinkShare)
   , m_inner(aBase,
             aClock,
@@ -75,8 +77,11 @@
   aState.AddListener(m_router);
   aState.AddListener(m_server);
   aState.AddListener(m_coordinator);
+  aState.AddListener(m_broadcaster);
   aState.SetOnAppended(
-    [this](const StateUpdate& aUpdate) { BroadcastUpdate(aUpdate); });
+    [this](const StateUpdate& aUpdate) { m_broadcaster.OnAppended(aUpdate); });
+  m_server.SetOnReleased(
+    [this](RangeRelease aRelease) { m_releases.Send(std::move(aRelease)); });
   aState.SetOnUnavailable([this] { QueryPeers(); });
   m_server.SetLink(aSettings.linkBytesPerSecond * kAnswerLinkShare,
                    [this] { return m_bulk.Backlog(); });
@@ -96,8 +101,20 @@
     return AnswerState(aQuery);
   };
   services.update = [this](const StateReply& aUpdate) {
+    m_broadcaster.Relay(aUpdate);
     m_state.ApplyPeerUpdate(aUpdate.entries, aUpdate.nextOffset);
   };
+  services.configuration = [this](const ConfigurationUpdate& aUpdate) {
+    m_broadcaster.Relay(aUpdate);
+    const auto& records = aUpdate.records;
+    if (m_onPeerRecords) {
+      m_onPeerRecords(StoreRecords{
+        records.entries, records.nextOffset, records.nextOffset });
+    }
+  };
+  services.release = [this](const RangeRelease& aRelease) {
+    m_coordinator.OnRelease(aRelease);
+  };
   // Log streams and load reports of hashed entries are only used by daemons
   // that assign entries by hash.
   services.records = [](const RecordsQuery& aQuery) {
@@ -121,19 +138,6 @@
   return reply;
 }
 
-void
-HostDaemon::BroadcastUpdate(const StateUpdate& aUpdate)
-{
-  StateReply update;
-  update.nextOffset = aUpdate.next;
-  update.entries = aUpdate.entries;
-  for (const auto& [name, host] : m_state.State().Hosts()) {
-    if (name != m_state.Self() && !m_state.State().Suspected(name)) {
-      m_peers.SendUpdate(host.inner, update);
-    }
-  }
-}
-
 void
 HostDaemon::QueryPeers()
 {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -12,6 +12,8 @@
 #include "src/HostDaemon/CoordinatorTask.h"
 #include "src/HostDaemon/LeaveSchedule.h"
 #include "src/HostDaemon/RangeRouter.h"
+#include "src/HostDaemon/ReleaseSender.h"
+#include "src/HostDaemon/UpdateBroadcaster.h"
 
 namespace pistachioshift {
 
@@ -26,6 +28,8 @@
   RangeServerSettings server;
   /// Bandwidth of the host's network link; 0 if unknown.
   double linkBytesPerSecond = 0.0;
+  /// Processor share of the daemon, in thousandths of a core; 0 if unknown.
+  int32_t cpuMillis = 0;
   /// Time from the stop signal until the process is killed.
   Duration grace = std::chrono::seconds(6);
 };
@@ -76,6 +80,19 @@
     m_coordinator.SetOnPeerConfiguration(std::move(aCallback));
   }
 
+  /** \brief Sends configuration records that this host has read to the others.
+   */
+  void BroadcastConfiguration(const StoreRecords& aRecords)
+  {
+    m_broadcaster.BroadcastConfiguration(aRecords);
+  }
+
+  /** \brief Sets the callback for configuration records from a peer. */
+  void SetOnPeerRecords(std::function<void(const StoreRecords&)> aCallback)
+  {
+    m_onPeerRecords = std::move(aCallback);
+  }
+
   /** \brief Applies the configured set of services divided into ranges. */
   void SetShardedServices(const std::set<ServiceName>& aServices);
 
@@ -95,7 +112,6 @@
 private:
   InnerServices MakeInnerServices();
   std::optional<StateReply> AnswerState(const StateQuery& aQuery) const;
-  void BroadcastUpdate(const StateUpdate& aUpdate);
   void QueryPeers();
   void OnLeaveTick();
   void LogLeaveEnd(const LeaveWork& aWork) const;
@@ -113,11 +129,14 @@
   PeersTask m_peers;
   RangeRouter m_router;
   CoordinatorTask m_coordinator;
+  ReleaseSender m_releases;
+  UpdateBroadcaster m_broadcaster;
   BulkQueue m_bulk;
   InnerServerTask m_inner;
   OperatorTask m_operator;
   std::unique_ptr<IngressTask> m_ingress;
   IngressDialect* m_dialect = nullptr;
+  std::function<void(const StoreRecords&)> m_onPeerRecords;
   Timer m_leaveTimer;
   std::optional<LeaveSchedule> m_leave; ///< Set once the stop has begun.
   bool m_configured = false;
--- a/src/HostDaemon/KeyLoadMeter.cpp
+++ b/src/HostDaemon/KeyLoadMeter.cpp
@@ -13,13 +13,10 @@
 /** Keys with a lower rate are dropped, in requests per second. */
 constexpr double kMinRate = 0.02;
 
-/** Bounds the size of a load report. */
-constexpr size_t kMaxBuckets = 128;
-
 }
 
 std::vector<LoadBucket>
-KeyLoadMeter::EndInterval(MonoTime aNow)
+KeyLoadMeter::EndInterval(MonoTime aNow, size_t aMaxBuckets)
 {
   const auto elapsed =
     std::chrono::duration<double>(aNow - m_intervalStart).count();
@@ -41,7 +38,7 @@
     total += rate;
   }
   std::vector<LoadBucket> buckets;
-  const auto maxBucketLoad = 2.0 * total / kMaxBuckets;
+  const auto maxBucketLoad = 2.0 * total / static_cast<double>(aMaxBuckets);
   for (const auto& [key, rate] : m_rates) {
     if (!buckets.empty() && buckets.back().load + rate <= maxBucketLoad) {
       buckets.back().range.last = key;
--- a/src/HostDaemon/KeyLoadMeter.h
+++ b/src/HostDaemon/KeyLoadMeter.h
@@ -27,9 +27,10 @@
 
   /**
    * \brief Ends the current interval.
+   * \param aMaxBuckets approximate bound of the number of buckets.
    * \return the load of all keys with recent requests, by ascending key.
    */
-  std::vector<LoadBucket> EndInterval(MonoTime aNow);
+  std::vector<LoadBucket> EndInterval(MonoTime aNow, size_t aMaxBuckets);
 
 private:
   std::map<uint32_t, double> m_arrived; ///< Requests in the current interval.
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -73,28 +73,41 @@
 void
 RangeRouter::OnStateChanged()
 {
-  std::map<ServiceName, std::vector<DaemonId>> usable;
-  std::map<ServiceName, std::vector<DaemonId>> draining;
+  const auto version = m_state.State().HostsVersion();
+  if (m_hostsVersion == version) {
+    return;
+  }
+  m_hostsVersion = version;
+  for (auto& [service, budget] : m_budgets) {
+    UpdateBudget(budget);
+  }
+  const auto& zone = m_state.OwnRecord().zone;
+  std::map<ServiceName, InstanceSet> usable;
+  std::map<ServiceName, InstanceSet> draining;
   for (const auto& [name, host] : m_state.State().Hosts()) {
     if (!host.server || m_state.State().Suspected(name)) {
       continue;
     }
     const bool isDraining = host.server->state == ServerState::kDraining;
-    (isDraining ? draining : usable)[host.service].push_back(IdOf(name));
+    auto& set = (isDraining ? draining : usable)[host.service];
+    set.all.push_back(IdOf(name));
+    if (host.zone == zone) {
+      set.nearby.push_back(IdOf(name));
+    }
   }
   // If all instances of a service are draining, they stay in use until they
   // stop.
-  for (auto& [service, ids] : draining) {
-    usable.try_emplace(service, std::move(ids));
+  for (auto& [service, set] : draining) {
+    usable.try_emplace(service, std::move(set));
   }
   for (auto& [service, instances] : m_instances) {
     usable.try_emplace(service);
   }
-  for (auto& [service, ids] : usable) {
+  for (auto& [service, set] : usable) {
     auto& instances = m_instances[service];
-    if (instances.ids != ids) {
-      instances.balancer.SetInstances(ids, m_clock.Now());
-      instances.ids = ids;
+    if (instances.set != set) {
+      instances.balancer.SetInstances(set.all, m_clock.Now(), set.nearby);
+      instances.set = set;
     }
   }
 }
@@ -164,9 +177,21 @@
 RetryBudget&
 RangeRouter::BudgetOf(const ServicePolicy& aPolicy)
 {
-  const auto found =
+  const auto [found, added] =
     m_budgets.try_emplace(aPolicy.name, RetryBudget(aPolicy.retryShare));
-  return found.first->second;
+  if (added) {
+    UpdateBudget(found->second);
+  }
+  return found->second;
+}
+
+void
+RangeRouter::UpdateBudget(RetryBudget& aBudget) const
+{
+  if (m_retrySlack > 0.0) {
+    const auto hosts = std::max<size_t>(m_state.State().Hosts().size(), 1);
+    aBudget.SetMaxTokens(m_retrySlack / static_cast<double>(hosts));
+  }
 }
 
 }
--- a/src/HostDaemon/RangeRouter.h
+++ b/src/HostDaemon/RangeRouter.h
@@ -48,6 +48,12 @@
 
   void OnStateChanged() override;
 
+  /**
+   * \brief Sets the retries beyond each service's share that all hosts may
+   * make together at a time.
+   */
+  void SetRetrySlack(double aRetries) { m_retrySlack = aRetries; }
+
   /** \brief Name of the host with this number; empty if unknown. */
   std::string NameOf(DaemonId aDaemon) const;
 
@@ -55,12 +61,21 @@
   int64_t StateEnd() const { return m_state.End(); }
 
 private:
+  struct InstanceSet
+  {
+    std::vector<DaemonId> all;
+    std::vector<DaemonId> nearby; ///< In this host's zone.
+
+    bool operator==(const InstanceSet&) const = default;
+  };
+
   struct ServiceInstances
   {
     Balancer balancer;
-    std::vector<DaemonId> ids;
+    InstanceSet set;
   };
 
+  void UpdateBudget(RetryBudget& aBudget) const;
   DaemonId IdOf(const HostName& aHost);
   std::optional<Destination> DestinationOf(const HostName& aHost);
   std::optional<Destination> ChooseHolder(const ServicePolicy& aPolicy,
@@ -77,6 +92,8 @@
   std::map<DaemonId, HostName> m_names;
   std::map<ServiceName, ServiceInstances> m_instances;
   std::map<ServiceName, RetryBudget> m_budgets;
+  double m_retrySlack = 0.0;              ///< 0: not limited.
+  std::optional<uint64_t> m_hostsVersion; ///< Of m_instances.
 };
 
 }
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -73,7 +73,7 @@
     m_logger.Info("server-draining", "server={}", m_serverId->Value());
   }
   PublishServerState(aHeartbeat);
-  WriteRelinquished(aHeartbeat.incarnation, m_grants.TakeRelinquished());
+  SendReleased(aHeartbeat.incarnation, m_grants.TakeRelinquished());
   RetryHeldCalls();
   return reply;
 }
@@ -95,8 +95,8 @@
 }
 
 void
-RangeServerTask::WriteRelinquished(const ServerIncarnation& aIncarnation,
-                                   std::vector<Relinquished> aRanges)
+RangeServerTask::SendReleased(const ServerIncarnation& aIncarnation,
+                              std::vector<Relinquished> aRanges)
 {
   if (aRanges.empty()) {
     return;
@@ -109,14 +109,11 @@
                   item.handover.empty() ? "-" : item.handover,
                   item.next ? item.next->host.Value() : "-");
   }
-  const RangeHolder holder{ m_state.Self(), aIncarnation };
-  m_state.SubmitEdit(
-    "release",
-    [holder, service = m_settings.service, ranges = std::move(aRanges)](
-      TableDraft& aDraft, const MeshState& aState) {
-      return ReassignRelinquished(
-        aDraft.table, aState, service, holder, ranges);
-    });
+  if (m_onReleased) {
+    m_onReleased(RangeRelease{ m_settings.service,
+                               RangeHolder{ m_state.Self(), aIncarnation },
+                               std::move(aRanges) });
+  }
 }
 
 void
@@ -181,7 +178,7 @@
   server->state = ServerState::kSilent;
   m_grants.RelinquishExpired(RowsOf(server->incarnation));
   m_state.PublishServer(server);
-  WriteRelinquished(server->incarnation, m_grants.TakeRelinquished());
+  SendReleased(server->incarnation, m_grants.TakeRelinquished());
 }
 
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -441,13 +441,13 @@
 }
 
 HostReport
-RangeServerTask::MakeReport()
+RangeServerTask::MakeReport(size_t aMaxBuckets)
 {
   HostReport report;
   report.host = m_state.Self();
   const auto slots = static_cast<double>(m_gate ? m_gate->Limit() : 0);
   report.capacity = slots / std::max(m_serviceSeconds, 1e-3);
-  report.buckets = m_loadMeter.EndInterval(m_clock.Now());
+  report.buckets = m_loadMeter.EndInterval(m_clock.Now(), aMaxBuckets);
   return report;
 }
 
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -82,6 +82,13 @@
     m_backlog = std::move(aBacklog);
   }
 
+  /** \brief Sets the receiver of the ranges that the backend server has
+   * released, which writes them to the table. */
+  void SetOnReleased(std::function<void(RangeRelease)> aCallback)
+  {
+    m_onReleased = std::move(aCallback);
+  }
+
   /** \brief Sets whether the service's keys are divided into ranges. */
   void SetSharded(bool aSharded) { m_sharded = aSharded; }
 
@@ -98,7 +105,7 @@
   void BeginDrain();
 
   /** \brief Load by key and capacity of this host, for the coordinator. */
-  HostReport MakeReport();
+  HostReport MakeReport(size_t aMaxBuckets);
 
   size_t InFlight() const { return m_calls.size(); }
   size_t Running() const { return m_gate ? m_gate->RunningCount() : 0; }
@@ -138,8 +145,8 @@
   std::vector<RangeRow> RowsOf(const ServerIncarnation& aIncarnation) const;
   bool AssignedHere(ShardKey aKey) const;
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
-  void WriteRelinquished(const ServerIncarnation& aIncarnation,
-                         std::vector<Relinquished> aRanges);
+  void SendReleased(const ServerIncarnation& aIncarnation,
+                    std::vector<Relinquished> aRanges);
   void OnTick();
 
   event_base* m_base;
@@ -161,6 +168,7 @@
   MonoTime m_lastHeartbeat;
   LinkAdmission m_link{ kDirectBytes };
   std::function<Duration()> m_backlog;
+  std::function<void(RangeRelease)> m_onReleased;
   double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
   bool m_sharded = false;
   bool m_draining = false;
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -7,9 +7,21 @@
 
 namespace {
 
-/** Records kept for peers, a few seconds' worth in a busy mesh. Also limits the
- * records that are buffered out of order. */
-constexpr size_t kMaxRecentEntries = 64;
+/** Records kept for peers: several for each host of a large mesh. Also limits
+ * the records that are buffered out of order. */
+constexpr size_t kMaxRecentEntries = 2048;
+
+/** Bytes of the kept records, which may contain whole tables. */
+constexpr size_t kMaxRecentBytes = size_t{ 1024 } * 1024;
+
+/** Peers' reads that are remembered until this host has caught up with them. */
+constexpr size_t kMaxPeerSyncs = 8;
+
+size_t
+SizeOf(const StoreEntry& aEntry)
+{
+  return aEntry.key.size() + (aEntry.value ? aEntry.value->size() : 0);
+}
 
 }
 
@@ -83,6 +95,21 @@
 {
   if (aEnd <= m_end) {
     RenewLease(aSyncedAt);
+    return;
+  }
+  auto& syncedAt = m_peerSyncs.try_emplace(aEnd, aSyncedAt).first->second;
+  syncedAt = std::max(syncedAt, aSyncedAt);
+  if (m_peerSyncs.size() > kMaxPeerSyncs) {
+    m_peerSyncs.erase(m_peerSyncs.begin());
+  }
+}
+
+void
+StateTaskBase::RenewLeaseFromKnownSyncs()
+{
+  while (!m_peerSyncs.empty() && m_peerSyncs.begin()->first <= m_end) {
+    RenewLease(m_peerSyncs.begin()->second);
+    m_peerSyncs.erase(m_peerSyncs.begin());
   }
 }
 
@@ -130,15 +157,20 @@
                      error.what());
   }
   m_recent.push_back(aEntry);
+  m_recentBytes += SizeOf(aEntry);
   // Peers already have the previous revision of the table, so the difference is
   // enough for them.
   const auto change =
     isTable ? DiffTables(before, m_state.Table()) : std::nullopt;
   if (change && change->revision == change->base + 1) {
+    m_recentBytes -= SizeOf(m_recent.back());
     m_recent.back() = EncodeChange(*change);
     m_recent.back().offset = aEntry.offset;
+    m_recentBytes += SizeOf(m_recent.back());
   }
-  if (m_recent.size() > kMaxRecentEntries) {
+  while (m_recent.size() > kMaxRecentEntries ||
+         m_recentBytes > kMaxRecentBytes) {
+    m_recentBytes -= SizeOf(m_recent.front());
     m_recent.pop_front();
   }
 }
@@ -165,6 +197,7 @@
     }
   }
   m_end = std::max(m_end, aNext);
+  RenewLeaseFromKnownSyncs();
   const auto* suspicion = m_state.Table().FindSuspicion(m_self.host);
   if (suspicion != nullptr && suspicion->number > m_self.refutedUpTo) {
     m_logger.Warning("suspicion-refuted", "number={}", suspicion->number);
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -23,13 +23,29 @@
   Duration pollInterval = std::chrono::milliseconds(1000);
   /// Delay before a failed call is repeated.
   Duration retryDelay = std::chrono::milliseconds(200);
+  /// Maximum delay of a failed poll of a follower; its delay starts at
+  /// retryDelay and doubles with each failure.
+  Duration maxRetryDelay = std::chrono::milliseconds(1600);
   /// Time to wait for the missing records when peers send records out of order,
-  /// before the store is read.
-  Duration gapDelay = std::chrono::milliseconds(150);
-  /// A host other than the coordinator reads the store when its state is this
-  /// old. What it learns from the coordinator's replies is itself up to one
-  /// poll interval and one report interval old.
-  Duration maxStaleness = std::chrono::milliseconds(2200);
+  /// before the store is read. The reply to the next report brings them, too.
+  Duration gapDelay = std::chrono::milliseconds(900);
+  /// Same, of the coordinator, on whom the others wait.
+  Duration coordinatorGapDelay = std::chrono::milliseconds(50);
+  /// A follower reads the store when its state is this old. What it learns from
+  /// the coordinator's replies is itself up to one poll interval and one report
+  /// interval old.
+  Duration maxStaleness = std::chrono::milliseconds(3000);
+  /// Same, of a standby; shorter, so that its replies renew the leases of the
+  /// followers before they read the store themselves.
+  Duration standbyStaleness = std::chrono::milliseconds(2000);
+};
+
+/** \brief Part of a host in keeping the others up to date. */
+enum class StateRole : uint8_t
+{
+  kFollower,
+  kStandby,     ///< Other hosts report to it as well as to the coordinator.
+  kCoordinator, ///< Polls the store for the others.
 };
 
 /** \brief Consecutive records that end before an offset. */
@@ -97,15 +113,14 @@
   bool ApplyPeerUpdate(const std::vector<StoreEntry>& aEntries, int64_t aNext);
 
   /**
-   * \brief Renews the lease if this host has read everything that a peer has
-   * and is not suspected. \param aSyncedAt time at which the peer had read the
-   * whole topic. \param aEnd end of the topic at that time.
+   * \brief Renews the lease as soon as this host has read everything that a
+   * peer has, unless it is suspected. \param aSyncedAt time at which the peer
+   * had read the whole topic. \param aEnd end of the topic at that time.
    */
   void RenewLeaseFromPeer(MonoTime aSyncedAt, int64_t aEnd);
 
-  /** \brief Sets whether this host polls the store even while peers keep it up
-   * to date, because other hosts rely on its reads. */
-  void SetAlwaysPolls(bool aAlways) { m_alwaysPolls = aAlways; }
+  /** \brief Sets how far other hosts rely on this host's reads. */
+  void SetRole(StateRole aRole) { m_role = aRole; }
 
   /** \brief Records from an offset on, for a peer; empty if not kept. */
   std::optional<StateUpdate> UpdateFrom(int64_t aFrom) const;
@@ -153,6 +168,7 @@
    * \param aSentAt when the read that showed it was sent.
    */
   void RenewLease(MonoTime aSentAt);
+  void RenewLeaseFromKnownSyncs();
   void NotifyListeners();
 
   /** Applies the pending edits to a draft; empty if none changes anything. */
@@ -186,14 +202,18 @@
   /// End of the topic after this host's record was written.
   int64_t m_joinOffset = 0;
   bool m_recordDirty = false;
+  /// Times at which peers had read the whole topic, by its end then; only ends
+  /// that this host has not reached yet.
+  std::map<int64_t, MonoTime> m_peerSyncs;
   std::vector<PendingEdit> m_edits;
   std::vector<PendingEdit> m_draftEdits; ///< Edits of the draft being written.
   std::string m_draftReasons;
   std::vector<StateListener*> m_listeners;
-  std::deque<StoreEntry> m_recent;            ///< Latest records, for peers.
+  std::deque<StoreEntry> m_recent; ///< Latest records, for peers.
+  size_t m_recentBytes = 0;
   std::map<int64_t, StoreEntry> m_outOfOrder; ///< From peers, by offset.
   MonoTime m_lastSyncedAt;
-  bool m_alwaysPolls = false;
+  StateRole m_role = StateRole::kFollower;
   OnAppended m_onAppended;
   std::function<void()> m_onUnavailable;
 };
@@ -251,6 +271,10 @@
   Timer m_gapTimer;
   std::vector<StoreEntry> m_draftEntries;
   int64_t m_draftOffset = 0;
+  Duration MaxStaleness() const;
+  void RetryPoll();
+
+  Duration m_retryDelay{}; ///< Before the last repeated poll.
   bool m_connected = false;
   bool m_polling = false;
   bool m_writing = false;
--- /dev/null
+++ b/src/HostDaemon/UpdateBroadcaster.cpp
@@ -0,0 +1,143 @@
+#include "src/HostDaemon/UpdateBroadcaster.h"
+
+#include <algorithm>
+
+namespace pistachioshift {
+
+namespace {
+
+/** Least interval between broadcasts; records that arrive in it are sent
+ * together. */
+constexpr Duration kBroadcastInterval = std::chrono::milliseconds(50);
+
+/** Longest configuration that is sent to other hosts; less than a frame. */
+constexpr size_t kMaxConfigurationBytes = size_t{ 1024 } * 1024;
+
+}
+
+UpdateBroadcaster::UpdateBroadcaster(event_base* aBase,
+                                     const Clock& aClock,
+                                     StateTaskBase& aState,
+                                     CoordinatorTask& aCoordinator,
+                                     PeersTask& aPeers)
+  : m_clock(aClock)
+  , m_state(aState)
+  , m_coordinator(aCoordinator)
+  , m_peers(aPeers)
+  , m_timer(aBase, [this] { Broadcast(); })
+{
+}
+
+void
+UpdateBroadcaster::OnAppended(const StateUpdate& aUpdate)
+{
+  if (m_coordinator.Active()) {
+    return; // Broadcast once it has been applied.
+  }
+  const auto* coordinator = m_coordinator.Coordinator();
+  if (coordinator == nullptr) {
+    return;
+  }
+  StateReply update;
+  update.nextOffset = aUpdate.next;
+  update.entries = aUpdate.entries;
+  m_peers.SendUpdate(coordinator->inner, update);
+}
+
+std::vector<Endpoint>
+UpdateBroadcaster::RelayTargets(const StateReply& aUpdate) const
+{
+  std::vector<Endpoint> targets;
+  for (const auto& name : aUpdate.relayTo) {
+    const auto* host = m_state.State().FindHost(name);
+    if (host != nullptr && name != m_state.Self()) {
+      targets.push_back(host->inner);
+    }
+  }
+  return targets;
+}
+
+void
+UpdateBroadcaster::Relay(const StateReply& aUpdate)
+{
+  auto update = aUpdate;
+  update.relayTo.clear();
+  for (const auto& target : RelayTargets(aUpdate)) {
+    m_peers.SendUpdate(target, update);
+  }
+}
+
+void
+UpdateBroadcaster::Relay(const ConfigurationUpdate& aUpdate)
+{
+  auto update = aUpdate;
+  update.records.relayTo.clear();
+  for (const auto& target : RelayTargets(aUpdate.records)) {
+    m_peers.SendConfiguration(target, update);
+  }
+}
+
+std::vector<BroadcastGroup>
+UpdateBroadcaster::Groups() const
+{
+  return PlanBroadcast(
+    m_state.State(), m_state.Self(), [this](const HostRecord& aHost) {
+      return !m_peers.HasRecentFailure(aHost.inner);
+    });
+}
+
+void
+UpdateBroadcaster::BroadcastConfiguration(const StoreRecords& aRecords)
+{
+  if (!m_coordinator.Active() || aRecords.entries.empty()) {
+    return;
+  }
+  const auto& newest = aRecords.entries.back();
+  if (newest.value.value_or("").size() > kMaxConfigurationBytes) {
+    return; // The others read it from the store.
+  }
+  // Each record is a whole configuration.
+  ConfigurationUpdate update;
+  update.records.nextOffset = aRecords.next;
+  update.records.entries = { newest };
+  for (const auto& group : Groups()) {
+    update.records.relayTo = group.members;
+    m_peers.SendConfiguration(m_state.State().FindHost(group.relay)->inner,
+                              update);
+  }
+}
+
+void
+UpdateBroadcaster::OnStateChanged()
+{
+  if (!m_coordinator.Active()) {
+    m_timer.Stop();
+    m_sentEnd = m_state.End();
+    return;
+  }
+  if (m_state.End() > m_sentEnd && !m_timer.Running()) {
+    const auto next = m_sentAt + kBroadcastInterval;
+    m_timer.StartOnce(std::max(next - m_clock.Now(), Duration{}));
+  }
+}
+
+void
+UpdateBroadcaster::Broadcast()
+{
+  const auto update = m_state.UpdateFrom(m_sentEnd);
+  m_sentEnd = m_state.End();
+  m_sentAt = m_clock.Now();
+  if (!update || update->entries.empty()) {
+    return; // Hosts learn from the replies to their reports.
+  }
+  StateReply frame;
+  frame.nextOffset = update->next;
+  frame.entries = update->entries;
+  for (const auto& group : Groups()) {
+    const auto* relay = m_state.State().FindHost(group.relay);
+    frame.relayTo = group.members;
+    m_peers.SendUpdate(relay->inner, frame);
+  }
+}
+
+}
--- /dev/null
+++ b/src/HostDaemon/UpdateBroadcaster.h
@@ -0,0 +1,62 @@
+#ifndef PISTACHIOSHIFT_HOSTDAEMON_UPDATEBROADCASTER_H
+#define PISTACHIOSHIFT_HOSTDAEMON_UPDATEBROADCASTER_H
+
+#include "src/Daemon/PeersTask.h"
+#include "src/Daemon/Timer.h"
+#include "src/HostDaemon/CoordinatorTask.h"
+#include "src/HostDaemon/StateTask.h"
+
+namespace pistachioshift {
+
+/**
+ * \brief Sends new records of the store to the other hosts.
+ *
+ * A host sends what it appends to the coordinator. The coordinator sends all
+ * that it learns to one host of each group, which forwards it to the others of
+ * its group. A host that misses an update notices it by the reply to its next
+ * report.
+ *
+ * \sa PlanBroadcast
+ */
+class UpdateBroadcaster : public StateListener
+{
+public:
+  UpdateBroadcaster(event_base* aBase,
+                    const Clock& aClock,
+                    StateTaskBase& aState,
+                    CoordinatorTask& aCoordinator,
+                    PeersTask& aPeers);
+
+  /** \brief Sends records that this host has appended. */
+  void OnAppended(const StateUpdate& aUpdate);
+
+  /** \brief Forwards an update to the hosts that it names. */
+  void Relay(const StateReply& aUpdate);
+
+  /** \brief Sends records of the operator's configuration if this host is the
+   * coordinator. */
+  void BroadcastConfiguration(const StoreRecords& aRecords);
+
+  /** \brief Forwards a configuration to the hosts that it names. */
+  void Relay(const ConfigurationUpdate& aUpdate);
+
+  /** \brief Sends the records that this host has learnt as coordinator. */
+  void OnStateChanged() override;
+
+private:
+  void Broadcast();
+  std::vector<BroadcastGroup> Groups() const;
+  std::vector<Endpoint> RelayTargets(const StateReply& aUpdate) const;
+
+  const Clock& m_clock;
+  StateTaskBase& m_state;
+  CoordinatorTask& m_coordinator;
+  PeersTask& m_peers;
+  Timer m_timer;
+  int64_t m_sentEnd = 0; ///< End of the records that need not be sent.
+  MonoTime m_sentAt;
+};
+
+}
+
+#endif
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -115,13 +115,32 @@
   const auto staleness = m_clock.Now() - m_lastSyncedAt;
   const bool caughtUp = m_end >= m_conflictEnd || m_gapTimer.Running();
   const bool fresh =
-    !m_alwaysPolls && caughtUp && staleness < m_settings.maxStaleness;
+    m_role != StateRole::kCoordinator && caughtUp && staleness < MaxStaleness();
   if (!fresh) {
     Poll();
     return;
   }
   m_pollTimer.StartOnce(
-    std::min(m_settings.pollInterval, m_settings.maxStaleness - staleness));
+    std::min(m_settings.pollInterval, MaxStaleness() - staleness));
+}
+
+template<KeyedStore Store>
+Duration
+StateTask<Store>::MaxStaleness() const
+{
+  return m_role == StateRole::kFollower ? m_settings.maxStaleness
+                                        : m_settings.standbyStaleness;
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::RetryPoll()
+{
+  const bool backsOff = Joined() && m_role == StateRole::kFollower;
+  m_retryDelay = backsOff && m_retryDelay > Duration{}
+                   ? std::min(2 * m_retryDelay, m_settings.maxRetryDelay)
+                   : m_settings.retryDelay;
+  m_pollTimer.StartOnce(m_retryDelay);
 }
 
 template<KeyedStore Store>
@@ -129,7 +148,9 @@
 StateTask<Store>::ReadMissingLater()
 {
   if (!m_gapTimer.Running()) {
-    m_gapTimer.StartOnce(m_settings.gapDelay);
+    m_gapTimer.StartOnce(m_role == StateRole::kCoordinator
+                           ? m_settings.coordinatorGapDelay
+                           : m_settings.gapDelay);
   }
 }
 
@@ -177,9 +198,10 @@
     if (m_onUnavailable) {
       m_onUnavailable();
     }
-    m_pollTimer.StartOnce(m_settings.retryDelay);
+    RetryPoll();
     return;
   }
+  m_retryDelay = {};
   const bool changed = records->next > m_end;
   ApplyEntries(records->entries, records->next);
   const bool complete = m_end >= records->end;
@@ -284,8 +306,11 @@
   }
   if (contiguous) {
     NotifyListeners();
-  } else {
+  } else if (m_role == StateRole::kCoordinator || !Joined()) {
     Poll();
+  } else {
+    BufferEntries(aEntries);
+    ReadMissingLater();
   }
 }
 
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -318,6 +318,16 @@
   {
     frame.__set_stateReply(hosts::ToWire(aReply));
   }
+
+  void operator()(const ConfigurationUpdate& aUpdate) const
+  {
+    frame.__set_configuration(hosts::ToWire(aUpdate.records));
+  }
+
+  void operator()(const RangeRelease& aRelease) const
+  {
+    frame.__set_rangeRelease(hosts::ToWire(aRelease));
+  }
 };
 
 LoadReport
@@ -491,6 +501,12 @@
   if (isset.stateReply) {
     return hosts::FromWire(aFrame.stateReply);
   }
+  if (isset.rangeRelease) {
+    return hosts::FromWire(aFrame.rangeRelease);
+  }
+  if (isset.configuration) {
+    return ConfigurationUpdate{ hosts::FromWire(aFrame.configuration) };
+  }
   if (isset.goodbye) {
     return Goodbye{};
   }
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -11,6 +11,7 @@
 #include "src/Base/Ids.h"
 #include "src/Http/Message.h"
 #include "src/Log/LogService.h"
+#include "src/Ranges/GrantManager.h"
 #include "src/Ranges/KeyedStore.h"
 #include "src/Ranges/LoadMap.h"
 #include "src/Routing/Outcome.h"
@@ -199,6 +200,14 @@
   Duration age{}; ///< Time since the peer last saw the end of the topic.
   int64_t nextOffset = 0; ///< The entries reach up to this offset.
   std::vector<StoreEntry> entries;
+  /// Hosts to which the receiver forwards the entries.
+  std::vector<HostName> relayTo;
+};
+
+/** \brief Records of the operator's configuration, sent on to other hosts. */
+struct ConfigurationUpdate
+{
+  StateReply records;
 };
 
 /**
@@ -226,7 +235,9 @@
                            HostOrders,
                            StateQuery,
                            StateReply,
-                           Goodbye>;
+                           Goodbye,
+                           RangeRelease,
+                           ConfigurationUpdate>;
 
 }
 
--- a/src/Inner/WireRanges.cpp
+++ b/src/Inner/WireRanges.cpp
@@ -22,6 +22,22 @@
                    static_cast<uint32_t>(aLast) };
 }
 
+int64_t
+ToMillis(WallTime aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+RangeHolder
+HolderFromWire(const std::string& aHost,
+               const std::string& aServer,
+               int64_t aBornMillis)
+{
+  const WallTime born{ std::chrono::milliseconds(aBornMillis) };
+  return RangeHolder{ HostName(aHost),
+                      ServerIncarnation{ ServerId(aServer), born } };
+}
+
 double
 NonNegativeFromWire(double aNumber, const char* aField)
 {
@@ -123,6 +139,10 @@
     item.offset = entry.offset;
     reply.entries.push_back(std::move(item));
   }
+  for (const auto& host : aReply.relayTo) {
+    reply.relayTo.push_back(host.Value());
+  }
+  reply.__isset.relayTo = !reply.relayTo.empty();
   return reply;
 }
 
@@ -144,7 +164,58 @@
     entry.offset = item.offset;
     reply.entries.push_back(std::move(entry));
   }
+  for (const auto& host : aReply.relayTo) {
+    reply.relayTo.emplace_back(host);
+  }
   return reply;
 }
 
+wire::WireRangeRelease
+ToWire(const RangeRelease& aRelease)
+{
+  wire::WireRangeRelease release;
+  release.host = aRelease.holder.host.Value();
+  release.server = aRelease.holder.incarnation.id.Value();
+  release.bornMillis = ToMillis(aRelease.holder.incarnation.startedAt);
+  release.serviceName = aRelease.service.Value();
+  release.epoch = aRelease.epoch.value_or(0);
+  for (const auto& range : aRelease.ranges) {
+    wire::WireRelinquished item;
+    item.first = static_cast<int32_t>(range.range.first);
+    item.last = static_cast<int32_t>(range.range.last);
+    item.fence = range.fence.Value();
+    item.handover = range.handover;
+    if (range.next) {
+      const auto& incarnation = range.next->incarnation;
+      item.__set_nextHost(range.next->host.Value());
+      item.__set_nextServer(incarnation.id.Value());
+      item.__set_nextBornMillis(ToMillis(incarnation.startedAt));
+    }
+    release.ranges.push_back(std::move(item));
+  }
+  return release;
+}
+
+RangeRelease
+FromWire(const wire::WireRangeRelease& aRelease)
+{
+  RangeRelease release;
+  release.service = ServiceName(aRelease.serviceName);
+  release.epoch = aRelease.epoch;
+  release.holder =
+    HolderFromWire(aRelease.host, aRelease.server, aRelease.bornMillis);
+  for (const auto& item : aRelease.ranges) {
+    Relinquished range;
+    range.range = RangeFromWire(item.first, item.last);
+    range.fence = Fence(item.fence);
+    range.handover = item.handover;
+    if (item.__isset.nextHost) {
+      range.next =
+        HolderFromWire(item.nextHost, item.nextServer, item.nextBornMillis);
+    }
+    release.ranges.push_back(std::move(range));
+  }
+  return release;
+}
+
 }
--- a/src/Inner/WireRanges.h
+++ b/src/Inner/WireRanges.h
@@ -12,10 +12,12 @@
 wire::WireHostOrders ToWire(const HostOrders& aOrders);
 wire::WireStateQuery ToWire(const StateQuery& aQuery);
 wire::WireStateReply ToWire(const StateReply& aReply);
+wire::WireRangeRelease ToWire(const RangeRelease& aRelease);
 
 HostReport FromWire(const wire::WireHostReport& aReport);
 HostOrders FromWire(const wire::WireHostOrders& aOrders);
 StateReply FromWire(const wire::WireStateReply& aReply);
+RangeRelease FromWire(const wire::WireRangeRelease& aRelease);
 
 }
 
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -3926,6 +3926,11 @@
 void WireStateReply::__set_entries(const std::vector<WireStateEntry> & val) {
   this->entries = val;
 }
+
+void WireStateReply::__set_relayTo(const std::vector<std::string> & val) {
+  this->relayTo = val;
+__isset.relayTo = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireStateReply& obj)
 {
   obj.printTo(out);
@@ -3993,6 +3998,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relayTo.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->relayTo.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += iprot->readString(this->relayTo[_i103]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relayTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4027,15 +4052,28 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<WireStateEntry> ::const_iterator _iter99;
-    for (_iter99 = this->entries.begin(); _iter99 != this->entries.end(); ++_iter99)
+    std::vector<WireStateEntry> ::const_iterator _iter104;
+    for (_iter104 = this->entries.begin(); _iter104 != this->entries.end(); ++_iter104)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.relayTo) {
+    xfer += oprot->writeFieldBegin("relayTo", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->relayTo.size()));
+      std::vector<std::string> ::const_iterator _iter105;
+      for (_iter105 = this->relayTo.begin(); _iter105 != this->relayTo.end(); ++_iter105)
+      {
+        xfer += oprot->writeString((*_iter105));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4046,17 +4084,23 @@
   swap(a.ageMicros, b.ageMicros);
   swap(a.nextOffset, b.nextOffset);
   swap(a.entries, b.entries);
+  swap(a.relayTo, b.relayTo);
+  swap(a.__isset, b.__isset);
 }
 
-WireStateReply::WireStateReply(const WireStateReply& other100) {
-  ageMicros = other100.ageMicros;
-  nextOffset = other100.nextOffset;
-  entries = other100.entries;
+WireStateReply::WireStateReply(const WireStateReply& other106) {
+  ageMicros = other106.ageMicros;
+  nextOffset = other106.nextOffset;
+  entries = other106.entries;
+  relayTo = other106.relayTo;
+  __isset = other106.__isset;
 }
-WireStateReply& WireStateReply::operator=(const WireStateReply& other101) {
-  ageMicros = other101.ageMicros;
-  nextOffset = other101.nextOffset;
-  entries = other101.entries;
+WireStateReply& WireStateReply::operator=(const WireStateReply& other107) {
+  ageMicros = other107.ageMicros;
+  nextOffset = other107.nextOffset;
+  entries = other107.entries;
+  relayTo = other107.relayTo;
+  __isset = other107.__isset;
   return *this;
 }
 void WireStateReply::printTo(std::ostream& out) const {
@@ -4065,6 +4109,464 @@
   out << "ageMicros=" << to_string(ageMicros);
   out << ", " << "nextOffset=" << to_string(nextOffset);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "relayTo="; (__isset.relayTo ? (out << to_string(relayTo)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WireRelinquished::~WireRelinquished() noexcept {
+}
+
+
+void WireRelinquished::__set_first(const int32_t val) {
+  this->first = val;
+}
+
+void WireRelinquished::__set_last(const int32_t val) {
+  this->last = val;
+}
+
+void WireRelinquished::__set_fence(const int64_t val) {
+  this->fence = val;
+}
+
+void WireRelinquished::__set_handover(const std::string& val) {
+  this->handover = val;
+}
+
+void WireRelinquished::__set_nextHost(const std::string& val) {
+  this->nextHost = val;
+__isset.nextHost = true;
+}
+
+void WireRelinquished::__set_nextServer(const std::string& val) {
+  this->nextServer = val;
+__isset.nextServer = true;
+}
+
+void WireRelinquished::__set_nextBornMillis(const int64_t val) {
+  this->nextBornMillis = val;
+__isset.nextBornMillis = true;
+}
+std::ostream& operator<<(std::ostream& out, const WireRelinquished& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireRelinquished::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_first = false;
+  bool isset_last = false;
+  bool isset_fence = false;
+  bool isset_handover = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->last);
+          isset_last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fence);
+          isset_fence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->handover);
+          isset_handover = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nextHost);
+          this->__isset.nextHost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nextServer);
+          this->__isset.nextServer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextBornMillis);
+          this->__isset.nextBornMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_last)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_fence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_handover)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireRelinquished::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireRelinquished");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->fence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("handover", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->handover);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.nextHost) {
+    xfer += oprot->writeFieldBegin("nextHost", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->nextHost);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.nextServer) {
+    xfer += oprot->writeFieldBegin("nextServer", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->nextServer);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.nextBornMillis) {
+    xfer += oprot->writeFieldBegin("nextBornMillis", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->nextBornMillis);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireRelinquished &a, WireRelinquished &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.last, b.last);
+  swap(a.fence, b.fence);
+  swap(a.handover, b.handover);
+  swap(a.nextHost, b.nextHost);
+  swap(a.nextServer, b.nextServer);
+  swap(a.nextBornMillis, b.nextBornMillis);
+  swap(a.__isset, b.__isset);
+}
+
+WireRelinquished::WireRelinquished(const WireRelinquished& other108) {
+  first = other108.first;
+  last = other108.last;
+  fence = other108.fence;
+  handover = other108.handover;
+  nextHost = other108.nextHost;
+  nextServer = other108.nextServer;
+  nextBornMillis = other108.nextBornMillis;
+  __isset = other108.__isset;
+}
+WireRelinquished& WireRelinquished::operator=(const WireRelinquished& other109) {
+  first = other109.first;
+  last = other109.last;
+  fence = other109.fence;
+  handover = other109.handover;
+  nextHost = other109.nextHost;
+  nextServer = other109.nextServer;
+  nextBornMillis = other109.nextBornMillis;
+  __isset = other109.__isset;
+  return *this;
+}
+void WireRelinquished::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireRelinquished(";
+  out << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
+  out << ", " << "fence=" << to_string(fence);
+  out << ", " << "handover=" << to_string(handover);
+  out << ", " << "nextHost="; (__isset.nextHost ? (out << to_string(nextHost)) : (out << "<null>"));
+  out << ", " << "nextServer="; (__isset.nextServer ? (out << to_string(nextServer)) : (out << "<null>"));
+  out << ", " << "nextBornMillis="; (__isset.nextBornMillis ? (out << to_string(nextBornMillis)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WireRangeRelease::~WireRangeRelease() noexcept {
+}
+
+
+void WireRangeRelease::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void WireRangeRelease::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void WireRangeRelease::__set_bornMillis(const int64_t val) {
+  this->bornMillis = val;
+}
+
+void WireRangeRelease::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void WireRangeRelease::__set_ranges(const std::vector<WireRelinquished> & val) {
+  this->ranges = val;
+}
+
+void WireRangeRelease::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireRangeRelease& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireRangeRelease::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_host = false;
+  bool isset_server = false;
+  bool isset_bornMillis = false;
+  bool isset_serviceName = false;
+  bool isset_ranges = false;
+  bool isset_epoch = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          isset_host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          isset_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bornMillis);
+          isset_bornMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ranges.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->ranges.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->ranges[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_ranges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          isset_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_host)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_bornMillis)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ranges)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_epoch)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireRangeRelease::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireRangeRelease");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bornMillis", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->bornMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
+    std::vector<WireRelinquished> ::const_iterator _iter115;
+    for (_iter115 = this->ranges.begin(); _iter115 != this->ranges.end(); ++_iter115)
+    {
+      xfer += (*_iter115).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireRangeRelease &a, WireRangeRelease &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.server, b.server);
+  swap(a.bornMillis, b.bornMillis);
+  swap(a.serviceName, b.serviceName);
+  swap(a.ranges, b.ranges);
+  swap(a.epoch, b.epoch);
+}
+
+WireRangeRelease::WireRangeRelease(const WireRangeRelease& other116) {
+  host = other116.host;
+  server = other116.server;
+  bornMillis = other116.bornMillis;
+  serviceName = other116.serviceName;
+  ranges = other116.ranges;
+  epoch = other116.epoch;
+}
+WireRangeRelease& WireRangeRelease::operator=(const WireRangeRelease& other117) {
+  host = other117.host;
+  server = other117.server;
+  bornMillis = other117.bornMillis;
+  serviceName = other117.serviceName;
+  ranges = other117.ranges;
+  epoch = other117.epoch;
+  return *this;
+}
+void WireRangeRelease::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireRangeRelease(";
+  out << "host=" << to_string(host);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "bornMillis=" << to_string(bornMillis);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "ranges=" << to_string(ranges);
+  out << ", " << "epoch=" << to_string(epoch);
   out << ")";
 }
 
@@ -4123,11 +4625,11 @@
   (void) b;
 }
 
-WireGoodbye::WireGoodbye(const WireGoodbye& other102) noexcept {
-  (void) other102;
+WireGoodbye::WireGoodbye(const WireGoodbye& other118) noexcept {
+  (void) other118;
 }
-WireGoodbye& WireGoodbye::operator=(const WireGoodbye& other103) noexcept {
-  (void) other103;
+WireGoodbye& WireGoodbye::operator=(const WireGoodbye& other119) noexcept {
+  (void) other119;
   return *this;
 }
 void WireGoodbye::printTo(std::ostream& out) const {
@@ -4235,6 +4737,16 @@
   this->goodbye = val;
 __isset.goodbye = true;
 }
+
+void WireFrame::__set_rangeRelease(const WireRangeRelease& val) {
+  this->rangeRelease = val;
+__isset.rangeRelease = true;
+}
+
+void WireFrame::__set_configuration(const WireStateReply& val) {
+  this->configuration = val;
+__isset.configuration = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireFrame& obj)
 {
   obj.printTo(out);
@@ -4415,6 +4927,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rangeRelease.read(iprot);
+          this->__isset.rangeRelease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration.read(iprot);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4527,6 +5055,16 @@
     xfer += this->goodbye.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.rangeRelease) {
+    xfer += oprot->writeFieldBegin("rangeRelease", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->rangeRelease.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configuration) {
+    xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->configuration.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4553,52 +5091,58 @@
   swap(a.stateQuery, b.stateQuery);
   swap(a.stateReply, b.stateReply);
   swap(a.goodbye, b.goodbye);
+  swap(a.rangeRelease, b.rangeRelease);
+  swap(a.configuration, b.configuration);
   swap(a.__isset, b.__isset);
 }
 
-WireFrame::WireFrame(const WireFrame& other104) {
-  hello = other104.hello;
-  requestOpen = other104.requestOpen;
-  body = other104.body;
-  credit = other104.credit;
-  responseOpen = other104.responseOpen;
-  refused = other104.refused;
-  cancel = other104.cancel;
-  ping = other104.ping;
-  pong = other104.pong;
-  outcomeQuery = other104.outcomeQuery;
-  outcomeReply = other104.outcomeReply;
-  recordsQuery = other104.recordsQuery;
-  recordsReply = other104.recordsReply;
-  loadReport = other104.loadReport;
-  hostReport = other104.hostReport;
-  hostOrders = other104.hostOrders;
-  stateQuery = other104.stateQuery;
-  stateReply = other104.stateReply;
-  goodbye = other104.goodbye;
-  __isset = other104.__isset;
-}
-WireFrame& WireFrame::operator=(const WireFrame& other105) {
-  hello = other105.hello;
-  requestOpen = other105.requestOpen;
-  body = other105.body;
-  credit = other105.credit;
-  responseOpen = other105.responseOpen;
-  refused = other105.refused;
-  cancel = other105.cancel;
-  ping = other105.ping;
-  pong = other105.pong;
-  outcomeQuery = other105.outcomeQuery;
-  outcomeReply = other105.outcomeReply;
-  recordsQuery = other105.recordsQuery;
-  recordsReply = other105.recordsReply;
-  loadReport = other105.loadReport;
-  hostReport = other105.hostReport;
-  hostOrders = other105.hostOrders;
-  stateQuery = other105.stateQuery;
-  stateReply = other105.stateReply;
-  goodbye = other105.goodbye;
-  __isset = other105.__isset;
+WireFrame::WireFrame(const WireFrame& other120) {
+  hello = other120.hello;
+  requestOpen = other120.requestOpen;
+  body = other120.body;
+  credit = other120.credit;
+  responseOpen = other120.responseOpen;
+  refused = other120.refused;
+  cancel = other120.cancel;
+  ping = other120.ping;
+  pong = other120.pong;
+  outcomeQuery = other120.outcomeQuery;
+  outcomeReply = other120.outcomeReply;
+  recordsQuery = other120.recordsQuery;
+  recordsReply = other120.recordsReply;
+  loadReport = other120.loadReport;
+  hostReport = other120.hostReport;
+  hostOrders = other120.hostOrders;
+  stateQuery = other120.stateQuery;
+  stateReply = other120.stateReply;
+  goodbye = other120.goodbye;
+  rangeRelease = other120.rangeRelease;
+  configuration = other120.configuration;
+  __isset = other120.__isset;
+}
+WireFrame& WireFrame::operator=(const WireFrame& other121) {
+  hello = other121.hello;
+  requestOpen = other121.requestOpen;
+  body = other121.body;
+  credit = other121.credit;
+  responseOpen = other121.responseOpen;
+  refused = other121.refused;
+  cancel = other121.cancel;
+  ping = other121.ping;
+  pong = other121.pong;
+  outcomeQuery = other121.outcomeQuery;
+  outcomeReply = other121.outcomeReply;
+  recordsQuery = other121.recordsQuery;
+  recordsReply = other121.recordsReply;
+  loadReport = other121.loadReport;
+  hostReport = other121.hostReport;
+  hostOrders = other121.hostOrders;
+  stateQuery = other121.stateQuery;
+  stateReply = other121.stateReply;
+  goodbye = other121.goodbye;
+  rangeRelease = other121.rangeRelease;
+  configuration = other121.configuration;
+  __isset = other121.__isset;
   return *this;
 }
 void WireFrame::printTo(std::ostream& out) const {
@@ -4623,6 +5167,8 @@
   out << ", " << "stateQuery="; (__isset.stateQuery ? (out << to_string(stateQuery)) : (out << "<null>"));
   out << ", " << "stateReply="; (__isset.stateReply ? (out << to_string(stateReply)) : (out << "<null>"));
   out << ", " << "goodbye="; (__isset.goodbye ? (out << to_string(goodbye)) : (out << "<null>"));
+  out << ", " << "rangeRelease="; (__isset.rangeRelease ? (out << to_string(rangeRelease)) : (out << "<null>"));
+  out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -75,6 +75,10 @@
 
 class WireStateReply;
 
+class WireRelinquished;
+
+class WireRangeRelease;
+
 class WireGoodbye;
 
 class WireFrame;
@@ -1445,6 +1449,10 @@
 
 std::ostream& operator<<(std::ostream& out, const WireStateEntry& obj);
 
+typedef struct _WireStateReply__isset {
+  _WireStateReply__isset() : relayTo(false) {}
+  bool relayTo :1;
+} _WireStateReply__isset;
 
 class WireStateReply : public virtual ::apache::thrift::TBase {
  public:
@@ -1460,6 +1468,9 @@
   int64_t ageMicros;
   int64_t nextOffset;
   std::vector<WireStateEntry>  entries;
+  std::vector<std::string>  relayTo;
+
+  _WireStateReply__isset __isset;
 
   void __set_ageMicros(const int64_t val);
 
@@ -1467,6 +1478,8 @@
 
   void __set_entries(const std::vector<WireStateEntry> & val);
 
+  void __set_relayTo(const std::vector<std::string> & val);
+
   bool operator == (const WireStateReply & rhs) const
   {
     if (!(ageMicros == rhs.ageMicros))
@@ -1475,6 +1488,10 @@
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (__isset.relayTo != rhs.__isset.relayTo)
+      return false;
+    else if (__isset.relayTo && !(relayTo == rhs.relayTo))
+      return false;
     return true;
   }
   bool operator != (const WireStateReply &rhs) const {
@@ -1493,6 +1510,159 @@
 
 std::ostream& operator<<(std::ostream& out, const WireStateReply& obj);
 
+typedef struct _WireRelinquished__isset {
+  _WireRelinquished__isset() : nextHost(false), nextServer(false), nextBornMillis(false) {}
+  bool nextHost :1;
+  bool nextServer :1;
+  bool nextBornMillis :1;
+} _WireRelinquished__isset;
+
+class WireRelinquished : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireRelinquished(const WireRelinquished&);
+  WireRelinquished& operator=(const WireRelinquished&);
+  WireRelinquished() noexcept
+                   : first(0),
+                     last(0),
+                     fence(0),
+                     handover(),
+                     nextHost(),
+                     nextServer(),
+                     nextBornMillis(0) {
+  }
+
+  virtual ~WireRelinquished() noexcept;
+  int32_t first;
+  int32_t last;
+  int64_t fence;
+  std::string handover;
+  std::string nextHost;
+  std::string nextServer;
+  int64_t nextBornMillis;
+
+  _WireRelinquished__isset __isset;
+
+  void __set_first(const int32_t val);
+
+  void __set_last(const int32_t val);
+
+  void __set_fence(const int64_t val);
+
+  void __set_handover(const std::string& val);
+
+  void __set_nextHost(const std::string& val);
+
+  void __set_nextServer(const std::string& val);
+
+  void __set_nextBornMillis(const int64_t val);
+
+  bool operator == (const WireRelinquished & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    if (!(fence == rhs.fence))
+      return false;
+    if (!(handover == rhs.handover))
+      return false;
+    if (__isset.nextHost != rhs.__isset.nextHost)
+      return false;
+    else if (__isset.nextHost && !(nextHost == rhs.nextHost))
+      return false;
+    if (__isset.nextServer != rhs.__isset.nextServer)
+      return false;
+    else if (__isset.nextServer && !(nextServer == rhs.nextServer))
+      return false;
+    if (__isset.nextBornMillis != rhs.__isset.nextBornMillis)
+      return false;
+    else if (__isset.nextBornMillis && !(nextBornMillis == rhs.nextBornMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const WireRelinquished &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireRelinquished & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireRelinquished &a, WireRelinquished &b);
+
+std::ostream& operator<<(std::ostream& out, const WireRelinquished& obj);
+
+
+class WireRangeRelease : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireRangeRelease(const WireRangeRelease&);
+  WireRangeRelease& operator=(const WireRangeRelease&);
+  WireRangeRelease() noexcept
+                   : host(),
+                     server(),
+                     bornMillis(0),
+                     serviceName(),
+                     epoch(0) {
+  }
+
+  virtual ~WireRangeRelease() noexcept;
+  std::string host;
+  std::string server;
+  int64_t bornMillis;
+  std::string serviceName;
+  std::vector<WireRelinquished>  ranges;
+  int64_t epoch;
+
+  void __set_host(const std::string& val);
+
+  void __set_server(const std::string& val);
+
+  void __set_bornMillis(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_ranges(const std::vector<WireRelinquished> & val);
+
+  void __set_epoch(const int64_t val);
+
+  bool operator == (const WireRangeRelease & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(bornMillis == rhs.bornMillis))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(ranges == rhs.ranges))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    return true;
+  }
+  bool operator != (const WireRangeRelease &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireRangeRelease & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireRangeRelease &a, WireRangeRelease &b);
+
+std::ostream& operator<<(std::ostream& out, const WireRangeRelease& obj);
+
 
 class WireGoodbye : public virtual ::apache::thrift::TBase {
  public:
@@ -1525,7 +1695,7 @@
 std::ostream& operator<<(std::ostream& out, const WireGoodbye& obj);
 
 typedef struct _WireFrame__isset {
-  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false), hostReport(false), hostOrders(false), stateQuery(false), stateReply(false), goodbye(false) {}
+  _WireFrame__isset() : hello(false), requestOpen(false), body(false), credit(false), responseOpen(false), refused(false), cancel(false), ping(false), pong(false), outcomeQuery(false), outcomeReply(false), recordsQuery(false), recordsReply(false), loadReport(false), hostReport(false), hostOrders(false), stateQuery(false), stateReply(false), goodbye(false), rangeRelease(false), configuration(false) {}
   bool hello :1;
   bool requestOpen :1;
   bool body :1;
@@ -1545,6 +1715,8 @@
   bool stateQuery :1;
   bool stateReply :1;
   bool goodbye :1;
+  bool rangeRelease :1;
+  bool configuration :1;
 } _WireFrame__isset;
 
 class WireFrame : public virtual ::apache::thrift::TBase {
@@ -1575,6 +1747,8 @@
   WireStateQuery stateQuery;
   WireStateReply stateReply;
   WireGoodbye goodbye;
+  WireRangeRelease rangeRelease;
+  WireStateReply configuration;
 
   _WireFrame__isset __isset;
 
@@ -1616,6 +1790,10 @@
 
   void __set_goodbye(const WireGoodbye& val);
 
+  void __set_rangeRelease(const WireRangeRelease& val);
+
+  void __set_configuration(const WireStateReply& val);
+
   bool operator == (const WireFrame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1694,6 +1872,14 @@
       return false;
     else if (__isset.goodbye && !(goodbye == rhs.goodbye))
       return false;
+    if (__isset.rangeRelease != rhs.__isset.rangeRelease)
+      return false;
+    else if (__isset.rangeRelease && !(rangeRelease == rhs.rangeRelease))
+      return false;
+    if (__isset.configuration != rhs.__isset.configuration)
+      return false;
+    else if (__isset.configuration && !(configuration == rhs.configuration))
+      return false;
     return true;
   }
   bool operator != (const WireFrame &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -169,6 +169,26 @@
   1: required i64 ageMicros
   2: required i64 nextOffset
   3: required list<WireStateEntry> entries
+  4: optional list<string> relayTo
+}
+
+struct WireRelinquished {
+  1: required i32 first
+  2: required i32 last
+  3: required i64 fence
+  4: required string handover
+  5: optional string nextHost
+  6: optional string nextServer
+  7: optional i64 nextBornMillis
+}
+
+struct WireRangeRelease {
+  1: required string host
+  2: required string server
+  3: required i64 bornMillis
+  4: required string serviceName
+  5: required list<WireRelinquished> ranges
+  6: required i64 epoch
 }
 
 struct WireGoodbye {
@@ -194,4 +214,6 @@
   17: WireStateQuery stateQuery
   18: WireStateReply stateReply
   19: WireGoodbye goodbye
+  20: WireRangeRelease rangeRelease
+  21: WireStateReply configuration
 }
--- a/src/Ranges/Assigner.cpp
+++ b/src/Ranges/Assigner.cpp
@@ -31,18 +31,30 @@
              const LoadMap& aLoad)
 {
   std::vector<HostLoad> hosts;
+  std::map<RangeHolder, size_t> indexes;
   for (const auto& target : aTargets) {
-    HostLoad host{ &target };
-    for (const auto& row : aRows) {
-      if (row.holder == target.holder && aState.HolderOf(row) != nullptr) {
-        host.load += aLoad.LoadOf(row.range);
-      }
+    indexes.emplace(target.holder, hosts.size());
+    hosts.push_back(HostLoad{ &target });
+  }
+  for (const auto& row : aRows) {
+    const auto found = indexes.find(row.holder);
+    if (found != indexes.end() && aState.HolderOf(row) != nullptr) {
+      hosts[found->second].load += aLoad.LoadOf(row.range);
     }
-    hosts.push_back(host);
   }
   return hosts;
 }
 
+HostLoad*
+FindHost(std::vector<HostLoad>& aHosts, const HostName& aName)
+{
+  const auto found =
+    std::find_if(aHosts.begin(), aHosts.end(), [&](const HostLoad& aHost) {
+      return aHost.target->holder.host == aName;
+    });
+  return found == aHosts.end() ? nullptr : &*found;
+}
+
 HostLoad&
 LeastUtilized(std::vector<HostLoad>& aHosts, double aExtraLoad)
 {
@@ -95,15 +107,16 @@
     return false;
   }
   const auto rows = aTable.RowsOf(aService);
+  auto hosts = CollectLoads(aState, rows, aTargets, aLoad);
   const bool allFree =
     std::all_of(rows.begin(), rows.end(), [&](const RangeRow& aRow) {
-      return aState.HolderOf(aRow) == nullptr && aRow.handover.empty();
+      return aState.HolderOf(aRow) == nullptr && aRow.handover.empty() &&
+             FindHost(hosts, aRow.holder.host) == nullptr;
     });
   if (allFree) {
     AssignAll(aTable, aService, aTargets, aLoad);
     return true;
   }
-  auto hosts = CollectLoads(aState, rows, aTargets, aLoad);
   const double meanLoad =
     aLoad.LoadOf(KeyRange{}) / static_cast<double>(aTargets.size());
   bool changed = false;
@@ -111,8 +124,16 @@
     if (aState.HolderOf(row) != nullptr) {
       continue;
     }
-    const auto token = row.IsFree() ? row.handover : std::string();
+    changed = true;
     const auto load = aLoad.LoadOf(row.range);
+    if (auto* previous = FindHost(hosts, row.holder.host)) {
+      // Its backend server was restarted. After the loss of all hosts, this
+      // keeps the keys as evenly spread as they were.
+      aTable.Assign(aService, row.range, previous->target->holder, {});
+      previous->load += load;
+      continue;
+    }
+    const auto token = row.IsFree() ? row.handover : std::string();
     const auto pieces = std::ceil(load / (meanLoad * kMaxPieceShare));
     for (const auto& piece :
          aLoad.Split(row.range, static_cast<uint32_t>(std::max(pieces, 1.0)))) {
@@ -121,7 +142,6 @@
       aTable.Assign(aService, piece, host.target->holder, token);
       host.load += pieceLoad;
     }
-    changed = true;
   }
   return changed;
 }
--- a/src/Ranges/Assigner.h
+++ b/src/Ranges/Assigner.h
@@ -20,7 +20,8 @@
  * \brief Assigns all rows of a service without a live holder, in proportion to
  * the capacity of the targets. Performs no I/O.
  *
- * Rows are split so that the load of a failed host is spread over many hosts.
+ * Rows of a host whose backend server was restarted return to it. Others are
+ * split so that the load of a failed host is spread over many hosts.
  * \return whether the table was changed.
  */
 bool AssignFreeRows(RangeTable& aTable,
--- a/src/Ranges/GrantManager.cpp
+++ b/src/Ranges/GrantManager.cpp
@@ -30,6 +30,16 @@
   return parts;
 }
 
+/** A higher fence means that the holder got the range back since. */
+bool
+AssignsReleased(const RangeRow& aRow,
+                const RangeHolder& aHolder,
+                const Relinquished& aItem)
+{
+  return aRow.holder == aHolder && aRow.fence == aItem.fence &&
+         aRow.range.Overlaps(aItem.range);
+}
+
 }
 
 GrantManager::GrantManager(GrantSettings aSettings, MonoTime aNow)
@@ -257,26 +267,27 @@
 bool
 ReassignRelinquished(RangeTable& aTable,
                      const MeshState& aState,
-                     const ServiceName& aService,
-                     const RangeHolder& aHolder,
-                     const std::vector<Relinquished>& aRanges)
+                     const RangeRelease& aRelease)
 {
+  const auto* sender = aState.FindHost(aRelease.holder.host);
+  if (aRelease.epoch &&
+      (sender == nullptr || sender->epoch != *aRelease.epoch)) {
+    return false;
+  }
   bool changed = false;
-  for (const auto& item : aRanges) {
-    const auto rows = aTable.RowsOf(aService);
+  for (const auto& item : aRelease.ranges) {
+    const auto rows = aTable.RowsOf(aRelease.service);
     for (const auto& row : rows) {
-      // A higher fence means that the holder got the range back since.
-      if (row.holder != aHolder || row.fence != item.fence ||
-          !row.range.Overlaps(item.range)) {
+      if (!AssignsReleased(row, aRelease.holder, item)) {
         continue;
       }
       const auto part = row.range.Intersection(item.range);
       const auto* next = item.next ? aState.FindHost(item.next->host) : nullptr;
       if (next != nullptr && aState.CanTakeKeys(*next) &&
           next->server->incarnation == item.next->incarnation) {
-        aTable.Assign(aService, part, *item.next, item.handover);
+        aTable.Assign(aRelease.service, part, *item.next, item.handover);
       } else {
-        aTable.Free(aService, part, item.handover);
+        aTable.Free(aRelease.service, part, item.handover);
       }
       changed = true;
     }
@@ -284,4 +295,16 @@
   return changed;
 }
 
+bool
+HoldsReleased(const RangeTable& aTable, const RangeRelease& aRelease)
+{
+  const auto& rows = aTable.RowsOf(aRelease.service);
+  return std::any_of(
+    aRelease.ranges.begin(), aRelease.ranges.end(), [&](const auto& aItem) {
+      return std::any_of(rows.begin(), rows.end(), [&](const RangeRow& aRow) {
+        return AssignsReleased(aRow, aRelease.holder, aItem);
+      });
+    });
+}
+
 }
--- a/src/Ranges/GrantManager.h
+++ b/src/Ranges/GrantManager.h
@@ -69,6 +69,21 @@
   std::optional<RangeHolder> next; ///< nullopt: any host.
 };
 
+/** \brief Ranges that a backend server has released, for the table. */
+struct RangeRelease
+{
+  ServiceName service;
+  RangeHolder holder; ///< Holder that released the ranges.
+  std::vector<Relinquished> ranges;
+  /**
+   * Epoch of the holder's record if another host writes the release. The
+   * release is void under any other epoch, because a daemon that has been
+   * restarted may grant the ranges again. nullopt: the daemon that granted the
+   * ranges writes the release itself.
+   */
+  std::optional<int64_t> epoch;
+};
+
 /** \brief Time limits of a GrantManager. */
 struct GrantSettings
 {
@@ -192,14 +207,14 @@
 /**
  * \brief Assigns relinquished ranges to their next holder, or frees them if
  * there is none that can take keys.
- * \param aHolder holder that relinquished the ranges.
  * \return whether the table was changed.
  */
 bool ReassignRelinquished(RangeTable& aTable,
                           const MeshState& aState,
-                          const ServiceName& aService,
-                          const RangeHolder& aHolder,
-                          const std::vector<Relinquished>& aRanges);
+                          const RangeRelease& aRelease);
+
+/** \brief Whether a row still assigns a released range to its holder. */
+bool HoldsReleased(const RangeTable& aTable, const RangeRelease& aRelease);
 
 }
 
--- a/src/Ranges/LoadMap.cpp
+++ b/src/Ranges/LoadMap.cpp
@@ -1,31 +1,61 @@
 #include "src/Ranges/LoadMap.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pistachioshift {
 
+LoadMap::LoadMap(double aUniformLoad)
+  : m_steps{ Step{ 0, 0.0, aUniformLoad / kShardKeys } }
+{
+}
+
 void
 LoadMap::Add(const std::vector<LoadBucket>& aBuckets)
 {
-  m_buckets.insert(m_buckets.end(), aBuckets.begin(), aBuckets.end());
-  std::sort(m_buckets.begin(),
-            m_buckets.end(),
-            [](const LoadBucket& aLeft, const LoadBucket& aRight) {
-              return aLeft.range < aRight.range;
-            });
+  // Changes of the load per key, by the key at which they occur.
+  std::vector<std::pair<uint32_t, double>> changes;
+  changes.reserve(m_steps.size() + 2 * aBuckets.size());
+  double previous = 0.0;
+  for (const auto& step : m_steps) {
+    changes.emplace_back(step.key, step.loadPerKey - previous);
+    previous = step.loadPerKey;
+  }
+  for (const auto& bucket : aBuckets) {
+    const auto loadPerKey = bucket.load / bucket.range.Size();
+    changes.emplace_back(bucket.range.first, loadPerKey);
+    changes.emplace_back(bucket.range.last + 1, -loadPerKey);
+  }
+  std::sort(changes.begin(), changes.end());
+  m_steps.clear();
+  for (const auto& [key, change] : changes) {
+    if (m_steps.empty()) {
+      m_steps.push_back(Step{ key });
+    } else if (m_steps.back().key != key) {
+      const auto& last = m_steps.back();
+      const auto load = last.loadBefore + last.loadPerKey * (key - last.key);
+      m_steps.push_back(Step{ key, load, last.loadPerKey });
+    }
+    m_steps.back().loadPerKey += change;
+  }
+}
+
+double
+LoadMap::LoadBelow(uint32_t aKey) const
+{
+  const auto next = std::upper_bound(
+    m_steps.begin(),
+    m_steps.end(),
+    aKey,
+    [](uint32_t aSought, const Step& aStep) { return aSought < aStep.key; });
+  const auto& step = *std::prev(next); // The first step is at key 0.
+  return step.loadBefore + step.loadPerKey * (aKey - step.key);
 }
 
 double
 LoadMap::LoadOf(const KeyRange& aRange) const
 {
-  double load = m_uniformLoad * aRange.Size() / kShardKeys;
-  for (const auto& bucket : m_buckets) {
-    if (bucket.range.Overlaps(aRange)) {
-      load += bucket.load * bucket.range.Intersection(aRange).Size() /
-              bucket.range.Size();
-    }
-  }
-  return load;
+  return LoadBelow(aRange.last + 1) - LoadBelow(aRange.first);
 }
 
 uint32_t
--- a/src/Ranges/LoadMap.h
+++ b/src/Ranges/LoadMap.h
@@ -26,12 +26,9 @@
 {
 public:
   /** \param aUniformLoad total load of all keys, on top of the buckets. */
-  explicit LoadMap(double aUniformLoad = 1.0)
-    : m_uniformLoad(aUniformLoad)
-  {
-  }
+  explicit LoadMap(double aUniformLoad = 1.0);
 
-  /** \brief Adds buckets, which must not overlap any other bucket. */
+  /** \brief Adds buckets. The loads of buckets that overlap add up. */
   void Add(const std::vector<LoadBucket>& aBuckets);
 
   double LoadOf(const KeyRange& aRange) const;
@@ -50,8 +47,17 @@
   uint32_t LastKeyForLoad(const KeyRange& aRange, double aLoad) const;
 
 private:
-  double m_uniformLoad;
-  std::vector<LoadBucket> m_buckets; ///< Sorted, not overlapping.
+  /** Load from a key up to the next step. */
+  struct Step
+  {
+    uint32_t key = 0;
+    double loadBefore = 0.0; ///< Load of all keys below this one.
+    double loadPerKey = 0.0;
+  };
+
+  double LoadBelow(uint32_t aKey) const;
+
+  std::vector<Step> m_steps; ///< Sorted by key; the first is at key 0.
 };
 
 }
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -48,6 +48,7 @@
   host.zone = ZoneName(aHost.zone);
   host.service = ServiceName(aHost.serviceName);
   host.refutedUpTo = aHost.cleared;
+  host.cpuMillis = aHost.__isset.cpuMillis ? aHost.cpuMillis : 0;
   if (aHost.__isset.server) {
     const auto& server = aHost.server;
     host.server =
@@ -205,7 +206,7 @@
                    ? FromWire(Decode<ranges_idl::WireTable>(*aEntry.value))
                    : RangeTable();
     CheckTable(table);
-    m_table = std::move(table);
+    ReplaceTable(std::move(table));
     return;
   }
   if (aEntry.key == kChangeKey && aEntry.value) {
@@ -218,6 +219,7 @@
   const HostName name(aEntry.key.substr(kHostPrefix.size()));
   if (!aEntry.value) {
     m_hosts.erase(name);
+    ++m_hostsVersion;
     return;
   }
   auto host = FromWire(Decode<ranges_idl::WireHost>(*aEntry.value));
@@ -225,6 +227,16 @@
     throw RangesError("host record stored under the key of another host");
   }
   m_hosts[name] = std::move(host);
+  ++m_hostsVersion;
+}
+
+void
+MeshState::ReplaceTable(RangeTable aTable)
+{
+  if (aTable.suspicions != m_table.suspicions) {
+    ++m_hostsVersion;
+  }
+  m_table = std::move(aTable);
 }
 
 void
@@ -238,8 +250,10 @@
   if (!table) {
     throw MissingBaseError("table change applies to an unknown revision");
   }
-  CheckTable(*table);
-  m_table = *std::move(table);
+  for (const auto& [service, rows] : aChange.rows) {
+    CheckRows(table->RowsOf(service));
+  }
+  ReplaceTable(*std::move(table));
 }
 
 const HostRecord*
@@ -290,6 +304,7 @@
   wire.zone = aHost.zone.Value();
   wire.serviceName = aHost.service.Value();
   wire.cleared = aHost.refutedUpTo;
+  wire.__set_cpuMillis(aHost.cpuMillis);
   if (aHost.server) {
     ranges_idl::WireServer server;
     server.id = aHost.server->incarnation.id.Value();
--- a/src/Ranges/MeshState.h
+++ b/src/Ranges/MeshState.h
@@ -54,6 +54,7 @@
   ServiceName service;
   std::optional<ServerStatus> server;
   int64_t refutedUpTo = 0; ///< Number of the last refuted suspicion.
+  int32_t cpuMillis = 0;   ///< Processor share, in thousandths of a core.
 
   bool operator==(const HostRecord&) const = default;
 };
@@ -80,6 +81,12 @@
   const std::map<HostName, HostRecord>& Hosts() const { return m_hosts; }
   const HostRecord* FindHost(const HostName& aHost) const;
 
+  /**
+   * \brief Changes with each change of a host's record or of the suspicions,
+   * but not with changes of rows.
+   */
+  uint64_t HostsVersion() const { return m_hostsVersion; }
+
   /** \brief Host that holds a row; nullptr if the row has no valid holder. */
   const HostRecord* HolderOf(const RangeRow& aRow) const;
 
@@ -91,9 +98,11 @@
 
 private:
   void ApplyChange(const TableChange& aChange);
+  void ReplaceTable(RangeTable aTable);
 
   RangeTable m_table;
   std::map<HostName, HostRecord> m_hosts;
+  uint64_t m_hostsVersion = 0;
 };
 
 /** \brief Store record of a host. */
--- a/src/Ranges/RangeTable.cpp
+++ b/src/Ranges/RangeTable.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <span>
 
 namespace pistachioshift {
 
@@ -14,18 +16,43 @@
          aLeft.handover == aRight.handover;
 }
 
+bool
+EndsBefore(const RangeRow& aRow, const KeyRange& aRange)
+{
+  return aRow.range.last < aRange.first;
+}
+
+/** Parts of the rows that overlap a range, with the range replaced by aRow. */
 RangeRows
-MergeAdjacent(const RangeRows& aRows)
+ReplaceWithin(std::span<const RangeRow> aRows, const RangeRow& aRow)
+{
+  RangeRows parts;
+  const auto& first = aRows.front();
+  if (first.range.first < aRow.range.first) {
+    parts.push_back(first);
+    parts.back().range.last = aRow.range.first - 1;
+  }
+  parts.push_back(aRow);
+  const auto& last = aRows.back();
+  if (last.range.last > aRow.range.last) {
+    parts.push_back(last);
+    parts.back().range.first = aRow.range.last + 1;
+  }
+  return parts;
+}
+
+/** Merges the rows before aEnd, back to aBegin, that differ only in range. */
+void
+MergeAdjacent(RangeRows& aRows, size_t aBegin, size_t aEnd)
 {
-  RangeRows merged;
-  for (const auto& row : aRows) {
-    if (!merged.empty() && EqualExceptRange(merged.back(), row)) {
-      merged.back().range.last = row.range.last;
-    } else {
-      merged.push_back(row);
+  for (size_t index = aEnd; index-- > aBegin + 1;) {
+    auto& row = aRows[index];
+    auto& before = aRows[index - 1];
+    if (EqualExceptRange(before, row)) {
+      before.range.last = row.range.last;
+      aRows.erase(aRows.begin() + static_cast<std::ptrdiff_t>(index));
     }
   }
-  return merged;
 }
 
 }
@@ -65,25 +92,23 @@
 void
 RangeTable::Replace(const ServiceName& aService, const RangeRow& aRow)
 {
-  RangeRows rows;
-  for (const auto& old : RowsOf(aService)) {
-    if (!old.range.Overlaps(aRow.range)) {
-      rows.push_back(old);
-      continue;
-    }
-    if (old.range.first < aRow.range.first) {
-      rows.push_back(old);
-      rows.back().range.last = aRow.range.first - 1;
-    }
-    if (old.range.Contains(ShardKey(aRow.range.first))) {
-      rows.push_back(aRow);
-    }
-    if (old.range.last > aRow.range.last) {
-      rows.push_back(old);
-      rows.back().range.first = aRow.range.last + 1;
-    }
+  auto& rows =
+    services.try_emplace(aService, RangeRows{ RangeRow{} }).first->second;
+  const auto begin =
+    std::lower_bound(rows.begin(), rows.end(), aRow.range, EndsBefore);
+  auto end = begin;
+  while (end != rows.end() && end->range.Overlaps(aRow.range)) {
+    ++end;
   }
-  services[aService] = MergeAdjacent(rows);
+  auto parts = ReplaceWithin(std::span<const RangeRow>(begin, end), aRow);
+  const auto index = static_cast<size_t>(begin - rows.begin());
+  const auto count = parts.size();
+  const auto next = rows.erase(begin, end);
+  rows.insert(next,
+              std::make_move_iterator(parts.begin()),
+              std::make_move_iterator(parts.end()));
+  MergeAdjacent(
+    rows, index > 0 ? index - 1 : 0, std::min(rows.size(), index + count + 1));
 }
 
 void
--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <optional>
 #include <span>
 
@@ -29,15 +30,18 @@
              const LoadMap& aLoad)
 {
   std::vector<HostLoad> hosts;
+  std::map<RangeHolder, size_t> indexes;
   for (const auto& target : aTargets) {
-    HostLoad host{ &target, {}, 0.0 };
-    for (const auto& row : aRows) {
-      if (row.holder == target.holder) {
-        host.ranges.push_back(row.range);
-        host.load += aLoad.LoadOf(row.range);
-      }
+    indexes.emplace(target.holder, hosts.size());
+    hosts.push_back(HostLoad{ &target, {}, 0.0 });
+  }
+  for (const auto& row : aRows) {
+    const auto found = indexes.find(row.holder);
+    if (found != indexes.end()) {
+      auto& host = hosts[found->second];
+      host.ranges.push_back(row.range);
+      host.load += aLoad.LoadOf(row.range);
     }
-    hosts.push_back(std::move(host));
   }
   return hosts;
 }
--- a/src/Ranges/TableChange.cpp
+++ b/src/Ranges/TableChange.cpp
@@ -35,17 +35,17 @@
 MergeRows(const RangeRows& aBefore, const RangeRows& aNew)
 {
   RangeRows rows;
+  rows.reserve(aBefore.size() + aNew.size());
+  auto next = aNew.begin();
   for (const auto& row : aBefore) {
-    auto next = std::upper_bound(aNew.begin(), aNew.end(), row, StartsBefore);
-    const bool replaced =
-      (next != aNew.end() && next->range.Overlaps(row.range)) ||
-      (next != aNew.begin() && std::prev(next)->range.Overlaps(row.range));
-    if (!replaced) {
+    while (next != aNew.end() && next->range.last < row.range.first) {
+      rows.push_back(*next++);
+    }
+    if (next == aNew.end() || !next->range.Overlaps(row.range)) {
       rows.push_back(row);
     }
   }
-  rows.insert(rows.end(), aNew.begin(), aNew.end());
-  std::sort(rows.begin(), rows.end(), StartsBefore);
+  rows.insert(rows.end(), next, aNew.end());
   return rows;
 }
 
@@ -82,14 +82,19 @@
   if (aBefore.revision != aChange.base) {
     return std::nullopt;
   }
-  auto table = aBefore;
+  RangeTable table;
   table.revision = aChange.revision;
   table.nextFence = aChange.nextFence;
   table.nextSuspicion = aChange.nextSuspicion;
   table.suspicions = aChange.suspicions;
+  for (const auto& [service, rows] : aBefore.services) {
+    const auto changed = aChange.rows.find(service);
+    table.services.emplace(
+      service,
+      changed == aChange.rows.end() ? rows : MergeRows(rows, changed->second));
+  }
   for (const auto& [service, rows] : aChange.rows) {
-    auto& old = table.services[service];
-    old = MergeRows(old, rows);
+    table.services.try_emplace(service, rows); // A new service.
   }
   return table;
 }
--- a/src/Ranges/gen/ranges_types.cpp
+++ b/src/Ranges/gen/ranges_types.cpp
@@ -211,6 +211,11 @@
 void WireHost::__set_cleared(const int64_t val) {
   this->cleared = val;
 }
+
+void WireHost::__set_cpuMillis(const int32_t val) {
+  this->cpuMillis = val;
+__isset.cpuMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHost& obj)
 {
   obj.printTo(out);
@@ -310,6 +315,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cpuMillis);
+          this->__isset.cpuMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -374,6 +387,11 @@
   xfer += oprot->writeI64(this->cleared);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.cpuMillis) {
+    xfer += oprot->writeFieldBegin("cpuMillis", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->cpuMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -389,6 +407,7 @@
   swap(a.serviceName, b.serviceName);
   swap(a.server, b.server);
   swap(a.cleared, b.cleared);
+  swap(a.cpuMillis, b.cpuMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -401,6 +420,7 @@
   serviceName = other2.serviceName;
   server = other2.server;
   cleared = other2.cleared;
+  cpuMillis = other2.cpuMillis;
   __isset = other2.__isset;
 }
 WireHost& WireHost::operator=(const WireHost& other3) {
@@ -412,6 +432,7 @@
   serviceName = other3.serviceName;
   server = other3.server;
   cleared = other3.cleared;
+  cpuMillis = other3.cpuMillis;
   __isset = other3.__isset;
   return *this;
 }
@@ -426,6 +447,7 @@
   out << ", " << "serviceName=" << to_string(serviceName);
   out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
   out << ", " << "cleared=" << to_string(cleared);
+  out << ", " << "cpuMillis="; (__isset.cpuMillis ? (out << to_string(cpuMillis)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Ranges/gen/ranges_types.h
+++ b/src/Ranges/gen/ranges_types.h
@@ -91,8 +91,9 @@
 std::ostream& operator<<(std::ostream& out, const WireServer& obj);
 
 typedef struct _WireHost__isset {
-  _WireHost__isset() : server(false) {}
+  _WireHost__isset() : server(false), cpuMillis(false) {}
   bool server :1;
+  bool cpuMillis :1;
 } _WireHost__isset;
 
 class WireHost : public virtual ::apache::thrift::TBase {
@@ -107,7 +108,8 @@
              port(0),
              zone(),
              serviceName(),
-             cleared(0) {
+             cleared(0),
+             cpuMillis(0) {
   }
 
   virtual ~WireHost() noexcept;
@@ -119,6 +121,7 @@
   std::string serviceName;
   WireServer server;
   int64_t cleared;
+  int32_t cpuMillis;
 
   _WireHost__isset __isset;
 
@@ -138,6 +141,8 @@
 
   void __set_cleared(const int64_t val);
 
+  void __set_cpuMillis(const int32_t val);
+
   bool operator == (const WireHost & rhs) const
   {
     if (!(host == rhs.host))
@@ -158,6 +163,10 @@
       return false;
     if (!(cleared == rhs.cleared))
       return false;
+    if (__isset.cpuMillis != rhs.__isset.cpuMillis)
+      return false;
+    else if (__isset.cpuMillis && !(cpuMillis == rhs.cpuMillis))
+      return false;
     return true;
   }
   bool operator != (const WireHost &rhs) const {
--- a/src/Ranges/idl/ranges.thrift
+++ b/src/Ranges/idl/ranges.thrift
@@ -18,6 +18,7 @@
   6: required string serviceName
   7: optional WireServer server
   8: required i64 cleared
+  9: optional i32 cpuMillis
 }
 
 struct WireRow {
--- a/standin/instance/Main.cpp
+++ b/standin/instance/Main.cpp
@@ -142,6 +142,9 @@
       target == nullptr || target == std::string(m_options.id);
     if (!isForThisInstance || (key != nullptr && !HoldsKey(std::stoll(key)))) {
       SetHeader(aRequest, "Pistachioshift-Not-Executed", "1");
+      SetHeader(aRequest,
+                "Pistachioshift-Attempt-Id",
+                attemptId == nullptr ? "" : attemptId);
       Reply(aRequest, kMisdirected, "");
       return;
     }
--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -274,5 +274,45 @@
   m_inner.reset();
 }
 
+/**
+ * While a host is cut off, each request for its keys used to wait for a
+ * connection attempt to time out.
+ */
+TEST_F(GoodbyeTest, Start_PeerUnreachable_FailsAtOnceUntilAnAttemptIsDue)
+{
+  const auto endpoint = m_inner->LocalEndpoint();
+  const auto start = [&] {
+    CallRequest request;
+    request.id = { 1, ++m_lastId };
+    request.head.method = "GET";
+    request.head.target = "/";
+    request.deadline = m_clock.Now() + kTestTimeout;
+    auto listener = std::make_shared<RecordingListener>();
+    m_sent.push_back(m_peers->Start(endpoint, request, listener));
+    return listener;
+  };
+  m_inner.reset();
+  const auto first = start();
+  ASSERT_TRUE(WaitFor([&] { return first->Ended(); }));
+  EXPECT_EQ(first->loss, CallLoss::kNotSent);
+  m_inner = std::make_unique<InnerServerTask>(m_base.get(),
+                                              m_clock,
+                                              endpoint,
+                                              BootId(1),
+                                              m_server,
+                                              Services(),
+                                              m_metrics,
+                                              m_bulk);
+  const auto second = start();
+  EXPECT_FALSE(second->Ended()) << "called before Start returned";
+  ASSERT_TRUE(WaitFor([&] { return second->Ended(); }));
+  EXPECT_EQ(second->loss, CallLoss::kNotSent);
+  EXPECT_TRUE(m_server.listeners.empty());
+  const auto due = m_clock.Now() + 500ms;
+  ASSERT_TRUE(WaitFor([&] { return m_clock.Now() >= due; }));
+  start();
+  EXPECT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+}
+
 }
 }
--- /dev/null
+++ b/test/HostDaemon/CoordinatorTaskTest.cpp
@@ -0,0 +1,146 @@
+#include <gtest/gtest.h>
+
+#include "src/HostDaemon/CoordinatorTask.h"
+#include "test/HostDaemon/FakeStore.h"
+#include "test/Ranges/RangesSupport.h"
+
+namespace pistachioshift::test {
+
+using std::chrono::milliseconds;
+
+const ServiceName kStock("stock");
+
+/** Dialect of a backend server that is never called. */
+class UnusedDialect : public ServerDialect
+{
+public:
+  void PrepareHead(RequestHead&, const ServerId&, Duration) const override {}
+  std::string RequestLabel(const RequestHead&) const override { return {}; }
+  AnswerKind Classify(const RequestHead&, const ResponseHead&) const override
+  {
+    return AnswerKind::kAnswer;
+  }
+};
+
+/** The coordinator; the other hosts are only records and reports. */
+class CoordinatorTaskTest : public ::testing::Test
+{
+protected:
+  CoordinatorTaskTest()
+    : m_store(m_base, m_topic)
+    , m_state(m_base, m_clock, m_logger, m_store, RecordOf("a"))
+    , m_server(m_base,
+               m_clock,
+               RangeServerSettings{ .endpoint = { "127.0.0.1", 1 },
+                                    .service = kOrders },
+               m_state,
+               m_dialect,
+               m_logger,
+               m_metrics)
+    , m_peers(m_base, m_clock, BootId(1), m_logger, m_metrics)
+    , m_coordinator(m_base, m_clock, m_state, m_server, m_peers, m_logger)
+  {
+    m_state.AddListener(m_coordinator);
+  }
+
+  void AddHost(const std::string& aName, const ServiceName& aService)
+  {
+    auto record = RecordOf(aName);
+    record.service = aService;
+    m_topic.Append({ EncodeHost(record) }, WriterPosition{ aName, 1, 0 });
+    m_hosts.emplace_back(aName);
+  }
+
+  void RunLoop(Duration aFor)
+  {
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aFor).count();
+    const timeval wait{ 0, static_cast<suseconds_t>(micros) };
+    event_base_loopexit(m_base, &wait);
+    event_base_dispatch(m_base);
+  }
+
+  /** Runs the loop in parts, after each of which all hosts report. */
+  void RunWithReports(int aParts)
+  {
+    for (int part = 0; part < aParts; ++part) {
+      for (const auto& host : m_hosts) {
+        m_coordinator.OnReport(HostReport{ host, 10.0, {} });
+      }
+      RunLoop(milliseconds(300));
+    }
+  }
+
+  bool IsAssigned(const ServiceName& aService) const
+  {
+    const auto& rows = m_state.State().Table().RowsOf(aService);
+    return std::none_of(rows.begin(), rows.end(), [&](const RangeRow& aRow) {
+      return m_state.State().HolderOf(aRow) == nullptr;
+    });
+  }
+
+  struct BaseDeleter
+  {
+    void operator()(event_base* aBase) const { event_base_free(aBase); }
+  };
+
+  std::unique_ptr<event_base, BaseDeleter> m_owned{ event_base_new() };
+  event_base* m_base = m_owned.get();
+  SystemClock m_clock;
+  Logger m_logger{ "test", LogLevel::kError };
+  Metrics m_metrics;
+  UnusedDialect m_dialect;
+  FakeTopic m_topic;
+  FakeStore m_store;
+  StateTask<FakeStore> m_state;
+  RangeServerTask m_server;
+  PeersTask m_peers;
+  CoordinatorTask m_coordinator;
+  std::vector<HostName> m_hosts;
+};
+
+/**
+ * The first assignment waits until the number of hosts is stable. Services with
+ * different numbers of hosts must not disturb each other in this.
+ */
+TEST_F(CoordinatorTaskTest, AssignFreeRanges_TwoKeyedServices_AssignsBoth)
+{
+  AddHost("b", kOrders);
+  AddHost("c", kStock);
+  m_coordinator.SetShardedServices({ kOrders, kStock });
+  m_state.Start();
+  m_coordinator.Start();
+  RunWithReports(10);
+  EXPECT_TRUE(IsAssigned(kOrders));
+  EXPECT_TRUE(IsAssigned(kStock));
+}
+
+/** Many hosts of a zone may release their keys within one round trip. */
+TEST_F(CoordinatorTaskTest, OnRelease_ManyAtOnce_AreWrittenTogether)
+{
+  for (const char* name : { "b", "c", "d", "e" }) {
+    AddHost(name, kOrders);
+  }
+  m_coordinator.SetShardedServices({ kOrders });
+  m_state.Start();
+  m_coordinator.Start();
+  RunWithReports(10);
+  ASSERT_TRUE(IsAssigned(kOrders));
+  const auto before = m_topic.End();
+  const auto rows = m_state.State().Table().RowsOf(kOrders);
+  for (const auto& row : rows) {
+    m_coordinator.OnRelease(
+      RangeRelease{ kOrders,
+                    row.holder,
+                    { Relinquished{ row.range, row.fence, "t", {} } },
+                    m_state.State().FindHost(row.holder.host)->epoch });
+  }
+  RunWithReports(1);
+  EXPECT_LE(m_topic.End() - before, 3);
+  for (const auto& row : m_state.State().Table().RowsOf(kOrders)) {
+    EXPECT_EQ(row.handover, "t");
+    EXPECT_FALSE(row.IsFree());
+  }
+}
+
+}
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -260,10 +260,10 @@
   EXPECT_GT(a.store.reads, before);
 }
 
-TEST_F(StateTaskTest, Poll_AlwaysPolls_StoreIsReadDespiteRenewals)
+TEST_F(StateTaskTest, Poll_Coordinator_StoreIsReadDespiteRenewals)
 {
   auto& a = Start("a", milliseconds(300));
-  a.task.SetAlwaysPolls(true);
+  a.task.SetRole(StateRole::kCoordinator);
   const auto before = a.store.reads;
   for (int report = 0; report < 5; ++report) {
     a.task.RenewLeaseFromPeer(m_clock.Now(), a.task.End());
@@ -272,6 +272,59 @@
   EXPECT_GT(a.store.reads, before + 3);
 }
 
+/**
+ * If the coordinator is cut off from the store, three hundred hosts would read
+ * it at the same time. A standby reads it first; its replies are enough for the
+ * others.
+ */
+TEST_F(StateTaskTest, Poll_NoPeerUpdates_StandbyReadsBeforeAFollower)
+{
+  auto& follower = Start("a", std::chrono::seconds(3));
+  auto& standby = Start("b", std::chrono::seconds(3));
+  standby.task.SetRole(StateRole::kStandby);
+  const auto followerReads = follower.store.reads;
+  const auto standbyReads = standby.store.reads;
+  for (int part = 0; part < 5; ++part) {
+    RunLoop(milliseconds(500));
+  }
+  EXPECT_EQ(follower.store.reads, followerReads);
+  EXPECT_GT(standby.store.reads, standbyReads);
+}
+
+/** While the store is down, a follower backs off; its peers know as much. */
+TEST_F(StateTaskTest, Poll_StoreIsDown_FollowerCallsLessAndLess)
+{
+  auto& follower = Start("a");
+  auto& coordinator = Start("b");
+  coordinator.task.SetRole(StateRole::kCoordinator);
+  follower.store.down = true;
+  coordinator.store.down = true;
+  RunLoop();
+  const auto followerReads = follower.store.reads;
+  const auto coordinatorReads = coordinator.store.reads;
+  RunLoop(milliseconds(600));
+  EXPECT_LE(follower.store.reads - followerReads, 6);
+  EXPECT_GT(coordinator.store.reads - coordinatorReads, 40);
+}
+
+/**
+ * While the table changes all the time, a follower is always some records
+ * behind what the coordinator's replies name. Its lease must not run out.
+ */
+TEST_F(StateTaskTest, Lease_PeerWasAhead_IsRenewedOnceThisHostHasCaughtUp)
+{
+  auto& a = Start("a", std::chrono::seconds(2));
+  auto& b = Start("b", std::chrono::seconds(2));
+  const auto before = a.task.RemainingLease();
+  RunLoop();
+  a.task.RenewLeaseFromPeer(m_clock.Now(), b.task.End());
+  EXPECT_LT(a.task.RemainingLease(), before);
+  const auto update = b.task.UpdateFrom(a.task.End());
+  ASSERT_TRUE(update);
+  EXPECT_TRUE(a.task.ApplyPeerUpdate(update->entries, update->next));
+  EXPECT_GT(a.task.RemainingLease(), before);
+}
+
 TEST_F(StateTaskTest, Lease_PeerReportsSuspicion_IsNotRenewed)
 {
   auto& a = Start("a");
--- a/test/Inner/CodecTest.cpp
+++ b/test/Inner/CodecTest.cpp
@@ -55,6 +55,18 @@
              RetireRecord{ DaemonId(1), Offset(2) } };
   }
 
+  static RangeRelease Release()
+  {
+    const WallTime born{ std::chrono::milliseconds(1234) };
+    const RangeHolder holder{ HostName("a"), { ServerId("i-1"), born } };
+    const RangeHolder next{ HostName("b"), { ServerId("i-2"), born } };
+    return RangeRelease{ ServiceName("registry"),
+                         holder,
+                         { Relinquished{ { 3, 9 }, Fence(5), "token", next },
+                           Relinquished{ { 10, 11 }, Fence(6), {}, {} } },
+                         42 };
+  }
+
   static std::vector<ControlMessage> Messages()
   {
     const AppliedOffsets applied{ Offset(1), Offset(2) };
@@ -177,5 +189,50 @@
   EXPECT_TRUE(decoded.repeat);
 }
 
+TEST_F(CodecTest, RangeRelease_RoundTrip_KeepsFields)
+{
+  const auto release = Release();
+  const auto frame = DecodeFrame(SplitFrames(EncodeFrame(release)).at(0));
+  const auto& decoded = std::get<RangeRelease>(frame);
+  EXPECT_EQ(decoded.service, release.service);
+  EXPECT_EQ(decoded.holder, release.holder);
+  EXPECT_EQ(decoded.epoch, release.epoch);
+  ASSERT_EQ(decoded.ranges.size(), 2U);
+  EXPECT_EQ(decoded.ranges[0].range, release.ranges[0].range);
+  EXPECT_EQ(decoded.ranges[0].fence, release.ranges[0].fence);
+  EXPECT_EQ(decoded.ranges[0].handover, release.ranges[0].handover);
+  EXPECT_EQ(decoded.ranges[0].next, release.ranges[0].next);
+  EXPECT_EQ(decoded.ranges[1].next, std::nullopt);
+}
+
+TEST_F(CodecTest, RangeRelease_KeyOutOfBounds_Throws)
+{
+  auto release = Release();
+  release.ranges[0].range.last = kShardKeys;
+  const auto bytes = EncodeFrame(release);
+  EXPECT_THROW(DecodeFrame(SplitFrames(bytes).at(0)), InnerError);
+}
+
+TEST_F(CodecTest, ConfigurationUpdate_RoundTrip_KeepsFields)
+{
+  ConfigurationUpdate update;
+  update.records.nextOffset = 8;
+  update.records.entries = { StoreEntry{ "config", "text", 7 } };
+  update.records.relayTo = { HostName("a"), HostName("b") };
+  const auto frame = DecodeFrame(SplitFrames(EncodeFrame(update)).at(0));
+  const auto& decoded = std::get<ConfigurationUpdate>(frame);
+  EXPECT_EQ(decoded.records.nextOffset, 8);
+  EXPECT_EQ(decoded.records.entries, update.records.entries);
+  EXPECT_EQ(decoded.records.relayTo, update.records.relayTo);
+}
+
+RC_GTEST_FIXTURE_PROP(CodecTest, Decode_DamagedRelease_NeverCrashes, ())
+{
+  auto bytes = EncodeFrame(Release()).substr(kFrameLengthBytes);
+  const auto position = *rc::gen::inRange<size_t>(0, bytes.size());
+  bytes[position] = *rc::gen::arbitrary<char>();
+  ExpectDecodesOrThrows(DecodeFrame, bytes);
+}
+
 }
 }
--- a/test/Ranges/GrantManagerTest.cpp
+++ b/test/Ranges/GrantManagerTest.cpp
@@ -270,14 +270,39 @@
 {
   const auto state = StateOf({ RecordOf("a") }, m_table);
   const auto fence = m_table.RowsOf(kOrders).front().fence;
-  const Relinquished item{ { 10, 19 }, fence, "token", std::nullopt };
-  EXPECT_TRUE(
-    ReassignRelinquished(m_table, state, kOrders, HolderOf("a"), { item }));
+  const RangeRelease release{ kOrders,
+                              HolderOf("a"),
+                              { Relinquished{
+                                { 10, 19 }, fence, "token", std::nullopt } },
+                              std::nullopt };
+  EXPECT_TRUE(ReassignRelinquished(m_table, state, release));
   EXPECT_TRUE(m_table.Find(kOrders, ShardKey(15))->IsFree());
   m_table.Assign(kOrders, { 10, 19 }, HolderOf("a"), "token");
-  EXPECT_FALSE(
-    ReassignRelinquished(m_table, state, kOrders, HolderOf("a"), { item }));
+  EXPECT_FALSE(ReassignRelinquished(m_table, state, release));
   EXPECT_EQ(m_table.Find(kOrders, ShardKey(15))->holder, HolderOf("a"));
 }
 
+/**
+ * The process that takes over from the sender of a release knows nothing of it
+ * and may grant the range again under the same fence.
+ */
+TEST_F(GrantManagerTest,
+       ReassignRelinquished_SenderWasRestartedSince_ChangesNothing)
+{
+  const auto fence = m_table.RowsOf(kOrders).front().fence;
+  const RangeRelease release{ kOrders,
+                              HolderOf("a"),
+                              { Relinquished{
+                                { 10, 19 }, fence, "token", std::nullopt } },
+                              RecordOf("a").epoch };
+  auto restarted = RecordOf("a");
+  ++restarted.epoch;
+  EXPECT_FALSE(
+    ReassignRelinquished(m_table, StateOf({ restarted }, m_table), release));
+  EXPECT_TRUE(HoldsReleased(m_table, release));
+  EXPECT_TRUE(ReassignRelinquished(
+    m_table, StateOf({ RecordOf("a") }, m_table), release));
+  EXPECT_FALSE(HoldsReleased(m_table, release));
+}
+
 }
--- a/test/Ranges/PlacementTest.cpp
+++ b/test/Ranges/PlacementTest.cpp
@@ -226,4 +226,89 @@
   EXPECT_LE(lease.Remaining(clock.Now()), Duration{});
 }
 
+/**
+ * After the loss of all hosts, backend servers register one by one. The first
+ * ones must not get the keys of all the others.
+ */
+TEST_F(PlacementTest,
+       AssignFreeRows_ServersRestartOneByOne_KeysReturnToTheirHost)
+{
+  const std::string names = "abcdefgh";
+  const auto before = Targets(names, 1.0);
+  std::vector<HostRecord> records;
+  for (const char name : names) {
+    records.push_back(RecordOf(std::string(1, name)));
+  }
+  AssignFreeRows(m_table, StateOf(records), kOrders, before, LoadMap());
+  const auto rows = m_table.RowsOf(kOrders);
+  std::vector<PlacementTarget> registered;
+  for (auto& record : records) {
+    const auto& host = record.host.Value();
+    record.server->incarnation = IncarnationOf("server-" + host, 2000);
+    registered.push_back(PlacementTarget{
+      RangeHolder{ record.host, record.server->incarnation }, 1.0 });
+    EXPECT_TRUE(AssignFreeRows(
+      m_table, StateOf(records, m_table), kOrders, registered, LoadMap()));
+  }
+  const auto& after = m_table.RowsOf(kOrders);
+  ASSERT_EQ(after.size(), rows.size());
+  for (size_t index = 0; index < rows.size(); ++index) {
+    EXPECT_EQ(after[index].range, rows[index].range);
+    EXPECT_EQ(after[index].holder.host, rows[index].holder.host);
+    EXPECT_GT(after[index].fence, rows[index].fence);
+  }
+}
+
+/** A host that gave keys away still reports their load for some seconds. */
+TEST_F(PlacementTest, LoadOf_OverlappingBuckets_AddsThemUp)
+{
+  LoadMap load(0.0);
+  load.Add({ { { 0, 99 }, 10.0 }, { { 50, 59 }, 4.0 }, { { 200, 200 }, 3.0 } });
+  load.Add({ { { 40, 59 }, 2.0 } });
+  EXPECT_NEAR(load.LoadOf({ 0, 99 }), 16.0, 1e-9);
+  EXPECT_NEAR(load.LoadOf({ 55, 59 }), 0.5 + 2.0 + 0.5, 1e-9);
+  EXPECT_NEAR(load.LoadOf({ 100, 199 }), 0.0, 1e-9);
+  EXPECT_NEAR(load.LoadOf({ 150, kShardKeys - 1 }), 3.0, 1e-9);
+}
+
+/**
+ * After the loss of all hosts, the coordinator assigns all ranges of 300 hosts
+ * while it still takes in records and reports. The time of one assignment must
+ * not grow with the product of hosts, rows and buckets: with twenty rounds,
+ * that would exceed the time limit of the tests.
+ */
+TEST_F(PlacementTest,
+       AssignFreeRows_HalfOfThreeHundredHostsLost_SpreadsTheirKeys)
+{
+  constexpr uint32_t kHosts = 300;
+  constexpr uint32_t kBucketsPerHost = 28;
+  std::vector<HostRecord> records;
+  std::vector<PlacementTarget> targets;
+  std::vector<LoadBucket> buckets;
+  constexpr auto kWidth = kShardKeys / (kHosts * kBucketsPerHost);
+  for (uint32_t host = 0; host < kHosts; ++host) {
+    records.push_back(RecordOf("host-" + std::to_string(host)));
+    targets.push_back(
+      PlacementTarget{ HolderOf(records.back().host.Value()), 1.0 });
+    for (uint32_t bucket = 0; bucket < kBucketsPerHost; ++bucket) {
+      const auto first = (host * kBucketsPerHost + bucket) * kWidth;
+      buckets.push_back({ { first, first + kWidth - 1 }, 1.0 });
+    }
+  }
+  LoadMap load;
+  load.Add(buckets);
+  AssignFreeRows(m_table, StateOf(records), kOrders, targets, load);
+  targets.resize(kHosts / 2);
+  records.resize(kHosts / 2);
+  const auto state = StateOf(records, m_table);
+  for (int round = 0; round < 20; ++round) {
+    auto table = m_table;
+    ASSERT_TRUE(AssignFreeRows(table, state, kOrders, targets, load));
+    for (const auto& target : targets) {
+      ASSERT_LT(LoadOn(table, target.holder.host.Value(), load),
+                3.0 * load.LoadOf({}) / static_cast<double>(targets.size()));
+    }
+  }
+}
+
 }
--- a/test/Ranges/ScheduleTest.cpp
+++ b/test/Ranges/ScheduleTest.cpp
@@ -69,6 +69,12 @@
   EXPECT_TRUE(IsDetected(m_rules));
 }
 
+TEST_F(RangesScheduleTest, Mutation_ReleaseOfAnEarlierProcess_IsDetected)
+{
+  m_rules.checksReleaseEpoch = false;
+  EXPECT_TRUE(IsDetected(m_rules));
+}
+
 TEST_F(RangesScheduleTest, Mutation_FencesReused_IsDetected)
 {
   m_rules.increasesFences = false;
--- a/test/Ranges/SimulationSupport.cpp
+++ b/test/Ranges/SimulationSupport.cpp
@@ -14,6 +14,7 @@
 constexpr int64_t kReadInterval = 1000;     // ms
 constexpr int64_t kHeartbeatInterval = 900; // ms
 constexpr int64_t kCallTimeout = 700;       // ms
+constexpr int64_t kReleaseTimeout = 600;    // ms
 constexpr Duration kHostTimeout = milliseconds(3000);
 constexpr Duration kServerTimeout = milliseconds(2900);
 constexpr uint32_t kSampledKeys = 32;
@@ -271,7 +272,7 @@
     return;
   }
   Deliver(aDaemon, [this, aDaemon] {
-    ExpireSilentServer(*aDaemon);
+    ExpireSilentServer(aDaemon);
     if (!m_faultsEnded && RandomInt(0, 29) == 0) {
       RevokeRandomRange(*aDaemon);
     }
@@ -494,10 +495,9 @@
 Simulation::EditTable(SimulatedDaemon& aDaemon, TableDraft& aDraft)
 {
   bool changed = false;
-  for (const auto& [holder, item] : aDaemon.toReassign) {
-    changed = ReassignRelinquished(
-                aDraft.table, aDaemon.state, kOrders, holder, { item }) ||
-              changed;
+  for (const auto& release : aDaemon.toReassign) {
+    changed =
+      ReassignRelinquished(aDraft.table, aDaemon.state, release) || changed;
   }
   const bool isCoordinator = aDaemon.host == "a" || aDaemon.host == "b";
   const bool hasLease =
@@ -566,14 +566,48 @@
 }
 
 void
-Simulation::QueueRelinquished(SimulatedDaemon& aDaemon)
-{
-  for (auto& item : aDaemon.grants.TakeRelinquished()) {
-    aDaemon.toReassign.emplace_back(
-      RangeHolder{ aDaemon.self.host, *aDaemon.grants.Incarnation() }, item);
+Simulation::QueueRelinquished(const DaemonPtr& aDaemon)
+{
+  const RangeRelease release{ kOrders,
+                              RangeHolder{ aDaemon->self.host,
+                                           *aDaemon->grants.Incarnation() },
+                              aDaemon->grants.TakeRelinquished(),
+                              std::nullopt };
+  if (release.ranges.empty()) {
+    return;
+  }
+  if (FaultOccurs(2)) {
+    aDaemon->toReassign.push_back(release);
+  } else {
+    SendRelease(aDaemon, release);
   }
 }
 
+void
+Simulation::SendRelease(const DaemonPtr& aDaemon, const RangeRelease& aRelease)
+{
+  auto sent = aRelease;
+  if (m_rules.checksReleaseEpoch) {
+    sent.epoch = aDaemon->self.epoch;
+  }
+  // It may arrive long after its sender was restarted, or never.
+  if (!FaultOccurs(8)) {
+    After(FaultOccurs(4) ? RandomInt(100, 4000) : RandomDelay(), [this, sent] {
+      const auto& coordinator = m_hosts.at("a").daemon;
+      if (coordinator && !coordinator->dead) {
+        coordinator->toReassign.push_back(sent);
+      }
+    });
+  }
+  After(kReleaseTimeout, [this, aDaemon, aRelease] {
+    Deliver(aDaemon, [aDaemon, aRelease] {
+      if (HoldsReleased(aDaemon->state.Table(), aRelease)) {
+        aDaemon->toReassign.push_back(aRelease);
+      }
+    });
+  });
+}
+
 void
 Simulation::RevokeRandomRange(SimulatedDaemon& aDaemon)
 {
@@ -591,27 +625,30 @@
   const KeyRange part{ first, row.range.last };
   aDaemon.grants.Revoke(part, row.fence, std::nullopt);
   if (!m_rules.waitsForRelease) {
-    aDaemon.toReassign.emplace_back(
-      row.holder, Relinquished{ part, row.fence, {}, std::nullopt });
+    aDaemon.toReassign.push_back(
+      RangeRelease{ kOrders,
+                    row.holder,
+                    { Relinquished{ part, row.fence, {}, std::nullopt } },
+                    std::nullopt });
   }
 }
 
 void
-Simulation::ExpireSilentServer(SimulatedDaemon& aDaemon)
+Simulation::ExpireSilentServer(const DaemonPtr& aDaemon)
 {
-  const auto now = LocalTime(aDaemon.rate);
-  auto& server = aDaemon.self.server;
-  const bool silent = now - aDaemon.lastHeartbeat >= kServerTimeout;
+  const auto now = LocalTime(aDaemon->rate);
+  auto& server = aDaemon->self.server;
+  const bool silent = now - aDaemon->lastHeartbeat >= kServerTimeout;
   const bool expired =
-    aDaemon.grants.HoldsExpired(now) || !m_rules.waitsForHolds;
-  if (!aDaemon.Joined() || !silent || !expired || !server ||
+    aDaemon->grants.HoldsExpired(now) || !m_rules.waitsForHolds;
+  if (!aDaemon->Joined() || !silent || !expired || !server ||
       server->state == ServerState::kSilent) {
     return;
   }
   server->state = ServerState::kSilent;
-  aDaemon.recordDirty = true;
-  aDaemon.grants.Adopt(server->incarnation);
-  aDaemon.grants.RelinquishExpired(RowsOf(aDaemon, server->incarnation));
+  aDaemon->recordDirty = true;
+  aDaemon->grants.Adopt(server->incarnation);
+  aDaemon->grants.RelinquishExpired(RowsOf(*aDaemon, server->incarnation));
   QueueRelinquished(aDaemon);
 }
 
@@ -681,7 +718,7 @@
     daemon.self.server = status;
     daemon.recordDirty = true;
   }
-  QueueRelinquished(daemon);
+  QueueRelinquished(aDaemon);
   Write(aDaemon);
   return reply;
 }
--- a/test/Ranges/SimulationSupport.h
+++ b/test/Ranges/SimulationSupport.h
@@ -29,6 +29,7 @@
   bool waitsForRelease = true; ///< Before a range is reassigned.
   bool conditionalAppends = true; ///< With the expected end of the topic.
   bool increasesFences = true;    ///< With each assignment.
+  bool checksReleaseEpoch = true; ///< When writing another host's release.
 };
 
 /** Result of Simulation::Run if keys stay unserved, without a violation. */
@@ -95,8 +96,8 @@
   MonoTime lastHeartbeat;
   std::map<int64_t, MonoTime> suspectedAt;
   std::map<std::string, MonoTime> lastReportAt;
-  std::vector<std::pair<RangeHolder, Relinquished>> toReassign;
-  std::vector<std::pair<RangeHolder, Relinquished>> inFlight;
+  std::vector<RangeRelease> toReassign;
+  std::vector<RangeRelease> inFlight;
   std::vector<StoreEntry> draft;
   int64_t draftAt = 0;
 };
@@ -168,8 +169,9 @@
               const std::vector<StoreEntry>& aEntries,
               const AppendCondition& aCondition,
               const std::function<void(const AppendReply&)>& aDone);
-  void ExpireSilentServer(SimulatedDaemon& aDaemon);
-  void QueueRelinquished(SimulatedDaemon& aDaemon);
+  void ExpireSilentServer(const DaemonPtr& aDaemon);
+  void QueueRelinquished(const DaemonPtr& aDaemon);
+  void SendRelease(const DaemonPtr& aDaemon, const RangeRelease& aRelease);
   void RevokeRandomRange(SimulatedDaemon& aDaemon);
   std::vector<RangeRow> RowsOf(const SimulatedDaemon& aDaemon,
                                const ServerIncarnation& aIncarnation) const;
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -261,12 +261,34 @@
 
 TEST_F(ServerDialectTest, Classify_OnlyExplicitRefusals_AreNotRun)
 {
-  EXPECT_EQ(Classify(503, { { names::kNotRun, "1" } }), AnswerKind::kNotRun);
-  EXPECT_EQ(Classify(421, {}), AnswerKind::kNotRun);
-  EXPECT_EQ(Classify(503, {}), AnswerKind::kAnswer);
+  const Header id{ names::kRequestId, "id-1" };
+  EXPECT_EQ(Classify(503, { id, { names::kNotRun, "1" } }),
+            AnswerKind::kNotRun);
+  EXPECT_EQ(Classify(421, { id }), AnswerKind::kNotRun);
+  EXPECT_EQ(Classify(500, { id }), AnswerKind::kAnswer);
   EXPECT_EQ(Classify(500, {}), AnswerKind::kAnswer);
 }
 
+/** A backend server may write an earlier refusal once more. */
+TEST_F(ServerDialectTest, Classify_RefusalWithoutTheId_IsInvalid)
+{
+  const Header other{ names::kRequestId, "id-0" };
+  const Header notRun{ names::kNotRun, "1" };
+  for (const int status : { 503, 429, 421 }) {
+    EXPECT_EQ(Classify(status, { notRun }), AnswerKind::kInvalid);
+    EXPECT_EQ(Classify(status, { other, notRun }), AnswerKind::kInvalid);
+  }
+}
+
+/** Callers take these for not run, which the backend server has not stated. */
+TEST_F(ServerDialectTest, Classify_UnmarkedPromise_IsInvalid)
+{
+  for (const int status : { 408, 429, 503 }) {
+    EXPECT_EQ(Classify(status, { { names::kRequestId, "id-1" } }),
+              AnswerKind::kInvalid);
+  }
+}
+
 TEST_F(ServerDialectTest, PrepareHead_Head_HasServerAndTimeLeft)
 {
   m_dialect.PrepareHead(m_request, ServerId("i-1"), milliseconds(1500));
--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -59,7 +59,9 @@
                                           .pollWait = milliseconds(400),
                                           .relayPollWait = milliseconds(20),
                                           .retryDelay = milliseconds(5),
-                                          .maxRetryDelay = milliseconds(80) } };
+                                          .maxRetryDelay = milliseconds(80),
+                                          .peerTimeout = milliseconds(100),
+                                          .catchUpDelay = milliseconds(5) } };
 };
 
 TEST_F(ConfigFollowerTest, Start_SeveralVersions_NewestIsApplied)
@@ -79,30 +81,69 @@
   m_follower.Start();
   Run(milliseconds(20));
   Write("{\"version\":");
-  m_follower.CatchUp(2);
+  m_follower.OnPeerPosition(2);
   Run(milliseconds(20));
   Write(Config(3));
-  m_follower.CatchUp(3);
+  m_follower.OnPeerPosition(3);
   Run(milliseconds(20));
   EXPECT_EQ(m_applied, std::vector<uint64_t>{ 4 });
   EXPECT_EQ(m_follower.Current()->version, 4U);
   EXPECT_EQ(m_follower.Position(), 3);
 }
 
-TEST_F(ConfigFollowerTest, CatchUp_PeerHasReadFurther_ReadsBeforeThePollEnds)
+TEST_F(ConfigFollowerTest,
+       OnPeerPosition_PeerHasReadFurther_ReadsBeforeThePollEnds)
 {
   Write(Config(1));
   m_follower.Start();
   Run(milliseconds(20));
   Write(Config(2));
   const auto before = m_store.reads;
-  m_follower.CatchUp(1);
+  m_follower.OnPeerPosition(1);
   EXPECT_EQ(m_store.reads, before);
-  m_follower.CatchUp(2);
+  m_follower.OnPeerPosition(2);
   Run(milliseconds(20));
   EXPECT_EQ(m_follower.Current()->version, 2U);
 }
 
+/** Three hundred hosts must not read each configuration from the store. */
+TEST_F(ConfigFollowerTest, ApplyPeerRecords_RelaySendsThem_StoreIsNotRead)
+{
+  Write(Config(1));
+  m_follower.Start();
+  m_follower.OnPeerPosition(1);
+  Run(milliseconds(20));
+  m_follower.OnPeerPosition(1);
+  Run(milliseconds(450)); // Ends the first poll.
+  for (int report = 0; report < 5; ++report) {
+    m_follower.OnPeerPosition(1);
+    Run(milliseconds(40));
+  }
+  const auto before = m_store.reads;
+  Write(Config(2));
+  m_follower.OnPeerPosition(2);
+  m_follower.ApplyPeerRecords(m_topic.From(1));
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+  for (int report = 0; report < 10; ++report) {
+    m_follower.OnPeerPosition(2);
+    Run(milliseconds(40));
+  }
+  EXPECT_EQ(m_store.reads, before);
+}
+
+TEST_F(ConfigFollowerTest, Poll_PeersFallSilent_StoreIsReadAgain)
+{
+  Write(Config(1));
+  m_follower.Start();
+  for (int report = 0; report < 12; ++report) {
+    m_follower.OnPeerPosition(1);
+    Run(milliseconds(40));
+  }
+  Write(Config(2));
+  Run(milliseconds(300));
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+}
+
 /**
  * Guards against overload of a store that is down: in the pattern ManyFollowers
  * seventy hosts retry against a store that refuses their calls.
