A coordinator that cannot reach the store steps aside; short requests need no ping

A host that became coordinator again suspected all hosts at once, because they had reported elsewhere (18 refutations). Appends to a store that refuses were repeated every 200 ms. Each forwarded request cost a ping and a pong. A cold server got a queue that it could not serve.

Change: the coordinator is the first host that answers with a state younger than 2.6 s; whoever takes over waits until reports can have arrived (CoordinatorTaskTest); failed appends back off to 800 ms; the first ping is sent after one interval (ConnectionTest); requests that all run longer than expected raise the expected time (OverloadPatternTest ColdServer_*).

--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -27,6 +27,10 @@
 /** A host that left two reports unanswered is not the coordinator any more. */
 constexpr Duration kAnswerTimeout = milliseconds(1200);
 
+/** A host whose state is older cannot reach the store, and does not coordinate
+ * if a standby can. Standbys read the store at a lower age. */
+constexpr Duration kMaxCoordinatorAge = milliseconds(2600);
+
 /** A host is suspected when three of its reports are missing. */
 constexpr Duration kReportTimeout = milliseconds(1700);
 
@@ -153,15 +157,49 @@
   return m_candidates;
 }
 
-const HostRecord*
-CoordinatorTask::Coordinator() const
+bool
+CoordinatorTask::IsCurrent(const HostName& aHost) const
 {
+  if (aHost == m_state.Self()) {
+    return m_clock.Now() - m_state.LastSyncedAt() < kMaxCoordinatorAge;
+  }
+  const auto found = m_ageInReply.find(aHost);
+  return found == m_ageInReply.end() || found->second < kMaxCoordinatorAge;
+}
+
+std::vector<HostName>
+CoordinatorTask::ReportTargets() const
+{
+  std::vector<HostName> targets;
   for (const auto& name : CoordinatorCandidates()) {
-    if (name != m_state.Self() && IsResponsive(name)) {
-      return m_state.State().FindHost(name);
+    if (name == m_state.Self() || IsResponsive(name)) {
+      targets.push_back(name);
     }
+    if (targets.size() >= kReportTargets) {
+      break;
+    }
+  }
+  return targets;
+}
+
+HostName
+CoordinatorTask::ChooseCoordinator(const std::vector<HostName>& aTargets) const
+{
+  const auto current =
+    std::find_if(aTargets.begin(), aTargets.end(), [&](const HostName& aName) {
+      return IsCurrent(aName);
+    });
+  if (current != aTargets.end()) {
+    return *current;
   }
-  return nullptr;
+  return aTargets.empty() ? HostName() : aTargets.front();
+}
+
+const HostRecord*
+CoordinatorTask::Coordinator() const
+{
+  const auto name = ChooseCoordinator(ReportTargets());
+  return name == m_state.Self() ? nullptr : m_state.State().FindHost(name);
 }
 
 void
@@ -190,6 +228,7 @@
     return; // The address belongs to another host now.
   }
   m_unansweredSince.erase(aHost);
+  m_ageInReply[aHost] = aOrders.age;
   m_server.ApplyMoveOrders(aOrders.moves);
   if (m_onPeerConfiguration) {
     m_onPeerConfiguration(aOrders.configurationOffset);
@@ -224,37 +263,32 @@
     m_server.MakeReport(MaxBuckets(m_state.State().Hosts().size()));
   auto summary = report;
   summary.buckets.clear();
-  const auto& candidates = CoordinatorCandidates();
   // The hosts that would succeed the coordinator also get all reports, so that
-  // one of them can take over immediately.
-  size_t targetCount = 0;
-  bool precedingAnswers = false; // A host earlier in the order answers.
-  bool active = false;
-  for (const auto& name : candidates) {
-    if (name == m_state.Self()) {
-      active = !precedingAnswers;
-      auto orders = OnReport(report);
-      if (active) {
-        m_server.ApplyMoveOrders(orders.moves);
-      }
-      ++targetCount;
-    } else if (IsResponsive(name)) {
-      // Only the coordinator needs the load of each bucket.
-      ReportTo(name, precedingAnswers ? summary : report);
-      precedingAnswers = true;
-      ++targetCount;
-    } else if (m_ticks % kProbeTicks == 0) {
-      ReportTo(name, report);
+  // one of them can take over immediately. Only the coordinator needs the load
+  // of each bucket.
+  const auto targets = ReportTargets();
+  const auto coordinator = ChooseCoordinator(targets);
+  const bool active = coordinator == m_state.Self();
+  for (const auto& name : targets) {
+    if (name != m_state.Self()) {
+      ReportTo(name, name == coordinator ? report : summary);
+      continue;
     }
-    if (targetCount >= kReportTargets) {
-      break;
+    const auto orders = OnReport(report);
+    if (active) {
+      m_server.ApplyMoveOrders(orders.moves);
     }
   }
+  if (m_ticks % kProbeTicks == 0) {
+    ProbeUnresponsive(targets, summary);
+  }
   m_state.SetRole(active                  ? StateRole::kCoordinator
                   : ReceivesPeerReports() ? StateRole::kStandby
                                           : StateRole::kFollower);
   if (active != m_active) {
     m_active = active;
+    // Hosts need not have reported here while another one coordinated.
+    m_watchingSince = m_clock.Now();
     m_logger.Info(active ? "coordinator-begin" : "coordinator-end",
                   "hosts={} end={}",
                   m_state.State().Hosts().size(),
@@ -262,6 +296,21 @@
   }
 }
 
+void
+CoordinatorTask::ProbeUnresponsive(const std::vector<HostName>& aTargets,
+                                   const HostReport& aSummary)
+{
+  // A host before the last target becomes one as soon as it answers.
+  for (const auto& name : CoordinatorCandidates()) {
+    if (!aTargets.empty() && name == aTargets.back()) {
+      return;
+    }
+    if (name != m_state.Self() && !IsResponsive(name)) {
+      ReportTo(name, aSummary);
+    }
+  }
+}
+
 HostOrders
 CoordinatorTask::OnReport(const HostReport& aReport)
 {
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -20,9 +20,10 @@
  * report.
  *
  * Every daemon sends its report to the first hosts of CoordinationOrder. The
- * first host that answers is the coordinator. Two coordinators at the same time
- * are safe, because each change of the table is a conditional append that fails
- * if another host has changed the table in the meantime.
+ * first host that answers and can reach the store is the coordinator. Two
+ * coordinators at the same time are safe, because each change of the table is a
+ * conditional append that fails if another host has changed the table in the
+ * meantime.
  */
 class CoordinatorTask : public StateListener
 {
@@ -103,6 +104,11 @@
   void SendReport();
   const std::vector<HostName>& CoordinatorCandidates() const;
   bool IsResponsive(const HostName& aHost) const;
+  bool IsCurrent(const HostName& aHost) const;
+  std::vector<HostName> ReportTargets() const;
+  HostName ChooseCoordinator(const std::vector<HostName>& aTargets) const;
+  void ProbeUnresponsive(const std::vector<HostName>& aTargets,
+                         const HostReport& aSummary);
   void AssignFreeRanges();
   void AssignFreeRanges(const ServiceName& aService);
   bool TargetsStable(const ServiceName& aService);
@@ -132,6 +138,8 @@
   std::map<HostName, ReceivedReport> m_reports;
   /// Time of the first unanswered report.
   std::map<HostName, MonoTime> m_unansweredSince;
+  /// Age of a host's state in its last reply.
+  std::map<HostName, Duration> m_ageInReply;
   std::map<HostName, HostOrders> m_pendingOrders;
   std::map<ServiceName, Rebalancer> m_rebalancers;
   std::map<ServiceName, CachedLoad> m_loads;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -29,6 +29,7 @@
   ConnectionSettings settings;
   settings.heartbeatInterval = milliseconds(250);
   settings.missedHeartbeatLimit = 4;
+  settings.pingsAtOnce = false;
   return settings;
 }
 
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -26,6 +26,8 @@
   /// Maximum delay of a failed poll of a follower; its delay starts at
   /// retryDelay and doubles with each failure.
   Duration maxRetryDelay = std::chrono::milliseconds(1600);
+  /// Same, of a failed append.
+  Duration maxWriteRetryDelay = std::chrono::milliseconds(800);
   /// Time to wait for the missing records when peers send records out of order,
   /// before the store is read. The reply to the next report brings them, too.
   Duration gapDelay = std::chrono::milliseconds(900);
@@ -273,8 +275,10 @@
   int64_t m_draftOffset = 0;
   Duration MaxStaleness() const;
   void RetryPoll();
+  Duration NextWriteDelay();
 
   Duration m_retryDelay{}; ///< Before the last repeated poll.
+  Duration m_writeDelay{}; ///< Before the last repeated append.
   bool m_connected = false;
   bool m_polling = false;
   bool m_writing = false;
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -230,6 +230,16 @@
   }
 }
 
+template<KeyedStore Store>
+Duration
+StateTask<Store>::NextWriteDelay()
+{
+  m_writeDelay = m_writeDelay > Duration{}
+                   ? std::min(2 * m_writeDelay, m_settings.maxWriteRetryDelay)
+                   : m_settings.retryDelay;
+  return m_writeDelay;
+}
+
 template<KeyedStore Store>
 void
 StateTask<Store>::WriteRecord()
@@ -281,9 +291,10 @@
       break;
     default:
       m_recordDirty = true;
-      m_writeTimer.StartOnce(m_settings.retryDelay);
+      m_writeTimer.StartOnce(NextWriteDelay());
       return;
   }
+  m_writeDelay = {};
   WritePending();
 }
 
@@ -379,9 +390,10 @@
     case AppendVerdict::kRefused:
     case AppendVerdict::kUnknown:
       // Repeated under the same condition until the outcome is certain.
-      m_resendTimer.StartOnce(m_settings.retryDelay);
+      m_resendTimer.StartOnce(NextWriteDelay());
       return;
   }
+  m_writeDelay = {};
   WritePending();
 }
 
--- a/src/Inner/Connection.cpp
+++ b/src/Inner/Connection.cpp
@@ -176,6 +176,16 @@
   m_lastHeartbeat = m_clock.Now();
   const auto interval = internal::ToTimeval(m_settings.heartbeatInterval);
   event_add(m_timer, &interval);
+  m_pinged = false;
+  if (m_settings.pingsAtOnce) {
+    SendPing();
+  }
+}
+
+void
+Connection::SendPing()
+{
+  m_pinged = true;
   Send(Ping{ ++m_lastPingSequence });
 }
 
@@ -337,12 +347,13 @@
   // heartbeats restarts.
   const bool paused = sinceLast > 2 * m_settings.heartbeatInterval;
   const bool heard = now - m_lastRead < m_settings.heartbeatInterval;
-  m_missedHeartbeats = paused || heard ? 0 : m_missedHeartbeats + 1;
+  const bool restarts = paused || heard || !m_pinged;
+  m_missedHeartbeats = restarts ? 0 : m_missedHeartbeats + 1;
   if (m_missedHeartbeats >= m_settings.missedHeartbeatLimit) {
     End(CloseReason::kHeartbeatTimeout);
     return;
   }
-  Send(Ping{ ++m_lastPingSequence });
+  SendPing();
 }
 
 void
--- a/src/Inner/Connection.h
+++ b/src/Inner/Connection.h
@@ -24,6 +24,9 @@
   /** \brief Heartbeat intervals without received data, in a row, after which
    * the connection ends. */
   int missedHeartbeatLimit = 2;
+  /** \brief Whether the first ping is sent as soon as heartbeats are enabled;
+   * if not, one interval later, so that short requests need none. */
+  bool pingsAtOnce = true;
 };
 
 /** \brief Reason for which a connection ended. */
@@ -122,6 +125,7 @@
   void OnWritable();
   void OnEvent(short aEvents);
   void OnTimer();
+  void SendPing();
   bool ReadFrame();
   void ReadRemaining();
   void ShutDownIfSent();
@@ -139,6 +143,7 @@
   TablePosition m_position;
   int64_t m_lastPingSequence = 0;
   int m_missedHeartbeats = 0;
+  bool m_pinged = false; ///< Since heartbeats were enabled.
   bool m_connected = false;
   bool m_heartbeatsEnabled = false;
   bool m_finishing = false; ///< FinishSending() was called.
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -54,6 +54,7 @@
 {
   AdmissionActions actions;
   auto& state = StateOf(aRequest.requestClass);
+  RaiseServiceTimes(aNow);
   const auto queueEntry = MakeQueueEntry(aRequest, aNow);
   if (const auto reason = FindRefusalReason(aRequest, queueEntry, aNow)) {
     if (*reason == RefusalReason::kOverloaded) {
@@ -312,6 +313,30 @@
   }
 }
 
+// While slots are reused all the time, running requests have been running for
+// about half of their service time on average. A mean above the expected
+// service time therefore shows that the server has become slow.
+void
+AdmissionController::RaiseServiceTimes(MonoTime aNow)
+{
+  if (2 * m_running.size() < Limit()) {
+    return; // Too few to tell a slow server from a few long requests.
+  }
+  std::vector<std::pair<Duration, int64_t>> elapsed(m_classes.size());
+  for (const auto& [id, running] : m_running) {
+    auto& [sum, count] = elapsed[running.requestClass.Value()];
+    sum += aNow - running.started;
+    ++count;
+  }
+  for (size_t index = 0; index < m_classes.size(); ++index) {
+    const auto& [sum, count] = elapsed[index];
+    if (count > 1) {
+      auto& service = m_classes[index].service;
+      service = std::max(service, sum / count);
+    }
+  }
+}
+
 void
 AdmissionController::UpdateServiceTime(const RunningRequest& aRunning,
                                        MonoTime aNow)
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -83,8 +83,10 @@
  * refused on arrival. A standing queue, one that stays non-empty for long, adds
  * latency and no throughput: until the overload ends, requests are refused that
  * would wait for more than about one service time, and laxity reorders only
- * requests that arrive close together. Each id passed to Admit() is returned
- * exactly once, as a start or as a refusal.
+ * requests that arrive close together. Requests that all run for longer than
+ * expected raise the expected service time before any of them has ended, so
+ * that a cold server isn't sent a queue that it cannot serve. Each id passed to
+ * Admit() is returned exactly once, as a start or as a refusal.
  *
  * \sa AdaptiveLimit
  */
@@ -212,6 +214,7 @@
   static double QueuedSecondsAhead(const ClassState& aState,
                                    const QueueEntry& aQueueEntry);
   void UpdateQueuedSince(MonoTime aNow);
+  void RaiseServiceTimes(MonoTime aNow);
   Duration RetryAfter(const ClassState& aState, MonoTime aNow) const;
   void Start(ClassIndex aClass, const RequestId& aId, MonoTime aNow);
   void StartNext(AdmissionActions& aActions, MonoTime aNow);
--- a/test/HostDaemon/CoordinatorTaskTest.cpp
+++ b/test/HostDaemon/CoordinatorTaskTest.cpp
@@ -43,10 +43,13 @@
     m_state.AddListener(m_coordinator);
   }
 
-  void AddHost(const std::string& aName, const ServiceName& aService)
+  void AddHost(const std::string& aName,
+               const ServiceName& aService,
+               int32_t aCpuMillis = 0)
   {
     auto record = RecordOf(aName);
     record.service = aService;
+    record.cpuMillis = aCpuMillis;
     m_topic.Append({ EncodeHost(record) }, WriterPosition{ aName, 1, 0 });
     m_hosts.emplace_back(aName);
   }
@@ -115,6 +118,31 @@
   EXPECT_TRUE(IsAssigned(kStock));
 }
 
+/**
+ * The others report to another host until it stops answering. The host that
+ * takes over must not suspect all of them because they are new to it.
+ */
+TEST_F(CoordinatorTaskTest, SuspectSilentHosts_TakesOver_WaitsForReportsFirst)
+{
+  AddHost("b", kOrders);
+  AddHost("c", kOrders);
+  AddHost("first", kOrders, 500); // Never answers.
+  m_coordinator.SetShardedServices({ kOrders });
+  m_state.Start();
+  m_coordinator.Start();
+  m_hosts = { HostName("b"), HostName("c") };
+  for (int part = 0; part < 6; ++part) {
+    EXPECT_FALSE(m_coordinator.Active() && part < 3);
+    RunLoop(milliseconds(400));
+  }
+  ASSERT_TRUE(m_coordinator.Active());
+  RunWithReports(9);
+  const auto& table = m_state.State().Table();
+  EXPECT_EQ(table.FindSuspicion(HostName("b")), nullptr);
+  EXPECT_EQ(table.FindSuspicion(HostName("c")), nullptr);
+  EXPECT_NE(table.FindSuspicion(HostName("first")), nullptr);
+}
+
 /** Many hosts of a zone may release their keys within one round trip. */
 TEST_F(CoordinatorTaskTest, OnRelease_ManyAtOnce_AreWrittenTogether)
 {
--- a/test/HostDaemon/KeyLoadMeterTest.cpp
+++ b/test/HostDaemon/KeyLoadMeterTest.cpp
@@ -7,10 +7,12 @@
 class KeyLoadMeterTest : public ::testing::Test
 {
 protected:
-  std::vector<LoadBucket> NextInterval()
+  static constexpr size_t kMaxBuckets = 128;
+
+  std::vector<LoadBucket> NextInterval(size_t aMaxBuckets = kMaxBuckets)
   {
     m_clock.Advance(std::chrono::seconds(1));
-    return m_meter.EndInterval(m_clock.Now());
+    return m_meter.EndInterval(m_clock.Now(), aMaxBuckets);
   }
 
   ManualClock m_clock;
@@ -45,6 +47,26 @@
   EXPECT_TRUE(alone);
 }
 
+/** The reports of three hundred hosts arrive at one of them. */
+TEST_F(KeyLoadMeterTest, EndInterval_FewerBuckets_KeepHotKeyAndTotal)
+{
+  NextInterval();
+  for (uint32_t key = 0; key < 1000; ++key) {
+    m_meter.Count(ShardKey(key), key == 500 ? 500.0 : 0.5);
+  }
+  constexpr size_t kFew = 24;
+  const auto buckets = NextInterval(kFew);
+  EXPECT_LE(buckets.size(), kFew);
+  double total = 0.0;
+  bool alone = false;
+  for (const auto& bucket : buckets) {
+    total += bucket.load;
+    alone = alone || bucket.range == KeyRange{ 500, 500 };
+  }
+  EXPECT_TRUE(alone);
+  EXPECT_NEAR(total, 999.5 * 0.2835, 1.0); // One second of three.
+}
+
 TEST_F(KeyLoadMeterTest, EndInterval_LoadEnds_KeyIsDropped)
 {
   NextInterval();
--- a/test/Inner/ConnectionTest.cpp
+++ b/test/Inner/ConnectionTest.cpp
@@ -67,13 +67,13 @@
 
   /** \brief Creates m_connection on one end of a socket pair.
    * \return the other end */
-  int ConnectPair()
+  int ConnectPair(const ConnectionSettings& aSettings = {})
   {
     int ends[2];
     EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends), 0);
     evutil_make_socket_nonblocking(ends[0]);
-    m_connection = Connection::Accept(
-      m_base, m_clock, ends[0], ConnectionSettings(), m_listener);
+    m_connection =
+      Connection::Accept(m_base, m_clock, ends[0], aSettings, m_listener);
     m_sockets.push_back(ends[1]);
     return ends[1];
   }
@@ -181,6 +181,26 @@
   EXPECT_EQ(m_listener->end, CloseReason::kHeartbeatTimeout);
 }
 
+/** Each request used to cost a ping and a pong, however short it was. */
+TEST_F(ConnectionTest, Heartbeat_NotAtOnce_ShortRequestSendsNoPing)
+{
+  ConnectionSettings settings;
+  settings.heartbeatInterval = 100ms;
+  settings.pingsAtOnce = false;
+  const int other = ConnectPair(settings);
+  evutil_make_socket_nonblocking(other);
+  m_connection->SetHeartbeatsEnabled(true);
+  const auto soon = m_clock.Now() + 20ms;
+  RunUntil([&] { return m_clock.Now() >= soon; });
+  m_connection->SetHeartbeatsEnabled(false);
+  std::array<char, 64> bytes{};
+  EXPECT_LT(read(other, bytes.data(), bytes.size()), 0);
+  m_connection->SetHeartbeatsEnabled(true);
+  EXPECT_TRUE(RunUntil([&] { return m_listener->end.has_value(); }));
+  EXPECT_EQ(m_listener->end, CloseReason::kHeartbeatTimeout);
+  EXPECT_GT(read(other, bytes.data(), bytes.size()), 0);
+}
+
 TEST_F(ConnectionTest, Heartbeat_PeerAnswers_StaysOpen)
 {
   listen(m_listeningSocket, 8);
--- a/test/Routing/OverloadPatternTest.cpp
+++ b/test/Routing/OverloadPatternTest.cpp
@@ -92,6 +92,59 @@
   EXPECT_GE(one.inTime, two.inTime * 3 / 2);
 }
 
+/**
+ * Pattern ColdServer: after the loss of all hosts a server is six times as slow
+ * as expected for some seconds. Requests that it cannot serve must be refused
+ * at once, not after they have waited for a slot.
+ */
+TEST_F(OverloadPatternTest, ColdServer_NoAnswerYet_RefusesAtOnce)
+{
+  AdmissionSettings settings;
+  settings.slots = 7;
+  settings.classes = { AdmissionClass{ 1.0, 256 } };
+  settings.initialService = milliseconds(150);
+  AdmissionController controller(settings);
+  constexpr auto kColdService = milliseconds(1400);
+  constexpr auto kArrivalInterval = milliseconds(40);
+  RandomEngine random(3);
+  ManualClock clock;
+  std::map<RequestId, MonoTime> arrived;
+  std::multimap<MonoTime, RequestId> completions;
+  Duration waited{};
+  int refused = 0;
+  int answered = 0;
+  const auto apply = [&](const AdmissionActions& aActions) {
+    for (const auto& id : aActions.starts) {
+      completions.emplace(clock.Now() + kColdService, id);
+    }
+    for (const auto& refusal : aActions.refusals) {
+      waited += clock.Now() - arrived[refusal.id];
+      ++refused;
+    }
+  };
+  for (int count = 0; count < 100; ++count) {
+    clock.Advance(kArrivalInterval);
+    const auto id = DrawRequestId(random);
+    arrived[id] = clock.Now();
+    while (!completions.empty() && completions.begin()->first <= clock.Now()) {
+      const auto done = completions.begin()->second;
+      completions.erase(completions.begin());
+      ++answered;
+      apply(controller.Finished(done, ServiceResult::kDone, clock.Now()));
+    }
+    apply(controller.Expire(clock.Now()));
+    // As the owner bounds the stay: one goal or three service times.
+    const Duration stay = std::max<Duration>(
+      milliseconds(800), 3 * controller.ExpectedService(ClassIndex(0)));
+    const auto due = clock.Now() + std::min<Duration>(stay, milliseconds(2500));
+    apply(controller.Admit(AdmissionRequest{ id, ClassIndex(0), due },
+                           clock.Now()));
+  }
+  EXPECT_GE(answered, 14); // All slots are used all the time.
+  EXPECT_GE(refused, 60);
+  EXPECT_LE(waited / refused, milliseconds(150));
+}
+
 /**
  * Grey failure: the server sheds every other request, whatever its load. A
  * limit that adapts to these refusals shrinks although the server has capacity.
