--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -138,6 +138,24 @@
                   *aSettings.maxRedirectDelay);
 }
 
+bool
+MayRetryRefusal(const AttemptReport& aReport,
+                const RetrySettings& aSettings,
+                RetryBudget& aBudget)
+{
+  if (IsOwnerChange(aReport.refusal)) {
+    // redirectLimit doesn't apply: the time may have passed in the queue of
+    // the previous owner, which was handing the key over.
+    return aReport.attempts < aSettings.maxRedirects;
+  }
+  if (IsRedirect(aReport.refusal)) {
+    const bool retries = aSettings.retryUnreachable ||
+                         aReport.refusal != RefusalReason::kOwnerUnreachable;
+    return retries && aReport.elapsed < aSettings.redirectLimit;
+  }
+  return aSettings.retryRefusals && aBudget.TrySpend();
+}
+
 RetryDecision
 DecideAfterNotRun(const AttemptReport& aReport,
                   const RetrySettings& aSettings,
@@ -151,23 +169,9 @@
   if (giveUp.outcome != Outcome::kNotRun) {
     return giveUp;
   }
-  if (IsOwnerChange(aReport.refusal)) {
-    // redirectLimit doesn't apply: the time may have passed in the queue of
-    // the previous owner, which was handing the key over.
-    if (aReport.attempts >= aSettings.maxRedirects) {
-      return giveUp;
-    }
-  } else if (aReport.refusal == RefusalReason::kOwnerUnreachable &&
-             !aSettings.retryUnreachable) {
-    return giveUp;
-  } else if (IsRedirect(aReport.refusal)) {
-    if (aReport.elapsed >= aSettings.redirectLimit) {
-      return giveUp;
-    }
-  } else if (!aSettings.retryRefusals || !aBudget.TrySpend()) {
-    return giveUp;
-  }
-  return RetryIn(delay, ReasonOf(aReport.refusal));
+  return MayRetryRefusal(aReport, aSettings, aBudget)
+           ? RetryIn(delay, ReasonOf(aReport.refusal))
+           : giveUp;
 }
 
 RetryDecision
--- a/test/Ranges/CoordinationTest.cpp
+++ b/test/Ranges/CoordinationTest.cpp
@@ -104,8 +104,10 @@
  */
 TEST_F(CoordinationTest, PlanBroadcast_ThreeHundredHosts_SendersStaySmall)
 {
+  constexpr int kHosts = 300;
   std::vector<HostRecord> hosts;
-  for (int index = 0; index < 300; ++index) {
+  hosts.reserve(kHosts);
+  for (int index = 0; index < kHosts; ++index) {
     hosts.push_back(Host("h" + std::to_string(index),
                          "zone-" + std::to_string(index % 6),
                          index < 24 ? 500 : 100));
--- a/test/Routing/ZoneOverflowTest.cpp
+++ b/test/Routing/ZoneOverflowTest.cpp
@@ -36,6 +36,7 @@
   static constexpr int kZones = 3;
   static constexpr int kInstancesPerZone = 2;
   static constexpr int kHostsPerZone = 4;
+  static constexpr size_t kHosts = size_t{ kZones } * kHostsPerZone;
   static constexpr size_t kSlots = 6;
   static constexpr Duration kService = milliseconds(130);
 
@@ -61,7 +62,7 @@
 
   void Configure(bool aZoneAware)
   {
-    m_balancers.assign(kZones * kHostsPerZone, Balancer());
+    m_balancers.assign(kHosts, Balancer());
     for (int host = 0; host < kZones * kHostsPerZone; ++host) {
       Update(host, aZoneAware);
     }
--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -131,6 +131,19 @@
   EXPECT_EQ(m_store.reads, before);
 }
 
+/** Before the first configuration there is nothing that a peer could send. */
+TEST_F(ConfigFollowerTest, Poll_NoConfigurationYet_WaitsForItDespitePeers)
+{
+  m_follower.Start();
+  m_follower.OnPeerPosition(0);
+  Run(milliseconds(20));
+  Write(Config(1));
+  m_follower.OnPeerPosition(0);
+  Run(milliseconds(500));
+  ASSERT_NE(m_follower.Current(), nullptr);
+  EXPECT_EQ(m_follower.Current()->version, 1U);
+}
+
 TEST_F(ConfigFollowerTest, Poll_PeersFallSilent_StoreIsReadAgain)
 {
   Write(Config(1));
