--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -50,6 +50,8 @@
   /** \brief Sets the position of the configuration that this host has read. */
   void SetConfiguration(int64_t aPosition) { m_configuration = aPosition; }
 
+  int64_t Configuration() const { return m_configuration; }
+
   /** \brief Sets the callback for the position that a peer has read up to. */
   void SetOnPeerConfiguration(std::function<void(int64_t)> aCallback)
   {
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -106,8 +106,11 @@
     m_state.ApplyPeerUpdate(aUpdate.entries, aUpdate.nextOffset);
   };
   services.configuration = [this](const ConfigurationUpdate& aUpdate) {
-    m_broadcaster.Relay(aUpdate);
     const auto& records = aUpdate.records;
+    if (!records.relayTo.empty() ||
+        records.nextOffset > m_coordinator.Configuration()) {
+      m_broadcaster.Relay(aUpdate);
+    }
     if (m_onPeerRecords) {
       m_onPeerRecords(StoreRecords{
         records.entries, records.nextOffset, records.nextOffset });
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -49,6 +49,10 @@
 HeartbeatReply
 RangeServerTask::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
 {
+  if (!m_state.Joined() && !m_serverId &&
+      aHeartbeat.state == ServerState::kDraining) {
+    m_earlyLeave = EarlyLeave{ aHeartbeat.incarnation.id, m_clock.Now() };
+  }
   if (!m_state.Joined() || m_grants.IsStale(aHeartbeat) ||
       aHeartbeat.service != m_settings.service) {
     return {};
@@ -81,12 +85,21 @@
 void
 RangeServerTask::OnLeave(const ServerId& aServer)
 {
-  if (m_serverId != aServer || m_grants.RevokingAll()) {
+  if (!m_serverId) {
+    m_earlyLeave = EarlyLeave{ aServer, m_clock.Now() };
     return;
   }
-  m_logger.Info("server-leaving", "server={}", aServer.Value());
+  if (m_serverId == aServer && !m_grants.RevokingAll()) {
+    BeginServerLeave(m_clock.Now());
+  }
+}
+
+void
+RangeServerTask::BeginServerLeave(MonoTime aAt)
+{
+  m_logger.Info("server-leaving", "server={}", m_serverId->Value());
   m_grants.RevokeAll();
-  m_drainEndsAt = m_clock.Now() + m_settings.drainTime;
+  m_drainEndsAt = aAt + m_settings.drainTime;
   auto server = m_state.OwnRecord().server;
   if (server) {
     server->state = ServerState::kDraining;
@@ -151,6 +164,9 @@
     m_serverId = known->incarnation.id;
     m_grants.Adopt(known->incarnation);
     EnsureGate(known->slots);
+    if (m_earlyLeave && m_earlyLeave->server == *m_serverId) {
+      BeginServerLeave(m_earlyLeave->at);
+    }
   }
   RetryHeldCalls();
 }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -129,6 +129,13 @@
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
 
+  /** Leave that was acknowledged before this process knew its server. */
+  struct EarlyLeave
+  {
+    ServerId server;
+    MonoTime at;
+  };
+
   void AcceptNewCalls();
   void Accept(const CallPtr& aCall);
   void HoldCall(const CallPtr& aCall);
@@ -145,6 +152,7 @@
   std::vector<RangeRow> RowsOf(const ServerIncarnation& aIncarnation) const;
   bool AssignedHere(ShardKey aKey) const;
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
+  void BeginServerLeave(MonoTime aAt);
   void SendReleased(const ServerIncarnation& aIncarnation,
                     std::vector<Relinquished> aRanges);
   void OnTick();
@@ -163,6 +171,7 @@
   std::vector<RequestId> m_heldCalls;
   std::vector<CallPtr> m_newCalls;
   std::optional<ServerId> m_serverId;
+  std::optional<EarlyLeave> m_earlyLeave;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   std::optional<MonoTime> m_exitAt;      ///< Set once the daemon is leaving.
   MonoTime m_lastHeartbeat;
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -211,6 +211,17 @@
   }
 }
 
+void
+StateTaskBase::SetRole(StateRole aRole)
+{
+  const bool begins =
+    aRole == StateRole::kCoordinator && m_role != StateRole::kCoordinator;
+  m_role = aRole;
+  if (begins) {
+    ReadMissing(); // An old state would make it step aside again.
+  }
+}
+
 void
 StateTaskBase::NotifyListeners()
 {
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -121,8 +121,9 @@
    */
   void RenewLeaseFromPeer(MonoTime aSyncedAt, int64_t aEnd);
 
-  /** \brief Sets how far other hosts rely on this host's reads. */
-  void SetRole(StateRole aRole) { m_role = aRole; }
+  /** \brief Sets how far other hosts rely on this host's reads; a host that
+   * becomes coordinator reads at once. */
+  void SetRole(StateRole aRole);
 
   /** \brief Records from an offset on, for a peer; empty if not kept. */
   std::optional<StateUpdate> UpdateFrom(int64_t aFrom) const;
--- a/src/HostDaemon/UpdateBroadcaster.cpp
+++ b/src/HostDaemon/UpdateBroadcaster.cpp
@@ -70,6 +70,13 @@
 void
 UpdateBroadcaster::Relay(const ConfigurationUpdate& aUpdate)
 {
+  if (m_coordinator.Active() && aUpdate.records.relayTo.empty()) {
+    // Another host has read it first; this one may be unable to.
+    BroadcastConfiguration(StoreRecords{ aUpdate.records.entries,
+                                         aUpdate.records.nextOffset,
+                                         aUpdate.records.nextOffset });
+    return;
+  }
   auto update = aUpdate;
   update.records.relayTo.clear();
   for (const auto& target : RelayTargets(aUpdate.records)) {
@@ -89,7 +96,7 @@
 void
 UpdateBroadcaster::BroadcastConfiguration(const StoreRecords& aRecords)
 {
-  if (!m_coordinator.Active() || aRecords.entries.empty()) {
+  if (aRecords.entries.empty()) {
     return;
   }
   const auto& newest = aRecords.entries.back();
@@ -100,6 +107,12 @@
   ConfigurationUpdate update;
   update.records.nextOffset = aRecords.next;
   update.records.entries = { newest };
+  if (!m_coordinator.Active()) {
+    if (const auto* coordinator = m_coordinator.Coordinator()) {
+      m_peers.SendConfiguration(coordinator->inner, update);
+    }
+    return;
+  }
   for (const auto& group : Groups()) {
     update.records.relayTo = group.members;
     m_peers.SendConfiguration(m_state.State().FindHost(group.relay)->inner,
--- a/src/HostDaemon/UpdateBroadcaster.h
+++ b/src/HostDaemon/UpdateBroadcaster.h
@@ -33,11 +33,12 @@
   /** \brief Forwards an update to the hosts that it names. */
   void Relay(const StateReply& aUpdate);
 
-  /** \brief Sends records of the operator's configuration if this host is the
-   * coordinator. */
+  /** \brief Sends records of the operator's configuration that this host has
+   * read: the coordinator to all hosts, others to the coordinator. */
   void BroadcastConfiguration(const StoreRecords& aRecords);
 
-  /** \brief Forwards a configuration to the hosts that it names. */
+  /** \brief Forwards a configuration to the hosts that it names, or, as
+   * coordinator, one that another host has read to all. */
   void Relay(const ConfigurationUpdate& aUpdate);
 
   /** \brief Sends the records that this host has learnt as coordinator. */
--- a/test/HostDaemon/CoordinatorTaskTest.cpp
+++ b/test/HostDaemon/CoordinatorTaskTest.cpp
@@ -2,6 +2,7 @@
 
 #include "src/HostDaemon/CoordinatorTask.h"
 #include "test/HostDaemon/FakeStore.h"
+#include "test/HostDaemon/UnusedDialect.h"
 #include "test/Ranges/RangesSupport.h"
 
 namespace pistachioshift::test {
@@ -10,18 +11,6 @@
 
 const ServiceName kStock("stock");
 
-/** Dialect of a backend server that is never called. */
-class UnusedDialect : public ServerDialect
-{
-public:
-  void PrepareHead(RequestHead&, const ServerId&, Duration) const override {}
-  std::string RequestLabel(const RequestHead&) const override { return {}; }
-  AnswerKind Classify(const RequestHead&, const ResponseHead&) const override
-  {
-    return AnswerKind::kAnswer;
-  }
-};
-
 /** The coordinator; the other hosts are only records and reports. */
 class CoordinatorTaskTest : public ::testing::Test
 {
--- /dev/null
+++ b/test/HostDaemon/UnusedDialect.h
@@ -0,0 +1,22 @@
+#ifndef PISTACHIOSHIFT_TEST_HOSTDAEMON_UNUSEDDIALECT_H
+#define PISTACHIOSHIFT_TEST_HOSTDAEMON_UNUSEDDIALECT_H
+
+#include "src/HostDaemon/ServerDialect.h"
+
+namespace pistachioshift::test {
+
+/** Dialect of a backend server that is never called. */
+class UnusedDialect : public ServerDialect
+{
+public:
+  void PrepareHead(RequestHead&, const ServerId&, Duration) const override {}
+  std::string RequestLabel(const RequestHead&) const override { return {}; }
+  AnswerKind Classify(const RequestHead&, const ResponseHead&) const override
+  {
+    return AnswerKind::kAnswer;
+  }
+};
+
+}
+
+#endif
