--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -231,7 +231,11 @@
   m_ageInReply[aHost] = aOrders.age;
   m_server.ApplyMoveOrders(aOrders.moves);
   if (m_onPeerConfiguration) {
-    m_onPeerConfiguration(aOrders.configurationOffset);
+    ConfigurationReading reading{ aOrders.configurationOffset, {} };
+    if (aOrders.configurationAge) {
+      reading.confirmedAt = aSentAt - *aOrders.configurationAge;
+    }
+    m_onPeerConfiguration(reading);
   }
   m_state.RenewLeaseFromPeer(aSentAt - aOrders.age, aOrders.nextOffset);
   if (aOrders.nextOffset > m_state.End() && !m_catchUpTimer.Running()) {
@@ -323,7 +327,11 @@
   orders.host = m_state.Self();
   orders.nextOffset = m_state.End();
   orders.age = m_clock.Now() - m_state.LastSyncedAt();
-  orders.configurationOffset = m_configuration;
+  const auto reading = Configuration();
+  orders.configurationOffset = reading.position;
+  if (reading.confirmedAt) {
+    orders.configurationAge = std::max(now - *reading.confirmedAt, Duration{});
+  }
   return orders;
 }
 
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -15,6 +15,16 @@
 
 namespace pistachioshift {
 
+/** \brief How far a host has read the operator's configuration. */
+struct ConfigurationReading
+{
+  int64_t position = 0;
+  /// When the store was last known to have no record after the position.
+  std::optional<MonoTime> confirmedAt;
+};
+
+using ConfigurationSource = std::function<ConfigurationReading()>;
+
 /**
  * \brief Assigns free ranges, plans moves and suspects hosts that no longer
  * report.
@@ -47,13 +57,22 @@
    */
   HostOrders OnReport(const HostReport& aReport);
 
-  /** \brief Sets the position of the configuration that this host has read. */
-  void SetConfiguration(int64_t aPosition) { m_configuration = aPosition; }
+  /** \brief Sets the function that tells how far this host has read the
+   * operator's configuration. */
+  void SetConfigurationSource(ConfigurationSource aSource)
+  {
+    m_configuration = std::move(aSource);
+  }
 
-  int64_t Configuration() const { return m_configuration; }
+  /** \brief How far this host has read the operator's configuration. */
+  ConfigurationReading Configuration() const
+  {
+    return m_configuration ? m_configuration() : ConfigurationReading{};
+  }
 
-  /** \brief Sets the callback for the position that a peer has read up to. */
-  void SetOnPeerConfiguration(std::function<void(int64_t)> aCallback)
+  /** \brief Sets the callback for how far a peer has read. */
+  void SetOnPeerConfiguration(
+    std::function<void(const ConfigurationReading&)> aCallback)
   {
     m_onPeerConfiguration = std::move(aCallback);
   }
@@ -158,8 +177,8 @@
   MonoTime m_lastTickAt;
   MonoTime m_lastPeerReportAt;
   PeerAhead m_ahead; ///< When m_catchUpTimer was started.
-  int64_t m_configuration = 0;
-  std::function<void(int64_t)> m_onPeerConfiguration;
+  ConfigurationSource m_configuration;
+  std::function<void(const ConfigurationReading&)> m_onPeerConfiguration;
   bool m_active = false;
   uint64_t m_ticks = 0;
 };
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -108,7 +108,7 @@
   services.configuration = [this](const ConfigurationUpdate& aUpdate) {
     const auto& records = aUpdate.records;
     if (!records.relayTo.empty() ||
-        records.nextOffset > m_coordinator.Configuration()) {
+        records.nextOffset > m_coordinator.Configuration().position) {
       m_broadcaster.Relay(aUpdate);
     }
     if (m_onPeerRecords) {
@@ -263,6 +263,13 @@
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End());
   set("pistachio_coordinator", m_coordinator.Active() ? 1 : 0);
+  const auto configuration = m_coordinator.Configuration();
+  set("pistachio_config_position", configuration.position);
+  if (configuration.confirmedAt) {
+    const std::chrono::duration<double> age =
+      m_clock.Now() - *configuration.confirmedAt;
+    set("pistachio_config_age_seconds", age.count());
+  }
   return OperatorAnswer{ 200, "text/plain; version=0.0.4", m_metrics.Render() };
 }
 
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -68,14 +68,16 @@
     return m_coordinator.ReceivesPeerReports();
   }
 
-  /** \brief Sets the position of the active configuration, sent to peers. */
-  void SetConfiguration(int64_t aPosition)
+  /** \brief Sets the function that tells how far this host has read the
+   * operator's configuration; sent to peers. */
+  void SetConfigurationSource(ConfigurationSource aSource)
   {
-    m_coordinator.SetConfiguration(aPosition);
+    m_coordinator.SetConfigurationSource(std::move(aSource));
   }
 
-  /** \brief Sets the callback for the position that a peer has read up to. */
-  void SetOnPeerConfiguration(std::function<void(int64_t)> aCallback)
+  /** \brief Sets the callback for how far a peer has read. */
+  void SetOnPeerConfiguration(
+    std::function<void(const ConfigurationReading&)> aCallback)
   {
     m_coordinator.SetOnPeerConfiguration(std::move(aCallback));
   }
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -186,6 +186,9 @@
   int64_t nextOffset = 0; ///< End of the state that the sender has read.
   Duration age{};         ///< Time since the sender last saw that end.
   int64_t configurationOffset = 0; ///< Position of its configuration.
+  /// Time since the sender last knew of no record after that position; empty if
+  /// it never did.
+  std::optional<Duration> configurationAge;
 };
 
 /** \brief Requests the state from a peer while the store does not answer. */
--- a/src/Inner/WireRanges.cpp
+++ b/src/Inner/WireRanges.cpp
@@ -88,6 +88,10 @@
   orders.ageMicros =
     std::chrono::duration_cast<std::chrono::microseconds>(aOrders.age).count();
   orders.configuration = aOrders.configurationOffset;
+  if (aOrders.configurationAge) {
+    orders.__set_configurationAgeMicros(
+      duration_cast<microseconds>(*aOrders.configurationAge).count());
+  }
   for (const auto& move : aOrders.moves) {
     wire::WireMove item;
     item.first = static_cast<int32_t>(move.range.first);
@@ -109,6 +113,12 @@
   orders.age = std::chrono::microseconds(aOrders.ageMicros);
   orders.nextOffset = aOrders.nextOffset;
   orders.configurationOffset = aOrders.configuration;
+  if (aOrders.__isset.configurationAgeMicros) {
+    if (aOrders.configurationAgeMicros < 0) {
+      throw InnerError("negative age of the configuration");
+    }
+    orders.configurationAge = microseconds(aOrders.configurationAgeMicros);
+  }
   for (const auto& item : aOrders.moves) {
     orders.moves.push_back(
       MoveOrder{ RangeFromWire(item.first, item.last), HostName(item.to) });
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -3498,6 +3498,11 @@
 void WireHostOrders::__set_configuration(const int64_t val) {
   this->configuration = val;
 }
+
+void WireHostOrders::__set_configurationAgeMicros(const int64_t val) {
+  this->configurationAgeMicros = val;
+__isset.configurationAgeMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHostOrders& obj)
 {
   obj.printTo(out);
@@ -3583,6 +3588,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationAgeMicros);
+          this->__isset.configurationAgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3638,6 +3651,11 @@
   xfer += oprot->writeI64(this->configuration);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.configurationAgeMicros) {
+    xfer += oprot->writeFieldBegin("configurationAgeMicros", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->configurationAgeMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3650,6 +3668,8 @@
   swap(a.ageMicros, b.ageMicros);
   swap(a.nextOffset, b.nextOffset);
   swap(a.configuration, b.configuration);
+  swap(a.configurationAgeMicros, b.configurationAgeMicros);
+  swap(a.__isset, b.__isset);
 }
 
 WireHostOrders::WireHostOrders(const WireHostOrders& other88) {
@@ -3658,6 +3678,8 @@
   ageMicros = other88.ageMicros;
   nextOffset = other88.nextOffset;
   configuration = other88.configuration;
+  configurationAgeMicros = other88.configurationAgeMicros;
+  __isset = other88.__isset;
 }
 WireHostOrders& WireHostOrders::operator=(const WireHostOrders& other89) {
   moves = other89.moves;
@@ -3665,6 +3687,8 @@
   ageMicros = other89.ageMicros;
   nextOffset = other89.nextOffset;
   configuration = other89.configuration;
+  configurationAgeMicros = other89.configurationAgeMicros;
+  __isset = other89.__isset;
   return *this;
 }
 void WireHostOrders::printTo(std::ostream& out) const {
@@ -3675,6 +3699,7 @@
   out << ", " << "ageMicros=" << to_string(ageMicros);
   out << ", " << "nextOffset=" << to_string(nextOffset);
   out << ", " << "configuration=" << to_string(configuration);
+  out << ", " << "configurationAgeMicros="; (__isset.configurationAgeMicros ? (out << to_string(configurationAgeMicros)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -1295,6 +1295,10 @@
 
 std::ostream& operator<<(std::ostream& out, const WireMove& obj);
 
+typedef struct _WireHostOrders__isset {
+  _WireHostOrders__isset() : configurationAgeMicros(false) {}
+  bool configurationAgeMicros :1;
+} _WireHostOrders__isset;
 
 class WireHostOrders : public virtual ::apache::thrift::TBase {
  public:
@@ -1305,7 +1309,8 @@
                  : host(),
                    ageMicros(0),
                    nextOffset(0),
-                   configuration(0) {
+                   configuration(0),
+                   configurationAgeMicros(0) {
   }
 
   virtual ~WireHostOrders() noexcept;
@@ -1314,6 +1319,9 @@
   int64_t ageMicros;
   int64_t nextOffset;
   int64_t configuration;
+  int64_t configurationAgeMicros;
+
+  _WireHostOrders__isset __isset;
 
   void __set_moves(const std::vector<WireMove> & val);
 
@@ -1325,6 +1333,8 @@
 
   void __set_configuration(const int64_t val);
 
+  void __set_configurationAgeMicros(const int64_t val);
+
   bool operator == (const WireHostOrders & rhs) const
   {
     if (!(moves == rhs.moves))
@@ -1337,6 +1347,10 @@
       return false;
     if (!(configuration == rhs.configuration))
       return false;
+    if (__isset.configurationAgeMicros != rhs.__isset.configurationAgeMicros)
+      return false;
+    else if (__isset.configurationAgeMicros && !(configurationAgeMicros == rhs.configurationAgeMicros))
+      return false;
     return true;
   }
   bool operator != (const WireHostOrders &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -153,6 +153,7 @@
   3: required i64 ageMicros
   4: required i64 nextOffset
   5: required i64 configuration
+  6: optional i64 configurationAgeMicros
 }
 
 struct WireStateQuery {
--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -35,6 +35,12 @@
                    ExpectedEnd{ m_topic.End() });
   }
 
+  /** A peer that can read the store names its position. */
+  void PeerReads(int64_t aPosition)
+  {
+    m_follower.OnPeerReading({ aPosition, m_clock.Now() });
+  }
+
   static std::string Config(int aVersion)
   {
     return fmt::format(
@@ -45,11 +51,13 @@
   }
 
   event_base* m_base = event_base_new();
+  SystemClock m_clock;
   Logger m_logger{ "test", LogLevel::kError };
   FakeTopic m_topic;
   FakeStore m_store{ m_base, m_topic };
   std::vector<uint64_t> m_applied;
   ConfigFollower<FakeStore> m_follower{ m_base,
+                                        m_clock,
                                         m_store,
                                         m_logger,
                                         [this](const OperatorConfig& aConfig) {
@@ -81,10 +89,10 @@
   m_follower.Start();
   Run(milliseconds(20));
   Write("{\"version\":");
-  m_follower.OnPeerPosition(2);
+  PeerReads(2);
   Run(milliseconds(20));
   Write(Config(3));
-  m_follower.OnPeerPosition(3);
+  PeerReads(3);
   Run(milliseconds(20));
   EXPECT_EQ(m_applied, std::vector<uint64_t>{ 4 });
   EXPECT_EQ(m_follower.Current()->version, 4U);
@@ -92,16 +100,16 @@
 }
 
 TEST_F(ConfigFollowerTest,
-       OnPeerPosition_PeerHasReadFurther_ReadsBeforeThePollEnds)
+       OnPeerReading_PeerHasReadFurther_ReadsBeforeThePollEnds)
 {
   Write(Config(1));
   m_follower.Start();
   Run(milliseconds(20));
   Write(Config(2));
   const auto before = m_store.reads;
-  m_follower.OnPeerPosition(1);
+  PeerReads(1);
   EXPECT_EQ(m_store.reads, before);
-  m_follower.OnPeerPosition(2);
+  PeerReads(2);
   Run(milliseconds(20));
   EXPECT_EQ(m_follower.Current()->version, 2U);
 }
@@ -111,21 +119,21 @@
 {
   Write(Config(1));
   m_follower.Start();
-  m_follower.OnPeerPosition(1);
+  PeerReads(1);
   Run(milliseconds(20));
-  m_follower.OnPeerPosition(1);
+  PeerReads(1);
   Run(milliseconds(450)); // Ends the first poll.
   for (int report = 0; report < 5; ++report) {
-    m_follower.OnPeerPosition(1);
+    PeerReads(1);
     Run(milliseconds(40));
   }
   const auto before = m_store.reads;
   Write(Config(2));
-  m_follower.OnPeerPosition(2);
+  PeerReads(2);
   m_follower.ApplyPeerRecords(m_topic.From(1));
   EXPECT_EQ(m_follower.Current()->version, 2U);
   for (int report = 0; report < 10; ++report) {
-    m_follower.OnPeerPosition(2);
+    PeerReads(2);
     Run(milliseconds(40));
   }
   EXPECT_EQ(m_store.reads, before);
@@ -135,10 +143,10 @@
 TEST_F(ConfigFollowerTest, Poll_NoConfigurationYet_WaitsForItDespitePeers)
 {
   m_follower.Start();
-  m_follower.OnPeerPosition(0);
+  PeerReads(0);
   Run(milliseconds(20));
   Write(Config(1));
-  m_follower.OnPeerPosition(0);
+  PeerReads(0);
   Run(milliseconds(500));
   ASSERT_NE(m_follower.Current(), nullptr);
   EXPECT_EQ(m_follower.Current()->version, 1U);
@@ -149,7 +157,7 @@
   Write(Config(1));
   m_follower.Start();
   for (int report = 0; report < 12; ++report) {
-    m_follower.OnPeerPosition(1);
+    PeerReads(1);
     Run(milliseconds(40));
   }
   Write(Config(2));
