A host follows its peers' configuration only while their reading is confirmed

What callers saw: requests handled by a configuration that had been superseded for over 2.5 s, at hosts that could read the store.

Cause (class: trust in a peer's copy without its age): since a host does not poll the operator's topic while peers name their position, whatever its age. Peers that the store turned away kept those that it served from reading it.

Change: a host that is not a relay polls once its peers last knew 1.5 s ago that its position is the end. A relay confirms its reading every 0.9 s, so that with reports every 0.5 s followers do not read the store in calm. Without a stated age nothing is confirmed.

Evidence: ConfigFollowerTest Poll_PeersCannotReadTheStore_* failed before (version 1 after 560 ms instead of 2).

--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -68,8 +68,8 @@
                                           .relayPollWait = milliseconds(20),
                                           .retryDelay = milliseconds(5),
                                           .maxRetryDelay = milliseconds(80),
-                                          .peerTimeout = milliseconds(100),
-                                          .catchUpDelay = milliseconds(5) } };
+                                          .catchUpDelay = milliseconds(5),
+                                          .maxAge = milliseconds(100) } };
 };
 
 TEST_F(ConfigFollowerTest, Start_SeveralVersions_NewestIsApplied)
@@ -165,6 +165,65 @@
   EXPECT_EQ(m_follower.Current()->version, 2U);
 }
 
+/**
+ * Guards against a configuration that is not in force in time on hosts that can
+ * reach the store, because the peers that they follow cannot: these still name
+ * the position of their last read, which is never confirmed again. The fake
+ * store answers a long poll when its wait has passed.
+ */
+TEST_F(ConfigFollowerTest, Poll_PeersCannotReadTheStore_StoreIsReadInstead)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  const auto lastRead = m_clock.Now();
+  for (int report = 0; report < 11; ++report) { // Ends the first poll.
+    m_follower.OnPeerReading({ 1, lastRead });
+    Run(milliseconds(40));
+  }
+  Write(Config(2));
+  for (int report = 0; report < 14; ++report) {
+    m_follower.OnPeerReading({ 1, lastRead });
+    Run(milliseconds(40));
+  }
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+}
+
+/** Same, from peers that do not say how old their reading is. */
+TEST_F(ConfigFollowerTest, Poll_PeersNameNoAge_StoreIsReadInstead)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  m_follower.OnPeerReading({ 1, {} });
+  Run(milliseconds(420));
+  Write(Config(2));
+  for (int report = 0; report < 14; ++report) {
+    m_follower.OnPeerReading({ 1, {} });
+    Run(milliseconds(40));
+  }
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+}
+
+/**
+ * Guards against a claim about a later position: it confirms nothing as long as
+ * the records up to there are missing here.
+ */
+TEST_F(ConfigFollowerTest, OnPeerReading_PeerIsFurther_ConfirmsOnceCaughtUp)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  m_store.down = true;
+  Write(Config(2));
+  const auto before = m_follower.Reading().confirmedAt;
+  PeerReads(2);
+  Run(milliseconds(20));
+  EXPECT_EQ(m_follower.Reading().confirmedAt, before);
+  m_follower.ApplyPeerRecords(m_topic.From(1));
+  EXPECT_GT(m_follower.Reading().confirmedAt, before);
+}
+
 /**
  * Guards against overload of a store that is down: in the pattern ManyFollowers
  * seventy hosts retry against a store that refuses their calls.
