--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -99,6 +99,55 @@
   EXPECT_EQ(m_follower.Position(), 3);
 }
 
+/**
+ * Guards against a valid configuration that is lost because a record that is
+ * not one follows it in the same read.
+ */
+TEST_F(ConfigFollowerTest,
+       ApplyNewest_MalformedRecordIsLast_AppliesTheOneBefore)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  Write(Config(2));
+  Write("{\"version\":");
+  PeerReads(3);
+  Run(milliseconds(20));
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+  EXPECT_EQ(m_follower.Position(), 3);
+}
+
+TEST_F(ConfigFollowerTest, ApplyNewest_OlderVersionIsLast_AppliesTheOneBefore)
+{
+  Write(Config(2));
+  m_follower.Start();
+  Run(milliseconds(20));
+  Write(Config(5));
+  Write(Config(1));
+  PeerReads(3);
+  Run(milliseconds(20));
+  EXPECT_EQ(m_follower.Current()->version, 5U);
+}
+
+/** Guards against peers that are sent a record that is no configuration, and
+ * then skip the one before it. */
+TEST_F(ConfigFollowerTest,
+       SetOnRead_MalformedRecordIsLast_PassesOnTheOneInForce)
+{
+  std::vector<StoreEntry> passedOn;
+  m_follower.SetOnRead([&](const StoreRecords& aRecords) {
+    if (!aRecords.entries.empty()) {
+      passedOn = aRecords.entries;
+    }
+  });
+  Write(Config(2));
+  Write("{\"version\":");
+  m_follower.Start();
+  Run(milliseconds(20));
+  ASSERT_EQ(passedOn.size(), 1U);
+  EXPECT_EQ(passedOn.front().value, Config(2));
+}
+
 TEST_F(ConfigFollowerTest,
        OnPeerReading_PeerHasReadFurther_ReadsBeforeThePollEnds)
 {
