--- a/test/HostDaemon/FakeStore.h
+++ b/test/HostDaemon/FakeStore.h
@@ -82,18 +82,28 @@
 
   void Newest(const std::string&, OnRead aCallback)
   {
-    Read({}, 0, {}, std::move(aCallback));
+    Schedule([this, callback = std::move(aCallback)] {
+      ++reads;
+      if (down) {
+        callback(StoreFailure::kUnavailable);
+      } else {
+        callback(m_topic.From(0));
+      }
+    });
   }
 
   /** Waits for `aWait` if there are no records to read yet. */
   void Read(const std::string&, int64_t aFrom, Duration aWait, OnRead aCallback)
   {
     ++reads;
-    const bool waits = !down && m_topic.End() <= aFrom;
+    const bool waits =
+      !down && m_topic.End() <= aFrom && aFrom >= firstRetained;
     Schedule(
       [this, aFrom, callback = std::move(aCallback)] {
         if (down) {
           callback(StoreFailure::kUnavailable);
+        } else if (aFrom < firstRetained) {
+          callback(StoreFailure::kExpired);
         } else {
           callback(m_topic.From(aFrom));
         }
@@ -130,6 +140,7 @@
   bool captureAppends = false; ///< Instead of appending.
   std::vector<std::pair<std::vector<StoreEntry>, AppendCondition>> captured;
   int reads = 0;
+  int64_t firstRetained = 0; ///< Reads from earlier offsets have expired.
 
 private:
   void Schedule(std::function<void()> aAction, Duration aDelay = {})
--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -163,6 +163,26 @@
   EXPECT_EQ(m_follower.Current()->version, 2U);
 }
 
+/**
+ * Guards against a host that stays behind for good because the records between
+ * its position and that of its peers are no longer retained.
+ */
+TEST_F(ConfigFollowerTest, CatchUp_RecordsHaveExpired_ReadsTheNewest)
+{
+  Write(Config(1));
+  m_follower.Start();
+  Run(milliseconds(20));
+  for (int report = 0; report < 11; ++report) { // Ends the first poll.
+    PeerReads(1);
+    Run(milliseconds(40));
+  }
+  Write(Config(2));
+  m_store.firstRetained = 2;
+  PeerReads(2);
+  Run(milliseconds(40));
+  EXPECT_EQ(m_follower.Current()->version, 2U);
+}
+
 /** Three hundred hosts must not read each configuration from the store. */
 TEST_F(ConfigFollowerTest, ApplyPeerRecords_RelaySendsThem_StoreIsNotRead)
 {
