Of many hosts that read a configuration at once, one sends it to the coordinator

Cause: hosts that no longer rely on their peers read a new configuration at the same moment, and each sent it to the coordinator, up to 1 MB over what may be a small link.

Change: a host other than the coordinator sends it after up to 250 ms, unless another host has sent it here by then.

--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -62,7 +62,7 @@
   , m_router(aClock, aRandom, aState, m_server, m_peers)
   , m_coordinator(aBase, aClock, aState, m_server, m_peers, aLogger)
   , m_releases(aBase, aClock, aState, m_coordinator, m_peers)
-  , m_broadcaster(aBase, aClock, aState, m_coordinator, m_peers)
+  , m_broadcaster(aBase, aClock, aState, m_coordinator, m_peers, aRandom)
   , m_bulk(aBase, aClock, aSettings.linkBytesPerSecond * kAnswerLinkShare)
   , m_inner(aBase,
             aClock,
@@ -107,6 +107,7 @@
   };
   services.configuration = [this](const ConfigurationUpdate& aUpdate) {
     const auto& records = aUpdate.records;
+    m_broadcaster.OnConfigurationReceived(records.nextOffset);
     if (!records.relayTo.empty() ||
         records.nextOffset > m_coordinator.Configuration().position) {
       m_broadcaster.Relay(aUpdate);
--- a/src/HostDaemon/UpdateBroadcaster.cpp
+++ b/src/HostDaemon/UpdateBroadcaster.cpp
@@ -1,6 +1,8 @@
 #include "src/HostDaemon/UpdateBroadcaster.h"
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 namespace pistachioshift {
 
@@ -10,6 +12,11 @@
  * together. */
 constexpr Duration kBroadcastInterval = std::chrono::milliseconds(50);
 
+/** Maximum delay before a configuration is sent to the coordinator. If many
+ * hosts have read it at once, the first copy that arrives is sent to all others
+ * within this time. */
+constexpr Duration kMaxConfigurationDelay = std::chrono::milliseconds(250);
+
 /** Longest configuration that is sent to other hosts; less than a frame. */
 constexpr size_t kMaxConfigurationBytes = size_t{ 1024 } * 1024;
 
@@ -19,12 +26,15 @@
                                      const Clock& aClock,
                                      StateTaskBase& aState,
                                      CoordinatorTask& aCoordinator,
-                                     PeersTask& aPeers)
+                                     PeersTask& aPeers,
+                                     RandomEngine& aRandom)
   : m_clock(aClock)
   , m_state(aState)
   , m_coordinator(aCoordinator)
   , m_peers(aPeers)
+  , m_random(aRandom)
   , m_timer(aBase, [this] { Broadcast(); })
+  , m_configurationTimer(aBase, [this] { SendConfigurationToCoordinator(); })
 {
 }
 
@@ -108,8 +118,11 @@
   update.records.nextOffset = aRecords.next;
   update.records.entries = { newest };
   if (!m_coordinator.Active()) {
-    if (const auto* coordinator = m_coordinator.Coordinator()) {
-      m_peers.SendConfiguration(coordinator->inner, update);
+    m_unsentConfiguration = update;
+    if (!m_configurationTimer.Running()) {
+      std::uniform_int_distribution<Duration::rep> delay(
+        0, kMaxConfigurationDelay.count());
+      m_configurationTimer.StartOnce(Duration(delay(m_random)));
     }
     return;
   }
@@ -120,6 +133,17 @@
   }
 }
 
+void
+UpdateBroadcaster::SendConfigurationToCoordinator()
+{
+  const auto update = std::exchange(m_unsentConfiguration, std::nullopt);
+  const auto* coordinator = m_coordinator.Coordinator();
+  if (update && coordinator != nullptr &&
+      update->records.nextOffset > m_receivedConfiguration) {
+    m_peers.SendConfiguration(coordinator->inner, *update);
+  }
+}
+
 void
 UpdateBroadcaster::OnStateChanged()
 {
--- a/src/HostDaemon/UpdateBroadcaster.h
+++ b/src/HostDaemon/UpdateBroadcaster.h
@@ -1,6 +1,9 @@
 #ifndef PISTACHIOSHIFT_HOSTDAEMON_UPDATEBROADCASTER_H
 #define PISTACHIOSHIFT_HOSTDAEMON_UPDATEBROADCASTER_H
 
+#include <optional>
+
+#include "src/Base/Random.h"
 #include "src/Daemon/PeersTask.h"
 #include "src/Daemon/Timer.h"
 #include "src/HostDaemon/CoordinatorTask.h"
@@ -25,7 +28,8 @@
                     const Clock& aClock,
                     StateTaskBase& aState,
                     CoordinatorTask& aCoordinator,
-                    PeersTask& aPeers);
+                    PeersTask& aPeers,
+                    RandomEngine& aRandom);
 
   /** \brief Sends records that this host has appended. */
   void OnAppended(const StateUpdate& aUpdate);
@@ -33,10 +37,19 @@
   /** \brief Forwards an update to the hosts that it names. */
   void Relay(const StateReply& aUpdate);
 
-  /** \brief Sends records of the operator's configuration that this host has
-   * read: the coordinator to all hosts, others to the coordinator. */
+  /**
+   * \brief Sends records of the operator's configuration that this host has
+   * read: the coordinator to all hosts, others to the coordinator after a
+   * random delay, unless they receive it by then.
+   */
   void BroadcastConfiguration(const StoreRecords& aRecords);
 
+  /** \brief Tells that a configuration has arrived from another host. */
+  void OnConfigurationReceived(int64_t aNextOffset)
+  {
+    m_receivedConfiguration = std::max(m_receivedConfiguration, aNextOffset);
+  }
+
   /** \brief Forwards a configuration to the hosts that it names, or, as
    * coordinator, one that another host has read to all. */
   void Relay(const ConfigurationUpdate& aUpdate);
@@ -46,6 +59,7 @@
 
 private:
   void Broadcast();
+  void SendConfigurationToCoordinator();
   std::vector<BroadcastGroup> Groups() const;
   std::vector<Endpoint> RelayTargets(const StateReply& aUpdate) const;
 
@@ -53,7 +67,12 @@
   StateTaskBase& m_state;
   CoordinatorTask& m_coordinator;
   PeersTask& m_peers;
+  RandomEngine& m_random;
   Timer m_timer;
+  Timer m_configurationTimer;
+  std::optional<ConfigurationUpdate> m_unsentConfiguration;
+  /// End of the newest configuration that another host has sent.
+  int64_t m_receivedConfiguration = 0;
   int64_t m_sentEnd = 0; ///< End of the records that need not be sent.
   MonoTime m_sentAt;
 };
