Requests to a backend server that names a limit are paced at it

What callers saw: nothing yet; the server got far more than it takes (LIMIT).

Cause (hypothesis 1): nobody read the field Server-Limit. Every request to a server passes the daemon beside it, which started as many as there are slots.

Change: that daemon reads the field in every valid answer, refusals included, and starts requests by a token bucket of that rate, from the queues that it has: by weight of the priority, refusing at once what would wait too long, with a Retry-After from the rate. An answer without the field ends the limit if its request was sent after the last answer that had it. Until the first answer after a start of the daemon at most two requests run at once, for up to a second: the limit may be unknown (hypothesis 2). The capacity in reports is at most the limit, so that keys move away.

--- a/src/Daemon/AdmissionTable.cpp
+++ b/src/Daemon/AdmissionTable.cpp
@@ -122,7 +122,7 @@
 AdmissionTable::Handle(ServiceController& aController,
                        const AdmissionActions& aActions)
 {
-  const auto next = aController.controller.NextWakeup();
+  const auto next = aController.controller.NextWakeup(m_clock.Now());
   if (next) {
     aController.wakeup->StartOnce(*next - m_clock.Now());
   } else {
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -292,6 +292,7 @@
     OnFailed(ClientFailure::kMalformedAnswer);
     return;
   }
+  m_delegate.OnAnswerHead(*this, aHead);
   if (kind == AnswerKind::kNotRun) {
     m_delegate.m_metrics.CountServerFailure("shed");
     Refuse(RefusalReason::kShed, kRetryAfterShed);
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -45,6 +45,9 @@
   virtual AnswerKind Classify(const OwnerCall& aCall,
                               const ResponseHead& aHead) const = 0;
 
+  /** \brief Called for the head of each valid answer, refusals included. */
+  virtual void OnAnswerHead(const OwnerCall&, const ResponseHead&) {}
+
   /** \brief Daemon to try next after a call is refused with kNotOwner. */
   virtual std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const = 0;
 
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -65,6 +65,7 @@
                   aHeartbeat.incarnation.startedAt.time_since_epoch().count(),
                   aHeartbeat.slots);
     m_drainEndsAt.reset();
+    LimitRate(std::nullopt);
   }
   m_lastHeartbeat = now;
   m_serverId = aHeartbeat.incarnation.id;
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -41,6 +41,12 @@
 
 constexpr size_t kMaxSlots = 256;
 
+/** After a restart of this daemon, the backend server may have stated a limit
+ * that is not known here. Until its first answer, at most this many requests
+ * run at once, but not for longer than a usual service time. */
+constexpr uint32_t kRateProbeSlots = 2;
+constexpr Duration kMaxRateProbe = milliseconds(1000);
+
 /** Limit on the time that a request spends at the gate and at the backend
  * server, in multiples of its latency goal. */
 constexpr int kGoalMultiple = 1;
@@ -98,6 +104,7 @@
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
+  , m_rateProbeTimer(aBase, [this] { EndRateProbe(); })
   , m_tick(aBase, [this] { OnTick(); })
 {
   m_tick.StartEvery(kTickInterval);
@@ -280,6 +287,9 @@
     }
     const auto call = found->second;
     if (MayStart(*call)) {
+      if (m_probesRate && !m_rateProbeTimer.Running()) {
+        m_rateProbeTimer.StartOnce(kMaxRateProbe);
+      }
       call->Start(m_pool);
     } else {
       const bool draining =
@@ -302,7 +312,7 @@
 void
 RangeServerTask::ArmGateTimer()
 {
-  const auto wakeup = m_gate->NextWakeup();
+  const auto wakeup = m_gate->NextWakeup(m_clock.Now());
   if (!wakeup) {
     m_gateTimer.Stop();
     return;
@@ -339,6 +349,61 @@
   return m_dialect.Classify(aCall.Request().head, aHead);
 }
 
+void
+RangeServerTask::OnAnswerHead(const OwnerCall& aCall, const ResponseHead& aHead)
+{
+  EndRateProbe();
+  const auto notice = m_dialect.ReadNotice(aHead);
+  if (notice.malformedLimit && !std::exchange(m_malformedLimitLogged, true)) {
+    m_logger.Warning("server-limit-malformed",
+                     "id={}",
+                     m_dialect.RequestLabel(aCall.Request().head));
+  }
+  if (notice.requestLimit) {
+    m_limitStatedAt = m_clock.Now();
+    LimitRate(notice.requestLimit);
+    return;
+  }
+  // An answer to an earlier request may have been sent before the limit.
+  const bool ended = m_limitStatedAt && !notice.malformedLimit &&
+                     aCall.m_startedAt > *m_limitStatedAt;
+  if (ended) {
+    LimitRate(std::nullopt);
+  }
+}
+
+void
+RangeServerTask::LimitRate(std::optional<double> aPerSecond)
+{
+  if (!aPerSecond) {
+    m_limitStatedAt.reset();
+  }
+  if (!m_gate) {
+    return;
+  }
+  const auto before = m_gate->Rate();
+  const auto actions = m_gate->SetRate(aPerSecond, m_clock.Now());
+  if (before.has_value() != aPerSecond.has_value()) {
+    m_logger.Info(aPerSecond ? "server-limit" : "server-limit-ended",
+                  "server={} per_second={:.2f} queued={} running={}",
+                  m_serverId ? m_serverId->Value() : "-",
+                  aPerSecond.value_or(before.value_or(0.0)),
+                  Queued(),
+                  Running());
+  }
+  ApplyGateActions(actions);
+}
+
+void
+RangeServerTask::EndRateProbe()
+{
+  if (!std::exchange(m_probesRate, false)) {
+    return;
+  }
+  m_rateProbeTimer.Stop();
+  ApplyGateActions(m_gate->SetLimit(m_slots, m_clock.Now()));
+}
+
 std::optional<DaemonId>
 RangeServerTask::HolderHint(const OwnerCall&) const
 {
@@ -415,6 +480,9 @@
   const auto slots = std::clamp<uint32_t>(aSlots, 1, kMaxSlots);
   if (!m_gate) {
     m_gate = std::make_unique<AdmissionController>(GateSettingsFor(slots));
+    m_slots = slots;
+    m_probesRate = true;
+    m_gate->SetLimit(std::min(slots, kRateProbeSlots), m_clock.Now());
   }
 }
 
@@ -445,8 +513,10 @@
 {
   HostReport report;
   report.host = m_state.Self();
-  const auto slots = static_cast<double>(m_gate ? m_gate->Limit() : 0);
-  report.capacity = slots / std::max(m_serviceSeconds, 1e-3);
+  report.capacity = m_slots / std::max(m_serviceSeconds, 1e-3);
+  if (const auto rate = m_gate ? m_gate->Rate() : std::nullopt) {
+    report.capacity = std::min(report.capacity, *rate);
+  }
   report.buckets = m_loadMeter.EndInterval(m_clock.Now(), aMaxBuckets);
   return report;
 }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -111,7 +111,7 @@
   size_t Running() const { return m_gate ? m_gate->RunningCount() : 0; }
   bool HasFreeSlot() const
   {
-    return m_gate && m_gate->RunningCount() < m_gate->Limit();
+    return m_gate && m_gate->HasFreeSlot(m_clock.Now());
   }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
 
@@ -122,6 +122,7 @@
   RequestHead ServerHead(const OwnerCall& aCall) const override;
   AnswerKind Classify(const OwnerCall& aCall,
                       const ResponseHead& aHead) const override;
+  void OnAnswerHead(const OwnerCall& aCall, const ResponseHead& aHead) override;
   std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const override;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
   void OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal) override;
@@ -144,6 +145,8 @@
   void ArmGateTimer();
   void RetryHeldCalls();
   void EnsureGate(uint32_t aSlots);
+  void LimitRate(std::optional<double> aPerSecond);
+  void EndRateProbe();
   void UpdateServiceTime(Duration aTaken);
   Duration LinkWait(const OwnerCall& aCall) const;
   Duration MaxTimeInSystem(const OwnerCall& aCall) const;
@@ -174,6 +177,12 @@
   std::optional<EarlyLeave> m_earlyLeave;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   std::optional<MonoTime> m_exitAt;      ///< Set once the daemon is leaving.
+  /// When an answer last stated a limit of the request rate.
+  std::optional<MonoTime> m_limitStatedAt;
+  bool m_malformedLimitLogged = false;
+  uint32_t m_slots = 0;
+  /// No answer has shown yet whether the backend server states a limit.
+  bool m_probesRate = false;
   MonoTime m_lastHeartbeat;
   LinkAdmission m_link{ kDirectBytes };
   std::function<Duration()> m_backlog;
@@ -183,6 +192,7 @@
   bool m_draining = false;
   Timer m_acceptTimer;
   Timer m_gateTimer;
+  Timer m_rateProbeTimer; ///< From the first request of the probe on.
   Timer m_tick;
 };
 
--- a/src/HostDaemon/ServerDialect.h
+++ b/src/HostDaemon/ServerDialect.h
@@ -1,11 +1,22 @@
 #ifndef PISTACHIOSHIFT_HOSTDAEMON_SERVERDIALECT_H
 #define PISTACHIOSHIFT_HOSTDAEMON_SERVERDIALECT_H
 
+#include <optional>
+
 #include "src/Daemon/OwnerCall.h"
 #include "src/Ranges/RangeTable.h"
 
 namespace pistachioshift {
 
+/** \brief What a backend server states about itself in an answer. */
+struct ServerNotice
+{
+  /// Requests per second that it takes from all hosts together.
+  std::optional<double> requestLimit;
+  /// The limit is stated, but it is not a number of zero or more.
+  bool malformedLimit = false;
+};
+
 /** \brief Translates request and response heads to and from the form that
  * backend servers use. */
 class ServerDialect
@@ -29,6 +40,9 @@
   /** \brief Determines from an answer's head whether the request was run. */
   virtual AnswerKind Classify(const RequestHead& aRequest,
                               const ResponseHead& aAnswer) const = 0;
+
+  /** \brief Reads what the backend server states about itself. */
+  virtual ServerNotice ReadNotice(const ResponseHead& aAnswer) const = 0;
 };
 
 }
--- a/src/Routing/AdmissionCheck.cpp
+++ b/src/Routing/AdmissionCheck.cpp
@@ -37,7 +37,7 @@
   if (aQueueEntry.latestStart < aNow) {
     return RefusalReason::kCannotFinish;
   }
-  if (m_running.size() < Limit() && m_queued.empty()) {
+  if (HasFreeSlot(aNow) && m_queued.empty()) {
     return std::nullopt;
   }
   const auto& state = m_classes[aRequest.requestClass.Value()];
@@ -132,6 +132,14 @@
   Backlog backlog;
   backlog.limit = static_cast<double>(Limit());
   backlog.running = RunningSeconds(aNow);
+  if (const auto rate = m_rate.PerSecond()) {
+    const auto used = *rate * Seconds(aState.service);
+    if (used < backlog.limit) {
+      // The next start waits for the rate, not for a slot.
+      backlog.limit = used;
+      backlog.running = used * Seconds(m_rate.NextStart(aNow) - aNow);
+    }
+  }
   backlog.share = ShareOf(aState);
   for (const auto& state : m_classes) {
     if (&state == &aState || state.queue.empty()) {
@@ -149,7 +157,7 @@
 double
 AdmissionController::Backlog::WaitSeconds(double aOwnAhead) const
 {
-  if (limit < 1.0) {
+  if (limit <= 0.0) {
     return kInfiniteWait;
   }
   const auto all = aOwnAhead + otherQueued;
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -108,7 +108,7 @@
 AdmissionController::Expire(MonoTime aNow)
 {
   AdmissionActions actions;
-  RefuseExpired(actions, aNow);
+  StartNext(actions, aNow);
   return actions;
 }
 
@@ -139,6 +139,15 @@
   return actions;
 }
 
+AdmissionActions
+AdmissionController::SetRate(std::optional<double> aPerSecond, MonoTime aNow)
+{
+  AdmissionActions actions;
+  m_rate.Set(aPerSecond, aNow);
+  StartNext(actions, aNow);
+  return actions;
+}
+
 void
 AdmissionController::Restarted(MonoTime aNow)
 {
@@ -152,9 +161,12 @@
 }
 
 std::optional<MonoTime>
-AdmissionController::NextWakeup() const
+AdmissionController::NextWakeup(MonoTime aNow) const
 {
   std::optional<MonoTime> earliest;
+  if (!m_queued.empty() && m_running.size() < Limit()) {
+    earliest = m_rate.NextStart(aNow);
+  }
   for (const auto& state : m_classes) {
     for (const auto& queueEntry : state.queue) {
       if (!earliest || queueEntry.latestStart < *earliest) {
@@ -223,13 +235,14 @@
   m_virtualTime = std::max(m_virtualTime, state.finishTag);
   state.finishTag += Seconds(state.service) / state.settings.weight;
   m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service });
+  m_rate.OnStart(aNow);
 }
 
 void
 AdmissionController::StartNext(AdmissionActions& aActions, MonoTime aNow)
 {
   RefuseExpired(aActions, aNow);
-  while (m_running.size() < Limit() && !m_queued.empty()) {
+  while (HasFreeSlot(aNow) && !m_queued.empty()) {
     const auto next = NextClass();
     const auto id = m_classes[next.Value()].queue.begin()->id;
     RemoveFromQueue(id);
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -10,6 +10,7 @@
 #include "src/Base/Ids.h"
 #include "src/Routing/AdaptiveLimit.h"
 #include "src/Routing/Outcome.h"
+#include "src/Routing/RequestRateLimit.h"
 #include "src/Routing/ServicePolicy.h"
 
 namespace pistachioshift {
@@ -117,7 +118,8 @@
   AdmissionActions Cancel(const RequestId& aId,
                           RefusalReason aReason = RefusalReason::kCancelled);
 
-  /** \brief Refuses queued requests that can no longer finish in time. */
+  /** \brief Refuses queued requests that can no longer finish in time, and
+   * starts those that the rate limit allows by now. */
   AdmissionActions Expire(MonoTime aNow);
 
   /** \brief Refuses all queued requests, for example on drain or lease loss. */
@@ -126,11 +128,26 @@
   /** \brief Changes the number of slots; with 0 no request is started. */
   AdmissionActions SetLimit(uint32_t aSlots, MonoTime aNow);
 
+  /**
+   * \brief Limits the requests that start per second; nullopt: no limit.
+   * \sa RequestRateLimit
+   */
+  AdmissionActions SetRate(std::optional<double> aPerSecond, MonoTime aNow);
+
+  /** \brief Requests that may start per second; nullopt: no limit. */
+  std::optional<double> Rate() const { return m_rate.PerSecond(); }
+
+  /** \brief Whether a request that arrives at an empty queue starts at once. */
+  bool HasFreeSlot(MonoTime aNow) const
+  {
+    return m_running.size() < Limit() && m_rate.MayStart(aNow);
+  }
+
   /** \brief The backend server restarted: slow start from one slot. */
   void Restarted(MonoTime aNow);
 
   /** \brief Time of the next call of Expire(); none if nothing is queued. */
-  std::optional<MonoTime> NextWakeup() const;
+  std::optional<MonoTime> NextWakeup(MonoTime aNow) const;
 
   bool IsRunning(const RequestId& aId) const { return m_running.contains(aId); }
   bool IsQueued(const RequestId& aId) const { return m_queued.contains(aId); }
@@ -185,7 +202,7 @@
     double otherQueued = 0.0;
     double otherLargest = 0.0; ///< One request of each other queued class.
     double share = 1.0;        ///< Fraction of the slots that the class gets.
-    double limit = 0.0;        ///< Value of Limit().
+    double limit = 0.0; ///< Slots that are used at the rate that is possible.
 
     /** \param aOwnAhead queued work of the same class, in slot seconds. */
     double FairSeconds(double aOwnAhead) const;
@@ -229,6 +246,7 @@
   AdmissionSettings m_settings;
   uint32_t m_slots;
   AdaptiveLimit m_adaptiveLimit;
+  RequestRateLimit m_rate;
   std::vector<ClassState> m_classes;
   std::unordered_map<RequestId, RunningRequest> m_running;
   std::unordered_map<RequestId, QueuedRequest> m_queued;
--- a/test/HostDaemon/UnusedDialect.h
+++ b/test/HostDaemon/UnusedDialect.h
@@ -15,6 +15,7 @@
   {
     return AnswerKind::kAnswer;
   }
+  ServerNotice ReadNotice(const ResponseHead&) const override { return {}; }
 };
 
 }
--- a/test/Routing/AdmissionControllerTest.cpp
+++ b/test/Routing/AdmissionControllerTest.cpp
@@ -353,11 +353,11 @@
   AdmissionController controller(settings);
   controller.Admit(Next(0, milliseconds(500)), m_now);
   controller.Admit(Next(0, milliseconds(50)), m_now);
-  ASSERT_EQ(controller.NextWakeup(), m_now + milliseconds(40));
-  EXPECT_TRUE(controller.Expire(*controller.NextWakeup()).refusals.empty());
-  const auto late = *controller.NextWakeup() + milliseconds(1);
+  ASSERT_EQ(controller.NextWakeup(m_now), m_now + milliseconds(40));
+  EXPECT_TRUE(controller.Expire(*controller.NextWakeup(m_now)).refusals.empty());
+  const auto late = *controller.NextWakeup(m_now) + milliseconds(1);
   EXPECT_EQ(controller.Expire(late).refusals.size(), 1U);
-  EXPECT_FALSE(controller.NextWakeup().has_value());
+  EXPECT_FALSE(controller.NextWakeup(m_now).has_value());
 }
 
 TEST_F(AdmissionControllerTest, Constructor_NoClassOrZeroWeight_Throws)
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -269,6 +269,27 @@
   EXPECT_EQ(Classify(500, {}), AnswerKind::kAnswer);
 }
 
+TEST_F(ServerDialectTest, ReadNotice_LimitIsANumber_IsRead)
+{
+  ResponseHead head;
+  EXPECT_FALSE(m_dialect.ReadNotice(head).requestLimit.has_value());
+  head.headers.Set("server-limit", "25.9");
+  EXPECT_EQ(m_dialect.ReadNotice(head).requestLimit, 25.9);
+  head.headers.Set("Server-Limit", "0");
+  EXPECT_EQ(m_dialect.ReadNotice(head).requestLimit, 0.0);
+}
+
+TEST_F(ServerDialectTest, ReadNotice_LimitIsNoNumber_IsMalformed)
+{
+  for (const char* text : { "", "x", "-1", "nan", "inf", "1e999", "5 or so" }) {
+    ResponseHead head;
+    head.headers.Set("Server-Limit", text);
+    const auto notice = m_dialect.ReadNotice(head);
+    EXPECT_FALSE(notice.requestLimit.has_value()) << text;
+    EXPECT_TRUE(notice.malformedLimit) << text;
+  }
+}
+
 /** A backend server may write an earlier refusal once more. */
 TEST_F(ServerDialectTest, Classify_RefusalWithoutTheId_IsInvalid)
 {
