The limit of a server is set before the slots are released that waited for it

Cause: after a restart of the daemon, the first answer ended the probe before its limit was in force, and the whole queue was started.

--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -352,20 +352,26 @@
 void
 RangeServerTask::OnAnswerHead(const OwnerCall& aCall, const ResponseHead& aHead)
 {
-  EndRateProbe();
-  const auto notice = m_dialect.ReadNotice(aHead);
-  if (notice.malformedLimit && !std::exchange(m_malformedLimitLogged, true)) {
+  ApplyStatedLimit(aCall, m_dialect.ReadNotice(aHead));
+  EndRateProbe(); // After the limit is known.
+}
+
+void
+RangeServerTask::ApplyStatedLimit(const OwnerCall& aCall,
+                                  const ServerNotice& aNotice)
+{
+  if (aNotice.malformedLimit && !std::exchange(m_malformedLimitLogged, true)) {
     m_logger.Warning("server-limit-malformed",
                      "id={}",
                      m_dialect.RequestLabel(aCall.Request().head));
   }
-  if (notice.requestLimit) {
+  if (aNotice.requestLimit) {
     m_limitStatedAt = m_clock.Now();
-    LimitRate(notice.requestLimit);
+    LimitRate(aNotice.requestLimit);
     return;
   }
   // An answer to an earlier request may have been sent before the limit.
-  const bool ended = m_limitStatedAt && !notice.malformedLimit &&
+  const bool ended = m_limitStatedAt && !aNotice.malformedLimit &&
                      aCall.m_startedAt > *m_limitStatedAt;
   if (ended) {
     LimitRate(std::nullopt);
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -145,6 +145,7 @@
   void ArmGateTimer();
   void RetryHeldCalls();
   void EnsureGate(uint32_t aSlots);
+  void ApplyStatedLimit(const OwnerCall& aCall, const ServerNotice& aNotice);
   void LimitRate(std::optional<double> aPerSecond);
   void EndRateProbe();
   void UpdateServiceTime(Duration aTaken);
--- a/test/Routing/AdmissionControllerTest.cpp
+++ b/test/Routing/AdmissionControllerTest.cpp
@@ -354,7 +354,8 @@
   controller.Admit(Next(0, milliseconds(500)), m_now);
   controller.Admit(Next(0, milliseconds(50)), m_now);
   ASSERT_EQ(controller.NextWakeup(m_now), m_now + milliseconds(40));
-  EXPECT_TRUE(controller.Expire(*controller.NextWakeup(m_now)).refusals.empty());
+  EXPECT_TRUE(
+    controller.Expire(*controller.NextWakeup(m_now)).refusals.empty());
   const auto late = *controller.NextWakeup(m_now) + milliseconds(1);
   EXPECT_EQ(controller.Expire(late).refusals.size(), 1U);
   EXPECT_FALSE(controller.NextWakeup(m_now).has_value());
--- a/test/Routing/RequestRateLimitTest.cpp
+++ b/test/Routing/RequestRateLimitTest.cpp
@@ -177,8 +177,7 @@
 {
   Apply(m_controller.SetRate(kRate, m_clock.Now()));
   Run(seconds(12));
-  EXPECT_GT(m_startsByClass[ClassIndex(0)],
-            2 * m_startsByClass[ClassIndex(1)]);
+  EXPECT_GT(m_startsByClass[ClassIndex(0)], 2 * m_startsByClass[ClassIndex(1)]);
 }
 
 TEST_F(NamedLimitTest, Overload_RateIsLimited_RefusalsNameATimeThatFollowsIt)
--- /dev/null
+++ b/test/platform/ServerNoticeTest.cpp
@@ -0,0 +1,200 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <event2/event.h>
+
+#include "Pistachioshift/Http"
+#include "platform/Dialects.h"
+#include "platform/Names.h"
+#include "test/HostDaemon/FakeStore.h"
+#include "test/Ranges/RangesSupport.h"
+
+namespace pistachioshift::platform::test {
+
+using namespace pistachioshift::test;
+using std::chrono::milliseconds;
+
+/** Counts the ends of calls. */
+class EndCounter : public CallListener
+{
+public:
+  void OnHead(const ResponseHead&, const FenceToken&) override {}
+  void OnBody(std::string_view) override {}
+  void OnEnd() override { ++answered; }
+  void OnDrained() override {}
+  void OnRefused(const CallRefusal& aRefusal) override
+  {
+    refusals.push_back(aRefusal.reason);
+  }
+  void OnLost(CallLoss) override { ++lost; }
+
+  int answered = 0;
+  int lost = 0;
+  std::vector<RefusalReason> refusals;
+};
+
+/** A daemon beside a backend server that adds fields to all its answers. */
+class ServerNoticeTest : public ::testing::Test
+{
+protected:
+  ServerNoticeTest()
+  {
+    m_state.AddListener(m_server);
+    // Written by the previous process of the daemon.
+    m_topic.Append({ EncodeHost(m_record) }, WriterPosition{ "a", 1, 0 });
+  }
+
+  void Join()
+  {
+    m_state.Start();
+    Run(milliseconds(60));
+  }
+
+  void Run(Duration aFor)
+  {
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aFor).count();
+    const timeval wait{ micros / 1000000,
+                        static_cast<suseconds_t>(micros % 1000000) };
+    event_base_loopexit(m_base.get(), &wait);
+    event_base_dispatch(m_base.get());
+  }
+
+  void Answer(const std::shared_ptr<ServerExchange>& aExchange)
+  {
+    ++m_received;
+    ResponseHead head;
+    head.status = 200;
+    head.headers = m_fields;
+    head.headers.Set(names::kSignature, "s");
+    head.headers.Set(names::kRequestId,
+                     *aExchange->Head().headers.Find(names::kRequestId));
+    head.contentLength = 0;
+    aExchange->SendHead(head);
+    aExchange->Finish();
+  }
+
+  /** Starts a request that must end within aFor. */
+  void Request(Duration aFor = milliseconds(500))
+  {
+    CallRequest request;
+    request.id = DrawRequestId(m_random);
+    request.service = kOrders;
+    request.head.method = "GET";
+    request.head.target = "/r/1";
+    request.head.headers.Set(names::kRequestId, std::to_string(++m_requests));
+    request.deadline = m_clock.Now() + aFor;
+    const auto call = m_server.Start(request, m_ends);
+    call->Finish();
+    m_calls.push_back(call);
+  }
+
+  struct BaseDeleter
+  {
+    void operator()(event_base* aBase) const { event_base_free(aBase); }
+  };
+
+  std::unique_ptr<event_base, BaseDeleter> m_base{ event_base_new() };
+  SystemClock m_clock;
+  Logger m_logger{ "test", LogLevel::kError };
+  Metrics m_metrics;
+  RandomEngine m_random{ 3 };
+  PlatformServerDialect m_dialect;
+  Headers m_fields;
+  int m_received = 0;
+  int m_requests = 0;
+  HttpServer m_backend{ m_base.get(),
+                        Endpoint{ "127.0.0.1", 0 },
+                        HttpLimits{},
+                        [this](const std::shared_ptr<ServerExchange>& aOne) {
+                          Answer(aOne);
+                        } };
+  HostRecord m_record = RecordOf("a");
+  FakeTopic m_topic;
+  FakeStore m_store{ m_base.get(), m_topic };
+  StateTask<FakeStore> m_state{ m_base.get(),
+                                m_clock,
+                                m_logger,
+                                m_store,
+                                m_record };
+  RangeServerTask m_server{ m_base.get(),
+                            m_clock,
+                            RangeServerSettings{
+                              .endpoint = m_backend.LocalEndpoint(),
+                              .service = kOrders,
+                              .drainTime = milliseconds(300) },
+                            m_state,
+                            m_dialect,
+                            m_logger,
+                            m_metrics };
+  std::shared_ptr<EndCounter> m_ends = std::make_shared<EndCounter>();
+  std::vector<std::shared_ptr<Call>> m_calls;
+};
+
+TEST_F(ServerNoticeTest, Start_NoLimit_AllAreServed)
+{
+  Join();
+  for (int tick = 0; tick < 100; ++tick) {
+    Request();
+    Run(milliseconds(5));
+  }
+  Run(milliseconds(200));
+  EXPECT_EQ(m_received, 100);
+}
+
+/** Guards against a server that gets more requests than the limit it states. */
+TEST_F(ServerNoticeTest, Start_ServerStatesALimit_IsNotExceeded)
+{
+  Join();
+  m_fields.Set("Server-Limit", "10");
+  const auto start = m_clock.Now();
+  for (int tick = 0; tick < 200; ++tick) {
+    Request();
+    Run(milliseconds(10));
+  }
+  const std::chrono::duration<double> elapsed = m_clock.Now() - start;
+  EXPECT_LE(m_received, 1.5 * 10.0 * elapsed.count() + 5.0);
+  EXPECT_GE(m_received, 15);
+  EXPECT_GT(m_ends->refusals.size(), 100U);
+  EXPECT_EQ(m_ends->lost, 0);
+}
+
+TEST_F(ServerNoticeTest, Start_LimitIsNoLongerStated_AllAreServed)
+{
+  Join();
+  m_fields.Set("Server-Limit", "2");
+  for (int tick = 0; tick < 50; ++tick) {
+    Request();
+    Run(milliseconds(10));
+  }
+  m_fields.Remove("Server-Limit");
+  Request(milliseconds(2000));
+  Run(milliseconds(1000)); // The next request that the limit allows.
+  const auto before = m_received;
+  for (int tick = 0; tick < 50; ++tick) {
+    Request();
+    Run(milliseconds(10));
+  }
+  EXPECT_GE(m_received - before, 49);
+}
+
+/**
+ * Guards against a burst after a restart of the daemon, which does not know the
+ * limit yet and has a queue of requests.
+ */
+TEST_F(ServerNoticeTest, Start_LimitIsUnknownAfterRestart_FewUntilFirstAnswer)
+{
+  m_fields.Set("Server-Limit", "1");
+  Join();
+  for (int request = 0; request < 9; ++request) {
+    Request();
+  }
+  Run(milliseconds(300));
+  EXPECT_LE(m_received, 4);
+}
+
+}
