A server that says in its answers that it leaves gets no new requests after the drain time

And a daemon that was started again did not take from its own record that the server beside it leaves: the record said only that the host drains, which a stop of the daemon alone writes as well.

Change: the daemon beside the server takes the field for the announcement of a leave: its keys move away, the others learn it from the host's record, and after the drain time it refuses requests. The record tells a leave of the server (optional on the wire) from a stop of the daemon; after a restart the drain time counts as over. Answers to requests from before the present server count for nothing.

Evidence: ServerNoticeTest Start_ServerSaysThatItLeaves_* and Start_LeaveIsKnownFromBeforeARestart_* fail with the two branches taken out.

--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -43,6 +43,7 @@
   server.slots = aHeartbeat.slots;
   server.state = m_exitAt || m_grants.RevokingAll() ? ServerState::kDraining
                                                     : ServerState::kReady;
+  server.leaving = m_grants.RevokingAll();
   m_state.PublishServer(server);
 }
 
@@ -65,6 +66,7 @@
                   aHeartbeat.incarnation.startedAt.time_since_epoch().count(),
                   aHeartbeat.slots);
     m_drainEndsAt.reset();
+    m_serverSince = now;
     LimitRate(std::nullopt);
   }
   m_lastHeartbeat = now;
@@ -104,6 +106,7 @@
   auto server = m_state.OwnRecord().server;
   if (server) {
     server->state = ServerState::kDraining;
+    server->leaving = true;
     m_state.PublishServer(server);
   }
 }
@@ -163,10 +166,14 @@
   if (!m_serverId && m_state.Joined() && known) {
     // The backend server may have kept running while this daemon restarted.
     m_serverId = known->incarnation.id;
+    m_serverSince = m_clock.Now();
     m_grants.Adopt(known->incarnation);
     EnsureGate(known->slots);
     if (m_earlyLeave && m_earlyLeave->server == *m_serverId) {
       BeginServerLeave(m_earlyLeave->at);
+    } else if (known->leaving) {
+      // It is not known when it began.
+      BeginServerLeave(m_clock.Now() - m_settings.drainTime);
     }
   }
   RetryHeldCalls();
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -352,7 +352,14 @@
 void
 RangeServerTask::OnAnswerHead(const OwnerCall& aCall, const ResponseHead& aHead)
 {
-  ApplyStatedLimit(aCall, m_dialect.ReadNotice(aHead));
+  if (aCall.m_startedAt < m_serverSince) {
+    return; // The answer of an earlier backend server.
+  }
+  const auto notice = m_dialect.ReadNotice(aHead);
+  if (notice.leaving && m_serverId && !m_grants.RevokingAll()) {
+    BeginServerLeave(m_clock.Now());
+  }
+  ApplyStatedLimit(aCall, notice);
   EndRateProbe(); // After the limit is known.
 }
 
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -177,7 +177,8 @@
   std::optional<ServerId> m_serverId;
   std::optional<EarlyLeave> m_earlyLeave;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
-  std::optional<MonoTime> m_exitAt;      ///< Set once the daemon is leaving.
+  MonoTime m_serverSince; ///< When this process learnt of its backend server.
+  std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
   /// When an answer last stated a limit of the request rate.
   std::optional<MonoTime> m_limitStatedAt;
   bool m_malformedLimitLogged = false;
--- a/src/HostDaemon/ServerDialect.h
+++ b/src/HostDaemon/ServerDialect.h
@@ -15,6 +15,7 @@
   std::optional<double> requestLimit;
   /// The limit is stated, but it is not a number of zero or more.
   bool malformedLimit = false;
+  bool leaving = false; ///< It is about to stop.
 };
 
 /** \brief Translates request and response heads to and from the form that
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -54,7 +54,8 @@
     host.server =
       ServerStatus{ { ServerId(server.id), ToWallTime(server.bornMillis) },
                     static_cast<uint32_t>(server.slots),
-                    StateFromWire(server.state) };
+                    StateFromWire(server.state),
+                    server.__isset.leaving && server.leaving };
   }
   return host;
 }
@@ -311,6 +312,9 @@
     server.bornMillis = ToMillis(aHost.server->incarnation.startedAt);
     server.slots = static_cast<int32_t>(aHost.server->slots);
     server.state = static_cast<int32_t>(aHost.server->state);
+    if (aHost.server->leaving) {
+      server.__set_leaving(true);
+    }
     wire.__set_server(server);
   }
   StoreEntry entry;
--- a/src/Ranges/MeshState.h
+++ b/src/Ranges/MeshState.h
@@ -40,6 +40,8 @@
   ServerIncarnation incarnation;
   uint32_t slots = 0;
   ServerState state = ServerState::kReady;
+  /// The backend server itself leaves, not only the daemon beside it.
+  bool leaving = false;
 
   bool operator==(const ServerStatus&) const = default;
 };
--- a/src/Ranges/gen/ranges_types.cpp
+++ b/src/Ranges/gen/ranges_types.cpp
@@ -33,6 +33,11 @@
 void WireServer::__set_state(const int32_t val) {
   this->state = val;
 }
+
+void WireServer::__set_leaving(const bool val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireServer& obj)
 {
   obj.printTo(out);
@@ -97,6 +102,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -138,6 +151,11 @@
   xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->leaving);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -149,6 +167,8 @@
   swap(a.bornMillis, b.bornMillis);
   swap(a.slots, b.slots);
   swap(a.state, b.state);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
 }
 
 WireServer::WireServer(const WireServer& other0) {
@@ -156,12 +176,16 @@
   bornMillis = other0.bornMillis;
   slots = other0.slots;
   state = other0.state;
+  leaving = other0.leaving;
+  __isset = other0.__isset;
 }
 WireServer& WireServer::operator=(const WireServer& other1) {
   id = other1.id;
   bornMillis = other1.bornMillis;
   slots = other1.slots;
   state = other1.state;
+  leaving = other1.leaving;
+  __isset = other1.__isset;
   return *this;
 }
 void WireServer::printTo(std::ostream& out) const {
@@ -171,6 +195,7 @@
   out << ", " << "bornMillis=" << to_string(bornMillis);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Ranges/gen/ranges_types.h
+++ b/src/Ranges/gen/ranges_types.h
@@ -35,6 +35,10 @@
 
 class WireTableChange;
 
+typedef struct _WireServer__isset {
+  _WireServer__isset() : leaving(false) {}
+  bool leaving :1;
+} _WireServer__isset;
 
 class WireServer : public virtual ::apache::thrift::TBase {
  public:
@@ -45,7 +49,8 @@
              : id(),
                bornMillis(0),
                slots(0),
-               state(0) {
+               state(0),
+               leaving(0) {
   }
 
   virtual ~WireServer() noexcept;
@@ -53,6 +58,9 @@
   int64_t bornMillis;
   int32_t slots;
   int32_t state;
+  bool leaving;
+
+  _WireServer__isset __isset;
 
   void __set_id(const std::string& val);
 
@@ -62,6 +70,8 @@
 
   void __set_state(const int32_t val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const WireServer & rhs) const
   {
     if (!(id == rhs.id))
@@ -72,6 +82,10 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const WireServer &rhs) const {
--- a/src/Ranges/idl/ranges.thrift
+++ b/src/Ranges/idl/ranges.thrift
@@ -7,6 +7,7 @@
   2: required i64 bornMillis
   3: required i32 slots
   4: required i32 state
+  5: optional bool leaving
 }
 
 struct WireHost {
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -197,4 +197,77 @@
   EXPECT_LE(m_received, 4);
 }
 
+/**
+ * Guards against requests to a server that has said in an answer that it
+ * leaves, later than the time allowed for that.
+ */
+TEST_F(ServerNoticeTest, Start_ServerSaysThatItLeaves_GetsNothingAfterDrainTime)
+{
+  Join();
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
+  m_fields.Set("Server-Leaving", "1");
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_received, 3);
+  Run(milliseconds(300));
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_received, 3);
+  EXPECT_EQ(m_ends->refusals,
+            std::vector<RefusalReason>{ RefusalReason::kDraining });
+}
+
+/** The previous process of the daemon has heard of the leave. */
+TEST_F(ServerNoticeTest, Start_LeaveIsKnownFromBeforeARestart_GetsNothing)
+{
+  auto record = m_record;
+  record.server->state = ServerState::kDraining;
+  record.server->leaving = true;
+  m_topic.Append({ EncodeHost(record) }, WriterPosition{ "a", 1, 1 });
+  Join();
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_received, 0);
+}
+
+/** The previous process stopped, and its server went on. */
+TEST_F(ServerNoticeTest, Start_OnlyTheDaemonWasStopped_IsServed)
+{
+  auto record = m_record;
+  record.server->state = ServerState::kDraining;
+  m_topic.Append({ EncodeHost(record) }, WriterPosition{ "a", 1, 1 });
+  Join();
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_received, 1);
+}
+
+/** A new server at the same address is not the one that left. */
+TEST_F(ServerNoticeTest, OnHeartbeat_NewServerAfterALeave_IsServed)
+{
+  Join();
+  m_fields.Set("Server-Leaving", "1");
+  Request();
+  Run(milliseconds(50));
+  m_fields.Remove("Server-Leaving");
+  ServerHeartbeat heartbeat;
+  heartbeat.incarnation = IncarnationOf("server-new", 5000);
+  heartbeat.service = kOrders;
+  heartbeat.slots = 9;
+  heartbeat.sequence = 1;
+  m_server.OnHeartbeat(heartbeat);
+  Run(milliseconds(50));
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
+  EXPECT_FALSE(m_state.OwnRecord().server->leaving);
+  Run(milliseconds(300));
+  Request();
+  Run(milliseconds(50));
+  EXPECT_EQ(m_received, 2);
+}
+
 }
