--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -38,13 +38,31 @@
   return static_cast<ServerState>(aState);
 }
 
+uint16_t
+PortFromWire(int32_t aPort)
+{
+  if (aPort < 0 || aPort > UINT16_MAX) {
+    throw RangesError("host record with a port out of range");
+  }
+  return static_cast<uint16_t>(aPort);
+}
+
+uint32_t
+SlotsFromWire(int32_t aSlots)
+{
+  if (aSlots < 0) {
+    throw RangesError("host record with a negative number of slots");
+  }
+  return static_cast<uint32_t>(aSlots);
+}
+
 HostRecord
 FromWire(const ranges_idl::WireHost& aHost)
 {
   HostRecord host;
   host.host = HostName(aHost.host);
   host.epoch = aHost.epoch;
-  host.inner = Endpoint{ aHost.address, static_cast<uint16_t>(aHost.port) };
+  host.inner = Endpoint{ aHost.address, PortFromWire(aHost.port) };
   host.zone = ZoneName(aHost.zone);
   host.service = ServiceName(aHost.serviceName);
   host.refutedUpTo = aHost.cleared;
@@ -53,7 +71,7 @@
     const auto& server = aHost.server;
     host.server =
       ServerStatus{ { ServerId(server.id), ToWallTime(server.bornMillis) },
-                    static_cast<uint32_t>(server.slots),
+                    SlotsFromWire(server.slots),
                     StateFromWire(server.state),
                     server.__isset.leaving && server.leaving };
   }
