Test requests that come until the end of a planned stop

Another operator's report: requests that came late in the grace were taken, passed on and cut without an answer.

--- a/test/process/PlannedStopTest.cpp
+++ b/test/process/PlannedStopTest.cpp
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <csignal>
 #include <future>
+#include <mutex>
 #include <thread>
 
 #include <netinet/in.h>
@@ -93,6 +94,66 @@
   EXPECT_EQ(m_hosts[0].daemon->Wait(), 0);
 }
 
+/** Requests that take a sixth of the grace, sent until the daemon is gone. */
+class LateInTheGraceTest : public PlatformTest
+{
+protected:
+  LateInTheGraceTest()
+    : PlatformTest("6s", milliseconds(1000))
+  {
+  }
+};
+
+// Guards against requests, also those that may not be repeated, that are taken
+// late in the grace, passed on, and cut without an answer at its end.
+TEST_F(LateInTheGraceTest, Terminate_RequestsUntilTheEnd_NoneRunsUnanswered)
+{
+  ASSERT_TRUE(WaitAllServed(0, seconds(20)));
+  std::mutex mutex;
+  std::vector<std::string> unanswered;
+  std::atomic<int> number{ 0 };
+  std::atomic<int> served{ 0 };
+  std::atomic<bool> stop{ false };
+  std::vector<std::thread> callers;
+  callers.reserve(24);
+  for (int caller = 0; caller < 24; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int turn = 0; !stop; ++turn) {
+        const bool write = caller % 2 == 0;
+        const auto id =
+          fmt::format("{}-{}", write ? "write" : "read", ++number);
+        const int key = (turn * 977 + caller * 2731) % 65536;
+        // Callers of the daemon that stops, and of another one.
+        const auto reply =
+          Ask(caller % 3 == 0 ? 1 : 0, write ? "/w/x" : "/r/x", key, id);
+        if (reply.status == 200) {
+          ++served;
+        } else if (reply.status != 503) {
+          const std::lock_guard lock(mutex);
+          unanswered.push_back(fmt::format("{} {}", id, reply.status));
+        } else {
+          std::this_thread::sleep_for(milliseconds(20));
+        }
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  EXPECT_EQ(m_hosts[0].daemon->Stop(), 0);
+  stop = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_GT(served, 24);
+  const auto runs = Runs();
+  for (const auto& entry : unanswered) {
+    const auto id = entry.substr(0, entry.find(' '));
+    EXPECT_FALSE(runs.contains(id)) << entry;
+  }
+  for (const auto& [id, count] : runs) {
+    EXPECT_TRUE(count == 1 || !id.starts_with("write-")) << id;
+  }
+}
+
 /** A caller on a slow path: its system takes few bytes that it has not read. */
 class SlowCaller
 {
--- a/test/process/PlatformSupport.h
+++ b/test/process/PlatformSupport.h
@@ -150,12 +150,19 @@
 
   HttpReply Ask(size_t aHost, const char* aPath, int aKey)
   {
-    const auto id = fmt::format("request-{}", ++m_requests);
+    return Ask(aHost, aPath, aKey, fmt::format("request-{}", ++m_requests));
+  }
+
+  HttpReply Ask(size_t aHost,
+                const char* aPath,
+                int aKey,
+                const std::string& aId)
+  {
     HttpCall call;
     call.port = m_hosts[aHost].ports[0];
     call.path = aPath;
     call.headers = { { "Host", "a.example" },
-                     { "Pistachioshift-Attempt-Id", id },
+                     { "Pistachioshift-Attempt-Id", aId },
                      { "Pistachioshift-Deadline-Ms", "3000" },
                      { "Pistachioshift-Shard-Key", std::to_string(aKey) } };
     return HttpSend(call);
@@ -183,8 +190,8 @@
     HttpGet(m_storePort, "/fault?mode=" + aMode);
   }
 
-  /** How often the request that ran most often ran, over all servers. */
-  int MostRuns() const
+  /** How often each request ran, over all servers, by its id. */
+  std::map<std::string, int> Runs() const
   {
     std::map<std::string, int> runs;
     for (const auto& host : m_hosts) {
@@ -194,8 +201,14 @@
         runs[id] += count.get<int>();
       }
     }
+    return runs;
+  }
+
+  /** How often the request that ran most often ran, over all servers. */
+  int MostRuns() const
+  {
     int most = 0;
-    for (const auto& [id, count] : runs) {
+    for (const auto& [id, count] : Runs()) {
       most = std::max(most, count);
     }
     return most;
