--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -261,6 +261,9 @@
   set("pistachio_gate_queued", m_server.Queued());
   set("pistachio_inner_connections", m_peers.Connections());
   set("pistachio_inner_sessions", m_inner.Sessions());
+  // -1: the backend server has stated no limit.
+  set("pistachio_server_limit_per_second",
+      m_server.RequestLimit().value_or(-1.0));
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End());
   set("pistachio_coordinator", m_coordinator.Active() ? 1 : 0);
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -113,6 +113,12 @@
   {
     return m_gate && m_gate->HasFreeSlot(m_clock.Now());
   }
+  /** \brief Requests per second that the backend server takes, as it stated;
+   * nullopt: no limit. */
+  std::optional<double> RequestLimit() const
+  {
+    return m_gate ? m_gate->Rate() : std::nullopt;
+  }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
 
   void OnStateChanged() override;
--- a/test/platform/OddEntryTest.cpp
+++ b/test/platform/OddEntryTest.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include <event2/event.h>
+#include <fmt/format.h>
 
 #include "platform/Heartbeats.h"
 #include "platform/Json.h"
@@ -103,15 +104,15 @@
 TEST_F(OddEntryTest, DecodeNewest_OneItemIsOdd_OthersHold)
 {
   const std::string good = R"({"key":"b","value":"YQ==","offset":7})";
-  for (const std::string odd :
+  for (const std::string& odd :
        { std::string(R"({"key":"a","offset":3})"),
          std::string(R"({"key":"a","value":"*","offset":3})"),
          std::string(R"({"key":5,"value":"YQ==","offset":3})"),
          std::string(R"({"key":"a","value":"YQ=="})"),
          std::string("null"),
          Nested(200000) }) {
-    const auto page = DecodeNewest(
-      R"({"endOffset":9,"hasMore":false,"items":[)" + odd + "," + good + "]}");
+    const auto page = DecodeNewest(fmt::format(
+      R"({{"endOffset":9,"hasMore":false,"items":[{},{}]}})", odd, good));
     ASSERT_EQ(page.entries.size(), 1U) << odd.substr(0, 40);
     EXPECT_EQ(page.entries.front().key, "b");
     EXPECT_EQ(page.lastKey, "b");
