--- a/review/1/case.py
+++ b/review/1/case.py
@@ -27,14 +27,14 @@
 
 async def case(world):
     record = world.record
-    for number, zone in enumerate(("valpo-mesa", "valpo-bodega", "valpo-oficina")):
+    for number, zone in enumerate(("sofia-a", "sofia-b", "sofia-c")):
         await setup.start_machine(
-            world, f"sidecar-{zone}-{number}", zone, "taller", True, 0.09
+            world, f"sidecar-{zone}-{number}", zone, "registry", True, 0.09
         )
     await world.store.write_config(
         setup.config(
-            {"read": setup.route("/read/", "idempotent", "taller")},
-            {"taller": {"sharded": True}},
+            {"read": setup.route("/read/", "idempotent", "registry")},
+            {"registry": {"sharded": True}},
         )
     )
     await setup.start_all(world)
@@ -52,7 +52,7 @@
         message = {
             "born": int(time.time() * 1000),
             "info": {
-                "service": "taller",
+                "service": "registry",
                 "version": "v1",
                 "zone": target.zone,
                 "slots": 9,
@@ -67,6 +67,7 @@
         record(f"ping of another writer, without an address: {status} {answer}")
     await asyncio.sleep(10.0)
     load.cancel()
+    await asyncio.sleep(2.5)  # What is still on its way.
     served = sum(1 for status in world.answers.values() if status == 200)
     record(f"requests {world.sent}, served {served}")
     record(f"longest time in which two instances held the same keys: {watch.longest:.3f} s")
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -33,10 +33,18 @@
         self.file.flush()
 
 
+USED_PORTS = set()
+
+
 def free_ports(count):
-    """Neighbouring ports that are free now."""
+    """Neighbouring ports that are free now and were not handed out before.
+
+    They are below the ports that the system gives to outgoing connections.
+    """
     for _ in range(200):
-        first = random.randint(20000, 30000)
+        first = random.randint(12000, 30000)
+        if USED_PORTS.intersection(range(first, first + count)):
+            continue
         held = []
         try:
             for port in range(first, first + count):
@@ -44,6 +52,7 @@
                 held.append(one)
                 one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 one.bind(("127.0.0.1", port))
+            USED_PORTS.update(range(first, first + count))
             return list(range(first, first + count))
         except OSError:
             continue
@@ -538,7 +547,7 @@
 class World:
     """A small deployment. `folder` takes settings and the daemons' output."""
 
-    def __init__(self, record, folder, beat_s=1.5):
+    def __init__(self, record, folder, beat_s=0.87):
         self.record = record
         self.folder = folder
         self.beat_s = beat_s
