--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -9,10 +9,10 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 CALL_S = 0.004  # Time that the store takes for a call.
@@ -513,8 +513,8 @@
 
     async def start_daemon(self):
         self.write_settings()
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            command = tomllib.load(file)["roles"]["daemon"]["run"].split()
+        with open(os.path.join(ROOT, "deploy/system.toml"), encoding="utf-8") as file:
+            command = re.search(r'^run = "([^"]*)"', file.read(), re.M)[1].split()
         if self.log is None:
             self.log = open(
                 os.path.join(self.world.folder, f"{self.name}.log"), "ab"
