A heartbeat of another writer neither replaces nor drains the running server

The running server never got keys again, as its heartbeats were older than the stranger's.

Cause: a later start time was taken as proof that the process before had ended, whoever stated it, and the decoder dropped the address, the only field that can tell. Only one process listens at the address of this host's server, so only a heartbeat from there proves it.

OddEntryTest had port 70000 in the address of a heartbeat that it expects to be accepted, for another field's sake; it has a valid one now, and CodecTest rejects 70000.

--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -55,12 +55,12 @@
   /** \brief Starts accepting callers' requests. */
   void Start(IngressDialect& aDialect, const HttpLimits& aLimits);
 
-  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+  std::optional<HeartbeatReply> OnHeartbeat(const ServerHeartbeat& aHeartbeat)
   {
     return m_server.OnHeartbeat(aHeartbeat);
   }
 
-  void OnLeave(const ServerId& aServer) { m_server.OnLeave(aServer); }
+  void OnLeave(const ServerLeave& aLeave) { m_server.OnLeave(aLeave); }
 
   /** \brief Whether other hosts report here and receive state in reply. */
   bool ReceivesPeerReports() const
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -47,16 +47,41 @@
   m_state.PublishServer(server);
 }
 
-HeartbeatReply
+bool
+RangeServerTask::IsOwnServer(const ServerHeartbeat& aHeartbeat) const
+{
+  return aHeartbeat.address == m_settings.endpoint &&
+         aHeartbeat.service == m_settings.service;
+}
+
+void
+RangeServerTask::RememberLeave(const ServerLeave& aLeave)
+{
+  auto leave = aLeave;
+  if (leave.startedBy == WallTime::max()) {
+    // A server that starts later under the same id has not left.
+    leave.startedBy = m_clock.WallNow();
+  }
+  if (!m_earlyLeave || m_earlyLeave->startedBy <= leave.startedBy) {
+    m_earlyLeave = leave;
+  }
+}
+
+std::optional<HeartbeatReply>
 RangeServerTask::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
 {
-  if (!m_state.Joined() && !m_serverId &&
-      aHeartbeat.state == ServerState::kDraining) {
-    m_earlyLeave = EarlyLeave{ aHeartbeat.incarnation.id, m_clock.Now() };
+  if (!IsOwnServer(aHeartbeat)) {
+    return std::nullopt;
+  }
+  if (!m_state.Joined()) {
+    if (aHeartbeat.state == ServerState::kDraining) {
+      const auto& incarnation = aHeartbeat.incarnation;
+      RememberLeave({ incarnation.id, incarnation.startedAt });
+    }
+    return HeartbeatReply{};
   }
-  if (!m_state.Joined() || m_grants.IsStale(aHeartbeat) ||
-      aHeartbeat.service != m_settings.service) {
-    return {};
+  if (m_grants.IsStale(aHeartbeat)) {
+    return HeartbeatReply{};
   }
   const auto now = m_clock.Now();
   if (m_grants.Incarnation() != aHeartbeat.incarnation) {
@@ -86,13 +111,14 @@
 }
 
 void
-RangeServerTask::OnLeave(const ServerId& aServer)
+RangeServerTask::OnLeave(const ServerLeave& aLeave)
 {
-  if (!m_serverId) {
-    m_earlyLeave = EarlyLeave{ aServer, m_clock.Now() };
+  const auto& current = m_grants.Incarnation();
+  if (!current) {
+    RememberLeave(aLeave);
     return;
   }
-  if (m_serverId == aServer && !m_grants.RevokingAll()) {
+  if (aLeave.Concerns(*current) && !m_grants.RevokingAll()) {
     BeginServerLeave(m_clock.Now());
   }
 }
@@ -169,8 +195,8 @@
     m_serverSince = m_clock.Now();
     m_grants.Adopt(known->incarnation);
     EnsureGate(known->slots);
-    if (m_earlyLeave && m_earlyLeave->server == *m_serverId) {
-      BeginServerLeave(m_earlyLeave->at);
+    if (m_earlyLeave && m_earlyLeave->Concerns(known->incarnation)) {
+      BeginServerLeave(m_clock.Now());
     } else if (known->leaving) {
       // It is not known when it began.
       BeginServerLeave(m_clock.Now() - m_settings.drainTime);
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -62,11 +62,15 @@
                                   TablePosition aKnown) override;
   TablePosition Position() const override { return m_outcomes.Position(); }
 
-  /** \brief Handles a heartbeat of the backend server. */
-  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat);
+  /**
+   * \brief Handles a heartbeat of the backend server.
+   * \return nullopt if it is not from the backend server of this host; it then
+   * has no effect and must not be acknowledged.
+   */
+  std::optional<HeartbeatReply> OnHeartbeat(const ServerHeartbeat& aHeartbeat);
 
-  /** \brief Handles the backend server's announcement that it will stop. */
-  void OnLeave(const ServerId& aServer);
+  /** \brief Handles the backend server's announcement that it stops now. */
+  void OnLeave(const ServerLeave& aLeave);
 
   /** \brief Starts handing ranges to other hosts as the coordinator ordered. */
   void ApplyMoveOrders(const std::vector<MoveOrder>& aOrders);
@@ -136,13 +140,6 @@
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
 
-  /** Leave that was acknowledged before this process knew its server. */
-  struct EarlyLeave
-  {
-    ServerId server;
-    MonoTime at;
-  };
-
   void AcceptNewCalls();
   void Accept(const CallPtr& aCall);
   void HoldCall(const CallPtr& aCall);
@@ -161,6 +158,8 @@
   bool OutlastsProcess(const OwnerCall& aCall) const;
   std::vector<RangeRow> RowsOf(const ServerIncarnation& aIncarnation) const;
   bool AssignedHere(ShardKey aKey) const;
+  bool IsOwnServer(const ServerHeartbeat& aHeartbeat) const;
+  void RememberLeave(const ServerLeave& aLeave);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   void BeginServerLeave(MonoTime aAt);
   void SendReleased(const ServerIncarnation& aIncarnation,
@@ -181,7 +180,8 @@
   std::vector<RequestId> m_heldCalls;
   std::vector<CallPtr> m_newCalls;
   std::optional<ServerId> m_serverId;
-  std::optional<EarlyLeave> m_earlyLeave;
+  /// Leave of a server of which no heartbeat has been handled yet.
+  std::optional<ServerLeave> m_earlyLeave;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
--- a/src/Ranges/GrantManager.cpp
+++ b/src/Ranges/GrantManager.cpp
@@ -57,7 +57,7 @@
   if (aHeartbeat.incarnation.startedAt != m_incarnation->startedAt) {
     return aHeartbeat.incarnation.startedAt < m_incarnation->startedAt;
   }
-  return aHeartbeat.incarnation == *m_incarnation &&
+  return aHeartbeat.incarnation != *m_incarnation ||
          aHeartbeat.sequence <= m_sequence;
 }
 
--- a/src/Ranges/GrantManager.h
+++ b/src/Ranges/GrantManager.h
@@ -27,6 +27,7 @@
 /** \brief State that a backend server reports periodically. */
 struct ServerHeartbeat
 {
+  Endpoint address; ///< Where the backend server listens.
   ServerIncarnation incarnation;
   ServiceName service;
   uint32_t slots = 0;
@@ -38,6 +39,21 @@
   std::vector<ReleasedRange> released;
 };
 
+/**
+ * \brief Announcement of a backend server that it stops now. Concerns each
+ * incarnation of this id that was started at startedBy or earlier.
+ */
+struct ServerLeave
+{
+  ServerId id;
+  WallTime startedBy = WallTime::max(); ///< The maximum if it is not stated.
+
+  bool Concerns(const ServerIncarnation& aIncarnation) const
+  {
+    return id == aIncarnation.id && aIncarnation.startedAt <= startedBy;
+  }
+};
+
 /** \brief Range that a reply grants to the backend server. */
 struct GrantedRange
 {
@@ -111,6 +127,9 @@
 
   /**
    * \brief Processes a heartbeat and renews the grants.
+   * \param aHeartbeat must come from the address of this host's backend server.
+   * Only one process listens there, so that a later start time proves that the
+   * previous process has ended.
    * \param aRows rows that the table assigns to this incarnation.
    * \param aLease remaining time of the host's lease.
    * \return a reply that renews nothing if the heartbeat is stale or the lease
@@ -121,7 +140,8 @@
                              Duration aLease,
                              MonoTime aNow);
 
-  /** \brief Whether a heartbeat is older than the last one, or a repetition. */
+  /** \brief Whether a heartbeat is older than the last one, or a repetition. Of
+   * two incarnations with the same start time, the first one stays. */
   bool IsStale(const ServerHeartbeat& aHeartbeat) const;
 
   /**
--- a/test/HostDaemon/RangeServerTaskTest.cpp
+++ b/test/HostDaemon/RangeServerTaskTest.cpp
@@ -9,6 +9,8 @@
 
 using std::chrono::milliseconds;
 
+const Endpoint kServerAddress{ "127.0.0.1", 1 };
+
 /** A daemon that starts while its backend server is already running. */
 class RangeServerTaskTest : public ::testing::Test
 {
@@ -16,14 +18,14 @@
   RangeServerTaskTest()
     : m_store(m_base.get(), m_topic)
     , m_state(m_base.get(), m_clock, m_logger, m_store, RecordOf("a"))
-    , m_server(m_base.get(),
-               m_clock,
-               RangeServerSettings{ .endpoint = { "127.0.0.1", 1 },
-                                    .service = kOrders },
-               m_state,
-               m_dialect,
-               m_logger,
-               m_metrics)
+    , m_server(
+        m_base.get(),
+        m_clock,
+        RangeServerSettings{ .endpoint = kServerAddress, .service = kOrders },
+        m_state,
+        m_dialect,
+        m_logger,
+        m_metrics)
   {
     m_state.AddListener(m_server);
     // Written by the previous process of the daemon.
@@ -33,11 +35,31 @@
   void Join()
   {
     m_state.Start();
-    const timeval wait{ 0, 60000 };
+    Run(milliseconds(60));
+  }
+
+  void Run(Duration aFor)
+  {
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(aFor).count();
+    const timeval wait{ micros / 1000000,
+                        static_cast<suseconds_t>(micros % 1000000) };
     event_base_loopexit(m_base.get(), &wait);
     event_base_dispatch(m_base.get());
   }
 
+  static ServerHeartbeat Heartbeat(const std::string& aServer,
+                                   int64_t aStartedAt = 1000)
+  {
+    ServerHeartbeat heartbeat;
+    heartbeat.address = kServerAddress;
+    heartbeat.incarnation = IncarnationOf(aServer, aStartedAt);
+    heartbeat.service = kOrders;
+    heartbeat.slots = 9;
+    heartbeat.sequence = 1;
+    return heartbeat;
+  }
+
   struct BaseDeleter
   {
     void operator()(event_base* aBase) const { event_base_free(aBase); }
@@ -66,28 +88,77 @@
  */
 TEST_F(RangeServerTaskTest, OnLeave_BeforeTheDaemonHasJoined_IsRemembered)
 {
-  m_server.OnLeave(ServerId("server-a"));
+  m_server.OnLeave({ ServerId("server-a") });
   Join();
   EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
 }
 
 TEST_F(RangeServerTaskTest, OnHeartbeat_DrainingBeforeJoined_IsRemembered)
 {
-  ServerHeartbeat heartbeat;
-  heartbeat.incarnation = IncarnationOf("server-a");
-  heartbeat.service = kOrders;
+  auto heartbeat = Heartbeat("server-a");
   heartbeat.state = ServerState::kDraining;
-  heartbeat.sequence = 1;
-  EXPECT_FALSE(m_server.OnHeartbeat(heartbeat).renews);
+  EXPECT_FALSE(m_server.OnHeartbeat(heartbeat)->renews);
   Join();
   EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
 }
 
 TEST_F(RangeServerTaskTest, OnLeave_OfAnotherServer_ChangesNothing)
 {
-  m_server.OnLeave(ServerId("server-b"));
+  m_server.OnLeave({ ServerId("server-b") });
   Join();
   EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
 }
 
+/** A leave that arrives late is not that of a later start under the same id. */
+TEST_F(RangeServerTaskTest, OnLeave_OfAnEarlierIncarnation_ChangesNothing)
+{
+  Join();
+  m_server.OnLeave({ ServerId("server-a"), WallTime(milliseconds(999)) });
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
+  m_server.OnLeave({ ServerId("server-a"), WallTime(milliseconds(1000)) });
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
+}
+
+/**
+ * Guards against a heartbeat of another writer that replaces the running
+ * server: its keys went to other hosts while it still held them.
+ */
+TEST_F(RangeServerTaskTest, OnHeartbeat_FromAnotherAddress_ReplacesNothing)
+{
+  Join();
+  ASSERT_TRUE(m_server.OnHeartbeat(Heartbeat("server-a")));
+  for (const auto& address :
+       { Endpoint{}, Endpoint{ "127.0.0.1", 2 }, Endpoint{ "127.0.0.2", 1 } }) {
+    auto other = Heartbeat("server-other", 5000);
+    other.address = address;
+    EXPECT_FALSE(m_server.OnHeartbeat(other));
+    other.state = ServerState::kDraining;
+    EXPECT_FALSE(m_server.OnHeartbeat(other));
+  }
+  auto other = Heartbeat("server-other", 5000);
+  other.service = ServiceName("unknown");
+  EXPECT_FALSE(m_server.OnHeartbeat(other));
+  const auto& server = m_state.OwnRecord().server;
+  EXPECT_EQ(server->incarnation, IncarnationOf("server-a"));
+  EXPECT_EQ(server->state, ServerState::kReady);
+  // The running server is not stale either.
+  auto next = Heartbeat("server-a");
+  next.sequence = 2;
+  EXPECT_TRUE(m_server.OnHeartbeat(next)->renews);
+}
+
+/** Neither does such a heartbeat keep a silent server in use. */
+TEST_F(RangeServerTaskTest, OnHeartbeat_FromAnotherAddress_IsNoSignOfLife)
+{
+  Join();
+  for (int tick = 0; tick < 40; ++tick) {
+    auto other = Heartbeat("server-a");
+    other.address.port = 2;
+    other.sequence = tick + 1;
+    EXPECT_FALSE(m_server.OnHeartbeat(other));
+    Run(milliseconds(100));
+  }
+  EXPECT_NE(m_state.OwnRecord().server->state, ServerState::kReady);
+}
+
 }
--- a/test/Ranges/GrantManagerTest.cpp
+++ b/test/Ranges/GrantManagerTest.cpp
@@ -154,6 +154,15 @@
   EXPECT_EQ(m_manager.Incarnation(), IncarnationOf("server-a", 2000));
 }
 
+/** Two servers that claim one start time: none has proved the other's end. */
+TEST_F(GrantManagerTest, Heartbeat_OtherServerWithTheSameStart_IsIgnored)
+{
+  Send(Heartbeat());
+  auto other = Heartbeat();
+  other.incarnation = IncarnationOf("server-b");
+  EXPECT_TRUE(m_manager.IsStale(other));
+}
+
 TEST_F(GrantManagerTest,
        Heartbeat_OfAnEarlierIncarnationAfterARestart_IsIgnored)
 {
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -25,6 +25,7 @@
   EXPECT_EQ(beat.incarnation.id, ServerId("i-1"));
   EXPECT_EQ(beat.incarnation.startedAt.time_since_epoch().count(),
             1785414586000);
+  EXPECT_EQ(beat.address, (Endpoint{ "10.0.0.9", 8080 }));
   EXPECT_EQ(beat.service, ServiceName("orders"));
   EXPECT_EQ(beat.slots, 9U);
   EXPECT_EQ(beat.sequence, 4);
@@ -39,7 +40,19 @@
   const std::string whole = kHeartbeat;
   for (const auto& [from, to] :
        std::vector<std::pair<std::string, std::string>>{
+         { "\"address\":\"10.0.0.9:8080\",", "" },
+         { "\"10.0.0.9:8080\"", "8080" },
+         { "\"10.0.0.9:8080\"", "\"10.0.0.9\"" },
+         { "\"10.0.0.9:8080\"", "\"10.0.0.9:70000\"" },
+         { "\"zone\":\"z\",", "" },
+         { "\"zone\":\"z\"", "\"zone\":7" },
+         { "\"version\":\"v1\",", "" },
+         { "\"service\":\"orders\",", "" },
+         { "\"state\":\"ready\",", "" },
+         { ",\"coldRemaining\":\"1.5s\"", "" },
          { "\"born\":1785414586000,", "" },
+         { "1785414586000", "\"1785414586000\"" },
+         { "1785414586000", "1785414586000.5" },
          { "\"slots\":9", "\"slots\":\"9\"" },
          { "\"slots\":9", "\"slots\":0" },
          { "\"ready\"", "\"resting\"" },
@@ -54,6 +67,27 @@
   EXPECT_THROW(DecodeHeartbeat(ServerId("i-1"), "\x01"), PlatformError);
 }
 
+TEST(LeaveTest, Decode_Body_NamesTheIncarnation)
+{
+  const ServerId id("i-1");
+  const ServerIncarnation first{ id, WallTime(milliseconds(1000)) };
+  const ServerIncarnation second{ id, WallTime(milliseconds(2000)) };
+  const auto leave = DecodeLeave(id, R"({"born":1000})");
+  EXPECT_TRUE(leave.Concerns(first));
+  EXPECT_FALSE(leave.Concerns(second));
+  EXPECT_TRUE(DecodeLeave(id, "").Concerns(second));
+  EXPECT_TRUE(DecodeLeave(id, "{}").Concerns(second));
+  EXPECT_FALSE(DecodeLeave(ServerId("i-2"), "").Concerns(first));
+}
+
+TEST(LeaveTest, Decode_MalformedBody_Throws)
+{
+  for (const char* body :
+       { "\x01", "7", "[]", R"({"born":"1000"})", R"({"born":null})" }) {
+    EXPECT_THROW(DecodeLeave(ServerId("i-1"), body), PlatformError) << body;
+  }
+}
+
 TEST(HeartbeatTest, Decode_HoldsMissing_HoldsAreNotSet)
 {
   std::string body = kHeartbeat;
--- a/test/platform/OddEntryTest.cpp
+++ b/test/platform/OddEntryTest.cpp
@@ -38,7 +38,7 @@
                                const std::string& aSlots,
                                const std::string& aSequence)
   {
-    return R"({"address":"10.0.0.1:70000","born":)" + aBorn +
+    return R"({"address":"10.0.0.1:7000","born":)" + aBorn +
            R"(,"info":{"service":"orders","version":"v1","zone":"z","slots":)" +
            aSlots +
            R"(},"status":{"state":"ready","coldRemaining":"0ms","seq":)" +
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -256,6 +256,7 @@
   Run(milliseconds(50));
   m_fields.Remove("Server-Leaving");
   ServerHeartbeat heartbeat;
+  heartbeat.address = m_backend.LocalEndpoint();
   heartbeat.incarnation = IncarnationOf("server-new", 5000);
   heartbeat.service = kOrders;
   heartbeat.slots = 9;
