A confirmed leave outlasts the process that confirmed it

Orders in progress when the server exited were lost.

Cause: the promise was only in the memory of the process that gave it. The next process took the host's record, older than the leave, for the state of the server, and counted the drain time from the first heartbeat that it handled.

Ruled out: to confirm only what is written (leaves would fail while the store is away, and the gate with them), and a peer that holds the promise (does not hold if all are restarted or the host is cut off).

Change: requests without a key are started only once this process has heard the incarnation; a server that has left with DELETE is silent, one that drains says so again. The drain time runs only if the process had heard the server before the leave. A leave is remembered for a server that is not known yet. A server that is silent after a restart or after its leave is published as draining, not as silent. Refusals as cold are redirected without a token of the budget, since they have reached no server.

Two tests of ServerNoticeTest expected service without a heartbeat since the start: their fixture sends one now, and the new tests check that nothing is served before it.

--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -67,6 +67,28 @@
   }
 }
 
+/**
+ * An earlier process of this daemon may have acknowledged that the server
+ * leaves, and its record need not say so. A server that leaves with a heartbeat
+ * repeats it in the next one; a server that leaves without one sends no more.
+ * Only a heartbeat that this process has received proves that a server is
+ * ready.
+ */
+bool
+RangeServerTask::HasHeardServer() const
+{
+  return m_heard && m_heard == m_grants.Incarnation();
+}
+
+/** End of the drain time of a leave that is acknowledged now. It is over if
+ * the leave may have been acknowledged before. */
+MonoTime
+RangeServerTask::DrainEnd() const
+{
+  const auto now = m_clock.Now();
+  return HasHeardServer() ? now + m_settings.drainTime : now;
+}
+
 std::optional<HeartbeatReply>
 RangeServerTask::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
 {
@@ -95,15 +117,24 @@
     LimitRate(std::nullopt);
   }
   m_lastHeartbeat = now;
+  m_silent = false;
   m_serverId = aHeartbeat.incarnation.id;
   EnsureGate(aHeartbeat.slots);
   const bool wasLeaving = m_grants.RevokingAll();
+  auto heartbeat = aHeartbeat;
+  if (m_earlyLeave && m_earlyLeave->Concerns(heartbeat.incarnation)) {
+    heartbeat.state = ServerState::kDraining;
+  }
   auto reply = m_grants.OnHeartbeat(
-    aHeartbeat, RowsOf(aHeartbeat.incarnation), m_state.RemainingLease(), now);
+    heartbeat, RowsOf(heartbeat.incarnation), m_state.RemainingLease(), now);
   if (m_grants.RevokingAll() && (!wasLeaving || !m_drainEndsAt)) {
-    m_drainEndsAt = now + m_settings.drainTime;
-    m_logger.Info("server-draining", "server={}", m_serverId->Value());
+    m_drainEndsAt = DrainEnd();
+    m_logger.Info("server-draining",
+                  "server={} heard={}",
+                  m_serverId->Value(),
+                  HasHeardServer());
   }
+  m_heard = heartbeat.incarnation;
   PublishServerState(aHeartbeat);
   SendReleased(aHeartbeat.incarnation, m_grants.TakeRelinquished());
   RetryHeldCalls();
@@ -114,21 +145,24 @@
 RangeServerTask::OnLeave(const ServerLeave& aLeave)
 {
   const auto& current = m_grants.Incarnation();
-  if (!current) {
-    RememberLeave(aLeave);
-    return;
+  const bool concerns = current && aLeave.Concerns(*current);
+  if (concerns && !m_grants.RevokingAll()) {
+    BeginServerLeave();
   }
-  if (aLeave.Concerns(*current) && !m_grants.RevokingAll()) {
-    BeginServerLeave(m_clock.Now());
+  if (!concerns) {
+    RememberLeave(aLeave); // It may be of a server that is not known yet.
   }
 }
 
 void
-RangeServerTask::BeginServerLeave(MonoTime aAt)
+RangeServerTask::BeginServerLeave()
 {
-  m_logger.Info("server-leaving", "server={}", m_serverId->Value());
+  m_logger.Info("server-leaving",
+                "server={} heard={}",
+                m_serverId->Value(),
+                HasHeardServer());
   m_grants.RevokeAll();
-  m_drainEndsAt = aAt + m_settings.drainTime;
+  m_drainEndsAt = DrainEnd();
   auto server = m_state.OwnRecord().server;
   if (server) {
     server->state = ServerState::kDraining;
@@ -195,11 +229,10 @@
     m_serverSince = m_clock.Now();
     m_grants.Adopt(known->incarnation);
     EnsureGate(known->slots);
-    if (m_earlyLeave && m_earlyLeave->Concerns(known->incarnation)) {
-      BeginServerLeave(m_clock.Now());
-    } else if (known->leaving) {
-      // It is not known when it began.
-      BeginServerLeave(m_clock.Now() - m_settings.drainTime);
+    const bool left =
+      m_earlyLeave && m_earlyLeave->Concerns(known->incarnation);
+    if (left || known->leaving) {
+      BeginServerLeave();
     }
   }
   RetryHeldCalls();
@@ -217,15 +250,20 @@
     return;
   }
   auto server = m_state.OwnRecord().server;
-  if (!server || server->state == ServerState::kSilent) {
+  if (!server || m_silent) {
     return;
   }
+  m_silent = true;
   m_logger.Warning(
     "server-silent",
-    "server={} silent_ms={}",
+    "server={} silent_ms={} heard={}",
     server->incarnation.id.Value(),
-    std::chrono::duration_cast<milliseconds>(now - m_lastHeartbeat).count());
-  server->state = ServerState::kSilent;
+    std::chrono::duration_cast<milliseconds>(now - m_lastHeartbeat).count(),
+    HasHeardServer());
+  // A silent server is still sent requests that any server can run, unless it
+  // leaves or may have left.
+  const bool usable = HasHeardServer() && !m_grants.RevokingAll();
+  server->state = usable ? ServerState::kSilent : ServerState::kDraining;
   m_grants.RelinquishExpired(RowsOf(server->incarnation));
   m_state.PublishServer(server);
   SendReleased(server->incarnation, m_grants.TakeRelinquished());
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -167,12 +167,13 @@
     aCall->Refuse(RefusalReason::kDraining, Duration::zero());
     return;
   }
-  if (!m_gate || !m_serverId) {
+  const auto key = ParseShardKey(request.key);
+  const bool divided = m_sharded && key;
+  if (!m_gate || !m_serverId || (!divided && !HasHeardServer())) {
     aCall->Refuse(RefusalReason::kCold, Duration::zero());
     return;
   }
-  const auto key = ParseShardKey(request.key);
-  if (!m_sharded || !key || m_grants.MayServe(*key, now)) {
+  if (!divided || m_grants.MayServe(*key, now)) {
     Admit(aCall);
     return;
   }
@@ -330,7 +331,7 @@
     return false;
   }
   const auto key = ParseShardKey(aCall.Request().key);
-  return !m_sharded || !key || m_grants.MayServe(*key, now);
+  return m_sharded && key ? m_grants.MayServe(*key, now) : HasHeardServer();
 }
 
 RequestHead
@@ -357,7 +358,7 @@
   }
   const auto notice = m_dialect.ReadNotice(aHead);
   if (notice.leaving && m_serverId && !m_grants.RevokingAll()) {
-    BeginServerLeave(m_clock.Now());
+    BeginServerLeave();
   }
   ApplyStatedLimit(aCall, notice);
   EndRateProbe(); // After the limit is known.
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -160,8 +160,10 @@
   bool AssignedHere(ShardKey aKey) const;
   bool IsOwnServer(const ServerHeartbeat& aHeartbeat) const;
   void RememberLeave(const ServerLeave& aLeave);
+  bool HasHeardServer() const;
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
-  void BeginServerLeave(MonoTime aAt);
+  void BeginServerLeave();
+  MonoTime DrainEnd() const;
   void SendReleased(const ServerIncarnation& aIncarnation,
                     std::vector<Relinquished> aRanges);
   void OnTick();
@@ -180,8 +182,10 @@
   std::vector<RequestId> m_heldCalls;
   std::vector<CallPtr> m_newCalls;
   std::optional<ServerId> m_serverId;
-  /// Leave of a server of which no heartbeat has been handled yet.
+  /// Newest leave of an incarnation of which no heartbeat has been handled.
   std::optional<ServerLeave> m_earlyLeave;
+  /// Incarnation of the last heartbeat that this process has handled.
+  std::optional<ServerIncarnation> m_heard;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
@@ -198,6 +202,7 @@
   double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
   bool m_sharded = false;
   bool m_draining = false;
+  bool m_silent = false; ///< The silence of the server has been published.
   Timer m_acceptTimer;
   Timer m_gateTimer;
   Timer m_rateProbeTimer; ///< From the first request of the probe on.
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -44,6 +44,7 @@
     case RefusalReason::kNotOwner:
     case RefusalReason::kLeaseNotHeld:
     case RefusalReason::kDraining:
+    case RefusalReason::kCold:
     case RefusalReason::kNoOwner:
     case RefusalReason::kOwnerUnreachable: // Reached no backend server.
     case RefusalReason::kNoInstance:
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -48,12 +48,46 @@
     m_topic.Append({ EncodeHost(m_record) }, WriterPosition{ "a", 1, 0 });
   }
 
+  /** The daemon reads the store, then its server sends a heartbeat. */
   void Join()
+  {
+    JoinSilently();
+    SendHeartbeat();
+  }
+
+  void JoinSilently()
   {
     m_state.Start();
     Run(milliseconds(60));
   }
 
+  ServerHeartbeat Heartbeat()
+  {
+    ServerHeartbeat heartbeat;
+    heartbeat.address = m_backend.LocalEndpoint();
+    heartbeat.incarnation = IncarnationOf("server-a");
+    heartbeat.service = kOrders;
+    heartbeat.slots = 9;
+    heartbeat.sequence = ++m_sequence;
+    return heartbeat;
+  }
+
+  void SendHeartbeat(ServerState aState = ServerState::kReady)
+  {
+    auto heartbeat = Heartbeat();
+    heartbeat.state = aState;
+    EXPECT_TRUE(m_server.OnHeartbeat(heartbeat));
+  }
+
+  /** Number of requests that the server gets of one sent now. */
+  int Received()
+  {
+    const auto before = m_received;
+    Request();
+    Run(milliseconds(50));
+    return m_received - before;
+  }
+
   void Run(Duration aFor)
   {
     const auto micros =
@@ -107,6 +141,7 @@
   Headers m_fields;
   int m_received = 0;
   int m_requests = 0;
+  int64_t m_sequence = 0;
   HttpServer m_backend{ m_base.get(),
                         Endpoint{ "127.0.0.1", 0 },
                         HttpLimits{},
@@ -242,9 +277,103 @@
   record.server->state = ServerState::kDraining;
   m_topic.Append({ EncodeHost(record) }, WriterPosition{ "a", 1, 1 });
   Join();
-  Request();
-  Run(milliseconds(50));
-  EXPECT_EQ(m_received, 1);
+  EXPECT_EQ(Received(), 1);
+}
+
+/**
+ * Guards against a leave that is forgotten over a restart of the daemon, which
+ * had acknowledged it but could not write it to the store.
+ */
+TEST_F(ServerNoticeTest, Start_NoHeartbeatSinceARestart_GetsNothing)
+{
+  JoinSilently();
+  EXPECT_EQ(Received(), 0);
+  EXPECT_EQ(m_ends->refusals,
+            std::vector<RefusalReason>{ RefusalReason::kCold });
+  SendHeartbeat();
+  EXPECT_EQ(Received(), 1);
+}
+
+/** The same leave, repeated in heartbeats: its drain time may be over. */
+TEST_F(ServerNoticeTest,
+       Start_FirstHeartbeatSinceARestartIsDraining_GetsNothing)
+{
+  JoinSilently();
+  SendHeartbeat(ServerState::kDraining);
+  EXPECT_EQ(Received(), 0);
+}
+
+/** A leave during which this process has been running. */
+TEST_F(ServerNoticeTest, Start_ServerDrains_IsServedForTheDrainTime)
+{
+  Join();
+  SendHeartbeat(ServerState::kDraining);
+  EXPECT_EQ(Received(), 1);
+  Run(milliseconds(300));
+  SendHeartbeat(ServerState::kDraining);
+  EXPECT_EQ(Received(), 0);
+}
+
+/**
+ * Guards against a drain time that is counted from a heartbeat after the one
+ * that was acknowledged, which arrived before the daemon had read the store.
+ */
+TEST_F(ServerNoticeTest, Start_DrainingBeforeTheFirstJoin_GetsNothing)
+{
+  auto record = m_record;
+  record.server.reset();
+  m_topic.Append({ EncodeHost(record) }, WriterPosition{ "a", 1, 1 });
+  SendHeartbeat(ServerState::kDraining);
+  JoinSilently();
+  SendHeartbeat(ServerState::kDraining);
+  EXPECT_EQ(Received(), 0);
+}
+
+/** A heartbeat that was sent before the leave may arrive after it. */
+TEST_F(ServerNoticeTest, Start_LateHeartbeatAfterALeave_GetsNothing)
+{
+  auto record = m_record;
+  record.server.reset();
+  m_topic.Append({ EncodeHost(record) }, WriterPosition{ "a", 1, 1 });
+  m_server.OnLeave({ ServerId("server-a") });
+  JoinSilently();
+  SendHeartbeat();
+  EXPECT_EQ(Received(), 0);
+  EXPECT_TRUE(m_state.OwnRecord().server->leaving);
+}
+
+/** A server that started again under the id of the one that left. */
+TEST_F(ServerNoticeTest, OnHeartbeat_SameIdStartedAfterALeave_IsServed)
+{
+  Join();
+  m_server.OnLeave({ ServerId("server-a") });
+  auto heartbeat = Heartbeat();
+  heartbeat.incarnation.startedAt = m_clock.WallNow() + milliseconds(1);
+  m_server.OnHeartbeat(heartbeat);
+  EXPECT_EQ(Received(), 1);
+}
+
+/** Callers are not sent to a server that may have left, nor is it written as
+ * leaving: its next heartbeat brings it back. */
+TEST_F(ServerNoticeTest, OnTick_NoHeartbeatSinceARestart_IsPublishedAsDraining)
+{
+  JoinSilently();
+  Run(milliseconds(3800));
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
+  EXPECT_FALSE(m_state.OwnRecord().server->leaving);
+  SendHeartbeat();
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
+  EXPECT_EQ(Received(), 1);
+}
+
+/** A server that has left stays excluded when its heartbeats end. */
+TEST_F(ServerNoticeTest, OnTick_SilentAfterALeave_StaysDraining)
+{
+  Join();
+  m_server.OnLeave({ ServerId("server-a") });
+  Run(milliseconds(3800));
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
+  EXPECT_TRUE(m_state.OwnRecord().server->leaving);
 }
 
 /** A new server at the same address is not the one that left. */
@@ -255,12 +384,8 @@
   Request();
   Run(milliseconds(50));
   m_fields.Remove("Server-Leaving");
-  ServerHeartbeat heartbeat;
-  heartbeat.address = m_backend.LocalEndpoint();
+  auto heartbeat = Heartbeat();
   heartbeat.incarnation = IncarnationOf("server-new", 5000);
-  heartbeat.service = kOrders;
-  heartbeat.slots = 9;
-  heartbeat.sequence = 1;
   m_server.OnHeartbeat(heartbeat);
   Run(milliseconds(50));
   EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
