An answer that has arrived whole survives the end of its link

Cause: a paused call keeps the rest of its answer until it is resumed, and reported it as truncated at a goodbye or at the end of the link without a look at whether it was complete.

Change: a call whose answer is complete ignores both and delivers the rest when it is resumed; it is not listed among the lost requests.

--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -313,7 +313,9 @@
   m_queries.clear();
   m_recordsQueries.clear();
   for (const auto& [stream, call] : calls) {
-    m_peer.AddLostRequest(call->Request(), m_boot);
+    if (!call->AnswerComplete()) {
+      m_peer.AddLostRequest(call->Request(), m_boot);
+    }
     call->OnLinkEnded(aEnd);
   }
   for (const auto& [id, query] : queries) {
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -152,6 +152,10 @@
   void Open(const CallRequest& aRequest, Duration aRemaining);
   const RequestId& Request() const { return m_request; }
 
+  /** \brief Whether the whole answer has arrived. A paused call then delivers
+   * the rest when it is resumed, whatever becomes of the link. */
+  bool AnswerComplete() const { return m_bodyComplete; }
+
   bool SendBody(std::string_view aData) override;
   void Finish() override;
   void PauseBody() override;
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -194,6 +194,9 @@
 void
 RemoteCall::OnGoodbye()
 {
+  if (m_bodyComplete) {
+    return;
+  }
   const auto listener = std::move(m_listener);
   m_listener.reset();
   if (listener) {
@@ -204,6 +207,9 @@
 void
 RemoteCall::OnLinkEnded(CloseReason aEnd)
 {
+  if (m_bodyComplete) {
+    return;
+  }
   const auto listener = std::move(m_listener);
   m_listener.reset();
   if (!listener) {
--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -190,6 +190,70 @@
   EXPECT_EQ(call->body, "whole");
 }
 
+/** \brief A paused call whose whole answer has arrived. */
+class PausedAnswerTest : public GoodbyeTest
+{
+protected:
+  PausedAnswerTest()
+    : m_call(Send())
+  {
+    EXPECT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+    const auto answer = m_server.listeners.front();
+    answer->OnHead(ResponseHead{ .status = 200, .contentLength = 10 }, {});
+    answer->OnBody("first");
+    EXPECT_TRUE(WaitFor([&] { return m_call->body == "first"; }));
+    m_sent.front()->PauseBody();
+    answer->OnBody("-rest");
+    answer->OnEnd();
+    // A later request on the same link is answered after it.
+    const auto next = Send();
+    EXPECT_TRUE(WaitFor([&] { return m_server.listeners.size() == 2; }));
+    m_server.listeners.back()->OnRefused({});
+    EXPECT_TRUE(WaitFor([&] { return next->Ended(); }));
+    EXPECT_FALSE(m_call->Ended());
+  }
+
+  void ExpectWholeOnceResumed()
+  {
+    EXPECT_FALSE(m_call->Ended());
+    EXPECT_EQ(m_call->body, "first");
+    m_sent.front()->ResumeBody();
+    EXPECT_TRUE(m_call->whole);
+    EXPECT_EQ(m_call->body, "first-rest");
+    EXPECT_FALSE(m_call->loss);
+  }
+
+  std::shared_ptr<RecordingListener> m_call;
+};
+
+// Guards against an answer that is cut at a planned stop although all of it has
+// arrived: its caller had not read it yet.
+TEST_F(PausedAnswerTest, Goodbye_CallerReadsLater_AnswerIsDelivered)
+{
+  m_inner->SayGoodbye();
+  WaitFor([&] { return m_inner->Sessions() == 0; });
+  ExpectWholeOnceResumed();
+}
+
+// The same, when the other daemon ends without a goodbye.
+TEST_F(PausedAnswerTest, LinkEnds_CallerReadsLater_AnswerIsDelivered)
+{
+  m_inner.reset();
+  ASSERT_TRUE(WaitFor([&] { return m_peers->Connections() == 0; }));
+  ExpectWholeOnceResumed();
+}
+
+// Guards against a call that is kept for a caller who has left.
+TEST_F(PausedAnswerTest, Goodbye_CallerCancels_NothingIsDelivered)
+{
+  m_inner->SayGoodbye();
+  WaitFor([&] { return m_inner->Sessions() == 0; });
+  m_sent.front()->Cancel();
+  m_sent.front()->ResumeBody();
+  EXPECT_FALSE(m_call->whole);
+  EXPECT_EQ(m_call->body, "first");
+}
+
 // Guards against an unknown outcome where the stopping daemon still knows it.
 TEST_F(GoodbyeTest, Goodbye_OutcomeQueryPending_IsAnswered)
 {
