--- a/src/Base/Ids.h
+++ b/src/Base/Ids.h
@@ -81,6 +81,12 @@
   auto operator<=>(const RequestId&) const = default;
 };
 
+/**
+ * \brief Digest that is the same for equal requests: those with the same
+ * method, host, target, key and body. 0: not known.
+ */
+using RequestFingerprint = StrongId<struct RequestFingerprintTag, uint64_t>;
+
 /** \brief Identifier of an append, unique over all writers and all time. */
 struct RecordId
 {
--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -28,6 +28,7 @@
   TablePosition known;   ///< Last known position of the holder's outcome table.
   uint32_t priority = 0; ///< 0 is the most urgent.
   Duration goal{};       ///< Target latency; zero: none.
+  RequestFingerprint fingerprint;
 };
 
 /** \brief How an attempt ended that got no response from a backend server. */
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/Daemon/Fingerprint.h"
+
 namespace pistachioshift {
 
 namespace {
@@ -120,6 +122,7 @@
   request.repeat = m_resolved.repeat;
   request.priority = m_resolved.priority;
   request.goal = m_resolved.goal;
+  request.fingerprint = FingerprintOf(m_head, m_resolved.key, m_body);
   if (m_resuming) {
     m_resume.RequestRemainder(request.head);
   }
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -123,6 +123,7 @@
   request.known = aOpen.known;
   request.priority = aOpen.priority;
   request.goal = aOpen.goal;
+  request.fingerprint = aOpen.fingerprint;
   const auto stream =
     std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
   m_streams.emplace(aOpen.stream, stream);
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -175,7 +175,7 @@
 OwnerCall::OnHoldExpired()
 {
   if (m_state == State::kHeld) {
-    Refuse(RefusalReason::kNotOwner, Duration::zero());
+    Refuse(m_holdRefusal, Duration::zero());
   }
 }
 
@@ -371,6 +371,7 @@
     return;
   }
   m_delegate.m_metrics.CountServerFailure(ToString(aFailure));
+  m_delegate.OnServerFailed(*this, aFailure);
   if (m_headSeen) {
     const auto self = shared_from_this();
     const auto listener = std::move(m_listener);
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -53,6 +53,10 @@
 
   virtual void OnEnded(OwnerCall& aCall, ServiceResult aResult) = 0;
 
+  /** \brief Called before a call ends because its exchange with the backend
+   * server has failed. */
+  virtual void OnServerFailed(const OwnerCall&, ClientFailure) {}
+
   /** \brief Called before a call is refused; used for logging. */
   virtual void OnRefusing(const OwnerCall&, const CallRefusal&) {}
 
@@ -130,7 +134,9 @@
   std::optional<EntryKey> m_entry; ///< None for any-instance services.
   std::optional<FenceToken> m_token;
   ClassIndex m_class;
-  MonoTime m_startedAt;          ///< When the state became kRunning.
+  MonoTime m_startedAt; ///< When the state became kRunning.
+  /// Reason of the refusal if the call is held for too long.
+  RefusalReason m_holdRefusal = RefusalReason::kNotOwner;
   bool m_inOutcomeTable = false; ///< The outcome table lists it as running.
   /// Included in the entry's count of running requests.
   bool m_countedAsRunning = false;
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -30,6 +30,7 @@
   open.known = aRequest.known;
   open.priority = aRequest.priority;
   open.goal = aRequest.goal;
+  open.fingerprint = aRequest.fingerprint;
   m_finished = !aRequest.hasBody;
   link->Send(open);
 }
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -264,6 +264,7 @@
   // -1: the backend server has stated no limit.
   set("pistachio_server_limit_per_second",
       m_server.RequestLimit().value_or(-1.0));
+  set("pistachio_crash_suspects", m_server.Suspects());
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End());
   set("pistachio_coordinator", m_coordinator.Active() ? 1 : 0);
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -13,6 +13,10 @@
  * timeout. */
 constexpr Duration kHeartbeatSilence = milliseconds(2900);
 
+/** Time that a request waits for a key that is assigned to this host but not
+ * yet granted to the backend server: two of the server's heartbeats. */
+constexpr Duration kHoldTimeout = milliseconds(1800);
+
 }
 
 std::vector<RangeRow>
@@ -35,6 +39,47 @@
   return row != nullptr && row->holder.host == m_state.Self();
 }
 
+void
+RangeServerTask::HoldCall(const CallPtr& aCall, RefusalReason aRefusal)
+{
+  aCall->m_holdRefusal = aRefusal;
+  aCall->m_state = OwnerCall::State::kHeld;
+  m_calls[aCall->Request().id] = aCall;
+  m_heldCalls.push_back(aCall->Request().id);
+  aCall->StartHoldTimer(kHoldTimeout);
+  aCall->StartDeadlineTimer();
+}
+
+void
+RangeServerTask::RetryHeldCalls()
+{
+  for (const auto& id : std::exchange(m_heldCalls, {})) {
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() ||
+        found->second->m_state != OwnerCall::State::kHeld) {
+      continue;
+    }
+    const auto call = found->second;
+    const bool waits = !IsExcluded(*call) && !RefusesNewCalls(m_clock.Now()) &&
+                       (AwaitsGrant(*call) || AwaitsSuspect(*call));
+    if (waits) {
+      m_heldCalls.push_back(id);
+      continue;
+    }
+    call->m_holdTimer.Stop();
+    call->m_state = OwnerCall::State::kNew;
+    Accept(call);
+  }
+}
+
+bool
+RangeServerTask::AwaitsGrant(const OwnerCall& aCall) const
+{
+  const auto key = ParseShardKey(aCall.Request().key);
+  return m_sharded && key && AssignedHere(*key) &&
+         !m_grants.MayServe(*key, m_clock.Now());
+}
+
 void
 RangeServerTask::PublishServerState(const ServerHeartbeat& aHeartbeat)
 {
@@ -112,6 +157,7 @@
                   aHeartbeat.incarnation.id.Value(),
                   aHeartbeat.incarnation.startedAt.time_since_epoch().count(),
                   aHeartbeat.slots);
+    OnServerEndProven();
     m_drainEndsAt.reset();
     m_serverSince = now;
     LimitRate(std::nullopt);
@@ -222,6 +268,7 @@
 void
 RangeServerTask::OnStateChanged()
 {
+  ReadServerEnds();
   const auto& known = m_state.OwnRecord().server;
   if (!m_serverId && m_state.Joined() && known) {
     // The backend server may have kept running while this daemon restarted.
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -26,10 +26,6 @@
  * classes state. */
 constexpr Duration kInitialServiceTime = milliseconds(150);
 
-/** Time that a request waits for a key that is assigned to this host but not
- * yet granted to the backend server: two of the server's heartbeats. */
-constexpr Duration kHoldTimeout = milliseconds(1800);
-
 constexpr size_t kMaxHeldCalls = 2048;
 
 /** Interval of checks for expired holds and for queued requests that must be
@@ -139,6 +135,9 @@
       Accept(call);
     }
   }
+  if (std::exchange(m_retriesHeld, false)) {
+    RetryHeldCalls();
+  }
 }
 
 bool
@@ -167,6 +166,10 @@
     aCall->Refuse(RefusalReason::kDraining, Duration::zero());
     return;
   }
+  if (IsExcluded(*aCall)) {
+    RefuseFatal(aCall);
+    return;
+  }
   const auto key = ParseShardKey(request.key);
   const bool divided = m_sharded && key;
   if (!m_gate || !m_serverId || (!divided && !HasHeardServer())) {
@@ -174,51 +177,22 @@
     return;
   }
   if (!divided || m_grants.MayServe(*key, now)) {
+    if (AwaitsSuspect(*aCall) && m_heldCalls.size() < kMaxHeldCalls) {
+      HoldCall(aCall, RefusalReason::kOverloaded);
+      return;
+    }
     Admit(aCall);
     return;
   }
   // The key is granted with a later heartbeat, or goes to another host as soon
   // as the backend server has released it.
   if (AssignedHere(*key) && m_heldCalls.size() < kMaxHeldCalls) {
-    HoldCall(aCall);
+    HoldCall(aCall, RefusalReason::kNotOwner);
     return;
   }
   aCall->Refuse(RefusalReason::kNotOwner, Duration::zero());
 }
 
-void
-RangeServerTask::HoldCall(const CallPtr& aCall)
-{
-  aCall->m_state = OwnerCall::State::kHeld;
-  m_calls[aCall->Request().id] = aCall;
-  m_heldCalls.push_back(aCall->Request().id);
-  aCall->StartHoldTimer(kHoldTimeout);
-  aCall->StartDeadlineTimer();
-}
-
-void
-RangeServerTask::RetryHeldCalls()
-{
-  for (const auto& id : std::exchange(m_heldCalls, {})) {
-    const auto found = m_calls.find(id);
-    if (found == m_calls.end() ||
-        found->second->m_state != OwnerCall::State::kHeld) {
-      continue;
-    }
-    const auto call = found->second;
-    const auto key = ParseShardKey(call->Request().key);
-    const bool waits =
-      key && AssignedHere(*key) && !m_grants.MayServe(*key, m_clock.Now());
-    if (waits && !RefusesNewCalls(m_clock.Now())) {
-      m_heldCalls.push_back(id);
-      continue;
-    }
-    call->m_holdTimer.Stop();
-    call->m_state = OwnerCall::State::kNew;
-    Accept(call);
-  }
-}
-
 void
 RangeServerTask::Admit(const CallPtr& aCall)
 {
@@ -246,6 +220,7 @@
   aCall->m_inOutcomeTable = true;
   m_calls[request.id] = aCall;
   aCall->m_state = OwnerCall::State::kQueued;
+  ReserveSuspect(*aCall);
   aCall->StartDeadlineTimer();
   aCall->m_reservedLinkBytes = m_link.ExpectedLinkBytes(request.head.target);
   m_link.Reserve(aCall->m_reservedLinkBytes);
@@ -291,13 +266,15 @@
       if (m_probesRate && !m_rateProbeTimer.Running()) {
         m_rateProbeTimer.StartOnce(kMaxRateProbe);
       }
+      ReserveSuspect(*call);
       call->Start(m_pool);
     } else {
-      const bool draining =
-        RefusesNewCalls(m_clock.Now()) || OutlastsProcess(*call);
-      call->Refuse(draining ? RefusalReason::kDraining
-                            : RefusalReason::kLeaseNotHeld,
-                   Duration::zero());
+      const auto reason = StartRefusal(*call);
+      if (reason == RefusalReason::kFatalRequest) {
+        RefuseFatal(call);
+      } else {
+        call->Refuse(reason, Duration::zero());
+      }
     }
   }
   for (const auto& refusal : aActions.refusals) {
@@ -327,13 +304,26 @@
 {
   const auto now = m_clock.Now();
   if (now >= aCall.Request().deadline || RefusesNewCalls(now) ||
-      OutlastsProcess(aCall)) {
+      OutlastsProcess(aCall) || IsExcluded(aCall) || AwaitsSuspect(aCall)) {
     return false;
   }
   const auto key = ParseShardKey(aCall.Request().key);
   return m_sharded && key ? m_grants.MayServe(*key, now) : HasHeardServer();
 }
 
+RefusalReason
+RangeServerTask::StartRefusal(const OwnerCall& aCall) const
+{
+  if (RefusesNewCalls(m_clock.Now()) || OutlastsProcess(aCall)) {
+    return RefusalReason::kDraining;
+  }
+  if (IsExcluded(aCall)) {
+    return RefusalReason::kFatalRequest;
+  }
+  return AwaitsSuspect(aCall) ? RefusalReason::kOverloaded
+                              : RefusalReason::kLeaseNotHeld;
+}
+
 RequestHead
 RangeServerTask::ServerHead(const OwnerCall& aCall) const
 {
@@ -350,74 +340,6 @@
   return m_dialect.Classify(aCall.Request().head, aHead);
 }
 
-void
-RangeServerTask::OnAnswerHead(const OwnerCall& aCall, const ResponseHead& aHead)
-{
-  if (aCall.m_startedAt < m_serverSince) {
-    return; // The answer of an earlier backend server.
-  }
-  const auto notice = m_dialect.ReadNotice(aHead);
-  if (notice.leaving && m_serverId && !m_grants.RevokingAll()) {
-    BeginServerLeave();
-  }
-  ApplyStatedLimit(aCall, notice);
-  EndRateProbe(); // After the limit is known.
-}
-
-void
-RangeServerTask::ApplyStatedLimit(const OwnerCall& aCall,
-                                  const ServerNotice& aNotice)
-{
-  if (aNotice.malformedLimit && !std::exchange(m_malformedLimitLogged, true)) {
-    m_logger.Warning("server-limit-malformed",
-                     "id={}",
-                     m_dialect.RequestLabel(aCall.Request().head));
-  }
-  if (aNotice.requestLimit) {
-    m_limitStatedAt = m_clock.Now();
-    LimitRate(aNotice.requestLimit);
-    return;
-  }
-  // An answer to an earlier request may have been sent before the limit.
-  const bool ended = m_limitStatedAt && !aNotice.malformedLimit &&
-                     aCall.m_startedAt > *m_limitStatedAt;
-  if (ended) {
-    LimitRate(std::nullopt);
-  }
-}
-
-void
-RangeServerTask::LimitRate(std::optional<double> aPerSecond)
-{
-  if (!aPerSecond) {
-    m_limitStatedAt.reset();
-  }
-  if (!m_gate) {
-    return;
-  }
-  const auto before = m_gate->Rate();
-  const auto actions = m_gate->SetRate(aPerSecond, m_clock.Now());
-  if (before.has_value() != aPerSecond.has_value()) {
-    m_logger.Info(aPerSecond ? "server-limit" : "server-limit-ended",
-                  "server={} per_second={:.2f} queued={} running={}",
-                  m_serverId ? m_serverId->Value() : "-",
-                  aPerSecond.value_or(before.value_or(0.0)),
-                  Queued(),
-                  Running());
-  }
-  ApplyGateActions(actions);
-}
-
-void
-RangeServerTask::EndRateProbe()
-{
-  if (!std::exchange(m_probesRate, false)) {
-    return;
-  }
-  m_rateProbeTimer.Stop();
-  ApplyGateActions(m_gate->SetLimit(m_slots, m_clock.Now()));
-}
-
 std::optional<DaemonId>
 RangeServerTask::HolderHint(const OwnerCall&) const
 {
@@ -428,6 +350,10 @@
 RangeServerTask::OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal)
 {
   const auto& request = aCall.Request();
+  if (aRefusal.reason == RefusalReason::kDeadlineExpired &&
+      aRefusal.outcome == Outcome::kUnknown) {
+    m_endMonitor.OnUnanswered(request.fingerprint, m_clock.Now());
+  }
   const auto left = request.deadline - m_clock.Now();
   m_logger.Info("call-refused",
                 "id={} key={} reason={} outcome={} left_ms={} running={} "
@@ -460,6 +386,19 @@
                   aCall.m_answerBytes);
   }
   m_link.Release(std::exchange(aCall.m_reservedLinkBytes, 0));
+  if (aResult == ServiceResult::kDone && aCall.m_answerComplete) {
+    m_endMonitor.OnAnswered(aCall.m_startedAt);
+    m_suspects.OnCompleted(aCall.Request().fingerprint);
+  }
+  if (aResult == ServiceResult::kCancelled &&
+      aCall.m_state == OwnerCall::State::kRunning) {
+    m_endMonitor.OnUnanswered(aCall.Request().fingerprint, m_clock.Now());
+  }
+  if (m_runningSuspect == id) {
+    m_runningSuspect.reset();
+    m_retriesHeld = true;
+    m_acceptTimer.StartOnce(Duration::zero());
+  }
   if (!m_gate) {
     return;
   }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -17,6 +17,7 @@
 #include "src/Daemon/Timer.h"
 #include "src/HostDaemon/KeyLoadMeter.h"
 #include "src/HostDaemon/ServerDialect.h"
+#include "src/HostDaemon/ServerEndMonitor.h"
 #include "src/HostDaemon/StateTask.h"
 
 namespace pistachioshift {
@@ -123,6 +124,8 @@
   {
     return m_gate ? m_gate->Rate() : std::nullopt;
   }
+  /** \brief Requests under which backend servers have ended lately. */
+  size_t Suspects() const { return m_suspects.Size(); }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
 
   void OnStateChanged() override;
@@ -136,13 +139,22 @@
   std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const override;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
   void OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal) override;
+  void OnServerFailed(const OwnerCall& aCall, ClientFailure aFailure) override;
 
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
 
   void AcceptNewCalls();
   void Accept(const CallPtr& aCall);
-  void HoldCall(const CallPtr& aCall);
+  void HoldCall(const CallPtr& aCall, RefusalReason aRefusal);
+  bool AwaitsGrant(const OwnerCall& aCall) const;
+  bool AwaitsSuspect(const OwnerCall& aCall) const;
+  bool IsExcluded(const OwnerCall& aCall) const;
+  void ReserveSuspect(const OwnerCall& aCall);
+  void RefuseFatal(const CallPtr& aCall);
+  RefusalReason StartRefusal(const OwnerCall& aCall) const;
+  void OnServerEndProven();
+  void ReadServerEnds();
   void Admit(const CallPtr& aCall);
   void ApplyGateActions(const AdmissionActions& aActions);
   void ArmGateTimer();
@@ -181,6 +193,11 @@
   std::unordered_map<RequestId, CallPtr> m_calls;
   std::vector<RequestId> m_heldCalls;
   std::vector<CallPtr> m_newCalls;
+  CrashSuspects m_suspects;
+  ServerEndMonitor m_endMonitor;
+  std::optional<RequestId> m_runningSuspect; ///< At most one at a time.
+  bool m_retriesHeld = false;                ///< The next suspect may run.
+  uint64_t m_hostsVersion = 0; ///< Whose ends of servers have been read.
   std::optional<ServerId> m_serverId;
   /// Newest leave of an incarnation of which no heartbeat has been handled.
   std::optional<ServerLeave> m_earlyLeave;
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -241,6 +241,14 @@
   WritePending();
 }
 
+void
+StateTaskBase::PublishServerEnds(std::vector<ServerEndRecord> aEnds)
+{
+  m_self.serverEnds = std::move(aEnds);
+  m_recordDirty = true;
+  WritePending();
+}
+
 void
 StateTaskBase::SubmitEdit(std::string aReason, Edit aEdit)
 {
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -95,6 +95,9 @@
    * changed. */
   void PublishServer(const std::optional<ServerStatus>& aServer);
 
+  /** \brief Writes the latest ends of backend servers to this host's record. */
+  void PublishServerEnds(std::vector<ServerEndRecord> aEnds);
+
   /** \brief This host's record as last written, or about to be written. */
   const HostRecord& OwnRecord() const { return m_self; }
 
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -98,6 +98,7 @@
     m_self.epoch = std::max(m_self.epoch, known->epoch + 1);
     // The backend server may have kept running while this daemon restarted.
     m_self.server = known->server;
+    m_self.serverEnds = known->serverEnds;
     m_self.refutedUpTo = std::max(m_self.refutedUpTo, known->refutedUpTo);
   }
   m_sequence = 0;
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -158,6 +158,7 @@
     open.isRepeat = aOpen.repeat;
     open.__set_priority(static_cast<int32_t>(aOpen.priority));
     open.__set_goalMicros(duration_cast<microseconds>(aOpen.goal).count());
+    open.__set_fingerprint(static_cast<int64_t>(aOpen.fingerprint.Value()));
     frame.__set_requestOpen(open);
   }
 
@@ -374,6 +375,10 @@
   if (aOpen.__isset.goalMicros) {
     open.goal = DurationFromWire(aOpen.goalMicros);
   }
+  if (aOpen.__isset.fingerprint) {
+    open.fingerprint =
+      RequestFingerprint(static_cast<uint64_t>(aOpen.fingerprint));
+  }
   return open;
 }
 
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -51,6 +51,7 @@
   TablePosition known;   ///< Owner's outcome table position before the request.
   uint32_t priority = 0; ///< 0 is the most urgent.
   Duration goal{};       ///< Target latency; zero: none.
+  RequestFingerprint fingerprint;
 };
 
 /** \brief Part of a request or response body. */
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -587,6 +587,11 @@
   this->goalMicros = val;
 __isset.goalMicros = true;
 }
+
+void WireRequestOpen::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+__isset.fingerprint = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireRequestOpen& obj)
 {
   obj.printTo(out);
@@ -758,6 +763,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -869,6 +882,11 @@
     xfer += oprot->writeI64(this->goalMicros);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.fingerprint) {
+    xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->fingerprint);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -891,6 +909,7 @@
   swap(a.isRepeat, b.isRepeat);
   swap(a.priority, b.priority);
   swap(a.goalMicros, b.goalMicros);
+  swap(a.fingerprint, b.fingerprint);
   swap(a.__isset, b.__isset);
 }
 
@@ -910,6 +929,7 @@
   isRepeat = other14.isRepeat;
   priority = other14.priority;
   goalMicros = other14.goalMicros;
+  fingerprint = other14.fingerprint;
   __isset = other14.__isset;
 }
 WireRequestOpen& WireRequestOpen::operator=(const WireRequestOpen& other15) {
@@ -928,6 +948,7 @@
   isRepeat = other15.isRepeat;
   priority = other15.priority;
   goalMicros = other15.goalMicros;
+  fingerprint = other15.fingerprint;
   __isset = other15.__isset;
   return *this;
 }
@@ -949,6 +970,7 @@
   out << ", " << "isRepeat=" << to_string(isRepeat);
   out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
   out << ", " << "goalMicros="; (__isset.goalMicros ? (out << to_string(goalMicros)) : (out << "<null>"));
+  out << ", " << "fingerprint="; (__isset.fingerprint ? (out << to_string(fingerprint)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -268,11 +268,12 @@
 std::ostream& operator<<(std::ostream& out, const WireHello& obj);
 
 typedef struct _WireRequestOpen__isset {
-  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false), goalMicros(false) {}
+  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false), goalMicros(false), fingerprint(false) {}
   bool contentLength :1;
   bool idempotencyKey :1;
   bool priority :1;
   bool goalMicros :1;
+  bool fingerprint :1;
 } _WireRequestOpen__isset;
 
 class WireRequestOpen : public virtual ::apache::thrift::TBase {
@@ -293,7 +294,8 @@
                     known(0),
                     isRepeat(0),
                     priority(0),
-                    goalMicros(0) {
+                    goalMicros(0),
+                    fingerprint(0) {
   }
 
   virtual ~WireRequestOpen() noexcept;
@@ -312,6 +314,7 @@
   bool isRepeat;
   int32_t priority;
   int64_t goalMicros;
+  int64_t fingerprint;
 
   _WireRequestOpen__isset __isset;
 
@@ -345,6 +348,8 @@
 
   void __set_goalMicros(const int64_t val);
 
+  void __set_fingerprint(const int64_t val);
+
   bool operator == (const WireRequestOpen & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -385,6 +390,10 @@
       return false;
     else if (__isset.goalMicros && !(goalMicros == rhs.goalMicros))
       return false;
+    if (__isset.fingerprint != rhs.__isset.fingerprint)
+      return false;
+    else if (__isset.fingerprint && !(fingerprint == rhs.fingerprint))
+      return false;
     return true;
   }
   bool operator != (const WireRequestOpen &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -40,6 +40,7 @@
   13: required bool isRepeat
   14: optional i32 priority
   15: optional i64 goalMicros
+  16: optional i64 fingerprint
 }
 
 struct WireBody {
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -56,6 +56,30 @@
   return static_cast<uint32_t>(aSlots);
 }
 
+ServerEndRecord
+FromWire(const ranges_idl::WireServerEnd& aEnd)
+{
+  ServerEndRecord end;
+  end.id = static_cast<uint64_t>(aEnd.id);
+  end.at = ToWallTime(aEnd.atMillis);
+  for (const auto request : aEnd.running) {
+    end.running.emplace_back(static_cast<uint64_t>(request));
+  }
+  return end;
+}
+
+ranges_idl::WireServerEnd
+ToWire(const ServerEndRecord& aEnd)
+{
+  ranges_idl::WireServerEnd wire;
+  wire.id = static_cast<int64_t>(aEnd.id);
+  wire.atMillis = ToMillis(aEnd.at);
+  for (const auto request : aEnd.running) {
+    wire.running.push_back(static_cast<int64_t>(request.Value()));
+  }
+  return wire;
+}
+
 HostRecord
 FromWire(const ranges_idl::WireHost& aHost)
 {
@@ -67,6 +91,9 @@
   host.service = ServiceName(aHost.serviceName);
   host.refutedUpTo = aHost.cleared;
   host.cpuMillis = aHost.__isset.cpuMillis ? aHost.cpuMillis : 0;
+  for (const auto& end : aHost.serverEnds) {
+    host.serverEnds.push_back(FromWire(end));
+  }
   if (aHost.__isset.server) {
     const auto& server = aHost.server;
     host.server =
@@ -335,6 +362,14 @@
     }
     wire.__set_server(server);
   }
+  if (!aHost.serverEnds.empty()) {
+    std::vector<ranges_idl::WireServerEnd> ends;
+    ends.reserve(aHost.serverEnds.size());
+    for (const auto& end : aHost.serverEnds) {
+      ends.push_back(ToWire(end));
+    }
+    wire.__set_serverEnds(ends);
+  }
   StoreEntry entry;
   entry.key = std::string(kHostPrefix) + aHost.host.Value();
   entry.value = internal::EncodeStruct(wire);
--- a/src/Ranges/MeshState.h
+++ b/src/Ranges/MeshState.h
@@ -46,6 +46,17 @@
   bool operator==(const ServerStatus&) const = default;
 };
 
+/** \brief Unexpected end of a host's backend server, and the requests that were
+ * running then. */
+struct ServerEndRecord
+{
+  uint64_t id = 0;
+  std::vector<RequestFingerprint> running;
+  WallTime at; ///< When it was noticed.
+
+  bool operator==(const ServerEndRecord&) const = default;
+};
+
 /** \brief Record of a host; only the daemon of that host writes it. */
 struct HostRecord
 {
@@ -57,6 +68,7 @@
   std::optional<ServerStatus> server;
   int64_t refutedUpTo = 0; ///< Number of the last refuted suspicion.
   int32_t cpuMillis = 0;   ///< Processor share, in thousandths of a core.
+  std::vector<ServerEndRecord> serverEnds; ///< Latest ends, oldest first.
 
   bool operator==(const HostRecord&) const = default;
 };
--- a/src/Ranges/gen/ranges_types.cpp
+++ b/src/Ranges/gen/ranges_types.cpp
@@ -200,6 +200,164 @@
 }
 
 
+WireServerEnd::~WireServerEnd() noexcept {
+}
+
+
+void WireServerEnd::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void WireServerEnd::__set_running(const std::vector<int64_t> & val) {
+  this->running = val;
+}
+
+void WireServerEnd::__set_atMillis(const int64_t val) {
+  this->atMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireServerEnd& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireServerEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_running = false;
+  bool isset_atMillis = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size2;
+            ::apache::thrift::protocol::TType _etype5;
+            xfer += iprot->readListBegin(_etype5, _size2);
+            this->running.resize(_size2);
+            uint32_t _i6;
+            for (_i6 = 0; _i6 < _size2; ++_i6)
+            {
+              xfer += iprot->readI64(this->running[_i6]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMillis);
+          isset_atMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_running)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_atMillis)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireServerEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireServerEnd");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->running.size()));
+    std::vector<int64_t> ::const_iterator _iter7;
+    for (_iter7 = this->running.begin(); _iter7 != this->running.end(); ++_iter7)
+    {
+      xfer += oprot->writeI64((*_iter7));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("atMillis", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->atMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireServerEnd &a, WireServerEnd &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.running, b.running);
+  swap(a.atMillis, b.atMillis);
+}
+
+WireServerEnd::WireServerEnd(const WireServerEnd& other8) {
+  id = other8.id;
+  running = other8.running;
+  atMillis = other8.atMillis;
+}
+WireServerEnd& WireServerEnd::operator=(const WireServerEnd& other9) {
+  id = other9.id;
+  running = other9.running;
+  atMillis = other9.atMillis;
+  return *this;
+}
+void WireServerEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireServerEnd(";
+  out << "id=" << to_string(id);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "atMillis=" << to_string(atMillis);
+  out << ")";
+}
+
+
 WireHost::~WireHost() noexcept {
 }
 
@@ -241,6 +399,11 @@
   this->cpuMillis = val;
 __isset.cpuMillis = true;
 }
+
+void WireHost::__set_serverEnds(const std::vector<WireServerEnd> & val) {
+  this->serverEnds = val;
+__isset.serverEnds = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHost& obj)
 {
   obj.printTo(out);
@@ -348,6 +511,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->serverEnds.clear();
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->serverEnds.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
+            {
+              xfer += this->serverEnds[_i14].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.serverEnds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -417,6 +600,19 @@
     xfer += oprot->writeI32(this->cpuMillis);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.serverEnds) {
+    xfer += oprot->writeFieldBegin("serverEnds", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->serverEnds.size()));
+      std::vector<WireServerEnd> ::const_iterator _iter15;
+      for (_iter15 = this->serverEnds.begin(); _iter15 != this->serverEnds.end(); ++_iter15)
+      {
+        xfer += (*_iter15).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -433,32 +629,35 @@
   swap(a.server, b.server);
   swap(a.cleared, b.cleared);
   swap(a.cpuMillis, b.cpuMillis);
+  swap(a.serverEnds, b.serverEnds);
   swap(a.__isset, b.__isset);
 }
 
-WireHost::WireHost(const WireHost& other2) {
-  host = other2.host;
-  epoch = other2.epoch;
-  address = other2.address;
-  port = other2.port;
-  zone = other2.zone;
-  serviceName = other2.serviceName;
-  server = other2.server;
-  cleared = other2.cleared;
-  cpuMillis = other2.cpuMillis;
-  __isset = other2.__isset;
-}
-WireHost& WireHost::operator=(const WireHost& other3) {
-  host = other3.host;
-  epoch = other3.epoch;
-  address = other3.address;
-  port = other3.port;
-  zone = other3.zone;
-  serviceName = other3.serviceName;
-  server = other3.server;
-  cleared = other3.cleared;
-  cpuMillis = other3.cpuMillis;
-  __isset = other3.__isset;
+WireHost::WireHost(const WireHost& other16) {
+  host = other16.host;
+  epoch = other16.epoch;
+  address = other16.address;
+  port = other16.port;
+  zone = other16.zone;
+  serviceName = other16.serviceName;
+  server = other16.server;
+  cleared = other16.cleared;
+  cpuMillis = other16.cpuMillis;
+  serverEnds = other16.serverEnds;
+  __isset = other16.__isset;
+}
+WireHost& WireHost::operator=(const WireHost& other17) {
+  host = other17.host;
+  epoch = other17.epoch;
+  address = other17.address;
+  port = other17.port;
+  zone = other17.zone;
+  serviceName = other17.serviceName;
+  server = other17.server;
+  cleared = other17.cleared;
+  cpuMillis = other17.cpuMillis;
+  serverEnds = other17.serverEnds;
+  __isset = other17.__isset;
   return *this;
 }
 void WireHost::printTo(std::ostream& out) const {
@@ -473,6 +672,7 @@
   out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
   out << ", " << "cleared=" << to_string(cleared);
   out << ", " << "cpuMillis="; (__isset.cpuMillis ? (out << to_string(cpuMillis)) : (out << "<null>"));
+  out << ", " << "serverEnds="; (__isset.serverEnds ? (out << to_string(serverEnds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -674,23 +874,23 @@
   swap(a.handover, b.handover);
 }
 
-WireRow::WireRow(const WireRow& other4) {
-  first = other4.first;
-  last = other4.last;
-  host = other4.host;
-  server = other4.server;
-  bornMillis = other4.bornMillis;
-  fence = other4.fence;
-  handover = other4.handover;
-}
-WireRow& WireRow::operator=(const WireRow& other5) {
-  first = other5.first;
-  last = other5.last;
-  host = other5.host;
-  server = other5.server;
-  bornMillis = other5.bornMillis;
-  fence = other5.fence;
-  handover = other5.handover;
+WireRow::WireRow(const WireRow& other18) {
+  first = other18.first;
+  last = other18.last;
+  host = other18.host;
+  server = other18.server;
+  bornMillis = other18.bornMillis;
+  fence = other18.fence;
+  handover = other18.handover;
+}
+WireRow& WireRow::operator=(const WireRow& other19) {
+  first = other19.first;
+  last = other19.last;
+  host = other19.host;
+  server = other19.server;
+  bornMillis = other19.bornMillis;
+  fence = other19.fence;
+  handover = other19.handover;
   return *this;
 }
 void WireRow::printTo(std::ostream& out) const {
@@ -760,14 +960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->rows.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->rows.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->rows[_i10].read(iprot);
+              xfer += this->rows[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -804,10 +1004,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WireRow> ::const_iterator _iter11;
-    for (_iter11 = this->rows.begin(); _iter11 != this->rows.end(); ++_iter11)
+    std::vector<WireRow> ::const_iterator _iter25;
+    for (_iter25 = this->rows.begin(); _iter25 != this->rows.end(); ++_iter25)
     {
-      xfer += (*_iter11).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -824,13 +1024,13 @@
   swap(a.rows, b.rows);
 }
 
-WireServiceRows::WireServiceRows(const WireServiceRows& other12) {
-  serviceName = other12.serviceName;
-  rows = other12.rows;
+WireServiceRows::WireServiceRows(const WireServiceRows& other26) {
+  serviceName = other26.serviceName;
+  rows = other26.rows;
 }
-WireServiceRows& WireServiceRows::operator=(const WireServiceRows& other13) {
-  serviceName = other13.serviceName;
-  rows = other13.rows;
+WireServiceRows& WireServiceRows::operator=(const WireServiceRows& other27) {
+  serviceName = other27.serviceName;
+  rows = other27.rows;
   return *this;
 }
 void WireServiceRows::printTo(std::ostream& out) const {
@@ -939,13 +1139,13 @@
   swap(a.number, b.number);
 }
 
-WireSuspicion::WireSuspicion(const WireSuspicion& other14) {
-  host = other14.host;
-  number = other14.number;
+WireSuspicion::WireSuspicion(const WireSuspicion& other28) {
+  host = other28.host;
+  number = other28.number;
 }
-WireSuspicion& WireSuspicion::operator=(const WireSuspicion& other15) {
-  host = other15.host;
-  number = other15.number;
+WireSuspicion& WireSuspicion::operator=(const WireSuspicion& other29) {
+  host = other29.host;
+  number = other29.number;
   return *this;
 }
 void WireSuspicion::printTo(std::ostream& out) const {
@@ -1041,14 +1241,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->services.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->services.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->services[_i20].read(iprot);
+              xfer += this->services[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1061,14 +1261,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->suspicions.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->suspicions.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->suspicions[_i25].read(iprot);
+              xfer += this->suspicions[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1119,10 +1319,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WireServiceRows> ::const_iterator _iter26;
-    for (_iter26 = this->services.begin(); _iter26 != this->services.end(); ++_iter26)
+    std::vector<WireServiceRows> ::const_iterator _iter40;
+    for (_iter40 = this->services.begin(); _iter40 != this->services.end(); ++_iter40)
     {
-      xfer += (*_iter26).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1131,10 +1331,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<WireSuspicion> ::const_iterator _iter27;
-    for (_iter27 = this->suspicions.begin(); _iter27 != this->suspicions.end(); ++_iter27)
+    std::vector<WireSuspicion> ::const_iterator _iter41;
+    for (_iter41 = this->suspicions.begin(); _iter41 != this->suspicions.end(); ++_iter41)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1154,19 +1354,19 @@
   swap(a.suspicions, b.suspicions);
 }
 
-WireTable::WireTable(const WireTable& other28) {
-  revision = other28.revision;
-  nextFence = other28.nextFence;
-  nextSuspicion = other28.nextSuspicion;
-  services = other28.services;
-  suspicions = other28.suspicions;
+WireTable::WireTable(const WireTable& other42) {
+  revision = other42.revision;
+  nextFence = other42.nextFence;
+  nextSuspicion = other42.nextSuspicion;
+  services = other42.services;
+  suspicions = other42.suspicions;
 }
-WireTable& WireTable::operator=(const WireTable& other29) {
-  revision = other29.revision;
-  nextFence = other29.nextFence;
-  nextSuspicion = other29.nextSuspicion;
-  services = other29.services;
-  suspicions = other29.suspicions;
+WireTable& WireTable::operator=(const WireTable& other43) {
+  revision = other43.revision;
+  nextFence = other43.nextFence;
+  nextSuspicion = other43.nextSuspicion;
+  services = other43.services;
+  suspicions = other43.suspicions;
   return *this;
 }
 void WireTable::printTo(std::ostream& out) const {
@@ -1278,14 +1478,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->services.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->services.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->services[_i34].read(iprot);
+              xfer += this->services[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1298,14 +1498,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->suspicions.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->suspicions.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->suspicions[_i39].read(iprot);
+              xfer += this->suspicions[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1362,10 +1562,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WireServiceRows> ::const_iterator _iter40;
-    for (_iter40 = this->services.begin(); _iter40 != this->services.end(); ++_iter40)
+    std::vector<WireServiceRows> ::const_iterator _iter54;
+    for (_iter54 = this->services.begin(); _iter54 != this->services.end(); ++_iter54)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1374,10 +1574,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<WireSuspicion> ::const_iterator _iter41;
-    for (_iter41 = this->suspicions.begin(); _iter41 != this->suspicions.end(); ++_iter41)
+    std::vector<WireSuspicion> ::const_iterator _iter55;
+    for (_iter55 = this->suspicions.begin(); _iter55 != this->suspicions.end(); ++_iter55)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1398,21 +1598,21 @@
   swap(a.suspicions, b.suspicions);
 }
 
-WireTableChange::WireTableChange(const WireTableChange& other42) {
-  base = other42.base;
-  revision = other42.revision;
-  nextFence = other42.nextFence;
-  nextSuspicion = other42.nextSuspicion;
-  services = other42.services;
-  suspicions = other42.suspicions;
-}
-WireTableChange& WireTableChange::operator=(const WireTableChange& other43) {
-  base = other43.base;
-  revision = other43.revision;
-  nextFence = other43.nextFence;
-  nextSuspicion = other43.nextSuspicion;
-  services = other43.services;
-  suspicions = other43.suspicions;
+WireTableChange::WireTableChange(const WireTableChange& other56) {
+  base = other56.base;
+  revision = other56.revision;
+  nextFence = other56.nextFence;
+  nextSuspicion = other56.nextSuspicion;
+  services = other56.services;
+  suspicions = other56.suspicions;
+}
+WireTableChange& WireTableChange::operator=(const WireTableChange& other57) {
+  base = other57.base;
+  revision = other57.revision;
+  nextFence = other57.nextFence;
+  nextSuspicion = other57.nextSuspicion;
+  services = other57.services;
+  suspicions = other57.suspicions;
   return *this;
 }
 void WireTableChange::printTo(std::ostream& out) const {
--- a/src/Ranges/gen/ranges_types.h
+++ b/src/Ranges/gen/ranges_types.h
@@ -23,6 +23,8 @@
 
 class WireServer;
 
+class WireServerEnd;
+
 class WireHost;
 
 class WireRow;
@@ -104,10 +106,59 @@
 
 std::ostream& operator<<(std::ostream& out, const WireServer& obj);
 
+
+class WireServerEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireServerEnd(const WireServerEnd&);
+  WireServerEnd& operator=(const WireServerEnd&);
+  WireServerEnd() noexcept
+                : id(0),
+                  atMillis(0) {
+  }
+
+  virtual ~WireServerEnd() noexcept;
+  int64_t id;
+  std::vector<int64_t>  running;
+  int64_t atMillis;
+
+  void __set_id(const int64_t val);
+
+  void __set_running(const std::vector<int64_t> & val);
+
+  void __set_atMillis(const int64_t val);
+
+  bool operator == (const WireServerEnd & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(atMillis == rhs.atMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const WireServerEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireServerEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireServerEnd &a, WireServerEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const WireServerEnd& obj);
+
 typedef struct _WireHost__isset {
-  _WireHost__isset() : server(false), cpuMillis(false) {}
+  _WireHost__isset() : server(false), cpuMillis(false), serverEnds(false) {}
   bool server :1;
   bool cpuMillis :1;
+  bool serverEnds :1;
 } _WireHost__isset;
 
 class WireHost : public virtual ::apache::thrift::TBase {
@@ -136,6 +187,7 @@
   WireServer server;
   int64_t cleared;
   int32_t cpuMillis;
+  std::vector<WireServerEnd>  serverEnds;
 
   _WireHost__isset __isset;
 
@@ -157,6 +209,8 @@
 
   void __set_cpuMillis(const int32_t val);
 
+  void __set_serverEnds(const std::vector<WireServerEnd> & val);
+
   bool operator == (const WireHost & rhs) const
   {
     if (!(host == rhs.host))
@@ -181,6 +235,10 @@
       return false;
     else if (__isset.cpuMillis && !(cpuMillis == rhs.cpuMillis))
       return false;
+    if (__isset.serverEnds != rhs.__isset.serverEnds)
+      return false;
+    else if (__isset.serverEnds && !(serverEnds == rhs.serverEnds))
+      return false;
     return true;
   }
   bool operator != (const WireHost &rhs) const {
--- a/src/Ranges/idl/ranges.thrift
+++ b/src/Ranges/idl/ranges.thrift
@@ -10,6 +10,12 @@
   5: optional bool leaving
 }
 
+struct WireServerEnd {
+  1: required i64 id
+  2: required list<i64> running
+  3: required i64 atMillis
+}
+
 struct WireHost {
   1: required string host
   2: required i64 epoch
@@ -20,6 +26,7 @@
   7: optional WireServer server
   8: required i64 cleared
   9: optional i32 cpuMillis
+  10: optional list<WireServerEnd> serverEnds
 }
 
 struct WireRow {
--- a/src/Routing/Outcome.cpp
+++ b/src/Routing/Outcome.cpp
@@ -35,6 +35,7 @@
   "retries-spent",
   "body-too-large",
   "body-timeout",
+  "fatal-request",
 };
 
 constexpr std::array<std::string_view, kRetryReasonCount> kRetryNames{
--- a/src/Routing/Outcome.h
+++ b/src/Routing/Outcome.h
@@ -42,6 +42,7 @@
   kRetriesSpent,     ///< Retry budget or attempts are used up.
   kBodyTooLarge,     ///< The body is too large to forward.
   kBodyTimeout,      ///< The caller stopped sending the body.
+  kFatalRequest,     ///< Backend servers have ended while running it.
 };
 
 /** \brief Why a request was sent again. Each reason has its own counter. */
@@ -62,7 +63,7 @@
                                        Outcome::kUnknown };
 
 inline constexpr size_t kRefusalReasonCount =
-  static_cast<size_t>(RefusalReason::kBodyTimeout) + 1;
+  static_cast<size_t>(RefusalReason::kFatalRequest) + 1;
 
 inline constexpr size_t kRetryReasonCount =
   static_cast<size_t>(RetryReason::kHedged) + 1;
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -74,6 +74,7 @@
     case RefusalReason::kRetriesSpent:
     case RefusalReason::kBodyTooLarge:
     case RefusalReason::kBodyTimeout:
+    case RefusalReason::kFatalRequest:
       return true;
     default:
       return false;
@@ -162,7 +163,11 @@
                   const RetrySettings& aSettings,
                   RetryBudget& aBudget)
 {
-  const auto giveUp = GiveUp(OutcomeOf(aReport.refusal), aReport.refusal);
+  const bool ranBefore =
+    aReport.refusal == RefusalReason::kFatalRequest && aReport.runs > 0;
+  const auto giveUp =
+    GiveUp(ranBefore ? Outcome::kUnknown : OutcomeOf(aReport.refusal),
+           aReport.refusal);
   const auto delay = RetryDelay(aReport, aSettings);
   if (IsFinal(aReport.refusal) || !CanRetry(aReport, aSettings, delay)) {
     return giveUp;
--- a/test/Routing/RetryTest.cpp
+++ b/test/Routing/RetryTest.cpp
@@ -208,6 +208,38 @@
   EXPECT_EQ(decision.outcome, Outcome::kNotRun);
 }
 
+/** No other server would take it; "not run" is true only if none had it. */
+TEST_F(RetryTest, FatalRequest_IsFinalAndUnknownIfItMayHaveRun)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kFatalRequest;
+  report.idempotent = true;
+  report.left = std::chrono::seconds(5);
+  RetryBudget budget(1.0);
+  const auto first = DecideRetry(report, {}, budget);
+  EXPECT_EQ(first.step, RetryStep::kGiveUp);
+  EXPECT_EQ(first.outcome, Outcome::kNotRun);
+  report.runs = 1;
+  EXPECT_EQ(DecideRetry(report, {}, budget).outcome, Outcome::kUnknown);
+}
+
+/** A server that has not been heard yet has got nothing: another one can take
+ * the request without a token of the budget. */
+TEST_F(RetryTest, Cold_IsRedirectedWithoutABudget)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kCold;
+  report.left = std::chrono::seconds(5);
+  RetryBudget budget(0.0);
+  while (budget.TrySpend()) {
+  }
+  const auto decision = DecideRetry(report, {}, budget);
+  EXPECT_EQ(decision.step, RetryStep::kRetryNow);
+  EXPECT_EQ(decision.reason, RetryReason::kRedirected);
+}
+
 /**
  * Pattern ManyDaemons: 295 daemons send 5,300 requests a second, and a fault
  * lets all of them retry whatever they may. Over 10 s the operator allows 0.2
--- a/test/platform/OddEntryTest.cpp
+++ b/test/platform/OddEntryTest.cpp
@@ -119,6 +119,19 @@
   }
 }
 
+/** A host's record keeps the ends of its backend servers. */
+TEST_F(OddEntryTest, Apply_HostWithServerEnds_KeepsThem)
+{
+  auto record = RecordOf("a");
+  record.serverEnds.push_back(
+    { UINT64_MAX,
+      { RequestFingerprint(1), RequestFingerprint(UINT64_MAX) },
+      WallTime(std::chrono::milliseconds(1785414586000)) });
+  MeshState state;
+  state.Apply(EncodeHost(record));
+  EXPECT_EQ(*state.FindHost(record.host), record);
+}
+
 TEST_F(OddEntryTest, Apply_HostWithPortOrSlotsOutOfRange_IsRejected)
 {
   for (const auto& [port, slots] :
