Leaves of several servers are remembered, and known ends cost one look-up

Found by reading: of two leaves that come before the first join, the one with the later start time replaced the other, so that a confirmed leave could be forgotten (ServerNoticeTest.Start_TwoLeavesBeforeTheFirstJoin_*). Each end in the hosts' records was looked for among all expired suspicions at each change of a host; now one that is known costs one look-up. A host's record drops its ends when they count no more.

Tests: ServerNoticeTest, QueryOfDeathTest, FatalRequestTest, RangeServerTaskTest.

--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "src/HostDaemon/RangeServerTask.h"
@@ -17,6 +18,8 @@
  * yet granted to the backend server: two of the server's heartbeats. */
 constexpr Duration kHoldTimeout = milliseconds(1800);
 
+constexpr size_t kMaxEarlyLeaves = 8;
+
 }
 
 std::vector<RangeRow>
@@ -107,11 +110,23 @@
     // A server that starts later under the same id has not left.
     leave.startedBy = m_clock.WallNow();
   }
-  if (!m_earlyLeave || m_earlyLeave->startedBy <= leave.startedBy) {
-    m_earlyLeave = leave;
+  std::erase_if(m_earlyLeaves,
+                [&](const ServerLeave& aItem) { return aItem.id == leave.id; });
+  m_earlyLeaves.push_back(leave);
+  if (m_earlyLeaves.size() > kMaxEarlyLeaves) {
+    m_earlyLeaves.erase(m_earlyLeaves.begin());
   }
 }
 
+bool
+RangeServerTask::HasLeft(const ServerIncarnation& aIncarnation) const
+{
+  return std::any_of(
+    m_earlyLeaves.begin(), m_earlyLeaves.end(), [&](const ServerLeave& aLeave) {
+      return aLeave.Concerns(aIncarnation);
+    });
+}
+
 /**
  * An earlier process of this daemon may have acknowledged that the server
  * leaves, and its record need not say so. A server that leaves with a heartbeat
@@ -168,7 +183,7 @@
   EnsureGate(aHeartbeat.slots);
   const bool wasLeaving = m_grants.RevokingAll();
   auto heartbeat = aHeartbeat;
-  if (m_earlyLeave && m_earlyLeave->Concerns(heartbeat.incarnation)) {
+  if (HasLeft(heartbeat.incarnation)) {
     heartbeat.state = ServerState::kDraining;
   }
   auto reply = m_grants.OnHeartbeat(
@@ -276,9 +291,7 @@
     m_serverSince = m_clock.Now();
     m_grants.Adopt(known->incarnation);
     EnsureGate(known->slots);
-    const bool left =
-      m_earlyLeave && m_earlyLeave->Concerns(known->incarnation);
-    if (left || known->leaving) {
+    if (HasLeft(known->incarnation) || known->leaving) {
       BeginServerLeave();
     }
   }
--- a/src/HostDaemon/RangeServerSuspects.cpp
+++ b/src/HostDaemon/RangeServerSuspects.cpp
@@ -17,6 +17,14 @@
 /** Requests that are kept of one end. */
 constexpr size_t kMaxRunningAtEnd = 64;
 
+/** Ends that were noticed earlier count no more. */
+WallTime
+OldestEnd(const Clock& aClock)
+{
+  return aClock.WallNow() -
+         std::chrono::duration_cast<milliseconds>(kCrashRetention);
+}
+
 }
 
 bool
@@ -101,6 +109,8 @@
   m_suspects.AddEnd({ ServerEndId(end->id), end->running }, m_clock.Now());
   end->at = m_clock.WallNow();
   auto ends = m_state.OwnRecord().serverEnds;
+  const auto oldest = OldestEnd(m_clock);
+  std::erase_if(ends, [&](const auto& aItem) { return aItem.at < oldest; });
   ends.push_back(*std::move(end));
   if (ends.size() > kMaxServerEnds) {
     ends.erase(ends.begin());
@@ -116,8 +126,7 @@
     return;
   }
   m_hostsVersion = version;
-  const auto oldest = m_clock.WallNow() -
-                      std::chrono::duration_cast<milliseconds>(kCrashRetention);
+  const auto oldest = OldestEnd(m_clock);
   for (const auto& [name, host] : m_state.State().Hosts()) {
     for (const auto& end : host.serverEnds) {
       if (end.at < oldest) {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -172,6 +172,7 @@
   bool AssignedHere(ShardKey aKey) const;
   bool IsOwnServer(const ServerHeartbeat& aHeartbeat) const;
   void RememberLeave(const ServerLeave& aLeave);
+  bool HasLeft(const ServerIncarnation& aIncarnation) const;
   bool HasHeardServer() const;
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   void BeginServerLeave();
@@ -199,8 +200,8 @@
   bool m_retriesHeld = false;                ///< The next suspect may run.
   uint64_t m_hostsVersion = 0; ///< Whose ends of servers have been read.
   std::optional<ServerId> m_serverId;
-  /// Newest leave of an incarnation of which no heartbeat has been handled.
-  std::optional<ServerLeave> m_earlyLeave;
+  /// Latest leaves of incarnations of which no heartbeat had been handled.
+  std::vector<ServerLeave> m_earlyLeaves;
   /// Incarnation of the last heartbeat that this process has handled.
   std::optional<ServerIncarnation> m_heard;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
--- a/src/Routing/CrashSuspects.cpp
+++ b/src/Routing/CrashSuspects.cpp
@@ -12,10 +12,10 @@
 void
 CrashSuspects::AddEnd(const ServerEnd& aEnd, MonoTime aNow)
 {
-  RemoveExpired(aNow);
   if (!m_ends.try_emplace(aEnd.id, aNow).second) {
     return;
   }
+  RemoveExpired(aNow);
   if (m_ends.size() > m_settings.maxEnds) {
     RemoveOldestEnd();
   }
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -178,6 +178,19 @@
   EXPECT_TRUE(m_state.OwnRecord().server->leaving);
 }
 
+/** A leave of another server does not replace the one that was confirmed. */
+TEST_F(ServerNoticeTest, Start_TwoLeavesBeforeTheFirstJoin_BothCount)
+{
+  auto record = m_record;
+  record.server.reset();
+  m_topic.Append({ EncodeHost(record) }, WriterPosition{ "a", 1, 1 });
+  SendHeartbeat(ServerState::kDraining);
+  m_server.OnLeave({ ServerId("server-other") });
+  JoinSilently();
+  SendHeartbeat();
+  EXPECT_EQ(Received(), 0);
+}
+
 /** A server that started again under the id of the one that left. */
 TEST_F(ServerNoticeTest, OnHeartbeat_SameIdStartedAfterALeave_IsServed)
 {
