Endless bodies that no caller reads stay within bounded memory on both hosts

Other operators saw a host run out of memory by bytes without end. This adds the case that was not tested: callers that read nothing, at the host of the backend server and at another one.

--- a/test/process/EndlessAnswerTest.cpp
+++ b/test/process/EndlessAnswerTest.cpp
@@ -417,6 +417,36 @@
   EXPECT_TRUE(SlotIsFree());
 }
 
+// Guards against bytes that are kept for a caller who does not read them, on
+// either of the two hosts that they pass.
+TEST_F(EndlessAnswerTest, Body_WithoutEndAndCallerReadsNothing_MemoryIsBounded)
+{
+  constexpr size_t kCallers = 4;
+  StartStore();
+  AddHost({ { "/r/endless",
+              { kChunked, "400\r\n" + std::string(1024, 'x') + "\r\n" } } });
+  AddHost({}); // Without a backend server.
+  StartHeartbeats(16);
+  ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok", 0).status == 200; }));
+  ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok", 1).status == 200; }));
+  const size_t before[] = { ResidentKiB(0), ResidentKiB(1) };
+  std::vector<decltype(Call("", 0))> callers;
+  for (size_t caller = 0; caller < kCallers; ++caller) {
+    callers.push_back(Call("/r/endless", caller % 2));
+  }
+  const auto end = steady_clock::now() + seconds(1);
+  while (steady_clock::now() < end) {
+    for (const size_t host : { 0, 1 }) {
+      EXPECT_LT(ResidentKiB(host), before[host] + kMuchBytes / 1024 / 2);
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  EXPECT_EQ(Ask("/r/ok", 0).status, 200);
+  EXPECT_EQ(Ask("/r/ok", 1).status, 200);
+  callers.clear();
+  EXPECT_TRUE(SlotIsFree());
+}
+
 // Guards against the end of the daemon when a server that resumes a download
 // sends more than the rest.
 TEST_F(EndlessAnswerTest, RestOfBody_WithoutEnd_IsCutAtItsLength)
