--- a/test/process/EndlessAnswerTest.cpp
+++ b/test/process/EndlessAnswerTest.cpp
@@ -431,6 +431,7 @@
   ASSERT_TRUE(WaitUntil([this] { return Ask("/r/ok", 1).status == 200; }));
   const size_t before[] = { ResidentKiB(0), ResidentKiB(1) };
   std::vector<decltype(Call("", 0))> callers;
+  callers.reserve(kCallers);
   for (size_t caller = 0; caller < kCallers; ++caller) {
     callers.push_back(Call("/r/endless", caller % 2));
   }
