BulkSenderTest waits until the finished source is removed from the queue

Trace: the last piece of an answer ends the budget, and the source, which has nothing left, is removed when it is its turn again, one timer later. The loop of the test ended between the two. Nothing is sent or counted for such a source (BulkQueue::Backlog), so the product keeps what it promises; the test asked before it could know.

The test still demands one finished answer and a queue of one, within the same bound of bytes.

--- a/test/Daemon/BulkSenderTest.cpp
+++ b/test/Daemon/BulkSenderTest.cpp
@@ -192,7 +192,9 @@
   const auto sender = std::make_shared<BulkSender>(queue, m_sink);
   sender->Send(std::string(kLarge, 'a'));
   sender->Finish();
-  while (m_sink->finished == 0 && endless->sent < 100 * kLarge) {
+  // A source that has nothing left is removed when it is its turn again.
+  const auto ended = [&] { return m_sink->finished > 0 && queue.Size() == 1; };
+  while (!ended() && endless->sent < 100 * kLarge) {
     RunFor(milliseconds(10));
   }
   EXPECT_EQ(m_sink->finished, 1);
