Review case 8: a harmless request is excluded for ten minutes (RECOVER)

Cause: the record of a host keeps for ten minutes which requests ran when its instance ended. Complete answers clear the suspicion in memory only, so a daemon that starts excludes a popular request that ran at three ends. Change: review/8, no code of the project.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,4 @@
     "review/standins-2/$1.cpp" -o "$out/$2" -pthread
 }
 build TwoHolders two_holders         # review/6
+build Excluded excluded              # review/8
