Review case 9: a machine is never served again by an owner (CONFIG)

Cause: the owner's outcome table evicts after 65,536 requests. A sender whose known position is older is refused as if the request might have run. The position is refreshed by pongs only, and none comes on a link with few and short requests. Change: review/9, no code of the project.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,3 +11,4 @@
 }
 build TwoHolders two_holders         # review/6
 build Excluded excluded              # review/8
+build NeverAgain never_again         # review/9
