Review case 10: a confirmed leave is forgotten (DRAIN)

Cause: a leave that was confirmed while the store turned the machine away is kept in the process only. After a planned restart a ping that was sent before the leave counts as proof that the instance is ready. Change: review/10, no code of the project.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,3 +12,4 @@
 build TwoHolders two_holders         # review/6
 build Excluded excluded              # review/8
 build NeverAgain never_again         # review/9
+build LeaveForgotten leave_forgotten # review/10
