Review case 7: one malformed answer ends a daemon (LOST)

Cause: the parser takes a head whose field value begins with a NUL byte; the writer throws on it, and nothing catches that. Change: review/7, no code of the project.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,6 +10,7 @@
     "review/standins-2/$1.cpp" -o "$out/$2" -pthread
 }
 build TwoHolders two_holders         # review/6
+build BadHead bad_head               # review/7
 build Excluded excluded              # review/8
 build NeverAgain never_again         # review/9
 build LeaveForgotten leave_forgotten # review/10
