--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -455,7 +455,7 @@
   const auto& rows = state.Table().RowsOf(aService);
   const bool free =
     std::any_of(rows.begin(), rows.end(), [&](const RangeRow& aRow) {
-      return state.HolderOf(aRow) == nullptr;
+      return state.MayReassign(aRow);
     });
   if (!free) {
     return;
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -14,6 +14,9 @@
 /** Bytes of the kept records, which may contain whole tables. */
 constexpr size_t kMaxRecentBytes = size_t{ 1024 } * 1024;
 
+/** Minimum time between two repairs of this host's record in the store. */
+constexpr Duration kRewriteInterval = std::chrono::milliseconds(1000);
+
 /** Peers' reads that are remembered until this host has caught up with them. */
 constexpr size_t kMaxPeerSyncs = 8;
 
@@ -209,6 +212,48 @@
     m_logger.Warning("host-removed", "offset={} rejoins=true", aNext);
     m_recordDirty = true;
   }
+  CheckOwnRecord();
+}
+
+void
+StateTaskBase::CheckOwnRecord()
+{
+  const bool settled =
+    m_joined && !m_writing && !m_recordDirty && m_end >= m_writtenEnd;
+  const auto* stored = settled ? m_state.FindHost(m_self.host) : nullptr;
+  if (stored == nullptr || *stored == m_self) {
+    return;
+  }
+  const auto now = m_clock.Now();
+  if (now - m_lastRewriteAt < kRewriteInterval) {
+    return;
+  }
+  m_lastRewriteAt = now;
+  m_logger.Warning("record-differs",
+                   "end={} epoch={} stored_epoch={} server={} stored_server={}",
+                   m_end,
+                   m_self.epoch,
+                   stored->epoch,
+                   m_self.server ? m_self.server->incarnation.id.Value() : "-",
+                   stored->server ? stored->server->incarnation.id.Value()
+                                  : "-");
+  m_recordDirty = true;
+}
+
+std::optional<ServerIncarnation>
+StateTaskBase::AssignedIncarnation(const ServerStatus& aServer) const
+{
+  auto latest = aServer.incarnation;
+  for (const auto& [service, rows] : m_state.Table().services) {
+    for (const auto& row : rows) {
+      const auto& holder = row.holder;
+      if (holder.host == m_self.host &&
+          holder.incarnation.startedAt > latest.startedAt) {
+        latest = holder.incarnation;
+      }
+    }
+  }
+  return latest == aServer.incarnation ? std::nullopt : std::optional(latest);
 }
 
 void
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -177,6 +177,15 @@
   void RenewLeaseFromKnownSyncs();
   void NotifyListeners();
 
+  /** Writes this host's record again if the store holds another one than was
+   * acknowledged; the other hosts act on what the store holds. */
+  void CheckOwnRecord();
+
+  /** The latest incarnation of this host's backend server to which the store
+   * has assigned ranges, if that is later than the one in its record. */
+  std::optional<ServerIncarnation> AssignedIncarnation(
+    const ServerStatus& aServer) const;
+
   /** Applies the pending edits to a draft; empty if none changes anything. */
   std::optional<TableDraft> ApplyEdits();
 
@@ -207,7 +216,11 @@
   bool m_joined = false;
   /// End of the topic after this host's record was written.
   int64_t m_joinOffset = 0;
+  /// End of the topic after the last acknowledged record of this host.
+  int64_t m_writtenEnd = 0;
   bool m_recordDirty = false;
+  bool m_writing = false;
+  MonoTime m_lastRewriteAt{ -std::chrono::hours(1) };
   /// Times at which peers had read the whole topic, by its end then; only ends
   /// that this host has not reached yet.
   std::map<int64_t, MonoTime> m_peerSyncs;
@@ -261,6 +274,8 @@
   void OnGapTimer();
   void WriteRecord();
   void OnRecordWritten(const HostRecord& aWritten, AppendReply aReply);
+  void OnRecordAccepted(const HostRecord& aWritten, int64_t aEnd);
+  void BroadcastRead();
   void WriteTable();
   void ApplyAppended(std::vector<StoreEntry> aEntries, int64_t aEnd);
   void SendTable();
@@ -285,8 +300,14 @@
   Duration m_writeDelay{}; ///< Before the last repeated append.
   bool m_connected = false;
   bool m_polling = false;
-  bool m_writing = false;
+  /// Position of the next record of this host among its appends. The epoch is
+  /// at least that of the record, which stays the same in one process.
+  int64_t m_writerEpoch = 0;
   int64_t m_sequence = 0;
+  /// Record at that position whose append may have been done, or may be later.
+  std::optional<StoreEntry> m_unconfirmed;
+  /// Peers get the records from this offset on as soon as they have been read.
+  std::optional<int64_t> m_broadcastFrom;
   int64_t m_conflictEnd = -1; ///< Edits wait until this offset is read.
 };
 
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -8,6 +8,14 @@
 
 namespace pistachioshift {
 
+namespace internal {
+
+/** Gap between the epochs of two processes of a host. Each process uses the
+ * epochs from its own one on for its appends. */
+constexpr int64_t kEpochStep = 65536;
+
+}
+
 template<KeyedStore Store>
 StateTask<Store>::StateTask(event_base* aBase,
                             const Clock& aClock,
@@ -95,12 +103,22 @@
   const auto wall = m_clock.WallNow().time_since_epoch().count();
   m_self.epoch = wall;
   if (known != nullptr) {
-    m_self.epoch = std::max(m_self.epoch, known->epoch + 1);
+    m_self.epoch = std::max(m_self.epoch, known->epoch + internal::kEpochStep);
     // The backend server may have kept running while this daemon restarted.
     m_self.server = known->server;
+    const auto assigned =
+      known->server ? AssignedIncarnation(*known->server) : std::nullopt;
+    if (assigned) {
+      m_logger.Warning("record-outdated",
+                       "server={} assigned={}",
+                       known->server->incarnation.id.Value(),
+                       assigned->id.Value());
+      m_self.server = ServerStatus{ *assigned, known->server->slots };
+    }
     m_self.serverEnds = known->serverEnds;
     m_self.refutedUpTo = std::max(m_self.refutedUpTo, known->refutedUpTo);
   }
+  m_writerEpoch = m_self.epoch;
   m_sequence = 0;
   m_recordDirty = true;
 }
@@ -209,6 +227,7 @@
   if (complete) {
     RenewLease(aSentAt);
   }
+  BroadcastRead();
   if (changed) {
     NotifyListeners();
   }
@@ -248,10 +267,19 @@
   m_writing = true;
   m_recordDirty = false;
   const auto written = m_self;
+  const auto entry = EncodeHost(written);
+  if (m_unconfirmed && *m_unconfirmed != entry) {
+    // The store recognizes a repeated append by its position alone, so another
+    // record needs another one. The new epoch also keeps the earlier append
+    // from being done after this one.
+    ++m_writerEpoch;
+    m_sequence = 0;
+    m_unconfirmed.reset();
+  }
   m_store.Append(
     kTopic,
-    { EncodeHost(written) },
-    WriterPosition{ "host/" + m_self.host.Value(), m_self.epoch, m_sequence },
+    { entry },
+    WriterPosition{ "host/" + m_self.host.Value(), m_writerEpoch, m_sequence },
     [this, written](AppendReply aReply) { OnRecordWritten(written, aReply); });
 }
 
@@ -263,33 +291,24 @@
   m_writing = false;
   switch (aReply.verdict) {
     case AppendVerdict::kAccepted:
-      ++m_sequence;
-      ApplyAppended({ EncodeHost(aWritten) }, aReply.end);
-      m_logger.Info("host-written",
-                    "epoch={} end={} server={} cleared={}",
-                    aWritten.epoch,
-                    aReply.end,
-                    aWritten.server ? aWritten.server->incarnation.id.Value()
-                                    : "-",
-                    aWritten.refutedUpTo);
-      if (!m_joined) {
-        // Grants start only now, when no append of this daemon's earlier
-        // process can still succeed.
-        m_joined = true;
-        m_joinOffset = aReply.end;
-        NotifyListeners();
-      }
+      OnRecordAccepted(aWritten, aReply.end);
       break;
     case AppendVerdict::kFenced:
-      ++m_self.epoch;
+      m_self.epoch += internal::kEpochStep;
+      m_writerEpoch = m_self.epoch;
       m_sequence = 0;
+      m_unconfirmed.reset();
       m_recordDirty = true;
       m_logger.Warning("host-fenced", "next_epoch={}", m_self.epoch);
       break;
     case AppendVerdict::kSequenceMismatch:
       m_sequence = aReply.sequence;
+      m_unconfirmed.reset();
       m_recordDirty = true;
       break;
+    case AppendVerdict::kUnknown:
+      m_unconfirmed = EncodeHost(aWritten);
+      [[fallthrough]];
     default:
       m_recordDirty = true;
       m_writeTimer.StartOnce(NextWriteDelay());
@@ -299,6 +318,52 @@
   WritePending();
 }
 
+template<KeyedStore Store>
+void
+StateTask<Store>::OnRecordAccepted(const HostRecord& aWritten, int64_t aEnd)
+{
+  ++m_sequence;
+  m_writtenEnd = aEnd;
+  const bool repeated = std::exchange(m_unconfirmed, std::nullopt).has_value();
+  if (repeated) {
+    // The answer may be that to an earlier append; what that one stored is
+    // read.
+    m_broadcastFrom = aEnd - 1;
+    m_conflictEnd = std::max(m_conflictEnd, aEnd);
+    BroadcastRead();
+    Poll();
+  } else {
+    ApplyAppended({ EncodeHost(aWritten) }, aEnd);
+  }
+  m_logger.Info("host-written",
+                "epoch={} end={} server={} cleared={} repeated={}",
+                aWritten.epoch,
+                aEnd,
+                aWritten.server ? aWritten.server->incarnation.id.Value() : "-",
+                aWritten.refutedUpTo,
+                repeated);
+  if (!m_joined) {
+    // Grants start only now, when no append of this daemon's earlier process
+    // can still succeed.
+    m_joined = true;
+    m_joinOffset = aEnd;
+    NotifyListeners();
+  }
+}
+
+template<KeyedStore Store>
+void
+StateTask<Store>::BroadcastRead()
+{
+  if (!m_broadcastFrom || m_end <= *m_broadcastFrom) {
+    return;
+  }
+  const auto update = UpdateFrom(*std::exchange(m_broadcastFrom, std::nullopt));
+  if (update && m_onAppended) {
+    m_onAppended(*update);
+  }
+}
+
 template<KeyedStore Store>
 void
 StateTask<Store>::ApplyAppended(std::vector<StoreEntry> aEntries, int64_t aEnd)
--- a/src/Ranges/Assigner.cpp
+++ b/src/Ranges/Assigner.cpp
@@ -110,7 +110,7 @@
   auto hosts = CollectLoads(aState, rows, aTargets, aLoad);
   const bool allFree =
     std::all_of(rows.begin(), rows.end(), [&](const RangeRow& aRow) {
-      return aState.HolderOf(aRow) == nullptr && aRow.handover.empty() &&
+      return aState.MayReassign(aRow) && aRow.handover.empty() &&
              FindHost(hosts, aRow.holder.host) == nullptr;
     });
   if (allFree) {
@@ -121,7 +121,7 @@
     aLoad.LoadOf(KeyRange{}) / static_cast<double>(aTargets.size());
   bool changed = false;
   for (const auto& row : rows) {
-    if (aState.HolderOf(row) != nullptr) {
+    if (!aState.MayReassign(row)) {
       continue;
     }
     changed = true;
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -321,6 +321,19 @@
   return alive ? host : nullptr;
 }
 
+bool
+MeshState::MayReassign(const RangeRow& aRow) const
+{
+  if (HolderOf(aRow) != nullptr) {
+    return false;
+  }
+  const auto* host = aRow.IsFree() ? nullptr : FindHost(aRow.holder.host);
+  const bool outdated =
+    host != nullptr && host->server &&
+    host->server->incarnation.startedAt < aRow.holder.incarnation.startedAt;
+  return !outdated;
+}
+
 bool
 MeshState::Suspected(const HostName& aHost) const
 {
--- a/src/Ranges/MeshState.h
+++ b/src/Ranges/MeshState.h
@@ -104,6 +104,13 @@
   /** \brief Host that holds a row; nullptr if the row has no valid holder. */
   const HostRecord* HolderOf(const RangeRow& aRow) const;
 
+  /**
+   * \brief Whether a row may be reassigned: it has no holder, its host was
+   * removed, or its host's record names a later incarnation. A record with an
+   * earlier incarnation than the row is outdated and proves no end.
+   */
+  bool MayReassign(const RangeRow& aRow) const;
+
   /** \brief Whether a host has a suspicion that it has not refuted. */
   bool Suspected(const HostName& aHost) const;
 
--- a/test/HostDaemon/StateTaskTest.cpp
+++ b/test/HostDaemon/StateTaskTest.cpp
@@ -82,6 +82,23 @@
     };
   }
 
+  /** Status of another life of the backend server of a host. */
+  static ServerStatus LifeOf(const std::string& aHost, int64_t aStartedAt)
+  {
+    return { IncarnationOf("server-" + aHost, aStartedAt), 9 };
+  }
+
+  /** The server of a host, as a host that starts now reads it. */
+  std::optional<ServerStatus> StoredServer(const std::string& aHost) const
+  {
+    MeshState state;
+    for (const auto& entry : m_topic.From(0).entries) {
+      state.Apply(entry);
+    }
+    const auto* host = state.FindHost(HostName(aHost));
+    return host == nullptr ? std::nullopt : host->server;
+  }
+
   static HostName HolderAt(const Host& aHost, uint32_t aKey)
   {
     return aHost.task.State()
@@ -198,6 +215,142 @@
   EXPECT_GT(after.task.OwnRecord().epoch, 1);
 }
 
+/**
+ * Guards against two holders of a key: a record is sent under the number of an
+ * earlier one whose append the store has done without an answer, and the store
+ * takes it for a repeat and keeps the earlier record.
+ */
+TEST_F(StateTaskTest, PublishServer_EarlierAppendWasNotAnswered_LatestIsStored)
+{
+  auto& a = Start("a");
+  auto& b = Start("b");
+  a.store.lostReplies = 1;
+  a.task.PublishServer(LifeOf("a", 2000));
+  a.task.PublishServer(LifeOf("a", 3000));
+  RunLoop();
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 3000));
+  EXPECT_EQ(a.task.State().FindHost(HostName("a"))->server, LifeOf("a", 3000));
+  EXPECT_EQ(b.task.State().FindHost(HostName("a"))->server, LifeOf("a", 3000));
+}
+
+/** Same; the earlier append is done seconds later, before the next one. */
+TEST_F(StateTaskTest, PublishServer_EarlierAppendIsDoneLate_LatestIsStored)
+{
+  auto& a = Start("a");
+  a.store.lateAppends = 1;
+  a.task.PublishServer(LifeOf("a", 2000));
+  a.task.PublishServer(LifeOf("a", 3000));
+  a.store.RunLateAppends();
+  RunLoop();
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 3000));
+}
+
+/** Same; the earlier append is done after the next one. */
+TEST_F(StateTaskTest, PublishServer_EarlierAppendIsDoneLast_LatestIsStored)
+{
+  auto& a = Start("a");
+  a.store.lateAppends = 1;
+  a.task.PublishServer(LifeOf("a", 2000));
+  a.task.PublishServer(LifeOf("a", 3000));
+  RunLoop();
+  a.store.RunLateAppends();
+  RunLoop();
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 3000));
+}
+
+/** Same; a refusal says nothing about the earlier append. */
+TEST_F(StateTaskTest, PublishServer_RefusedAfterAnUnanswered_LatestIsStored)
+{
+  auto& a = Start("a");
+  a.store.lateAppends = 1;
+  a.task.PublishServer(LifeOf("a", 2000));
+  RunLoop(milliseconds(2));
+  a.store.down = true;
+  RunLoop(milliseconds(30));
+  a.store.RunLateAppends();
+  a.task.PublishServer(LifeOf("a", 3000));
+  a.store.down = false;
+  RunLoop();
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 3000));
+}
+
+TEST_F(StateTaskTest, PublishServer_ReplyLost_IsStoredOnceAndSentToPeers)
+{
+  auto& a = Start("a");
+  std::vector<StateUpdate> sent;
+  a.task.SetOnAppended(
+    [&sent](const StateUpdate& aUpdate) { sent.push_back(aUpdate); });
+  const auto before = m_topic.End();
+  a.store.lostReplies = 1;
+  a.task.PublishServer(LifeOf("a", 2000));
+  RunLoop();
+  EXPECT_EQ(m_topic.End(), before + 1);
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 2000));
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent.front().entries.front().offset, before);
+}
+
+TEST_F(StateTaskTest, PublishServer_ReplyLost_ReleasesKeepTheirEpoch)
+{
+  auto& a = Start("a");
+  const auto epoch = a.task.OwnRecord().epoch;
+  a.store.lostReplies = 1;
+  a.task.PublishServer(LifeOf("a", 2000));
+  a.task.PublishServer(LifeOf("a", 3000));
+  RunLoop();
+  EXPECT_EQ(a.task.State().FindHost(HostName("a"))->epoch, epoch);
+}
+
+/** An append of the earlier process that is done late must not stay. */
+TEST_F(StateTaskTest, Join_FirstAppendOfEarlierProcessIsDoneLate_IsReplaced)
+{
+  auto& before = Make("a");
+  before.store.lateAppends = 1;
+  before.task.Start();
+  RunLoop(milliseconds(2));
+  before.store.down = true;
+  auto& after = Make("a");
+  after.task.Start();
+  RunLoop();
+  ASSERT_TRUE(after.task.Joined());
+  after.task.PublishServer(LifeOf("a", 3000));
+  before.store.RunLateAppends();
+  RunLoop();
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 3000));
+}
+
+TEST_F(StateTaskTest, ApplyEntries_OwnRecordDiffers_IsWrittenAgain)
+{
+  auto& a = Start("a");
+  a.task.PublishServer(LifeOf("a", 3000));
+  RunLoop();
+  auto other = a.task.OwnRecord();
+  other.server = LifeOf("a", 2000);
+  m_topic.Append({ EncodeHost(other) }, ExpectedEnd{ m_topic.End() });
+  RunLoop();
+  EXPECT_EQ(StoredServer("a"), LifeOf("a", 3000));
+}
+
+/** Guards against two holders of a key after a restart with an old record. */
+TEST_F(StateTaskTest, Join_StoredRecordIsOlderThanTheTable_LaterLifeIsAdopted)
+{
+  Start("a");
+  m_hosts.front()->store.down = true;
+  RangeTable table;
+  table.Assign(kOrders,
+               KeyRange{},
+               RangeHolder{ HostName("a"), IncarnationOf("server-a", 5000) },
+               {});
+  m_topic.Append({ EncodeTable(table) }, ExpectedEnd{ m_topic.End() });
+  auto& after = Start("a");
+  ASSERT_TRUE(after.task.Joined());
+  EXPECT_EQ(after.task.OwnRecord().server->incarnation,
+            IncarnationOf("server-a", 5000));
+  EXPECT_NE(
+    after.task.State().HolderOf(after.task.State().Table().RowsOf(kOrders)[0]),
+    nullptr);
+}
+
 TEST_F(StateTaskTest, Suspicion_OfRunningHost_IsRefuted)
 {
   auto& a = Start("a");
--- a/test/Ranges/PlacementTest.cpp
+++ b/test/Ranges/PlacementTest.cpp
@@ -74,6 +74,33 @@
   }
 }
 
+TEST_F(PlacementTest, AssignFreeRows_HolderWasRestarted_AssignsItsKeysAgain)
+{
+  m_table.Assign(kOrders, KeyRange{}, HolderOf("a"), {});
+  auto restarted = RecordOf("a");
+  restarted.server->incarnation = IncarnationOf("server-a", 2000);
+  EXPECT_TRUE(AssignFreeRows(m_table,
+                             StateOf({ restarted, RecordOf("b") }, m_table),
+                             kOrders,
+                             Targets("b", 1.0),
+                             LoadMap()));
+}
+
+/** Guards against two holders of a key: a host's record that is older than the
+ * row does not show that the holder has ended. */
+TEST_F(PlacementTest, AssignFreeRows_RecordIsOlderThanTheRow_KeepsTheHolder)
+{
+  const RangeHolder holder{ HostName("a"), IncarnationOf("server-a", 2000) };
+  m_table.Assign(kOrders, KeyRange{}, holder, {});
+  EXPECT_FALSE(
+    AssignFreeRows(m_table,
+                   StateOf({ RecordOf("a"), RecordOf("b") }, m_table),
+                   kOrders,
+                   Targets("b", 1.0),
+                   LoadMap()));
+  EXPECT_EQ(m_table.RowsOf(kOrders)[0].holder, holder);
+}
+
 TEST_F(PlacementTest, AssignFreeRows_ReleasedWithAToken_KeepsTheToken)
 {
   m_table.Assign(kOrders, KeyRange{}, HolderOf("a"), {});
