--- a/src/Daemon/IngressDialect.h
+++ b/src/Daemon/IngressDialect.h
@@ -74,6 +74,12 @@
   {
   }
 
+  /**
+   * \brief Handling a request failed with an exception, which ended it.
+   * \param aHead the request's head as received; null if it was incomplete.
+   */
+  virtual void OnError(std::string_view, const RequestHead*) {}
+
   /** \brief Called exactly once for each request, when it has ended. */
   virtual void OnDone(const IngressRecord&) {}
 };
--- a/src/Daemon/IngressTask.cpp
+++ b/src/Daemon/IngressTask.cpp
@@ -28,6 +28,10 @@
         m_context.metrics.CountHttpRefusal(ToString(aRefusal));
       })
 {
+  m_server.SetErrorHandler(
+    [this](std::string_view aProblem, const RequestHead* aHead) {
+      m_context.dialect.OnError(aProblem, aHead);
+    });
 }
 
 void
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -29,6 +29,8 @@
   std::function<void(const StateReply&)> update;
   std::function<void(const RangeRelease&)> release;
   std::function<void(const ConfigurationUpdate&)> configuration;
+  /// A frame could not be handled; its connection ends.
+  std::function<void(std::string_view)> error;
 };
 
 /** \brief Accepts connections of other daemons and serves their requests. */
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -148,12 +148,20 @@
 {
 }
 
+void
+InnerSession::OnError(Connection&, std::string_view aProblem)
+{
+  if (m_task.m_services.error) {
+    m_task.m_services.error(aProblem);
+  }
+}
+
 void
 InnerSession::OnClosed(Connection&, CloseReason aEnd)
 {
   const auto self = shared_from_this();
-  if (aEnd == CloseReason::kMalformed) {
-    m_task.m_metrics.CountConnectionEnd("malformed");
+  if (aEnd == CloseReason::kMalformed || aEnd == CloseReason::kInternalError) {
+    m_task.m_metrics.CountConnectionEnd(pistachioshift::ToString(aEnd));
   }
   const auto streams = std::move(m_streams);
   m_streams.clear();
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -35,6 +35,7 @@
 
   void OnFrame(Connection& aConnection, Frame aFrame) override;
   void OnDrained(Connection& aConnection) override;
+  void OnError(Connection& aConnection, std::string_view aProblem) override;
   void OnClosed(Connection& aConnection, CloseReason aEnd) override;
 
 private:
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -144,6 +144,16 @@
                                      : std::optional(found->second);
 }
 
+void
+Peer::OnError(std::string_view aProblem)
+{
+  m_task.m_logger.Error("peer-frame-failed",
+                        "peer={}:{} problem=\"{}\"",
+                        m_endpoint.address,
+                        m_endpoint.port,
+                        aProblem);
+}
+
 void
 Peer::OnGoodbye(size_t aCalls)
 {
@@ -302,6 +312,12 @@
 {
 }
 
+void
+PeerLink::OnError(Connection&, std::string_view aProblem)
+{
+  m_peer.OnError(aProblem);
+}
+
 void
 PeerLink::OnClosed(Connection&, CloseReason aEnd)
 {
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -67,6 +67,7 @@
 
   void OnFrame(Connection& aConnection, Frame aFrame) override;
   void OnDrained(Connection& aConnection) override;
+  void OnError(Connection& aConnection, std::string_view aProblem) override;
   void OnClosed(Connection& aConnection, CloseReason aEnd) override;
 
 private:
@@ -119,6 +120,7 @@
   void OnHello(const Hello& aHello);
   void OnPosition(TablePosition aPosition);
   void OnLinkEnded(const PeerLink& aLink, CloseReason aEnd);
+  void OnError(std::string_view aProblem);
   void OnGoodbye(size_t aCalls);
 
   /** \brief Keeps the process that was sent a request whose link ended. */
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -95,6 +95,9 @@
 {
   InnerServices services;
   services.self = [] { return DaemonId(); };
+  services.error = [this](std::string_view aProblem) {
+    m_logger.Error("session-frame-failed", "problem=\"{}\"", aProblem);
+  };
   services.report = [this](const HostReport& aReport) {
     return m_coordinator.OnReport(aReport);
   };
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -103,6 +103,9 @@
   , m_rateProbeTimer(aBase, [this] { EndRateProbe(); })
   , m_tick(aBase, [this] { OnTick(); })
 {
+  m_pool.SetErrorHandler([this](std::string_view aProblem) {
+    m_logger.Error("server-answer-failed", "problem=\"{}\"", aProblem);
+  });
   m_tick.StartEvery(kTickInterval);
 }
 
--- a/src/Http/Client.cpp
+++ b/src/Http/Client.cpp
@@ -1,6 +1,7 @@
 #include "src/Http/Client.h"
 
-#include "src/Http/HttpError.h"
+#include <utility>
+
 #include "src/Http/internal/ClientConnection.h"
 #include "src/Http/internal/ClientCore.h"
 #include "src/Http/internal/ClientState.h"
@@ -29,6 +30,12 @@
       return "answer-too-large";
     case ClientFailure::kTimeout:
       return "timeout";
+    case ClientFailure::kUnsendable:
+      return "unsendable";
+    case ClientFailure::kBodyTooLong:
+      return "body-too-long";
+    case ClientFailure::kInternalError:
+      return "internal-error";
   }
   return "unknown";
 }
@@ -41,12 +48,15 @@
     case ClientFailure::kConnectTimeout:
     case ClientFailure::kNotWritten:
     case ClientFailure::kPoolExhausted:
+    case ClientFailure::kUnsendable:
       return false;
     case ClientFailure::kClosedBeforeAnswer:
     case ClientFailure::kTruncatedAnswer:
     case ClientFailure::kMalformedAnswer:
     case ClientFailure::kAnswerTooLarge:
     case ClientFailure::kTimeout:
+    case ClientFailure::kBodyTooLong:
+    case ClientFailure::kInternalError:
       return true;
   }
   return true;
@@ -78,13 +88,14 @@
 bool
 ClientExchange::SendBody(std::string_view aData)
 {
-  if (Ended()) {
+  if (Ended() || m_state->rejected) {
     return true;
   }
   auto& connection = m_state->connection;
   evbuffer* output = connection ? connection->Output() : m_state->pending.get();
   if (!m_state->body.Write(output, aData)) {
-    throw HttpError("a body exceeds its content length");
+    Reject(ClientFailure::kBodyTooLong);
+    return true;
   }
   // Stays set until OnDrained, although a later part may fit again.
   m_state->outputFull =
@@ -95,7 +106,7 @@
 void
 ClientExchange::Finish()
 {
-  if (Ended() || m_state->finished) {
+  if (Ended() || m_state->finished || m_state->rejected) {
     return;
   }
   auto& connection = m_state->connection;
@@ -107,6 +118,24 @@
   m_state->finished = true;
 }
 
+void
+ClientExchange::Reject(ClientFailure aFailure)
+{
+  m_state->rejected = true;
+  const auto self = shared_from_this();
+  const auto core = m_state->core.lock();
+  if (!core) {
+    return;
+  }
+  core->Withdraw(*this);
+  if (const auto connection = std::exchange(m_state->connection, nullptr)) {
+    auto listener = std::move(m_state->listener);
+    connection->Close();
+    m_state->listener = std::move(listener);
+  }
+  core->Reject(self, aFailure);
+}
+
 void
 ClientExchange::PauseBody()
 {
@@ -166,6 +195,12 @@
   return m_core->Start(aHead, std::move(aListener), std::move(aBeforeWrite));
 }
 
+void
+HttpClientPool::SetErrorHandler(ErrorHandler aHandler)
+{
+  m_core->SetErrorHandler(std::move(aHandler));
+}
+
 size_t
 HttpClientPool::Connections() const
 {
--- a/src/Http/Client.h
+++ b/src/Http/Client.h
@@ -63,6 +63,9 @@
   kAnswerTooLarge, ///< States a larger body than allowed, or sent one.
   kTimeout, ///< Silent, or not at its end, for too long after the request was
             ///< written.
+  kUnsendable,    ///< The head can't be written as HTTP; nothing was sent.
+  kBodyTooLong,   ///< The request's body exceeds its content length.
+  kInternalError, ///< Handling the answer failed in this process.
 };
 
 std::string_view ToString(ClientFailure aFailure);
@@ -103,6 +106,7 @@
 
   /**
    * \brief Sends a part of the body; it waits here until the head is written.
+   * A part beyond the content length ends the exchange with kBodyTooLong.
    * \return false from above the high watermark until OnDrained. A part that
    * is sent in between is accepted too.
    */
@@ -130,6 +134,8 @@
   friend class internal::ClientConnection;
   friend class internal::ClientCore;
 
+  void Reject(ClientFailure aFailure);
+
   std::unique_ptr<internal::ClientState> m_state;
 };
 
@@ -158,14 +164,23 @@
 
   /**
    * \brief Sends a request on an idle connection, a new one, or the next that
-   * becomes free.
-   * \throws HttpError if the head can't be written as HTTP.
+   * becomes free. A head that can't be written as HTTP fails with kUnsendable.
    */
   std::shared_ptr<ClientExchange> Start(
     const RequestHead& aHead,
     std::shared_ptr<ClientListener> aListener,
     BeforeWrite aBeforeWrite = {});
 
+  /** \brief Receives the message of an exception that ended an exchange. */
+  using ErrorHandler = std::function<void(std::string_view)>;
+
+  /**
+   * \brief An exception from a listener's OnHead, OnBody, OnEnd or OnDrained
+   * ends its exchange with kInternalError and is reported here. Without a
+   * handler, such exceptions reach the event loop's caller.
+   */
+  void SetErrorHandler(ErrorHandler aHandler);
+
   /** \brief Open connections, idle ones included. */
   size_t Connections() const;
   size_t IdleConnections() const;
--- a/src/Http/Server.cpp
+++ b/src/Http/Server.cpp
@@ -25,6 +25,10 @@
       return "head-timeout";
     case HttpRefusal::kTooManyConnections:
       return "too-many-connections";
+    case HttpRefusal::kUnsendableAnswer:
+      return "unsendable-answer";
+    case HttpRefusal::kInternalError:
+      return "internal-error";
   }
   return "unknown";
 }
@@ -41,6 +45,10 @@
       return "timeout";
     case AbortReason::kShutdown:
       return "shutdown";
+    case AbortReason::kUnsendable:
+      return "unsendable";
+    case AbortReason::kInternalError:
+      return "internal-error";
   }
   return "unknown";
 }
@@ -81,15 +89,16 @@
 void
 ServerExchange::SendHead(const ResponseHead& aHead)
 {
-  if (m_connection) {
-    m_connection->SendHead(aHead);
+  if (const auto connection = m_connection) {
+    connection->SendHead(aHead);
   }
 }
 
 bool
 ServerExchange::SendBody(std::string_view aData)
 {
-  return !m_connection || m_connection->SendBody(aData);
+  const auto connection = m_connection;
+  return !connection || connection->SendBody(aData);
 }
 
 void
@@ -139,6 +148,12 @@
   m_core->CloseAll();
 }
 
+void
+HttpServer::SetErrorHandler(ErrorHandler aHandler)
+{
+  m_core->SetErrorHandler(std::move(aHandler));
+}
+
 Endpoint
 HttpServer::LocalEndpoint() const
 {
--- a/src/Http/Server.h
+++ b/src/Http/Server.h
@@ -50,6 +50,8 @@
   kHeadTooLarge,       ///< 431
   kHeadTimeout,        ///< 408
   kTooManyConnections, ///< closed without an answer
+  kUnsendableAnswer,   ///< 502: its head can't be written as HTTP.
+  kInternalError,      ///< 502: handling the request failed.
 };
 
 /** \brief Name of a refusal for counters, such as "head-too-large". */
@@ -62,6 +64,8 @@
   kMalformedBody, ///< The request body broke its framing.
   kTimeout,       ///< No progress of the body or the answer.
   kShutdown,      ///< The server was destroyed.
+  kUnsendable,    ///< The answer can't be written as HTTP.
+  kInternalError, ///< Handling the request failed in this process.
 };
 
 std::string_view ToString(AbortReason aReason);
@@ -111,11 +115,15 @@
   void PauseBody();
   void ResumeBody();
 
-  /** \brief Sends status and headers; once per exchange. */
+  /**
+   * \brief Sends status and headers; once per exchange. A head that can't be
+   * written as HTTP ends the exchange: the caller gets 502 instead.
+   */
   void SendHead(const ResponseHead& aHead);
 
   /**
-   * \brief Sends a part of the body.
+   * \brief Sends a part of the body. Before the head, or beyond the content
+   * length, it ends the exchange and closes the connection.
    * \return false from above the high watermark until OnDrained. A part that
    * is sent in between is accepted too.
    */
@@ -154,6 +162,10 @@
   /** \brief Called as soon as a request head is complete. */
   using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
   using RefusalCounter = std::function<void(HttpRefusal)>;
+  /** \brief Receives the message of an exception that ended an exchange, and
+   * the head of its request, if that was complete. */
+  using ErrorHandler =
+    std::function<void(std::string_view, const RequestHead*)>;
 
   /**
    * \param aEndpoint where to listen; port 0 picks a free one.
@@ -168,6 +180,13 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /**
+   * \brief An exception from the handler or a listener ends its exchange, with
+   * 502 if the answer hasn't begun, and is reported here. Without an error
+   * handler, such exceptions reach the event loop's caller.
+   */
+  void SetErrorHandler(ErrorHandler aHandler);
+
   /** \brief The bound endpoint, with the port that was picked. */
   Endpoint LocalEndpoint() const;
 
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -129,6 +129,26 @@
   listener->OnFailed(aFailure);
 }
 
+template<class Action>
+void
+ClientConnection::Contain(Action aAction)
+{
+  auto self = shared_from_this();
+  if (!m_core->ContainsErrors()) {
+    aAction();
+    return;
+  }
+  try {
+    aAction();
+  } catch (const std::exception& error) {
+    m_reading = false;
+    m_core->ReportError(error.what());
+    if (m_exchange) {
+      Fail(ClientFailure::kInternalError);
+    }
+  }
+}
+
 bool
 ClientConnection::WantsInput() const
 {
@@ -141,11 +161,16 @@
   if (m_reading) {
     return;
   }
-  auto self = shared_from_this();
   if (m_state == State::kIdle && m_stream->InputBytes() > 0) {
     Close(); // An answer that nobody asked for.
     return;
   }
+  Contain([this] { ReadAll(); });
+}
+
+void
+ClientConnection::ReadAll()
+{
   m_reading = true;
   while (WantsInput() && ReadOnce()) {
   }
@@ -279,7 +304,6 @@
 void
 ClientConnection::OnWritable()
 {
-  auto self = shared_from_this();
   if (m_state != State::kBusy) {
     return;
   }
@@ -287,7 +311,7 @@
   if (Current().outputFull) {
     Current().outputFull = false;
     std::shared_ptr<ClientListener> listener = Current().listener;
-    listener->OnDrained();
+    Contain([&] { listener->OnDrained(); });
   }
 }
 
--- a/src/Http/internal/ClientConnection.h
+++ b/src/Http/internal/ClientConnection.h
@@ -59,6 +59,7 @@
   };
 
   bool WantsInput() const;
+  void ReadAll();
   bool ReadOnce();
   void HandleStep(const ParseStep& aStep);
   void HandleHead();
@@ -66,6 +67,8 @@
   void HandleEnd();
   void HandleEof();
   void Fail(ClientFailure aFailure);
+  template<class Action>
+  void Contain(Action aAction);
   std::shared_ptr<ClientListener> EndExchange();
   ClientState& Current() const;
   static void HandleAnswerTimeout(evutil_socket_t aSocket,
--- a/src/Http/internal/ClientCore.cpp
+++ b/src/Http/internal/ClientCore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/Http/HttpError.h"
 #include "src/Http/internal/ClientConnection.h"
 #include "src/Http/internal/ClientState.h"
 #include "src/Http/internal/SocketAddress.h"
@@ -26,7 +27,12 @@
                   HttpClientPool::BeforeWrite aBeforeWrite)
 {
   auto state = std::make_unique<ClientState>();
-  state->head = WriteRequestHead(aHead, m_hostField);
+  bool sendable = true;
+  try {
+    state->head = WriteRequestHead(aHead, m_hostField);
+  } catch (const HttpError&) {
+    sendable = false;
+  }
   state->isHead = aHead.method == "HEAD";
   state->listener = std::move(aListener);
   state->beforeWrite = std::move(aBeforeWrite);
@@ -34,12 +40,24 @@
   state->body = BodyOf(aHead);
   state->outputHighWatermark = m_limits.outputHighWatermark;
   auto exchange = std::make_shared<ClientExchange>(std::move(state));
-  bool full = m_waiting.size() >= m_limits.maxWaiting;
-  (full ? m_rejected : m_waiting).push_back(exchange);
-  ScheduleDispatch();
+  if (!sendable) {
+    Reject(exchange, ClientFailure::kUnsendable);
+  } else if (m_waiting.size() >= m_limits.maxWaiting) {
+    Reject(exchange, ClientFailure::kPoolExhausted);
+  } else {
+    m_waiting.push_back(exchange);
+    ScheduleDispatch();
+  }
   return exchange;
 }
 
+void
+ClientCore::Reject(ExchangePtr aExchange, ClientFailure aFailure)
+{
+  m_rejected.push_back(Rejected{ std::move(aExchange), aFailure });
+  ScheduleDispatch();
+}
+
 void
 ClientCore::ScheduleDispatch()
 {
@@ -69,9 +87,9 @@
 ClientCore::FailRejected()
 {
   while (!m_rejected.empty()) {
-    ExchangePtr exchange = std::move(m_rejected.front());
+    const Rejected rejected = std::move(m_rejected.front());
     m_rejected.pop_front();
-    Fail(exchange, ClientFailure::kPoolExhausted);
+    Fail(rejected.exchange, rejected.failure);
   }
 }
 
@@ -187,7 +205,9 @@
     return aOther.get() == &aExchange;
   };
   std::erase_if(m_waiting, isIt);
-  std::erase_if(m_rejected, isIt);
+  std::erase_if(m_rejected, [&](const Rejected& aOther) {
+    return aOther.exchange.get() == &aExchange;
+  });
 }
 
 void
@@ -203,8 +223,8 @@
   for (const ExchangePtr& exchange : waiting) {
     exchange->m_state->End();
   }
-  for (const ExchangePtr& exchange : m_rejected) {
-    exchange->m_state->End();
+  for (const Rejected& rejected : m_rejected) {
+    rejected.exchange->m_state->End();
   }
   m_rejected.clear();
 }
--- a/src/Http/internal/ClientCore.h
+++ b/src/Http/internal/ClientCore.h
@@ -26,6 +26,13 @@
     std::shared_ptr<ClientListener> aListener,
     HttpClientPool::BeforeWrite aBeforeWrite);
   void Withdraw(const ClientExchange& aExchange);
+  /** Ends an exchange with a failure, from the event loop. */
+  void Reject(std::shared_ptr<ClientExchange> aExchange,
+              ClientFailure aFailure);
+  void SetErrorHandler(HttpClientPool::ErrorHandler aHandler)
+  {
+    m_onError = std::move(aHandler);
+  }
   void CloseAll();
   size_t Connections() const { return m_connections.size(); }
   size_t IdleConnections() const { return m_idle.size(); }
@@ -34,6 +41,8 @@
   event_base* Base() const { return m_base; }
   const Endpoint& Remote() const { return m_endpoint; }
   const HttpClientLimits& Limits() const { return m_limits; }
+  bool ContainsErrors() const { return m_onError != nullptr; }
+  void ReportError(std::string_view aProblem) const { m_onError(aProblem); }
   void Connected(const std::shared_ptr<ClientConnection>& aConnection);
   void ConnectFailed(ClientFailure aFailure);
   void FailFirst(ClientFailure aFailure);
@@ -43,6 +52,12 @@
 private:
   using ExchangePtr = std::shared_ptr<ClientExchange>;
 
+  struct Rejected
+  {
+    ExchangePtr exchange;
+    ClientFailure failure = ClientFailure::kPoolExhausted;
+  };
+
   static void HandleDispatch(evutil_socket_t aSocket, short aWhat, void* aCore);
   void ScheduleDispatch();
   void Dispatch();
@@ -59,7 +74,8 @@
   std::unordered_set<std::shared_ptr<ClientConnection>> m_connections;
   std::vector<std::shared_ptr<ClientConnection>> m_idle; ///< Last used last.
   std::deque<ExchangePtr> m_waiting;
-  std::deque<ExchangePtr> m_rejected;
+  std::deque<Rejected> m_rejected;
+  HttpClientPool::ErrorHandler m_onError;
   size_t m_connecting = 0;
   bool m_closed = false;
 };
--- a/src/Http/internal/ClientState.h
+++ b/src/Http/internal/ClientState.h
@@ -28,6 +28,7 @@
   bool finished = false;
   bool paused = false;
   bool outputFull = false;
+  bool rejected = false; ///< Ends with a failure from the event loop.
 
   /** Ends the exchange: breaks all cycles and hands the listener out. */
   std::shared_ptr<ClientListener> End()
--- a/src/Http/internal/MessageParser.cpp
+++ b/src/Http/internal/MessageParser.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "src/Http/internal/Syntax.h"
+
 namespace pistachioshift::internal {
 namespace {
 
@@ -37,12 +39,6 @@
   }
 }
 
-bool
-HasBlank(std::string_view aText)
-{
-  return aText.find_first_of(" \t") != std::string_view::npos;
-}
-
 /** Whether an answer with this status ends with its head, whatever fields of
  * the head say of a body (RFC 9112, 6.3). */
 bool
@@ -222,7 +218,7 @@
   }
   m_problem = ParseProblem::kMalformed;
   for (const Header& field : m_headers) {
-    if (HasBlank(field.name)) {
+    if (!IsToken(field.name) || !IsFieldValue(field.value)) {
       return false;
     }
   }
@@ -255,7 +251,7 @@
     return false;
   }
   m_problem = ParseProblem::kBadTarget;
-  return TakeOriginForm();
+  return TakeOriginForm() && IsOriginForm(m_target);
 }
 
 bool
--- a/src/Http/internal/MessageWriter.cpp
+++ b/src/Http/internal/MessageWriter.cpp
@@ -8,6 +8,7 @@
 #include <http_parser.h>
 
 #include "src/Http/HttpError.h"
+#include "src/Http/internal/Syntax.h"
 
 namespace pistachioshift::internal {
 namespace {
@@ -21,18 +22,10 @@
   evbuffer_add(aOutput, aData.data(), aData.size());
 }
 
-bool
-IsControl(char aChar)
-{
-  return aChar == '\r' || aChar == '\n' || aChar == '\0';
-}
-
 void
 CheckField(const Header& aField)
 {
-  bool nameBad = aField.name.empty() ||
-                 aField.name.find_first_of(" \t:\r\n") != std::string::npos;
-  if (nameBad || std::ranges::any_of(aField.value, IsControl)) {
+  if (!IsToken(aField.name) || !IsFieldValue(aField.value)) {
     throw HttpError("header field '" + aField.name + "' can't be sent");
   }
 }
@@ -133,13 +126,10 @@
 std::string
 WriteRequestHead(const RequestHead& aHead, std::string_view aHostField)
 {
-  constexpr std::string_view kBad(" \t\r\n\0", 5);
-  if (aHead.method.empty() ||
-      aHead.method.find_first_of(kBad) != std::string::npos) {
+  if (!IsToken(aHead.method)) {
     throw HttpError("method can't be sent");
   }
-  if (!aHead.target.starts_with('/') ||
-      aHead.target.find_first_of(kBad) != std::string::npos) {
+  if (!IsOriginForm(aHead.target)) {
     throw HttpError("target '" + aHead.target + "' can't be sent");
   }
   std::string text =
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -43,6 +43,9 @@
       return 431;
     case HttpRefusal::kHeadTimeout:
       return 408;
+    case HttpRefusal::kUnsendableAnswer:
+    case HttpRefusal::kInternalError:
+      return 502;
     default:
       return 400;
   }
@@ -139,7 +142,45 @@
   if (m_reading) {
     return;
   }
+  Contain([this] { ReadAll(); });
+}
+
+template<class Action>
+void
+ServerConnection::Contain(Action aAction)
+{
+  auto self = shared_from_this();
+  if (!m_core->ContainsErrors()) {
+    aAction();
+    return;
+  }
+  try {
+    aAction();
+  } catch (const std::exception& error) {
+    m_reading = false;
+    m_core->ReportError(error.what(),
+                        m_exchange ? &m_exchange->Head() : nullptr);
+    FailExchange(AbortReason::kInternalError, HttpRefusal::kInternalError);
+  }
+}
+
+/** Ends the exchange with an answer if none has begun, else by closing the
+ * connection, so that a part of an answer is not taken for a whole one. */
+void
+ServerConnection::FailExchange(AbortReason aReason, HttpRefusal aRefusal)
+{
   auto self = shared_from_this();
+  if (m_state == State::kExchange && !m_headSent) {
+    AbortExchange(aReason);
+    Refuse(aRefusal);
+  } else {
+    Close(aReason);
+  }
+}
+
+void
+ServerConnection::ReadAll()
+{
   m_reading = true;
   while (WantsInput() && ReadOnce()) {
   }
@@ -316,7 +357,7 @@
   if (m_state == State::kExchange && m_outputFull) {
     m_outputFull = false;
     if (std::shared_ptr<ServerListener> listener = m_exchange->m_listener) {
-      listener->OnDrained();
+      Contain([&] { listener->OnDrained(); });
     }
   }
 }
@@ -441,13 +482,20 @@
 ServerConnection::SendHead(const ResponseHead& aHead)
 {
   if (m_headSent) {
-    throw HttpError("the head of an answer was sent twice");
+    Close(AbortReason::kUnsendable);
+    return;
   }
   // A caller that was not told to continue may leave its body out.
   m_keepAlive = m_keepAlive && !m_core->Stopping() && !m_expectsContinue;
   Framing framing = Framing::kNone;
   m_body = FramingOf(aHead, framing);
-  std::string text = WriteResponseHead(aHead, framing, PersistenceOf());
+  std::string text;
+  try {
+    text = WriteResponseHead(aHead, framing, PersistenceOf());
+  } catch (const HttpError&) {
+    FailExchange(AbortReason::kUnsendable, HttpRefusal::kUnsendableAnswer);
+    return;
+  }
   evbuffer_add(m_stream->Output(), text.data(), text.size());
   m_headSent = true;
 }
@@ -455,11 +503,9 @@
 bool
 ServerConnection::SendBody(std::string_view aData)
 {
-  if (!m_headSent) {
-    throw HttpError("a body was sent before its head");
-  }
-  if (!m_body.Write(m_stream->Output(), aData)) {
-    throw HttpError("a body exceeds its content length");
+  if (!m_headSent || !m_body.Write(m_stream->Output(), aData)) {
+    Close(AbortReason::kUnsendable);
+    return true;
   }
   // Stays set until OnDrained, although a later part may fit again.
   m_outputFull =
--- a/src/Http/internal/ServerConnection.h
+++ b/src/Http/internal/ServerConnection.h
@@ -53,6 +53,10 @@
   };
 
   bool WantsInput() const;
+  template<class Action>
+  void Contain(Action aAction);
+  void FailExchange(AbortReason aReason, HttpRefusal aRefusal);
+  void ReadAll();
   bool ReadOnce();
   void HandleStep(const ParseStep& aStep);
   void HandleHead();
--- a/src/Http/internal/ServerCore.h
+++ b/src/Http/internal/ServerCore.h
@@ -36,6 +36,15 @@
   bool Accepting() const { return m_listener != nullptr; }
   void Handle(std::shared_ptr<ServerExchange> aExchange);
   void CountRefusal(HttpRefusal aRefusal);
+  void SetErrorHandler(HttpServer::ErrorHandler aHandler)
+  {
+    m_onError = std::move(aHandler);
+  }
+  bool ContainsErrors() const { return m_onError != nullptr; }
+  void ReportError(std::string_view aProblem, const RequestHead* aHead) const
+  {
+    m_onError(aProblem, aHead);
+  }
   void ExchangeEnded() { --m_active; }
   void Forget(const std::shared_ptr<ServerConnection>& aConnection);
 
@@ -56,6 +65,7 @@
   HttpLimits m_limits;
   HttpServer::Handler m_handler;
   HttpServer::RefusalCounter m_onRefusal;
+  HttpServer::ErrorHandler m_onError;
   Endpoint m_endpoint;
   ListenerPtr m_listener;
   EventPtr m_acceptRetry;
--- a/src/Inner/Connection.cpp
+++ b/src/Inner/Connection.cpp
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <optional>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -20,6 +22,16 @@
 constexpr size_t kOutputLowWatermarkBytes = size_t{ 64 } * 1024;
 constexpr int kMaxFramesPerRead = 64;
 
+std::optional<Frame>
+TryDecode(std::string_view aBytes)
+{
+  try {
+    return DecodeFrame(aBytes);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 void
 SetNoDelay(int aSocket)
 {
@@ -43,6 +55,8 @@
       return "malformed";
     case CloseReason::kLocal:
       return "local";
+    case CloseReason::kInternalError:
+      return "internal-error";
   }
   return "closed";
 }
@@ -264,7 +278,22 @@
   }
   const auto listener = m_listener.lock();
   if (listener && !m_ended) {
-    listener->OnDrained(*this);
+    Contain([&] { listener->OnDrained(*this); });
+  }
+}
+
+template<class Action>
+void
+Connection::Contain(Action aAction)
+{
+  const auto self = shared_from_this();
+  try {
+    aAction();
+  } catch (const std::exception& error) {
+    if (const auto listener = m_listener.lock()) {
+      listener->OnError(*this, error.what());
+    }
+    End(CloseReason::kInternalError);
   }
 }
 
@@ -306,14 +335,13 @@
   evbuffer_drain(input, kFrameLengthBytes);
   const auto* bytes = reinterpret_cast<const char*>(
     evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
-  try {
-    auto frame = DecodeFrame(std::string_view(bytes, length));
-    evbuffer_drain(input, length);
-    Dispatch(std::move(frame));
-  } catch (const InnerError&) {
+  auto frame = TryDecode(std::string_view(bytes, length));
+  if (!frame) {
     End(CloseReason::kMalformed);
     return false;
   }
+  evbuffer_drain(input, length);
+  Contain([&] { Dispatch(*std::move(frame)); });
   return true;
 }
 
--- a/src/Inner/Connection.h
+++ b/src/Inner/Connection.h
@@ -37,6 +37,7 @@
   kHeartbeatTimeout, ///< The peer sent nothing for several heartbeat intervals.
   kMalformed,        ///< A received frame can't be decoded or is too long.
   kLocal,            ///< Close() was called.
+  kInternalError,    ///< Handling a received frame failed in this process.
 };
 
 const char* ToString(CloseReason aReason);
@@ -51,6 +52,9 @@
   virtual void OnFrame(Connection& aConnection, Frame aFrame) = 0;
   /** \brief The output buffer has drained to its low watermark. */
   virtual void OnDrained(Connection& aConnection) = 0;
+  /** \brief An exception from OnFrame or OnDrained; the connection ends with
+   * kInternalError. */
+  virtual void OnError(Connection&, std::string_view) {}
   /** \brief The connection ended; no further calls follow. */
   virtual void OnClosed(Connection& aConnection, CloseReason aReason) = 0;
 };
@@ -130,6 +134,8 @@
   void ReadRemaining();
   void ShutDownIfSent();
   void Dispatch(Frame aFrame);
+  template<class Action>
+  void Contain(Action aAction);
   void End(CloseReason aReason);
 
   event_base* m_base;
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -57,6 +57,74 @@
   EXPECT_EQ(m_server->Active(), 0U);
 }
 
+/** Guards against an answer that ends the daemon which passes it on. */
+TEST_F(ServerTest, SendHead_FieldThatCannotBeSent_CallerGets502)
+{
+  std::shared_ptr<RequestRecorder> listener;
+  StartServer([&](const ExchangePtr& aExchange) {
+    if (aExchange->Head().target != "/bad") {
+      Answer(*aExchange, "fine");
+      return;
+    }
+    listener = std::make_shared<RequestRecorder>();
+    aExchange->SetListener(listener);
+    ResponseHead head;
+    head.headers.Add("X", std::string("\0a", 2));
+    head.contentLength = 2;
+    aExchange->SendHead(head);
+    aExchange->SendBody("no");
+    aExchange->Finish();
+  });
+  RawPeer peer = Connect();
+  peer.Write("GET /bad HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(Contains(peer, "HTTP/1.1 502 "));
+  EXPECT_TRUE(Contains(peer, "unsendable-answer"));
+  EXPECT_TRUE(RunUntil([&] { return peer.Closed(); }));
+  EXPECT_EQ(listener->aborted, AbortReason::kUnsendable);
+  RawPeer other = Connect();
+  other.Write("GET /good HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(Contains(other, "fine"));
+}
+
+TEST_F(ServerTest, SendBody_BeyondItsLength_CutsTheAnswer)
+{
+  StartRecording();
+  RawPeer peer = Connect();
+  peer.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return m_exchange != nullptr; }));
+  ResponseHead head;
+  head.contentLength = 4;
+  m_exchange->SendHead(head);
+  m_exchange->SendBody("no");
+  EXPECT_TRUE(m_exchange->SendBody("too long"));
+  EXPECT_TRUE(m_exchange->Ended());
+  EXPECT_TRUE(RunUntil([&] { return peer.Closed(); }));
+  EXPECT_EQ(m_listener->aborted, AbortReason::kUnsendable);
+}
+
+TEST_F(ServerTest, Handler_Throws_CallerGets502AndOthersAreServed)
+{
+  StartServer([](const ExchangePtr& aExchange) {
+    if (aExchange->Head().target == "/bad") {
+      throw std::bad_alloc();
+    }
+    Answer(*aExchange, "fine");
+  });
+  std::string failed;
+  m_server->SetErrorHandler([&](std::string_view, const RequestHead* aHead) {
+    failed = aHead->target;
+  });
+  RawPeer peer = Connect();
+  peer.Write("GET /bad HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(Contains(peer, "HTTP/1.1 502 "));
+  EXPECT_EQ(failed, "/bad");
+  EXPECT_EQ(m_refusals[HttpRefusal::kInternalError], 1);
+  RawPeer other = Connect();
+  other.Write("GET /good HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(Contains(other, "fine"));
+  EXPECT_EQ(m_server->Active(), 0U);
+}
+
 TEST_F(ServerTest, Requests_Pipelined_AreAnsweredOneAfterTheOther)
 {
   std::vector<ExchangePtr> exchanges;
--- a/test/Inner/CodecTest.cpp
+++ b/test/Inner/CodecTest.cpp
@@ -162,6 +162,30 @@
   ExpectDecodesOrThrows(DecodeFrame, bytes);
 }
 
+/** What a daemon accepts from a peer it can pass on to another one. */
+RC_GTEST_FIXTURE_PROP(CodecTest, Decode_DamagedFrame_CanBeEncodedAgain, ())
+{
+  RequestOpen open;
+  open.service = ServiceName("registry");
+  open.head.method = "GET";
+  open.head.target = "/a";
+  open.head.headers.Add("A", "b");
+  ResponseOpen response;
+  response.head.headers.Add("A", "b");
+  const std::vector<Frame> frames{ open, response, Refused{}, Release() };
+  const auto index = *rc::gen::inRange<size_t>(0, frames.size());
+  auto bytes = EncodeFrame(frames[index]).substr(kFrameLengthBytes);
+  const auto position = *rc::gen::inRange<size_t>(0, bytes.size());
+  bytes[position] = *rc::gen::arbitrary<char>();
+  std::optional<Frame> frame;
+  ExpectDecodesOrThrows(
+    [&](const std::string& aBytes) { frame = DecodeFrame(aBytes); }, bytes);
+  if (frame) {
+    const auto again = EncodeFrame(*frame);
+    DecodeFrame(SplitFrames(again).at(0));
+  }
+}
+
 TEST_F(CodecTest, RequestOpen_RoundTrip_KeepsFields)
 {
   RequestOpen open;
