--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -234,6 +234,7 @@
       aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
       return false;
     case BeginVerdict::kPoisoned:
+    case BeginVerdict::kOutdated:
       aCall->Refuse(RefusalReason::kPoisoned, Duration::zero());
       return false;
     case BeginVerdict::kUndecided:
--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -17,6 +17,10 @@
 
 constexpr int kBacklog = 512; // connections
 
+/** Interval of checks whether peers have to be told the position of the outcome
+ * table. */
+constexpr Duration kPositionInterval = std::chrono::seconds(1);
+
 }
 
 InnerServerTask::InnerServerTask(event_base* aBase,
@@ -34,7 +38,9 @@
   , m_services(std::move(aServices))
   , m_metrics(aMetrics)
   , m_bulk(aBulk)
+  , m_positionTimer(aBase, [this] { TellPositions(); })
 {
+  m_positionTimer.StartEvery(kPositionInterval);
   const auto address = internal::ToSocketAddress(aEndpoint);
   m_listener = evconnlistener_new_bind(
     aBase,
@@ -138,6 +144,14 @@
   return static_cast<size_t>(finishing);
 }
 
+void
+InnerServerTask::TellPositions()
+{
+  for (const auto& session : m_sessions) {
+    session->TellPosition(kPositionStep);
+  }
+}
+
 void
 InnerServerTask::OnAccepted(int aSocket)
 {
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -11,6 +11,7 @@
 #include "src/Daemon/BulkQueue.h"
 #include "src/Daemon/Call.h"
 #include "src/Daemon/Metrics.h"
+#include "src/Daemon/Timer.h"
 
 struct evconnlistener;
 
@@ -88,6 +89,7 @@
   void OnAccepted(int aSocket);
   void AcceptWaiting();
   void StopListening();
+  void TellPositions();
 
   event_base* m_base;
   const Clock& m_clock;
@@ -99,6 +101,7 @@
   Endpoint m_endpoint;
   evconnlistener* m_listener = nullptr;
   std::set<std::shared_ptr<InnerSession>> m_sessions;
+  Timer m_positionTimer;
   bool m_saidGoodbye = false;
 };
 
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -30,11 +30,22 @@
                                     aSocket,
                                     ConnectionSettings(),
                                     weak_from_this());
-  m_connection->SetPosition(m_task.m_calls.Position());
-  m_connection->Send(Hello{ m_task.m_boot,
-                            Hello::kProtocol,
-                            m_task.m_services.self(),
-                            m_task.m_calls.Position() });
+  m_told = m_task.m_calls.Position();
+  m_connection->SetPosition(m_told);
+  m_connection->Send(
+    Hello{ m_task.m_boot, Hello::kProtocol, m_task.m_services.self(), m_told });
+}
+
+void
+InnerSession::TellPosition(uint64_t aStep)
+{
+  const auto position = m_task.m_calls.Position();
+  if (position.Value() - m_told.Value() < aStep) {
+    return;
+  }
+  m_told = position;
+  m_connection->SetPosition(position);
+  m_connection->Send(Pong{ 0, position });
 }
 
 void
@@ -319,6 +330,10 @@
 InnerStream::OnRefused(const CallRefusal& aRefusal)
 {
   const auto self = shared_from_this();
+  const auto session = m_session.lock();
+  if (session && aRefusal.reason == RefusalReason::kPoisoned) {
+    session->TellPosition(1); // The next attempt needs it.
+  }
   Send(Refused{ m_stream,
                 aRefusal.outcome,
                 aRefusal.reason,
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -29,6 +29,9 @@
   void Remove(StreamId aStream);
   BulkQueue& Bulk() { return m_task.m_bulk; }
   void FailRunning();
+  /** \brief Tells the peer the position of the outcome table, if it has
+   * advanced by at least aStep since the peer was told. */
+  void TellPosition(uint64_t aStep);
   bool HasUnsent() const { return m_connection->BufferedBytes() > 0; }
   void FinishSending() { m_connection->FinishSending(); }
   bool Finishing() const { return m_connection->Finishing(); }
@@ -44,6 +47,7 @@
 
   InnerServerTask& m_task;
   std::shared_ptr<Connection> m_connection;
+  TablePosition m_told; ///< Last position sent, other than with a heartbeat.
   std::map<StreamId, std::shared_ptr<InnerStream>> m_streams;
 };
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -65,6 +65,20 @@
   return limits;
 }
 
+RefusalReason
+RefusalOf(BeginVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case BeginVerdict::kPoisoned:
+    case BeginVerdict::kOutdated:
+      return RefusalReason::kPoisoned;
+    case BeginVerdict::kFull:
+      return RefusalReason::kTableFull;
+    default:
+      return RefusalReason::kDuplicate;
+  }
+}
+
 AdmissionSettings
 GateSettingsFor(uint32_t aSlots)
 {
@@ -213,11 +227,7 @@
   }
   const auto result = m_outcomes.Begin(request.id, request.known);
   if (result.verdict != BeginVerdict::kStarted) {
-    const auto reason =
-      result.verdict == BeginVerdict::kPoisoned ? RefusalReason::kPoisoned
-      : result.verdict == BeginVerdict::kFull   ? RefusalReason::kTableFull
-                                                : RefusalReason::kDuplicate;
-    aCall->Refuse(reason, Duration::zero());
+    aCall->Refuse(RefusalOf(result.verdict), Duration::zero());
     return;
   }
   aCall->m_inOutcomeTable = true;
--- a/src/Routing/Outcome.h
+++ b/src/Routing/Outcome.h
@@ -25,7 +25,7 @@
   kDisplaced,        ///< Removed from the queue for feasible requests.
   kCancelled,        ///< The caller cancelled it before it started.
   kDuplicate,        ///< The request id is already running or done.
-  kPoisoned,         ///< Reported as never seen before it arrived.
+  kPoisoned,         ///< Reported as never seen before it arrived, perhaps.
   kUndecided,        ///< May already have run.
   kTableFull,        ///< The outcome table is full of running requests.
   kNotOwner,         ///< Another daemon owns the key.
--- a/src/Routing/OutcomeTable.cpp
+++ b/src/Routing/OutcomeTable.cpp
@@ -145,7 +145,7 @@
     }
   }
   if (aKnown.Value() < m_evictedThrough) {
-    return BeginResult{ BeginVerdict::kUndecided, std::nullopt };
+    return BeginResult{ BeginVerdict::kOutdated, std::nullopt };
   }
   return std::nullopt;
 }
--- a/src/Routing/OutcomeTable.h
+++ b/src/Routing/OutcomeTable.h
@@ -16,13 +16,18 @@
  * \brief Number of requests that an outcome table has recorded; never
  * decreases.
  *
- * The daemon of the owner sends its position when a daemon connects, and with
- * its heartbeats and answers. The sender of a request attaches the last
- * position that it received before its first attempt. A position is valid only
- * for the incarnation of the daemon that sent it.
+ * The daemon of the owner sends its position when a daemon connects, with its
+ * heartbeats, to each connection as soon as it has advanced by
+ * `kPositionStep`, and before it refuses a request as outdated. The sender of a
+ * request attaches the last position that it received before the attempt. A
+ * position is valid only for the incarnation of the daemon that sent it.
  */
 using TablePosition = StrongId<struct TablePositionTag, uint64_t>;
 
+/** \brief Advance of a position after which other daemons are told; a small
+ * part of the default capacity of a table. */
+inline constexpr uint64_t kPositionStep = 4096;
+
 /** \brief Response of a finished request, as encoded by the daemon. */
 struct CachedResponse
 {
@@ -61,6 +66,7 @@
   kRunning,   ///< The same request id or idempotency key is running.
   kDone,      ///< Already done; the answer is returned if still stored.
   kPoisoned,  ///< Not run, and refused: reported as never seen before.
+  kOutdated,  ///< Not run, and refused: reported as never seen, perhaps.
   kUndecided, ///< May have run before; outcome unknown.
   kFull,      ///< Not run: the table is full of running requests.
 };
@@ -101,7 +107,14 @@
 
   /**
    * \brief Records a request; the caller may execute it only on kStarted.
-   * \param aKnown position that the sender had before its first attempt.
+   *
+   * A sender uses a new id for each attempt and sends it once, so that an id
+   * which is not in the table has not run before. It may have been reported as
+   * never seen, though, and its record evicted since: then it must not run any
+   * more. Without a record, only the sender's position tells; kOutdated says
+   * that it does not. The sender then tries again under a new id and the
+   * position that it is told.
+   * \param aKnown position that the sender had before its attempt.
    */
   BeginResult Begin(const RequestId& aId, TablePosition aKnown);
 
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -46,6 +46,7 @@
     case RefusalReason::kDraining:
     case RefusalReason::kCold:
     case RefusalReason::kNoOwner:
+    case RefusalReason::kPoisoned:         // The sender knows the position now.
     case RefusalReason::kOwnerUnreachable: // Reached no backend server.
     case RefusalReason::kNoInstance:
       return true;
--- a/test/Daemon/InnerServerTest.cpp
+++ b/test/Daemon/InnerServerTest.cpp
@@ -39,8 +39,9 @@
     return {};
   }
 
-  TablePosition Position() const override { return {}; }
+  TablePosition Position() const override { return position; }
 
+  TablePosition position;
   std::vector<std::shared_ptr<CallListener>> calls;
 };
 
@@ -53,6 +54,11 @@
     if (const auto* body = std::get_if<BodyChunk>(&aFrame)) {
       bytes += body->data.size();
       last = body->last;
+    } else if (const auto* pong = std::get_if<Pong>(&aFrame)) {
+      position = pong->position;
+    } else if (const auto* refused = std::get_if<Refused>(&aFrame)) {
+      positionAtRefusal = position;
+      outcome = refused->outcome;
     }
   }
   void OnDrained(Connection&) override {}
@@ -60,6 +66,9 @@
 
   size_t bytes = 0;
   bool last = false;
+  std::optional<TablePosition> position;
+  std::optional<TablePosition> positionAtRefusal;
+  std::optional<Outcome> outcome;
   std::optional<CloseReason> end;
 };
 
@@ -123,6 +132,31 @@
   std::shared_ptr<Connection> m_connection;
 };
 
+// Guards against a host that is refused for good because it has sent little
+// while the owner ran many requests of others.
+TEST_F(InnerServerTest, Position_AdvancesOnAnIdleConnection_PeerIsTold)
+{
+  const auto peer = Request();
+  m_calls.position = TablePosition(4095);
+  EXPECT_FALSE(peer->position);
+  m_calls.position = TablePosition(4096);
+  ASSERT_TRUE(RunUntil([&] { return peer->position.has_value(); }));
+  EXPECT_EQ(peer->position, TablePosition(4096));
+}
+
+TEST_F(InnerServerTest, Refused_PeersPositionIsOutdated_IsToldBefore)
+{
+  const auto peer = Request();
+  m_calls.position = TablePosition(7);
+  CallRefusal refusal;
+  refusal.reason = RefusalReason::kPoisoned;
+  refusal.outcome = OutcomeOf(refusal.reason);
+  m_calls.calls[0]->OnRefused(refusal);
+  ASSERT_TRUE(RunUntil([&] { return peer->outcome.has_value(); }));
+  EXPECT_EQ(peer->positionAtRefusal, TablePosition(7));
+  EXPECT_EQ(peer->outcome, Outcome::kNotRun);
+}
+
 // Guards against an exit that cuts an answer for another daemon, which sends
 // frames all the while.
 TEST_F(InnerServerTest, FinishSending_AnswerNotTaken_PeerGetsItWhole)
--- a/test/Routing/OutcomeTableTest.cpp
+++ b/test/Routing/OutcomeTableTest.cpp
@@ -208,6 +208,34 @@
   EXPECT_EQ(table.Query(Id(1), {}).state, RequestState::kRunning);
 }
 
+// Guards against requests that are refused for good, as perhaps run, once the
+// table has evicted more than their sender knows of.
+TEST_F(OutcomeTableTest, Begin_SenderKnowsAnOldPosition_RunsOnceItIsTold)
+{
+  OutcomeTable table(OutcomeTableSettings{ 4, 100, 1000 });
+  const auto old = table.Position();
+  for (uint64_t index = 0; index < 6; ++index) {
+    table.Begin(Id(index), table.Position());
+    table.Finish(Id(index), std::nullopt);
+  }
+  EXPECT_EQ(table.Begin(Id(7), old).verdict, BeginVerdict::kOutdated);
+  EXPECT_EQ(table.Begin(Id(7), old).verdict, BeginVerdict::kOutdated);
+  EXPECT_EQ(table.Begin(Id(8), table.Position()).verdict,
+            BeginVerdict::kStarted);
+}
+
+TEST_F(OutcomeTableTest, Begin_PoisonedRecordIsEvicted_IsStillRefused)
+{
+  OutcomeTable table(OutcomeTableSettings{ 2, 100, 1000 });
+  const auto known = table.Position();
+  EXPECT_EQ(table.Query(Id(1), known).state, RequestState::kNeverSeen);
+  for (uint64_t index = 2; index < 6; ++index) {
+    table.Begin(Id(index), table.Position());
+    table.Finish(Id(index), std::nullopt);
+  }
+  EXPECT_EQ(table.Begin(Id(1), known).verdict, BeginVerdict::kOutdated);
+}
+
 TEST_F(OutcomeTableTest, IdempotencyKey_SecondWhileAndAfterFirst_SameRun)
 {
   OutcomeTable table;
--- a/test/Routing/RetryTest.cpp
+++ b/test/Routing/RetryTest.cpp
@@ -59,6 +59,21 @@
   }
 }
 
+// The owner has told its position with the refusal, so that the next attempt
+// needs neither a delay nor a share of the budget.
+TEST_F(RetryTest, NotRun_PositionWasOutdated_RetriedAtOnce)
+{
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kPoisoned;
+  report.attempts = 1;
+  report.replayable = true;
+  report.left = std::chrono::seconds(1);
+  RetryBudget budget(0.0);
+  const auto decision = DecideRetry(report, {}, budget);
+  EXPECT_EQ(decision.step, RetryStep::kRetryNow);
+}
+
 // Guards against a retry of the last milliseconds, whose refusal would say that
 // a request which may have run has not.
 TEST_F(RetryTest, Idempotent_DeadlineExpiredAtServer_OutcomeIsUnknown)
