--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -20,6 +20,10 @@
 
 constexpr size_t kMaxEarlyLeaves = 8;
 
+/** Least time between two heartbeats that show a server which is running. Below
+ * any heartbeat interval, and above the delay of a reordered pair. */
+constexpr Duration kMinHeartbeatGap = milliseconds(500);
+
 }
 
 std::vector<RangeRow>
@@ -131,8 +135,8 @@
  * An earlier process of this daemon may have acknowledged that the server
  * leaves, and its record need not say so. A server that leaves with a heartbeat
  * repeats it in the next one; a server that leaves without one sends no more.
- * Only a heartbeat that this process has received proves that a server is
- * ready.
+ * A single heartbeat may have been sent before the leave and held up. Only
+ * heartbeats that go on prove that a server is ready.
  */
 bool
 RangeServerTask::HasHeardServer() const
@@ -140,6 +144,24 @@
   return m_heard && m_heard == m_grants.Incarnation();
 }
 
+void
+RangeServerTask::NoteHeartbeat(const ServerIncarnation& aIncarnation)
+{
+  const auto now = m_clock.Now();
+  const bool repeated = m_firstHeartbeat &&
+                        m_firstHeartbeat->incarnation == aIncarnation &&
+                        now - m_firstHeartbeat->at >= kMinHeartbeatGap;
+  // Without an earlier process, or once this one has heard a server, no leave
+  // can have been acknowledged elsewhere.
+  if (!m_state.Rejoined() || m_heard || repeated) {
+    m_heard = aIncarnation;
+    m_firstHeartbeat.reset();
+  } else if (!m_firstHeartbeat ||
+             m_firstHeartbeat->incarnation != aIncarnation) {
+    m_firstHeartbeat = FirstHeartbeat{ aIncarnation, now };
+  }
+}
+
 /** End of the drain time of a leave that is acknowledged now. It is over if
  * the leave may have been acknowledged before. */
 MonoTime
@@ -195,7 +217,7 @@
                   m_serverId->Value(),
                   HasHeardServer());
   }
-  m_heard = heartbeat.incarnation;
+  NoteHeartbeat(heartbeat.incarnation);
   PublishServerState(aHeartbeat);
   SendReleased(aHeartbeat.incarnation, m_grants.TakeRelinquished());
   RetryHeldCalls();
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -144,6 +144,12 @@
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
 
+  struct FirstHeartbeat
+  {
+    ServerIncarnation incarnation;
+    MonoTime at;
+  };
+
   void AcceptNewCalls();
   void Accept(const CallPtr& aCall);
   void HoldCall(const CallPtr& aCall, RefusalReason aRefusal);
@@ -174,6 +180,7 @@
   void RememberLeave(const ServerLeave& aLeave);
   bool HasLeft(const ServerIncarnation& aIncarnation) const;
   bool HasHeardServer() const;
+  void NoteHeartbeat(const ServerIncarnation& aIncarnation);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   void BeginServerLeave();
   MonoTime DrainEnd() const;
@@ -202,8 +209,10 @@
   std::optional<ServerId> m_serverId;
   /// Latest leaves of incarnations of which no heartbeat had been handled.
   std::vector<ServerLeave> m_earlyLeaves;
-  /// Incarnation of the last heartbeat that this process has handled.
+  /// Incarnation that is known to be running now.
   std::optional<ServerIncarnation> m_heard;
+  /// First heartbeat since a restart, which may have been sent before it.
+  std::optional<FirstHeartbeat> m_firstHeartbeat;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -87,6 +87,9 @@
   /** \brief Whether the state has been read and contains this host's record. */
   bool Joined() const { return m_joined && m_end >= m_joinOffset; }
 
+  /** \brief Whether an earlier process of this daemon had written a record. */
+  bool Rejoined() const { return m_rejoined; }
+
   /** \brief Remaining time in which this host may grant ranges to its backend
    * server; zero or less: it may not. */
   Duration RemainingLease() const;
@@ -214,6 +217,7 @@
   Lease m_lease;
   int64_t m_end = 0;
   bool m_joined = false;
+  bool m_rejoined = false;
   /// End of the topic after this host's record was written.
   int64_t m_joinOffset = 0;
   /// End of the topic after the last acknowledged record of this host.
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -102,6 +102,7 @@
   const auto* known = m_state.FindHost(m_self.host);
   const auto wall = m_clock.WallNow().time_since_epoch().count();
   m_self.epoch = wall;
+  m_rejoined = known != nullptr;
   if (known != nullptr) {
     m_self.epoch = std::max(m_self.epoch, known->epoch + internal::kEpochStep);
     // The backend server may have kept running while this daemon restarted.
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -127,6 +127,41 @@
   EXPECT_EQ(m_ends->refusals,
             std::vector<RefusalReason>{ RefusalReason::kCold });
   SendHeartbeat();
+  EXPECT_EQ(Received(), 0);
+  Run(kHeartbeatInterval);
+  SendHeartbeat();
+  EXPECT_EQ(Received(), 1);
+}
+
+/**
+ * Guards against the same, with a heartbeat that was sent before the leave and
+ * reaches the next process.
+ */
+TEST_F(ServerNoticeTest, Start_OneLateHeartbeatSinceARestart_GetsNothing)
+{
+  JoinSilently();
+  SendHeartbeat();
+  Run(kHeartbeatInterval);
+  EXPECT_EQ(Received(), 0);
+  EXPECT_EQ(m_ends->refusals,
+            std::vector<RefusalReason>{ RefusalReason::kCold });
+}
+
+/** Two that were held up arrive together. */
+TEST_F(ServerNoticeTest, Start_LateHeartbeatsArriveTogether_GetsNothing)
+{
+  JoinSilently();
+  SendHeartbeat();
+  SendHeartbeat();
+  EXPECT_EQ(Received(), 0);
+}
+
+/** No earlier process can have acknowledged a leave. */
+TEST_F(ServerNoticeTest, Start_FirstProcessOfTheHost_FirstHeartbeatSuffices)
+{
+  m_topic.Append({ RemoveHost(HostName("a")) }, ExpectedEnd{ m_topic.End() });
+  JoinSilently();
+  SendHeartbeat();
   EXPECT_EQ(Received(), 1);
 }
 
@@ -203,7 +238,7 @@
 }
 
 /** Callers are not sent to a server that may have left, nor is it written as
- * leaving: its next heartbeat brings it back. */
+ * leaving: heartbeats that go on bring it back. */
 TEST_F(ServerNoticeTest, OnTick_NoHeartbeatSinceARestart_IsPublishedAsDraining)
 {
   JoinSilently();
@@ -211,6 +246,9 @@
   EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
   EXPECT_FALSE(m_state.OwnRecord().server->leaving);
   SendHeartbeat();
+  EXPECT_EQ(Received(), 0);
+  Run(kHeartbeatInterval);
+  SendHeartbeat();
   EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kReady);
   EXPECT_EQ(Received(), 1);
 }
