--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -305,7 +305,7 @@
 void
 RangeServerTask::OnStateChanged()
 {
-  ReadServerEnds();
+  ReadCrashEvidence();
   const auto& known = m_state.OwnRecord().server;
   if (!m_serverId && m_state.Joined() && known) {
     // The backend server may have kept running while this daemon restarted.
--- a/src/HostDaemon/RangeServerSuspects.cpp
+++ b/src/HostDaemon/RangeServerSuspects.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -17,6 +18,13 @@
 /** Requests that are kept of one end. */
 constexpr size_t kMaxRunningAtEnd = 64;
 
+/** Answered requests in a host's record; the oldest are dropped first. */
+constexpr size_t kMaxAnswered = 256;
+
+/** Answers are collected for this time before they are written, as many
+ * requests of one end are answered within a short time. */
+constexpr Duration kEvidenceDelay = milliseconds(2000);
+
 /** Ends that were noticed earlier count no more. */
 WallTime
 OldestEnd(const Clock& aClock)
@@ -101,6 +109,7 @@
     return;
   }
   end->running.resize(std::min(end->running.size(), kMaxRunningAtEnd));
+  end->requests = static_cast<uint32_t>(end->running.size());
   m_logger.Warning("server-ended",
                    "server={} running={} first={:016x}",
                    m_grants.Incarnation()->id.Value(),
@@ -115,11 +124,11 @@
   if (ends.size() > kMaxServerEnds) {
     ends.erase(ends.begin());
   }
-  m_state.PublishServerEnds(std::move(ends));
+  m_state.PublishCrashEvidence(std::move(ends), m_state.OwnRecord().answered);
 }
 
 void
-RangeServerTask::ReadServerEnds()
+RangeServerTask::ReadCrashEvidence()
 {
   const auto version = m_state.State().HostsVersion();
   if (m_hostsVersion == version) {
@@ -127,14 +136,79 @@
   }
   m_hostsVersion = version;
   const auto oldest = OldestEnd(m_clock);
-  for (const auto& [name, host] : m_state.State().Hosts()) {
+  const auto& hosts = m_state.State().Hosts();
+  for (const auto& [name, host] : hosts) {
     for (const auto& end : host.serverEnds) {
       if (end.at < oldest) {
         continue;
       }
-      m_suspects.AddEnd({ ServerEndId(end.id), end.running }, m_clock.Now());
+      m_suspects.AddEnd({ ServerEndId(end.id), end.running, end.requests },
+                        m_clock.Now());
     }
   }
+  for (const auto& [name, host] : hosts) {
+    for (const auto& item : host.answered) {
+      m_suspects.OnAnsweredSince(ServerEndId(item.end), item.request);
+    }
+  }
+}
+
+/**
+ * The records tell all hosts, and processes that start later, which requests
+ * were running at an end. They have to tell as well which of these have been
+ * answered since, or a popular request stays suspected.
+ */
+void
+RangeServerTask::OnSuspectAnswered(RequestFingerprint aRequest,
+                                   const std::vector<ServerEndId>& aEnds)
+{
+  for (const auto end : aEnds) {
+    m_answered.push_back(AnsweredRequest{ end.Value(), aRequest });
+  }
+  if (!m_answered.empty() && !m_evidenceTimer.Running()) {
+    m_evidenceTimer.StartOnce(kEvidenceDelay);
+  }
+}
+
+void
+RangeServerTask::WriteCrashEvidence()
+{
+  const auto& own = m_state.OwnRecord();
+  auto answered = own.answered;
+  answered.insert(answered.end(), m_answered.begin(), m_answered.end());
+  m_answered.clear();
+  // Answers of all hosts to what was running at ends of this one.
+  std::set<AnsweredRequest> known(answered.begin(), answered.end());
+  // What still has to be told: requests in the ends of other hosts.
+  std::set<AnsweredRequest> open;
+  for (const auto& [name, host] : m_state.State().Hosts()) {
+    if (name == own.host) {
+      continue;
+    }
+    known.insert(host.answered.begin(), host.answered.end());
+    for (const auto& end : host.serverEnds) {
+      for (const auto request : end.running) {
+        open.insert(AnsweredRequest{ end.id, request });
+      }
+    }
+  }
+  auto ends = own.serverEnds;
+  for (auto& end : ends) {
+    std::erase_if(end.running, [&](const auto& aRequest) {
+      return known.contains(AnsweredRequest{ end.id, aRequest });
+    });
+  }
+  std::erase_if(ends, [](const auto& aEnd) { return aEnd.running.empty(); });
+  std::set<AnsweredRequest> kept;
+  std::erase_if(answered, [&](const auto& aItem) {
+    return !open.contains(aItem) || !kept.insert(aItem).second;
+  });
+  if (answered.size() > kMaxAnswered) {
+    const auto excess = answered.size() - kMaxAnswered;
+    answered.erase(answered.begin(),
+                   answered.begin() + static_cast<ptrdiff_t>(excess));
+  }
+  m_state.PublishCrashEvidence(std::move(ends), std::move(answered));
 }
 
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -110,6 +110,7 @@
   , m_logger(aLogger)
   , m_grants(GrantSettings{}, aClock.Now())
   , m_pool(aBase, aSettings.endpoint, PoolLimits())
+  , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_lastHeartbeat(aClock.Now())
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
@@ -401,7 +402,8 @@
   m_link.Release(std::exchange(aCall.m_reservedLinkBytes, 0));
   if (aResult == ServiceResult::kDone && aCall.m_answerComplete) {
     m_endMonitor.OnAnswered(aCall.m_startedAt);
-    m_suspects.OnCompleted(aCall.Request().fingerprint);
+    const auto request = aCall.Request().fingerprint;
+    OnSuspectAnswered(request, m_suspects.OnCompleted(request));
   }
   if (aResult == ServiceResult::kCancelled &&
       aCall.m_state == OwnerCall::State::kRunning) {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -160,7 +160,10 @@
   void RefuseFatal(const CallPtr& aCall);
   RefusalReason StartRefusal(const OwnerCall& aCall) const;
   void OnServerEndProven();
-  void ReadServerEnds();
+  void ReadCrashEvidence();
+  void OnSuspectAnswered(RequestFingerprint aRequest,
+                         const std::vector<ServerEndId>& aEnds);
+  void WriteCrashEvidence();
   void Admit(const CallPtr& aCall);
   void ApplyGateActions(const AdmissionActions& aActions);
   void ArmGateTimer();
@@ -203,6 +206,10 @@
   std::vector<CallPtr> m_newCalls;
   CrashSuspects m_suspects;
   ServerEndMonitor m_endMonitor;
+  /// Suspects answered here since, at ends of any host, that are not yet in
+  /// this host's record.
+  std::vector<AnsweredRequest> m_answered;
+  Timer m_evidenceTimer;
   std::optional<RequestId> m_runningSuspect; ///< At most one at a time.
   bool m_retriesHeld = false;                ///< The next suspect may run.
   uint64_t m_hostsVersion = 0; ///< Whose ends of servers have been read.
--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -287,9 +287,14 @@
 }
 
 void
-StateTaskBase::PublishServerEnds(std::vector<ServerEndRecord> aEnds)
+StateTaskBase::PublishCrashEvidence(std::vector<ServerEndRecord> aEnds,
+                                    std::vector<AnsweredRequest> aAnswered)
 {
+  if (m_self.serverEnds == aEnds && m_self.answered == aAnswered) {
+    return;
+  }
   m_self.serverEnds = std::move(aEnds);
+  m_self.answered = std::move(aAnswered);
   m_recordDirty = true;
   WritePending();
 }
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -98,8 +98,10 @@
    * changed. */
   void PublishServer(const std::optional<ServerStatus>& aServer);
 
-  /** \brief Writes the latest ends of backend servers to this host's record. */
-  void PublishServerEnds(std::vector<ServerEndRecord> aEnds);
+  /** \brief Writes the latest ends of this host's backend servers, and what has
+   * been answered since ends of others, to this host's record. */
+  void PublishCrashEvidence(std::vector<ServerEndRecord> aEnds,
+                            std::vector<AnsweredRequest> aAnswered);
 
   /** \brief This host's record as last written, or about to be written. */
   const HostRecord& OwnRecord() const { return m_self; }
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -117,6 +117,7 @@
       m_self.server = ServerStatus{ *assigned, known->server->slots };
     }
     m_self.serverEnds = known->serverEnds;
+    m_self.answered = known->answered;
     m_self.refutedUpTo = std::max(m_self.refutedUpTo, known->refutedUpTo);
   }
   m_writerEpoch = m_self.epoch;
--- a/src/Ranges/MeshState.cpp
+++ b/src/Ranges/MeshState.cpp
@@ -65,6 +65,9 @@
   for (const auto request : aEnd.running) {
     end.running.emplace_back(static_cast<uint64_t>(request));
   }
+  end.requests = aEnd.__isset.requests && aEnd.requests >= 0
+                   ? static_cast<uint32_t>(aEnd.requests)
+                   : static_cast<uint32_t>(aEnd.running.size());
   return end;
 }
 
@@ -77,6 +80,7 @@
   for (const auto request : aEnd.running) {
     wire.running.push_back(static_cast<int64_t>(request.Value()));
   }
+  wire.__set_requests(static_cast<int32_t>(aEnd.requests));
   return wire;
 }
 
@@ -94,6 +98,11 @@
   for (const auto& end : aHost.serverEnds) {
     host.serverEnds.push_back(FromWire(end));
   }
+  for (const auto& item : aHost.answered) {
+    host.answered.push_back(AnsweredRequest{
+      static_cast<uint64_t>(item.endId),
+      RequestFingerprint(static_cast<uint64_t>(item.request)) });
+  }
   if (aHost.__isset.server) {
     const auto& server = aHost.server;
     host.server =
@@ -383,6 +392,17 @@
     }
     wire.__set_serverEnds(ends);
   }
+  if (!aHost.answered.empty()) {
+    std::vector<ranges_idl::WireAnsweredRequest> answered;
+    answered.reserve(aHost.answered.size());
+    for (const auto& item : aHost.answered) {
+      ranges_idl::WireAnsweredRequest out;
+      out.endId = static_cast<int64_t>(item.end);
+      out.request = static_cast<int64_t>(item.request.Value());
+      answered.push_back(out);
+    }
+    wire.__set_answered(answered);
+  }
   StoreEntry entry;
   entry.key = std::string(kHostPrefix) + aHost.host.Value();
   entry.value = internal::EncodeStruct(wire);
--- a/src/Ranges/MeshState.h
+++ b/src/Ranges/MeshState.h
@@ -51,12 +51,23 @@
 struct ServerEndRecord
 {
   uint64_t id = 0;
-  std::vector<RequestFingerprint> running;
-  WallTime at; ///< When it was noticed.
+  std::vector<RequestFingerprint> running; ///< Not answered since.
+  WallTime at;                             ///< When it was noticed.
+  uint32_t requests = 0; ///< Running then, answered since or not.
 
   bool operator==(const ServerEndRecord&) const = default;
 };
 
+/** \brief Request that was running at an end of a backend server, of any host,
+ * and has been answered completely since. */
+struct AnsweredRequest
+{
+  uint64_t end = 0; ///< ServerEndRecord::id
+  RequestFingerprint request;
+
+  auto operator<=>(const AnsweredRequest&) const = default;
+};
+
 /** \brief Record of a host; only the daemon of that host writes it. */
 struct HostRecord
 {
@@ -69,6 +80,7 @@
   int64_t refutedUpTo = 0; ///< Number of the last refuted suspicion.
   int32_t cpuMillis = 0;   ///< Processor share, in thousandths of a core.
   std::vector<ServerEndRecord> serverEnds; ///< Latest ends, oldest first.
+  std::vector<AnsweredRequest> answered;   ///< Here, at ends of other hosts.
 
   bool operator==(const HostRecord&) const = default;
 };
--- a/src/Ranges/gen/ranges_types.cpp
+++ b/src/Ranges/gen/ranges_types.cpp
@@ -215,6 +215,11 @@
 void WireServerEnd::__set_atMillis(const int64_t val) {
   this->atMillis = val;
 }
+
+void WireServerEnd::__set_requests(const int32_t val) {
+  this->requests = val;
+__isset.requests = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireServerEnd& obj)
 {
   obj.printTo(out);
@@ -282,6 +287,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -325,6 +338,11 @@
   xfer += oprot->writeI64(this->atMillis);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.requests) {
+    xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->requests);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -335,17 +353,23 @@
   swap(a.id, b.id);
   swap(a.running, b.running);
   swap(a.atMillis, b.atMillis);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
 }
 
 WireServerEnd::WireServerEnd(const WireServerEnd& other8) {
   id = other8.id;
   running = other8.running;
   atMillis = other8.atMillis;
+  requests = other8.requests;
+  __isset = other8.__isset;
 }
 WireServerEnd& WireServerEnd::operator=(const WireServerEnd& other9) {
   id = other9.id;
   running = other9.running;
   atMillis = other9.atMillis;
+  requests = other9.requests;
+  __isset = other9.__isset;
   return *this;
 }
 void WireServerEnd::printTo(std::ostream& out) const {
@@ -354,6 +378,122 @@
   out << "id=" << to_string(id);
   out << ", " << "running=" << to_string(running);
   out << ", " << "atMillis=" << to_string(atMillis);
+  out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WireAnsweredRequest::~WireAnsweredRequest() noexcept {
+}
+
+
+void WireAnsweredRequest::__set_endId(const int64_t val) {
+  this->endId = val;
+}
+
+void WireAnsweredRequest::__set_request(const int64_t val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireAnsweredRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireAnsweredRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endId = false;
+  bool isset_request = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endId);
+          isset_endId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WireAnsweredRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WireAnsweredRequest");
+
+  xfer += oprot->writeFieldBegin("endId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->endId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WireAnsweredRequest &a, WireAnsweredRequest &b) {
+  using ::std::swap;
+  swap(a.endId, b.endId);
+  swap(a.request, b.request);
+}
+
+WireAnsweredRequest::WireAnsweredRequest(const WireAnsweredRequest& other10) noexcept {
+  endId = other10.endId;
+  request = other10.request;
+}
+WireAnsweredRequest& WireAnsweredRequest::operator=(const WireAnsweredRequest& other11) noexcept {
+  endId = other11.endId;
+  request = other11.request;
+  return *this;
+}
+void WireAnsweredRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WireAnsweredRequest(";
+  out << "endId=" << to_string(endId);
+  out << ", " << "request=" << to_string(request);
   out << ")";
 }
 
@@ -404,6 +544,11 @@
   this->serverEnds = val;
 __isset.serverEnds = true;
 }
+
+void WireHost::__set_answered(const std::vector<WireAnsweredRequest> & val) {
+  this->answered = val;
+__isset.answered = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHost& obj)
 {
   obj.printTo(out);
@@ -515,14 +660,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->serverEnds.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->serverEnds.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->serverEnds.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->serverEnds[_i14].read(iprot);
+              xfer += this->serverEnds[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -531,6 +676,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->answered.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
+            {
+              xfer += this->answered[_i21].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -604,10 +769,23 @@
     xfer += oprot->writeFieldBegin("serverEnds", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->serverEnds.size()));
-      std::vector<WireServerEnd> ::const_iterator _iter15;
-      for (_iter15 = this->serverEnds.begin(); _iter15 != this->serverEnds.end(); ++_iter15)
+      std::vector<WireServerEnd> ::const_iterator _iter22;
+      for (_iter22 = this->serverEnds.begin(); _iter22 != this->serverEnds.end(); ++_iter22)
+      {
+        xfer += (*_iter22).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answered) {
+    xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered.size()));
+      std::vector<WireAnsweredRequest> ::const_iterator _iter23;
+      for (_iter23 = this->answered.begin(); _iter23 != this->answered.end(); ++_iter23)
       {
-        xfer += (*_iter15).write(oprot);
+        xfer += (*_iter23).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -630,34 +808,37 @@
   swap(a.cleared, b.cleared);
   swap(a.cpuMillis, b.cpuMillis);
   swap(a.serverEnds, b.serverEnds);
+  swap(a.answered, b.answered);
   swap(a.__isset, b.__isset);
 }
 
-WireHost::WireHost(const WireHost& other16) {
-  host = other16.host;
-  epoch = other16.epoch;
-  address = other16.address;
-  port = other16.port;
-  zone = other16.zone;
-  serviceName = other16.serviceName;
-  server = other16.server;
-  cleared = other16.cleared;
-  cpuMillis = other16.cpuMillis;
-  serverEnds = other16.serverEnds;
-  __isset = other16.__isset;
-}
-WireHost& WireHost::operator=(const WireHost& other17) {
-  host = other17.host;
-  epoch = other17.epoch;
-  address = other17.address;
-  port = other17.port;
-  zone = other17.zone;
-  serviceName = other17.serviceName;
-  server = other17.server;
-  cleared = other17.cleared;
-  cpuMillis = other17.cpuMillis;
-  serverEnds = other17.serverEnds;
-  __isset = other17.__isset;
+WireHost::WireHost(const WireHost& other24) {
+  host = other24.host;
+  epoch = other24.epoch;
+  address = other24.address;
+  port = other24.port;
+  zone = other24.zone;
+  serviceName = other24.serviceName;
+  server = other24.server;
+  cleared = other24.cleared;
+  cpuMillis = other24.cpuMillis;
+  serverEnds = other24.serverEnds;
+  answered = other24.answered;
+  __isset = other24.__isset;
+}
+WireHost& WireHost::operator=(const WireHost& other25) {
+  host = other25.host;
+  epoch = other25.epoch;
+  address = other25.address;
+  port = other25.port;
+  zone = other25.zone;
+  serviceName = other25.serviceName;
+  server = other25.server;
+  cleared = other25.cleared;
+  cpuMillis = other25.cpuMillis;
+  serverEnds = other25.serverEnds;
+  answered = other25.answered;
+  __isset = other25.__isset;
   return *this;
 }
 void WireHost::printTo(std::ostream& out) const {
@@ -673,6 +854,7 @@
   out << ", " << "cleared=" << to_string(cleared);
   out << ", " << "cpuMillis="; (__isset.cpuMillis ? (out << to_string(cpuMillis)) : (out << "<null>"));
   out << ", " << "serverEnds="; (__isset.serverEnds ? (out << to_string(serverEnds)) : (out << "<null>"));
+  out << ", " << "answered="; (__isset.answered ? (out << to_string(answered)) : (out << "<null>"));
   out << ")";
 }
 
@@ -874,23 +1056,23 @@
   swap(a.handover, b.handover);
 }
 
-WireRow::WireRow(const WireRow& other18) {
-  first = other18.first;
-  last = other18.last;
-  host = other18.host;
-  server = other18.server;
-  bornMillis = other18.bornMillis;
-  fence = other18.fence;
-  handover = other18.handover;
-}
-WireRow& WireRow::operator=(const WireRow& other19) {
-  first = other19.first;
-  last = other19.last;
-  host = other19.host;
-  server = other19.server;
-  bornMillis = other19.bornMillis;
-  fence = other19.fence;
-  handover = other19.handover;
+WireRow::WireRow(const WireRow& other26) {
+  first = other26.first;
+  last = other26.last;
+  host = other26.host;
+  server = other26.server;
+  bornMillis = other26.bornMillis;
+  fence = other26.fence;
+  handover = other26.handover;
+}
+WireRow& WireRow::operator=(const WireRow& other27) {
+  first = other27.first;
+  last = other27.last;
+  host = other27.host;
+  server = other27.server;
+  bornMillis = other27.bornMillis;
+  fence = other27.fence;
+  handover = other27.handover;
   return *this;
 }
 void WireRow::printTo(std::ostream& out) const {
@@ -960,14 +1142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->rows.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->rows.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->rows[_i24].read(iprot);
+              xfer += this->rows[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1004,10 +1186,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WireRow> ::const_iterator _iter25;
-    for (_iter25 = this->rows.begin(); _iter25 != this->rows.end(); ++_iter25)
+    std::vector<WireRow> ::const_iterator _iter33;
+    for (_iter33 = this->rows.begin(); _iter33 != this->rows.end(); ++_iter33)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter33).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1024,13 +1206,13 @@
   swap(a.rows, b.rows);
 }
 
-WireServiceRows::WireServiceRows(const WireServiceRows& other26) {
-  serviceName = other26.serviceName;
-  rows = other26.rows;
+WireServiceRows::WireServiceRows(const WireServiceRows& other34) {
+  serviceName = other34.serviceName;
+  rows = other34.rows;
 }
-WireServiceRows& WireServiceRows::operator=(const WireServiceRows& other27) {
-  serviceName = other27.serviceName;
-  rows = other27.rows;
+WireServiceRows& WireServiceRows::operator=(const WireServiceRows& other35) {
+  serviceName = other35.serviceName;
+  rows = other35.rows;
   return *this;
 }
 void WireServiceRows::printTo(std::ostream& out) const {
@@ -1139,13 +1321,13 @@
   swap(a.number, b.number);
 }
 
-WireSuspicion::WireSuspicion(const WireSuspicion& other28) {
-  host = other28.host;
-  number = other28.number;
+WireSuspicion::WireSuspicion(const WireSuspicion& other36) {
+  host = other36.host;
+  number = other36.number;
 }
-WireSuspicion& WireSuspicion::operator=(const WireSuspicion& other29) {
-  host = other29.host;
-  number = other29.number;
+WireSuspicion& WireSuspicion::operator=(const WireSuspicion& other37) {
+  host = other37.host;
+  number = other37.number;
   return *this;
 }
 void WireSuspicion::printTo(std::ostream& out) const {
@@ -1241,14 +1423,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->services.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->services.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->services[_i34].read(iprot);
+              xfer += this->services[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1261,14 +1443,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->suspicions.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->suspicions.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->suspicions[_i39].read(iprot);
+              xfer += this->suspicions[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1319,10 +1501,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WireServiceRows> ::const_iterator _iter40;
-    for (_iter40 = this->services.begin(); _iter40 != this->services.end(); ++_iter40)
+    std::vector<WireServiceRows> ::const_iterator _iter48;
+    for (_iter48 = this->services.begin(); _iter48 != this->services.end(); ++_iter48)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1331,10 +1513,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<WireSuspicion> ::const_iterator _iter41;
-    for (_iter41 = this->suspicions.begin(); _iter41 != this->suspicions.end(); ++_iter41)
+    std::vector<WireSuspicion> ::const_iterator _iter49;
+    for (_iter49 = this->suspicions.begin(); _iter49 != this->suspicions.end(); ++_iter49)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1354,19 +1536,19 @@
   swap(a.suspicions, b.suspicions);
 }
 
-WireTable::WireTable(const WireTable& other42) {
-  revision = other42.revision;
-  nextFence = other42.nextFence;
-  nextSuspicion = other42.nextSuspicion;
-  services = other42.services;
-  suspicions = other42.suspicions;
+WireTable::WireTable(const WireTable& other50) {
+  revision = other50.revision;
+  nextFence = other50.nextFence;
+  nextSuspicion = other50.nextSuspicion;
+  services = other50.services;
+  suspicions = other50.suspicions;
 }
-WireTable& WireTable::operator=(const WireTable& other43) {
-  revision = other43.revision;
-  nextFence = other43.nextFence;
-  nextSuspicion = other43.nextSuspicion;
-  services = other43.services;
-  suspicions = other43.suspicions;
+WireTable& WireTable::operator=(const WireTable& other51) {
+  revision = other51.revision;
+  nextFence = other51.nextFence;
+  nextSuspicion = other51.nextSuspicion;
+  services = other51.services;
+  suspicions = other51.suspicions;
   return *this;
 }
 void WireTable::printTo(std::ostream& out) const {
@@ -1478,14 +1660,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->services.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->services.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->services[_i48].read(iprot);
+              xfer += this->services[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1498,14 +1680,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->suspicions.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->suspicions.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->suspicions[_i53].read(iprot);
+              xfer += this->suspicions[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1562,10 +1744,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WireServiceRows> ::const_iterator _iter54;
-    for (_iter54 = this->services.begin(); _iter54 != this->services.end(); ++_iter54)
+    std::vector<WireServiceRows> ::const_iterator _iter62;
+    for (_iter62 = this->services.begin(); _iter62 != this->services.end(); ++_iter62)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1574,10 +1756,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<WireSuspicion> ::const_iterator _iter55;
-    for (_iter55 = this->suspicions.begin(); _iter55 != this->suspicions.end(); ++_iter55)
+    std::vector<WireSuspicion> ::const_iterator _iter63;
+    for (_iter63 = this->suspicions.begin(); _iter63 != this->suspicions.end(); ++_iter63)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1598,21 +1780,21 @@
   swap(a.suspicions, b.suspicions);
 }
 
-WireTableChange::WireTableChange(const WireTableChange& other56) {
-  base = other56.base;
-  revision = other56.revision;
-  nextFence = other56.nextFence;
-  nextSuspicion = other56.nextSuspicion;
-  services = other56.services;
-  suspicions = other56.suspicions;
-}
-WireTableChange& WireTableChange::operator=(const WireTableChange& other57) {
-  base = other57.base;
-  revision = other57.revision;
-  nextFence = other57.nextFence;
-  nextSuspicion = other57.nextSuspicion;
-  services = other57.services;
-  suspicions = other57.suspicions;
+WireTableChange::WireTableChange(const WireTableChange& other64) {
+  base = other64.base;
+  revision = other64.revision;
+  nextFence = other64.nextFence;
+  nextSuspicion = other64.nextSuspicion;
+  services = other64.services;
+  suspicions = other64.suspicions;
+}
+WireTableChange& WireTableChange::operator=(const WireTableChange& other65) {
+  base = other65.base;
+  revision = other65.revision;
+  nextFence = other65.nextFence;
+  nextSuspicion = other65.nextSuspicion;
+  services = other65.services;
+  suspicions = other65.suspicions;
   return *this;
 }
 void WireTableChange::printTo(std::ostream& out) const {
--- a/src/Ranges/gen/ranges_types.h
+++ b/src/Ranges/gen/ranges_types.h
@@ -25,6 +25,8 @@
 
 class WireServerEnd;
 
+class WireAnsweredRequest;
+
 class WireHost;
 
 class WireRow;
@@ -106,6 +108,10 @@
 
 std::ostream& operator<<(std::ostream& out, const WireServer& obj);
 
+typedef struct _WireServerEnd__isset {
+  _WireServerEnd__isset() : requests(false) {}
+  bool requests :1;
+} _WireServerEnd__isset;
 
 class WireServerEnd : public virtual ::apache::thrift::TBase {
  public:
@@ -114,13 +120,17 @@
   WireServerEnd& operator=(const WireServerEnd&);
   WireServerEnd() noexcept
                 : id(0),
-                  atMillis(0) {
+                  atMillis(0),
+                  requests(0) {
   }
 
   virtual ~WireServerEnd() noexcept;
   int64_t id;
   std::vector<int64_t>  running;
   int64_t atMillis;
+  int32_t requests;
+
+  _WireServerEnd__isset __isset;
 
   void __set_id(const int64_t val);
 
@@ -128,6 +138,8 @@
 
   void __set_atMillis(const int64_t val);
 
+  void __set_requests(const int32_t val);
+
   bool operator == (const WireServerEnd & rhs) const
   {
     if (!(id == rhs.id))
@@ -136,6 +148,10 @@
       return false;
     if (!(atMillis == rhs.atMillis))
       return false;
+    if (__isset.requests != rhs.__isset.requests)
+      return false;
+    else if (__isset.requests && !(requests == rhs.requests))
+      return false;
     return true;
   }
   bool operator != (const WireServerEnd &rhs) const {
@@ -154,11 +170,55 @@
 
 std::ostream& operator<<(std::ostream& out, const WireServerEnd& obj);
 
+
+class WireAnsweredRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  WireAnsweredRequest(const WireAnsweredRequest&) noexcept;
+  WireAnsweredRequest& operator=(const WireAnsweredRequest&) noexcept;
+  WireAnsweredRequest() noexcept
+                      : endId(0),
+                        request(0) {
+  }
+
+  virtual ~WireAnsweredRequest() noexcept;
+  int64_t endId;
+  int64_t request;
+
+  void __set_endId(const int64_t val);
+
+  void __set_request(const int64_t val);
+
+  bool operator == (const WireAnsweredRequest & rhs) const
+  {
+    if (!(endId == rhs.endId))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const WireAnsweredRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WireAnsweredRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WireAnsweredRequest &a, WireAnsweredRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const WireAnsweredRequest& obj);
+
 typedef struct _WireHost__isset {
-  _WireHost__isset() : server(false), cpuMillis(false), serverEnds(false) {}
+  _WireHost__isset() : server(false), cpuMillis(false), serverEnds(false), answered(false) {}
   bool server :1;
   bool cpuMillis :1;
   bool serverEnds :1;
+  bool answered :1;
 } _WireHost__isset;
 
 class WireHost : public virtual ::apache::thrift::TBase {
@@ -188,6 +248,7 @@
   int64_t cleared;
   int32_t cpuMillis;
   std::vector<WireServerEnd>  serverEnds;
+  std::vector<WireAnsweredRequest>  answered;
 
   _WireHost__isset __isset;
 
@@ -211,6 +272,8 @@
 
   void __set_serverEnds(const std::vector<WireServerEnd> & val);
 
+  void __set_answered(const std::vector<WireAnsweredRequest> & val);
+
   bool operator == (const WireHost & rhs) const
   {
     if (!(host == rhs.host))
@@ -239,6 +302,10 @@
       return false;
     else if (__isset.serverEnds && !(serverEnds == rhs.serverEnds))
       return false;
+    if (__isset.answered != rhs.__isset.answered)
+      return false;
+    else if (__isset.answered && !(answered == rhs.answered))
+      return false;
     return true;
   }
   bool operator != (const WireHost &rhs) const {
--- a/src/Ranges/idl/ranges.thrift
+++ b/src/Ranges/idl/ranges.thrift
@@ -14,6 +14,12 @@
   1: required i64 id
   2: required list<i64> running
   3: required i64 atMillis
+  4: optional i32 requests
+}
+
+struct WireAnsweredRequest {
+  1: required i64 endId
+  2: required i64 request
 }
 
 struct WireHost {
@@ -27,6 +33,7 @@
   8: required i64 cleared
   9: optional i32 cpuMillis
   10: optional list<WireServerEnd> serverEnds
+  11: optional list<WireAnsweredRequest> answered
 }
 
 struct WireRow {
--- a/src/Routing/CrashSuspects.cpp
+++ b/src/Routing/CrashSuspects.cpp
@@ -19,6 +19,7 @@
   if (m_ends.size() > m_settings.maxEnds) {
     RemoveOldestEnd();
   }
+  const bool alone = aEnd.requests.value_or(aEnd.running.size()) == 1;
   for (const auto request : aEnd.running) {
     if (request == RequestFingerprint()) {
       continue;
@@ -28,12 +29,38 @@
       RemoveOldest();
     }
     auto& entry = m_requests[request];
-    ++entry.ends;
-    entry.alone = entry.alone || aEnd.running.size() == 1;
+    entry.ends.push_back(EndOfRequest{ aEnd.id, alone });
     entry.lastEnd = aNow;
   }
 }
 
+std::vector<ServerEndId>
+CrashSuspects::OnCompleted(RequestFingerprint aRequest)
+{
+  const auto cleared = m_requests.extract(aRequest);
+  std::vector<ServerEndId> ends;
+  if (!cleared.empty()) {
+    for (const auto& end : cleared.mapped().ends) {
+      ends.push_back(end.id);
+    }
+  }
+  return ends;
+}
+
+void
+CrashSuspects::OnAnsweredSince(ServerEndId aEnd, RequestFingerprint aRequest)
+{
+  const auto found = m_requests.find(aRequest);
+  if (found == m_requests.end()) {
+    return;
+  }
+  std::erase_if(found->second.ends,
+                [&](const EndOfRequest& aItem) { return aItem.id == aEnd; });
+  if (found->second.ends.empty()) {
+    m_requests.erase(found);
+  }
+}
+
 CrashSuspicion
 CrashSuspects::Judge(RequestFingerprint aRequest, MonoTime aNow) const
 {
@@ -47,11 +74,14 @@
   if (aNow >= suspicion.until) {
     return suspicion;
   }
-  suspicion.ends = entry.ends;
-  const auto limit =
-    entry.alone ? m_settings.fatalEndsAlone : m_settings.fatalEnds;
-  suspicion.level =
-    entry.ends >= limit ? SuspicionLevel::kExcluded : SuspicionLevel::kSuspect;
+  suspicion.ends = static_cast<uint32_t>(entry.ends.size());
+  const bool alone =
+    std::any_of(entry.ends.begin(),
+                entry.ends.end(),
+                [](const EndOfRequest& aEnd) { return aEnd.alone; });
+  const auto limit = alone ? m_settings.fatalEndsAlone : m_settings.fatalEnds;
+  suspicion.level = suspicion.ends >= limit ? SuspicionLevel::kExcluded
+                                            : SuspicionLevel::kSuspect;
   return suspicion;
 }
 
--- a/src/Routing/CrashSuspects.h
+++ b/src/Routing/CrashSuspects.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -19,6 +20,8 @@
 {
   ServerEndId id;
   std::vector<RequestFingerprint> running; ///< Each request once.
+  /// Requests that were running, if some have been left out above.
+  std::optional<size_t> requests;
 
   bool operator==(const ServerEnd&) const = default;
 };
@@ -68,8 +71,15 @@
   /** \brief Adds an end; one that is known already changes nothing. */
   void AddEnd(const ServerEnd& aEnd, MonoTime aNow);
 
-  /** \brief Clears a request that a server has answered completely. */
-  void OnCompleted(RequestFingerprint aRequest) { m_requests.erase(aRequest); }
+  /**
+   * \brief Clears a request that a server has answered completely.
+   * \return the ends of which it was suspected; empty for most requests.
+   */
+  std::vector<ServerEndId> OnCompleted(RequestFingerprint aRequest);
+
+  /** \brief Clears a request of one end: it has been answered completely at
+   * another host since. */
+  void OnAnsweredSince(ServerEndId aEnd, RequestFingerprint aRequest);
 
   CrashSuspicion Judge(RequestFingerprint aRequest, MonoTime aNow) const;
 
@@ -77,10 +87,15 @@
   size_t Size() const { return m_requests.size(); }
 
 private:
+  struct EndOfRequest
+  {
+    ServerEndId id;
+    bool alone = false; ///< The only request running then.
+  };
+
   struct Entry
   {
-    uint32_t ends = 0;
-    bool alone = false; ///< The only one running at one of the ends.
+    std::vector<EndOfRequest> ends;
     MonoTime lastEnd;
   };
 
--- a/test/Routing/QueryOfDeathTest.cpp
+++ b/test/Routing/QueryOfDeathTest.cpp
@@ -71,6 +71,35 @@
   EXPECT_EQ(LevelOf(kPopular), SuspicionLevel::kSuspect);
 }
 
+/** Guards against evidence for guilt that outlasts the evidence against it. */
+TEST_F(QueryOfDeathTest, OnAnsweredSince_OfEachEnd_ClearsOnlyThatRequest)
+{
+  for (uint64_t end = 1; end <= 3; ++end) {
+    End({ kDeadly, kPopular });
+    m_suspects.OnAnsweredSince(ServerEndId(end), kPopular);
+  }
+  EXPECT_EQ(LevelOf(kPopular), SuspicionLevel::kNone);
+  EXPECT_EQ(LevelOf(kDeadly), SuspicionLevel::kExcluded);
+}
+
+TEST_F(QueryOfDeathTest, OnCompleted_Suspect_NamesItsEnds)
+{
+  End({ kDeadly, kPopular });
+  End({ kDeadly, kPopular });
+  const std::vector<ServerEndId> ends{ ServerEndId(1), ServerEndId(2) };
+  EXPECT_EQ(m_suspects.OnCompleted(kPopular), ends);
+  EXPECT_TRUE(m_suspects.OnCompleted(kPopular).empty());
+}
+
+/** What is left of an end after the others were answered was not alone. */
+TEST_F(QueryOfDeathTest, Judge_OthersWereAnsweredSince_DidNotRunAlone)
+{
+  for (uint64_t end = 1; end <= 2; ++end) {
+    m_suspects.AddEnd({ ServerEndId(end), { kPopular }, 14 }, m_now);
+  }
+  EXPECT_EQ(LevelOf(kPopular), SuspicionLevel::kSuspect);
+}
+
 /** Guards against one crash by another cause that shuts a request out. */
 TEST_F(QueryOfDeathTest, Judge_OneServerEnded_ExcludesNothing)
 {
--- a/test/platform/FatalRequestTest.cpp
+++ b/test/platform/FatalRequestTest.cpp
@@ -11,7 +11,11 @@
 protected:
   void Answer(const std::shared_ptr<ServerExchange>& aExchange) override
   {
-    const bool deadly = aExchange->Head().target == kDeadly;
+    const bool deadly = aExchange->Head().target.starts_with(kDeadly);
+    if (!deadly && m_holdsOthers) {
+      m_held.push_back(aExchange);
+      return;
+    }
     if (!deadly) {
       ServerTaskTest::Answer(aExchange);
       return;
@@ -49,6 +53,38 @@
     Run(milliseconds(20));
   }
 
+  /** Why a daemon that starts now, and whose server it has not heard yet,
+   * refuses a request. */
+  RefusalReason RefusalByALaterProcess(const std::string& aTarget)
+  {
+    FakeStore store(m_base.get(), m_topic);
+    StateTask<FakeStore> state(
+      m_base.get(), m_clock, m_logger, store, RecordOf("c"));
+    RangeServerTask later(
+      m_base.get(),
+      m_clock,
+      RangeServerSettings{ .endpoint = m_address, .service = kOrders },
+      state,
+      m_dialect,
+      m_logger,
+      m_metrics);
+    state.AddListener(later);
+    state.Start();
+    Run(milliseconds(60));
+    CallRequest request;
+    request.id = DrawRequestId(m_random);
+    request.service = kOrders;
+    request.head.method = "GET";
+    request.head.target = aTarget;
+    request.fingerprint = FingerprintOf(request.head, {}, {});
+    request.deadline = m_clock.Now() + milliseconds(500);
+    const auto ends = std::make_shared<EndCounter>();
+    later.Start(request, ends)->Finish();
+    Run(milliseconds(20));
+    EXPECT_EQ(ends->refusals.size(), 1U);
+    return ends->refusals.back();
+  }
+
   int Refusals(RefusalReason aReason) const
   {
     return static_cast<int>(
@@ -58,6 +94,7 @@
   int m_deadlyReceived = 0;
   int m_starts = 0;
   bool m_onlyResets = false;
+  bool m_holdsOthers = false; ///< Other requests run until the server ends.
   std::vector<std::shared_ptr<ServerExchange>> m_held;
   Timer m_end{ m_base.get(), [this] { End(); } };
 };
@@ -129,33 +166,52 @@
     Send(kDeadly);
     Send(kDeadly);
   }
-  FakeStore store(m_base.get(), m_topic);
-  StateTask<FakeStore> state(
-    m_base.get(), m_clock, m_logger, store, RecordOf("b"));
-  RangeServerTask other(
-    m_base.get(),
-    m_clock,
-    RangeServerSettings{ .endpoint = m_address, .service = kOrders },
-    state,
-    m_dialect,
-    m_logger,
-    m_metrics);
-  state.AddListener(other);
-  state.Start();
-  Run(milliseconds(60));
-  EXPECT_GT(other.Suspects(), 0U);
-  const auto before = Refusals(RefusalReason::kFatalRequest);
-  CallRequest request;
-  request.id = DrawRequestId(m_random);
-  request.service = kOrders;
-  request.head.method = "GET";
-  request.head.target = kDeadly;
-  request.fingerprint = FingerprintOf(request.head, {}, {});
-  request.deadline = m_clock.Now() + milliseconds(500);
-  const auto call = other.Start(request, m_ends);
-  call->Finish();
-  Run(milliseconds(20));
-  EXPECT_EQ(Refusals(RefusalReason::kFatalRequest), before + 1);
+  EXPECT_EQ(RefusalByALaterProcess(kDeadly), RefusalReason::kFatalRequest);
+}
+
+/**
+ * Guards against a harmless request that every process excludes which starts
+ * later: it has been running at some ends, and was answered after each.
+ */
+TEST_F(FatalRequestTest, Start_AnsweredAfterEachEnd_LaterProcessesServeIt)
+{
+  Join();
+  for (int server = 0; server < 4; ++server) {
+    StartServer();
+    m_holdsOthers = true;
+    Request(milliseconds(500), kHarmless);
+    Send(kDeadly + std::to_string(server));
+    m_holdsOthers = false;
+    StartServer();
+    Send(kHarmless);
+    Run(milliseconds(2100));
+  }
+  EXPECT_EQ(RefusalByALaterProcess(kHarmless), RefusalReason::kCold);
+}
+
+/** Same; the ends were at another host. */
+TEST_F(FatalRequestTest, Start_AnsweredHereAfterEndsElsewhere_LaterServeIt)
+{
+  auto other = RecordOf("b");
+  const auto end = [&] {
+    const auto id = other.serverEnds.size() + 1;
+    other.serverEnds.push_back(
+      { id,
+        { FingerprintOf({ .method = "GET", .target = kHarmless }, {}, {}),
+          RequestFingerprint(7) },
+        m_clock.WallNow() });
+    m_topic.Append({ EncodeHost(other) }, ExpectedEnd{ m_topic.End() });
+  };
+  Join();
+  for (int ends = 0; ends < 2; ++ends) {
+    end();
+    Run(milliseconds(1100)); // Until the store is read again.
+    Send(kHarmless);
+    Run(milliseconds(2100));
+  }
+  end();
+  EXPECT_EQ(m_received, 2);
+  EXPECT_EQ(RefusalByALaterProcess(kHarmless), RefusalReason::kCold);
 }
 
 }
--- a/test/platform/SpoiledBytesTest.cpp
+++ b/test/platform/SpoiledBytesTest.cpp
@@ -142,7 +142,9 @@
 RC_GTEST_PROP(SpoiledBytesProperty, HostRecord_Accepted_CanBeWritten, ())
 {
   auto host = RecordOf("a");
-  host.serverEnds = { ServerEndRecord{ 7, {}, WallTime(milliseconds(5)) } };
+  host.serverEnds = { ServerEndRecord{
+    7, { RequestFingerprint(8) }, WallTime(milliseconds(5)), 3 } };
+  host.answered = { AnsweredRequest{ 7, RequestFingerprint(8) } };
   auto entry = EncodeHost(host);
   entry.value = Spoiled(*entry.value);
   MeshState state;
