A request whose caller has closed meanwhile is not handled

Cause, of this part: the event loop reports the close of a connection only after the bytes before it have been handled, although both are in the socket.

Change: when a head is complete, the server looks whether its peer has closed already. The class is work for a caller who is known to have left; queued and retried requests learn of the close from the event loop, as before.

Measured: ServerTest.Request_CallerHasClosedMeanwhile_IsNotHandled failed without the look and passes with it, ServerTest 44 of 44.

--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -235,6 +235,12 @@
 void
 ServerConnection::HandleHead()
 {
+  // A request that has waited long in the socket may come with its caller's
+  // close, of which the event loop would tell only after the request has begun.
+  if (m_stream->PeerHasClosed()) {
+    Close(AbortReason::kPeerClosed);
+    return;
+  }
   RequestHead head = m_parser.TakeRequestHead();
   m_state = State::kExchange;
   m_bodyPaused = false;
--- a/src/Http/internal/Stream.cpp
+++ b/src/Http/internal/Stream.cpp
@@ -171,6 +171,13 @@
   return InputBytes() > 0 || PeekOne(Socket()) > 0;
 }
 
+bool
+Stream::PeerHasClosed() const
+{
+  const auto peeked = PeekOne(Socket());
+  return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 bool
 Stream::IsQuiet() const
 {
--- a/src/Http/internal/Stream.h
+++ b/src/Http/internal/Stream.h
@@ -71,6 +71,10 @@
   /** Whether the peer neither sent anything nor closed. */
   bool IsQuiet() const;
 
+  /** Whether the peer has closed or reset the connection, and all that it sent
+   * before has been received. */
+  bool PeerHasClosed() const;
+
   evbuffer* Output() const;
   size_t OutputBytes() const;
 
--- a/test/Http/ServerTest.cpp
+++ b/test/Http/ServerTest.cpp
@@ -125,6 +125,28 @@
   EXPECT_EQ(m_server->Active(), 0U);
 }
 
+/** Guards against work for a caller that had left before its request was read.
+ */
+TEST_F(ServerTest, Request_CallerHasClosedMeanwhile_IsNotHandled)
+{
+  int handled = 0;
+  StartServer([&](const ExchangePtr& aExchange) {
+    ++handled;
+    Answer(*aExchange, "late");
+  });
+  const auto address = internal::HttpAddressOf(m_server->LocalEndpoint());
+  const std::string request = "GET /left HTTP/1.1\r\nHost: a\r\n\r\n";
+  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ASSERT_EQ(connect(caller, address.Get(), address.Length()), 0);
+  ASSERT_EQ(send(caller, request.data(), request.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(request.size()));
+  close(caller);
+  ASSERT_TRUE(RunUntil([&] { return m_server->Connections() == 1; }));
+  ASSERT_TRUE(RunUntil([&] { return m_server->Connections() == 0; }));
+  EXPECT_EQ(handled, 0);
+  EXPECT_EQ(m_server->Active(), 0U);
+}
+
 TEST_F(ServerTest, Requests_Pipelined_AreAnsweredOneAfterTheOther)
 {
   std::vector<ExchangePtr> exchanges;
