The balancer is told of requests that end without an answer

An instance whose callers give up, or whose requests reach their deadline, counts as loaded with them for good and gets less than its share.

Change: a session that ends with an attempt in progress reports it as cancelled, which only takes it from the requests in flight.

Measured: IngressSessionTest.Caller_LeavesBeforeTheAnswer_BalancerIsTold failed without the report and passes with it.

Still open: an answer that is lost after its head is reported twice, as done and as failed, so that its instance counts as less loaded by one.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -146,6 +146,7 @@
     OnRefused(refusal);
     return;
   }
+  m_awaitsEnd = true;
   m_history.last = m_destination->daemon;
   m_requestId = DrawRequestId(m_context.random);
   m_known = m_context.router.KnownPosition(*m_destination);
@@ -184,6 +185,7 @@
 void
 IngressSession::ReportToBalancer(InstanceResult aResult)
 {
+  m_awaitsEnd = false;
   if (m_destination) {
     const auto latency = m_context.clock.Now() - m_attemptStarted;
     m_context.router.OnEnd(m_resolved.policy, *m_destination, aResult, latency);
@@ -409,6 +411,9 @@
   }
   m_ended = true;
   CloseAttempt();
+  if (m_awaitsEnd) {
+    ReportToBalancer(InstanceResult::kCancelled);
+  }
   m_timer.Stop();
   m_deadlineTimer.Stop();
   m_context.metrics.CountAnswer(aOutcome);
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -104,6 +104,7 @@
   AttemptHistory m_history;
   AttemptReport m_report; ///< Last attempt, kept for the outcome query.
   std::optional<Destination> m_destination;
+  bool m_awaitsEnd = false; ///< The balancer counts the last attempt.
   RequestId m_requestId;
   TablePosition m_known; ///< Of the destination's outcome table.
   MonoTime m_attemptStarted;
--- a/src/Routing/Balancer.cpp
+++ b/src/Routing/Balancer.cpp
@@ -153,6 +153,9 @@
   if (instance.inFlight > 0) {
     --instance.inFlight;
   }
+  if (aResult == InstanceResult::kCancelled) {
+    return;
+  }
   const double shed = aResult == InstanceResult::kShed ? 1.0 : 0.0;
   instance.shedRate += kShedSmoothing * (shed - instance.shedRate);
   if (aResult == InstanceResult::kFailed) {
--- a/src/Routing/Balancer.h
+++ b/src/Routing/Balancer.h
@@ -37,8 +37,9 @@
 enum class InstanceResult : uint8_t
 {
   kDone,
-  kShed,   ///< Not run: refused by the overloaded instance.
-  kFailed, ///< No answer, or the instance is unreachable.
+  kShed,      ///< Not run: refused by the overloaded instance.
+  kFailed,    ///< No answer, or the instance is unreachable.
+  kCancelled, ///< Ended by its sender; says nothing about the instance.
 };
 
 /**
--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -67,14 +68,16 @@
   TablePosition KnownPosition(const Destination&) const override { return {}; }
   void OnEnd(const ServicePolicy&,
              const Destination&,
-             InstanceResult,
+             InstanceResult aResult,
              Duration) override
   {
+    results.push_back(aResult);
   }
   RetryBudget& BudgetOf(const ServicePolicy&) override { return budget; }
 
   std::shared_ptr<CallDouble> call = std::make_shared<CallDouble>();
   RetryBudget budget{ 0.1 };
+  std::vector<InstanceResult> results;
   int started = 0;
 };
 
@@ -124,6 +127,8 @@
   CallerDouble(const CallerDouble&) = delete;
   CallerDouble& operator=(const CallerDouble&) = delete;
 
+  void Leave() const { shutdown(m_socket, SHUT_RDWR); }
+
   bool Write(const std::string& aText) const
   {
     const auto sent =
@@ -232,6 +237,20 @@
   EXPECT_EQ(m_dialect.done, 1);
 }
 
+// Guards against an instance that counts as loaded with requests whose callers
+// have left.
+TEST_F(IngressSessionTest, Caller_LeavesBeforeTheAnswer_BalancerIsTold)
+{
+  CallerDouble caller(m_port);
+  ASSERT_TRUE(caller.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return m_router.started == 1; }));
+  EXPECT_TRUE(m_router.results.empty());
+  caller.Leave();
+  ASSERT_TRUE(RunUntil([&] { return m_dialect.done == 1; }));
+  EXPECT_EQ(m_router.results,
+            std::vector<InstanceResult>{ InstanceResult::kCancelled });
+}
+
 // Guards against a promise that isn't true, and against a request that was
 // passed on and ends without an answer.
 TEST_F(IngressSessionTest, Upload_StallsWhileStreamed_IsAnsweredUnknown)
--- a/test/Http/HeadRoundTripTest.cpp
+++ b/test/Http/HeadRoundTripTest.cpp
@@ -11,7 +11,7 @@
 namespace pistachioshift::internal {
 namespace {
 
-constexpr HeadBounds kBounds{ 64 * 1024, 128 };
+constexpr HeadBounds kBounds{ size_t{ 64 } * 1024, 128 };
 
 const std::string kRequest =
   "POST /read/a?b=c HTTP/1.1\r\nHost: shop.example\r\n"
