After a restart the server is asked whether it runs

Change: a process that finds a server of an earlier one makes the health check that the operator declares. The answer is newer than any leave that was acknowledged before and comes at once; a server that is about to stop does not answer with 200. Heartbeats that go on stay as the other way.

--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -188,6 +188,13 @@
   m_coordinator.SetShardedServices(aServices);
 }
 
+void
+HostDaemon::SetHealthPaths(const std::map<ServiceName, std::string>& aPaths)
+{
+  const auto found = aPaths.find(m_settings.server.service);
+  m_server.SetHealthPath(found == aPaths.end() ? "" : found->second);
+}
+
 void
 HostDaemon::BeginLeave()
 {
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -98,6 +98,9 @@
   /** \brief Applies the configured set of services divided into ranges. */
   void SetShardedServices(const std::set<ServiceName>& aServices);
 
+  /** \brief Sets the paths of health checks, by service. */
+  void SetHealthPaths(const std::map<ServiceName, std::string>& aPaths);
+
   /** \brief Whether new callers should use this daemon (readiness check). */
   bool Ready() const { return m_state.Joined() && m_configured && !m_leave; }
 
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -316,6 +316,7 @@
     if (HasLeft(known->incarnation) || known->leaving) {
       BeginServerLeave();
     }
+    CheckHealth();
   }
   RetryHeldCalls();
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -112,6 +112,7 @@
   , m_pool(aBase, aSettings.endpoint, PoolLimits())
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_lastHeartbeat(aClock.Now())
+  , m_healthTimer(aBase, [this] { OnHealthTimer(); })
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -97,6 +98,10 @@
   /** \brief Sets whether the service's keys are divided into ranges. */
   void SetSharded(bool aSharded) { m_sharded = aSharded; }
 
+  /** \brief Sets the path at which the backend server says whether it runs and
+   * is not about to stop; empty: it does not say so. */
+  void SetHealthPath(std::string aPath);
+
   /**
    * \brief Announces that this daemon will stop. It is assigned no more keys,
    * and requests that any instance can answer are routed to other hosts.
@@ -143,6 +148,7 @@
 
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
+  class HealthCheck;
 
   struct FirstHeartbeat
   {
@@ -184,6 +190,9 @@
   bool HasLeft(const ServerIncarnation& aIncarnation) const;
   bool HasHeardServer() const;
   void NoteHeartbeat(const ServerIncarnation& aIncarnation);
+  void CheckHealth();
+  void OnHealthTimer();
+  void OnHealthChecked(const ResponseHead& aAnswer);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   void BeginServerLeave();
   MonoTime DrainEnd() const;
@@ -220,6 +229,10 @@
   std::optional<ServerIncarnation> m_heard;
   /// First heartbeat since a restart, which may have been sent before it.
   std::optional<FirstHeartbeat> m_firstHeartbeat;
+  std::string m_healthPath;
+  uint32_t m_healthChecks = 0;
+  std::shared_ptr<ClientExchange> m_healthExchange; ///< Of the check that runs.
+  Timer m_healthTimer;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
--- a/src/HostDaemon/ServerDialect.h
+++ b/src/HostDaemon/ServerDialect.h
@@ -42,6 +42,11 @@
   virtual AnswerKind Classify(const RequestHead& aRequest,
                               const ResponseHead& aAnswer) const = 0;
 
+  /** \brief Reads the answer to a health check: the server that gave it, if it
+   * runs and is not about to stop. */
+  virtual std::optional<ServerId> ReadHealth(
+    const ResponseHead& aAnswer) const = 0;
+
   /** \brief Reads what the backend server states about itself. */
   virtual ServerNotice ReadNotice(const ResponseHead& aAnswer) const = 0;
 };
--- a/test/HostDaemon/UnusedDialect.h
+++ b/test/HostDaemon/UnusedDialect.h
@@ -15,6 +15,10 @@
   {
     return AnswerKind::kAnswer;
   }
+  std::optional<ServerId> ReadHealth(const ResponseHead&) const override
+  {
+    return std::nullopt;
+  }
   ServerNotice ReadNotice(const ResponseHead&) const override { return {}; }
 };
 
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -67,6 +67,17 @@
   EXPECT_THROW(DecodeHeartbeat(ServerId("i-1"), "\x01"), PlatformError);
 }
 
+TEST(HealthTest, ReadHealth_OnlyWithStatus200AndTheId)
+{
+  const PlatformServerDialect dialect;
+  ResponseHead answer;
+  EXPECT_FALSE(dialect.ReadHealth(answer));
+  answer.headers.Set(names::kServerId, "i-1");
+  EXPECT_EQ(dialect.ReadHealth(answer), ServerId("i-1"));
+  answer.status = 503;
+  EXPECT_FALSE(dialect.ReadHealth(answer));
+}
+
 TEST(LeaveTest, Decode_Body_NamesTheIncarnation)
 {
   const ServerId id("i-1");
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -147,6 +147,52 @@
             std::vector<RefusalReason>{ RefusalReason::kCold });
 }
 
+/** Guards against a restart that costs a heartbeat interval: the answer to a
+ * check is newer than any leave that an earlier process has acknowledged. */
+TEST_F(ServerNoticeTest, Start_HealthySinceARestart_NeedsNoHeartbeat)
+{
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  EXPECT_EQ(Received(), 1);
+}
+
+TEST_F(ServerNoticeTest, Start_HealthPathIsKnownLate_IsCheckedThen)
+{
+  JoinSilently();
+  EXPECT_EQ(Received(), 0);
+  m_server.SetHealthPath(kHealthPath);
+  Run(milliseconds(50));
+  EXPECT_EQ(Received(), 1);
+}
+
+TEST_F(ServerNoticeTest, Start_UnhealthySinceARestart_GetsNothing)
+{
+  m_healthy = false;
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  SendHeartbeat(); // Sent before the leave.
+  Run(milliseconds(1200));
+  EXPECT_EQ(Received(), 0);
+}
+
+TEST_F(ServerNoticeTest, Start_AnotherServerIsHealthy_GetsNothing)
+{
+  m_healthyServer = "server-b";
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  EXPECT_EQ(Received(), 0);
+}
+
+TEST_F(ServerNoticeTest, Start_BusyAtTheFirstCheck_IsCheckedAgain)
+{
+  m_healthy = false;
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  m_healthy = true;
+  Run(milliseconds(1200));
+  EXPECT_EQ(Received(), 1);
+}
+
 /** Two that were held up arrive together. */
 TEST_F(ServerNoticeTest, Start_LateHeartbeatsArriveTogether_GetsNothing)
 {
--- a/test/platform/ServerTaskSupport.h
+++ b/test/platform/ServerTaskSupport.h
@@ -119,18 +119,27 @@
   /** Answers a request as the backend server. */
   virtual void Answer(const std::shared_ptr<ServerExchange>& aExchange)
   {
-    ++m_received;
     ResponseHead head;
     head.status = 200;
+    head.contentLength = 0;
+    if (aExchange->Head().target == kHealthPath) {
+      head.status = m_healthy ? 200 : 503;
+      head.headers.Set(names::kServerId, m_healthyServer);
+      aExchange->SendHead(head);
+      aExchange->Finish();
+      return;
+    }
+    ++m_received;
     head.headers = m_fields;
     head.headers.Set(names::kSignature, "s");
     head.headers.Set(names::kRequestId,
                      *aExchange->Head().headers.Find(names::kRequestId));
-    head.contentLength = 0;
     aExchange->SendHead(head);
     aExchange->Finish();
   }
 
+  static constexpr const char* kHealthPath = "/health";
+
   /** Starts a request that must end within aFor. */
   void Request(Duration aFor = milliseconds(500),
                const std::string& aTarget = "/r/1")
@@ -160,6 +169,8 @@
   RandomEngine m_random{ 3 };
   PlatformServerDialect m_dialect;
   Headers m_fields;
+  bool m_healthy = true;
+  std::string m_healthyServer = "server-a";
   int m_received = 0;
   int m_requests = 0;
   int64_t m_sequence = 0;
