--- a/standin/instance/Main.cpp
+++ b/standin/instance/Main.cpp
@@ -21,8 +21,9 @@
  * HTTP server that stands in for a backend server of the platform in tests.
  * Sends heartbeats to its daemon, holds the key ranges that the daemon grants,
  * and executes requests for keys in these ranges. GET /runs returns how often
- * each request was executed, as JSON by attempt ID. The query `bytes=N` asks
- * for a body of N bytes.
+ * each request was executed, as JSON by attempt ID. GET /holds returns the rows
+ * that it holds at that moment: first key, last key, fence. The query `bytes=N`
+ * asks for a body of N bytes.
  */
 
 namespace pistachioshift::standin {
@@ -128,6 +129,17 @@
                        });
   }
 
+  Json Holds() const
+  {
+    auto rows = Json::array();
+    if (std::chrono::steady_clock::now() < m_holdExpiresAt) {
+      for (const auto& range : m_grantedRanges) {
+        rows.push_back(Json::array({ range.first, range.last, range.fence }));
+      }
+    }
+    return rows;
+  }
+
   void Handle(evhttp_request* aRequest)
   {
     const std::string uri = evhttp_request_get_uri(aRequest);
@@ -135,6 +147,10 @@
       Reply(aRequest, kOk, Json(m_runsByAttempt).dump());
       return;
     }
+    if (uri == "/holds") {
+      Reply(aRequest, kOk, Holds().dump());
+      return;
+    }
     const auto* target = Header(aRequest, "Pistachioshift-Target-Instance");
     const auto* key = Header(aRequest, "Pistachioshift-Shard-Key");
     const auto* attemptId = Header(aRequest, "Pistachioshift-Attempt-Id");
--- a/standin/store/Main.cpp
+++ b/standin/store/Main.cpp
@@ -28,6 +28,10 @@
  * silent (never answers), lost (stores appended records without answering) or
  * late (same, after delayMs milliseconds, if the condition still holds then).
  * With count=N, lost and late end after N appends.
+ * GET /copy makes a copy of all topics and producers; GET /return goes back to
+ * it. What was written in between is lost, its offsets are given out again, and
+ * the header Store-Era of all answers rises by one. Reads that wait stay
+ * pending. GET /calls returns the number of calls by path.
  */
 
 namespace pistachioshift::standin {
@@ -38,6 +42,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+constexpr int kGone = 410;
 constexpr int kPreconditionFailed = 412;
 constexpr int kUnavailable = 503;
 
@@ -125,10 +130,13 @@
     Json body;
   };
 
-  static void Reply(evhttp_request* aRequest,
-                    int aStatus,
-                    const std::string& aBody)
+  void Reply(evhttp_request* aRequest,
+             int aStatus,
+             const std::string& aBody) const
   {
+    evhttp_add_header(evhttp_request_get_output_headers(aRequest),
+                      "Store-Era",
+                      std::to_string(m_era).c_str());
     auto* body = evbuffer_new();
     evbuffer_add(body, aBody.data(), aBody.size());
     evhttp_send_reply(aRequest, aStatus, "-", body);
@@ -148,10 +156,11 @@
       parameters[item->key] = item->value;
     }
     evhttp_clear_headers(&list);
-    if (path == "/fault") {
-      SetFault(parameters);
-      Reply(aRequest, kOk, "{}");
-    } else if (m_fault == "silent") {
+    if (Control(aRequest, path, parameters)) {
+      return;
+    }
+    ++m_calls[path];
+    if (m_fault == "silent") {
       return; // The request stays open and is never answered.
     } else if (m_fault == "down") {
       Reply(aRequest, kUnavailable, "{}");
@@ -166,6 +175,28 @@
     }
   }
 
+  /** Handles the calls of tests; returns false for those of clients. */
+  bool Control(evhttp_request* aRequest,
+               const std::string& aPath,
+               Parameters& aParameters)
+  {
+    auto answer = Json::object();
+    if (aPath == "/fault") {
+      SetFault(aParameters);
+    } else if (aPath == "/copy") {
+      m_copy = m_topics;
+    } else if (aPath == "/return") {
+      m_topics = m_copy;
+      ++m_era;
+    } else if (aPath == "/calls") {
+      answer = Json(m_calls);
+    } else {
+      return false;
+    }
+    Reply(aRequest, kOk, answer.dump());
+    return true;
+  }
+
   void SetFault(Parameters& aParameters)
   {
     m_fault = aParameters["mode"];
@@ -270,6 +301,10 @@
                         int64_t aFrom)
   {
     const auto& topic = m_topics[aTopic];
+    if (aFrom > topic.EndOffset()) {
+      Reply(aRequest, kGone, Json{ { "firstOffset", 0 } }.dump());
+      return;
+    }
     auto body =
       BigEndian(static_cast<uint64_t>(topic.EndOffset()), 8) + BigEndian(0, 8);
     for (auto offset = aFrom; offset < topic.EndOffset(); ++offset) {
@@ -284,7 +319,7 @@
     const auto from = std::stoll(aParameters["from"]);
     const auto& name = aParameters["topic"];
     const auto wait = std::stoll("0" + aParameters["waitMs"]);
-    if (from < m_topics[name].EndOffset() || wait == 0) {
+    if (from != m_topics[name].EndOffset() || wait == 0) {
       ReplyWithRecords(aRequest, name, from);
       return;
     }
@@ -305,7 +340,8 @@
     m_timedOutReads.clear();
     for (auto item = m_pendingReads.begin(); item != m_pendingReads.end();) {
       const auto current = item++;
-      if (current->topic == aTopic) {
+      const bool due = current->from != m_topics[aTopic].EndOffset();
+      if (current->topic == aTopic && due) {
         ReplyWithRecords(current->request, aTopic, current->from);
         m_pendingReads.erase(current);
       }
@@ -348,6 +384,9 @@
   std::chrono::milliseconds m_lateBy{};
   std::vector<std::unique_ptr<Timer>> m_lateAppends;
   std::map<std::string, Topic> m_topics;
+  std::map<std::string, Topic> m_copy; ///< As of the last /copy.
+  int64_t m_era = 1;
+  std::map<std::string, int> m_calls; ///< By path, whatever the answer.
   std::list<PendingRead> m_pendingReads;
   /** Kept until the next append, as a timer callback may still be running. */
   std::list<PendingRead> m_timedOutReads;
--- a/test/HostDaemon/FakeStore.h
+++ b/test/HostDaemon/FakeStore.h
@@ -71,9 +71,25 @@
 
   int64_t End() const { return static_cast<int64_t>(m_entries.size()); }
 
+  /** Makes the copy to which Return() goes back. */
+  void MakeCopy()
+  {
+    m_copiedEntries = m_entries;
+    m_copiedProducers = m_producers;
+  }
+
+  /** Loses what was appended since the copy was made. */
+  void Return()
+  {
+    m_entries = m_copiedEntries;
+    m_producers = m_copiedProducers;
+  }
+
 private:
   std::vector<StoreEntry> m_entries;
   standin::ProducerTable m_producers;
+  std::vector<StoreEntry> m_copiedEntries;
+  standin::ProducerTable m_copiedProducers;
 };
 
 /** One host's connection to the topic; can simulate failures. */
@@ -111,7 +127,7 @@
       [this, aFrom, callback = std::move(aCallback)] {
         if (down) {
           callback(StoreFailure::kUnavailable);
-        } else if (aFrom < firstRetained) {
+        } else if (aFrom < firstRetained || aFrom > m_topic.End()) {
           callback(StoreFailure::kExpired);
         } else {
           callback(m_topic.From(aFrom));
--- a/test/process/HttpSupport.cpp
+++ b/test/process/HttpSupport.cpp
@@ -47,6 +47,7 @@
     reply.outcome = FieldOfAnswer(aRequest, "Pistachio-Outcome");
     reply.reason = FieldOfAnswer(aRequest, "Pistachio-Reason");
     reply.owner = FieldOfAnswer(aRequest, "Pistachio-Owner");
+    reply.storeEra = FieldOfAnswer(aRequest, "Store-Era");
     reply.body = TakeInput(aRequest);
   }
   event_base_loopbreak(exchange->base);
--- a/test/process/HttpSupport.h
+++ b/test/process/HttpSupport.h
@@ -21,6 +21,7 @@
   std::string outcome;    ///< Pistachio-Outcome.
   std::string reason;     ///< Pistachio-Reason.
   std::string owner;      ///< Pistachio-Owner.
+  std::string storeEra;   ///< Store-Era.
 };
 
 /** \brief A request to 127.0.0.1. */
--- a/test/process/PlatformSupport.h
+++ b/test/process/PlatformSupport.h
@@ -66,19 +66,31 @@
     }
   }
 
-  void WriteConfig() const
+  /** Writes a version of the configuration, with a route to each further path
+   * prefix. */
+  void WriteConfig(int aVersion = 1,
+                   const std::vector<std::string>& aPrefixes = {}) const
   {
-    const std::string value =
-      R"({"version":"00000001","routes":{
-      "read":{"hostname":"a.example","pathPrefix":"/r/",
+    std::string routes = R"("read":{"hostname":"a.example","pathPrefix":"/r/",
         "routeType":"idempotent","timeout":"3000ms","targetLatency":"600ms",
         "priority":2,"service":"orders","attempts":2},
       "write":{"hostname":"a.example","pathPrefix":"/w/",
         "routeType":"non_idempotent","timeout":"3000ms",
-        "targetLatency":"600ms","priority":1,"service":"orders","attempts":2}},
-      "services":{"orders":{"sharded":true}},
-      "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,
-        "headerTimeout":"3000ms","idleTimeout":"15000ms"}})";
+        "targetLatency":"600ms","priority":1,"service":"orders","attempts":2})";
+    for (const auto& prefix : aPrefixes) {
+      routes += fmt::format(R"(,"{0}":{{"hostname":"a.example",
+        "pathPrefix":"{0}","routeType":"idempotent","timeout":"3000ms",
+        "targetLatency":"600ms","priority":2,"service":"orders",
+        "attempts":2}})",
+                            prefix);
+    }
+    const std::string value =
+      fmt::format(R"({{"version":"{:08x}","routes":{{{}}},
+      "services":{{"orders":{{"sharded":true}}}},
+      "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000000,
+        "headerTimeout":"3000ms","idleTimeout":"15000ms"}}}})",
+                  aVersion,
+                  routes);
     const std::string record = std::string("\x06"
                                            "config") +
                                value;
--- a/test/process/StoreStandinTest.cpp
+++ b/test/process/StoreStandinTest.cpp
@@ -154,4 +154,43 @@
   EXPECT_EQ(End(), 2); // The first late append, and the one of epoch 2.
 }
 
+TEST_F(StoreStandinTest, Return_RecordsSinceTheCopy_AreLostWithTheirOffsets)
+{
+  EXPECT_EQ(AppendAs(1, 0, "a").status, 200);
+  HttpGet(m_port, "/copy");
+  EXPECT_EQ(AppendAs(1, 1, "b").body["offset"], 1);
+  EXPECT_EQ(AppendAs(1, 2, "c").body["offset"], 2);
+  HttpGet(m_port, "/return");
+  EXPECT_EQ(End(), 1);
+  const auto read = [this](int aFrom) {
+    return HttpGet(m_port,
+                   fmt::format("/api/log-read?topic=keyed.t&part=0&from={}"
+                               "&waitMs=0",
+                               aFrom))
+      .status;
+  };
+  EXPECT_EQ(read(1), 200);
+  EXPECT_EQ(read(3), 410);
+  // Producers are those of the copy.
+  EXPECT_EQ(AppendAs(1, 3).body["seq"], 1);
+  EXPECT_EQ(AppendAs(1, 1, "d").body["offset"], 1);
+}
+
+TEST_F(StoreStandinTest, Return_Twice_EraRisesByOneInAllAnswers)
+{
+  const auto era = [this](const char* aPath) {
+    return HttpGet(m_port, aPath).storeEra;
+  };
+  constexpr const char* kRead =
+    "/api/log-read?topic=keyed.t&part=0&from=9&waitMs=0";
+  EXPECT_EQ(era("/api/log-newest?topic=keyed.t&part=0"), "1");
+  HttpGet(m_port, "/copy");
+  HttpGet(m_port, "/return");
+  EXPECT_EQ(era(kRead), "2");
+  HttpGet(m_port, "/return");
+  EXPECT_EQ(era(kRead), "3");
+  SetFault("down");
+  EXPECT_EQ(era(kRead), "3");
+}
+
 }
