No moves are ordered while the store does not answer

Callers saw, in a run of process_StoreReturnTest: two of sixteen keys refused for 6.4 s after a return of the store. The move of their range was planned 0.5 s before the coordinator's poll failed and ordered 29 ms after it: the holder released the range, no append was done, and after the return nobody could claim it.

Change: the coordinator plans no moves, and hands out none, while its last call to the store has failed. CoordinatorTaskTest OnReport_StoreDoesNotAnswer_* failed without it. A move that is ordered before the failed call still waits those 6.4 s.

--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -345,6 +345,9 @@
       aReport.host, aReport.configuration, aReport.configurationVersion);
   }
   auto orders = std::exchange(m_pendingOrders[aReport.host], {});
+  if (!m_state.Connected()) {
+    orders.moves.clear();
+  }
   orders.host = m_state.Self();
   orders.end = m_state.End();
   orders.age = m_clock.Now() - m_state.LastSyncedAt();
@@ -529,6 +532,9 @@
 void
 CoordinatorTask::PlanMoves()
 {
+  if (!m_state.Connected()) {
+    return; // A range that was released could not be assigned.
+  }
   for (const auto& service : m_sharded) {
     const auto& rows = m_state.State().Table().RowsOf(service);
     const auto moves = m_rebalancers[service].Plan(
--- a/test/HostDaemon/CoordinatorTaskTest.cpp
+++ b/test/HostDaemon/CoordinatorTaskTest.cpp
@@ -160,4 +160,43 @@
   }
 }
 
+/** Guards against ranges that have no holder while the store is away: a host
+ * releases a range, and nobody can assign it. */
+TEST_F(CoordinatorTaskTest, OnReport_StoreDoesNotAnswer_OrdersNoMoves)
+{
+  AddHost("b", kOrders);
+  AddHost("c", kOrders);
+  m_coordinator.SetShardedServices({ kOrders });
+  m_state.Start();
+  m_coordinator.Start();
+  RunWithReports(10);
+  ASSERT_TRUE(IsAssigned(kOrders));
+  const auto rows = m_state.State().Table().RowsOf(kOrders);
+  const auto row = std::find_if(rows.begin(), rows.end(), [](const auto& aRow) {
+    return aRow.holder.host == HostName("b");
+  });
+  ASSERT_NE(row, rows.end());
+  const auto countMoves = [&](int aParts) {
+    size_t moves = 0;
+    for (int part = 0; part < aParts; ++part) {
+      for (const auto& host : m_hosts) {
+        HostReport report{ host, 10.0, {} };
+        if (host == row->holder.host) { // It has all of the load.
+          for (auto key = row->range.first; key < row->range.first + 4096;
+               key += 64) {
+            report.buckets.push_back({ { key, key + 63 }, 5.0 });
+          }
+        }
+        moves += m_coordinator.OnReport(report).moves.size();
+      }
+      RunLoop(milliseconds(300));
+    }
+    return moves;
+  };
+  EXPECT_GT(countMoves(20), 0U);
+  m_store.down = true;
+  countMoves(5); // The next poll fails.
+  EXPECT_EQ(countMoves(10), 0U);
+}
+
 }
