Claims leave the host's record as soon as they are confirmed; postmortem

A claim that stays in a record could be confirmed once more, for a row that has moved since, by a coordinator that starts just when a table of an earlier era, appended late, is the newest one in the store. HostDaemon_StoreReturnTest State_UntilTheRowsAreConfirmed_* checks that the stored record has none.

--- a/src/HostDaemon/StateTask.cpp
+++ b/src/HostDaemon/StateTask.cpp
@@ -241,6 +241,7 @@
     m_logger.Warning("host-removed", "offset={} rejoins=true", aNext);
     m_recordDirty = true;
   }
+  DropConfirmedClaims();
   CheckOwnRecord();
 }
 
@@ -312,6 +313,17 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(now - m_eraSince)
       .count());
   m_earlier.reset();
+  DropConfirmedClaims();
+}
+
+void
+StateTaskBase::DropConfirmedClaims()
+{
+  if (!m_earlier && !m_self.claims.empty() &&
+      AreConfirmed(m_state.Table(), m_self.service, m_self.claims)) {
+    m_self.claims.clear();
+    m_recordDirty = true;
+  }
 }
 
 void
@@ -382,8 +394,7 @@
   }
   const bool same = m_self.server && aServer &&
                     m_self.server->incarnation == aServer->incarnation;
-  if (!same || (!m_earlier &&
-                AreConfirmed(m_state.Table(), m_self.service, m_self.claims))) {
+  if (!same) {
     m_self.claims.clear();
   }
   m_self.server = aServer;
--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -248,6 +248,9 @@
   void RenewLeaseFromKnownSyncs();
   void NotifyListeners();
 
+  /** Claims that are confirmed must not be read again: the rows may move. */
+  void DropConfirmedClaims();
+
   /** Writes this host's record again if the store holds another one than was
    * acknowledged; the other hosts act on what the store holds. */
   void CheckOwnRecord();
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -324,6 +324,7 @@
   if (!Returning()) {
     m_returnTimer.Stop();
     NotifyListeners();
+    WritePending();
   }
 }
 
--- a/test/HostDaemon/StoreReturnTest.cpp
+++ b/test/HostDaemon/StoreReturnTest.cpp
@@ -172,6 +172,8 @@
   EXPECT_EQ(m_b.RowAt(0).holder, HolderOf("b"));
   EXPECT_EQ(m_b.RowAt(0).fence, fence);
   EXPECT_GT(m_b.task.RemainingLease(), Duration{});
+  // They must not be confirmed once more after the rows have moved.
+  EXPECT_TRUE(m_a.task.Latest().FindHost(HostName("b"))->claims.empty());
 }
 
 /** Guards against a lease that is renewed by what another life of the store
--- a/test/Ranges/SimulationSupport.cpp
+++ b/test/Ranges/SimulationSupport.cpp
@@ -431,6 +431,11 @@
   auto& daemon = *aDaemon;
   if (!daemon.earlier) {
     RepeatReleases(daemon);
+    if (!daemon.self.claims.empty() &&
+        AreConfirmed(daemon.state.Table(), kOrders, daemon.self.claims)) {
+      daemon.self.claims.clear();
+      daemon.recordDirty = true;
+    }
     return;
   }
   const auto now = LocalTime(daemon.rate);
@@ -915,9 +920,7 @@
   if (daemon.self.server != status) {
     const bool same = daemon.self.server &&
                       daemon.self.server->incarnation == status.incarnation;
-    if (!same ||
-        (!daemon.earlier &&
-         AreConfirmed(daemon.state.Table(), kOrders, daemon.self.claims))) {
+    if (!same) {
       daemon.self.claims.clear();
     }
     daemon.self.server = status;
