A host that the store turns away asks its peers also while it reads the newest records

Callers saw, in process_StoreReturnTest Keys_StoreTurnsAHostAway_*: keys of a host that the store turned away across a return were not served within 30 s. The host had learnt of the later era from a peer, read the newest records again and again, and only a failed read from its end on made it ask peers for their state.

Change: each failed read asks, and backs off in the same way. The stand-in store gets a second port with a fault of its own.

--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -85,7 +85,10 @@
   const auto* records = std::get_if<StoreRecords>(&aResult);
   SetConnected(records != nullptr, "newest");
   if (records == nullptr || records->era < m_era) {
-    m_pollTimer.StartOnce(m_settings.retryDelay);
+    if (m_hasRead && m_onUnavailable) {
+      m_onUnavailable();
+    }
+    RetryPoll();
     return;
   }
   m_readsNewest = false;
--- a/standin/store/Main.cpp
+++ b/standin/store/Main.cpp
@@ -27,7 +27,8 @@
  * GET /fault?mode=M sets the fault to simulate: ok (none), down (answers 503),
  * silent (never answers), lost (stores appended records without answering) or
  * late (same, after delayMs milliseconds, if the condition still holds then).
- * With count=N, lost and late end after N appends.
+ * With count=N, lost and late end after N appends. With second=1, the fault is
+ * simulated on the port given by --second-port only; it serves the same topics.
  * GET /copy makes a copy of all topics and producers; GET /return goes back to
  * it. What was written in between is lost, its offsets are given out again, and
  * the header Store-Era of all answers rises by one. Reads that wait stay
@@ -92,27 +93,52 @@
 class Store
 {
 public:
-  Store(event_base* aBase, uint16_t aPort)
+  /** \param aSecondPort 0: none. */
+  Store(event_base* aBase, uint16_t aPort, uint16_t aSecondPort)
     : m_base(aBase)
-    , m_http(evhttp_new(aBase))
   {
-    auto* socket = evhttp_bind_socket_with_handle(m_http, "127.0.0.1", aPort);
-    if (socket == nullptr) {
-      throw std::runtime_error("can't listen on the port given by --port");
+    Listen(m_first, aPort);
+    if (aSecondPort != 0) {
+      Listen(m_second, aSecondPort);
     }
-    evhttp_set_gencb(
-      m_http,
-      [](evhttp_request* aRequest, void* aSelf) {
-        static_cast<Store*>(aSelf)->Handle(aRequest);
-      },
-      this);
   }
 
-  ~Store() { evhttp_free(m_http); }
+  ~Store()
+  {
+    for (auto* http : { m_first.http, m_second.http }) {
+      if (http != nullptr) {
+        evhttp_free(http);
+      }
+    }
+  }
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
 private:
+  /** Port of the store, with the fault that it simulates. */
+  struct Door
+  {
+    Store* store = nullptr;
+    evhttp* http = nullptr;
+    std::string fault;
+  };
+
+  void Listen(Door& aDoor, uint16_t aPort)
+  {
+    aDoor.store = this;
+    aDoor.http = evhttp_new(m_base);
+    if (evhttp_bind_socket(aDoor.http, "127.0.0.1", aPort) != 0) {
+      throw std::runtime_error("can't listen on the given port");
+    }
+    evhttp_set_gencb(
+      aDoor.http,
+      [](evhttp_request* aRequest, void* aSelf) {
+        auto* door = static_cast<Door*>(aSelf);
+        door->store->Handle(aRequest, *door);
+      },
+      &aDoor);
+  }
+
   /** A read that waits until there is a record at its offset. */
   struct PendingRead
   {
@@ -143,7 +169,7 @@
     evbuffer_free(body);
   }
 
-  void Handle(evhttp_request* aRequest)
+  void Handle(evhttp_request* aRequest, const Door& aDoor)
   {
     const auto* uri = evhttp_request_get_evhttp_uri(aRequest);
     const std::string path = evhttp_uri_get_path(uri);
@@ -160,10 +186,10 @@
       return;
     }
     ++m_calls[path];
-    if (m_fault == "silent") {
+    if (aDoor.fault == "silent") {
       return; // The request stays open and is never answered.
     }
-    if (m_fault == "down") {
+    if (aDoor.fault == "down") {
       Reply(aRequest, kUnavailable, "{}");
     } else if (path == "/api/log-append") {
       Append(aRequest, parameters);
@@ -200,7 +226,11 @@
 
   void SetFault(Parameters& aParameters)
   {
-    m_fault = aParameters["mode"];
+    m_second.fault = aParameters["mode"];
+    if (aParameters.contains("second")) {
+      return;
+    }
+    m_first.fault = aParameters["mode"];
     m_lateBy =
       std::chrono::milliseconds(std::stoll("0" + aParameters["delayMs"]));
     m_faultyAppends = aParameters.contains("count")
@@ -211,9 +241,9 @@
   /** Fault to simulate for this append. */
   std::string NextAppendFault()
   {
-    const auto fault = m_fault;
+    const auto fault = m_first.fault;
     if (m_faultyAppends && --*m_faultyAppends <= 0) {
-      m_fault = "ok";
+      m_first.fault = "ok";
       m_faultyAppends.reset();
     }
     return fault;
@@ -379,8 +409,8 @@
   }
 
   event_base* m_base;
-  evhttp* m_http;
-  std::string m_fault;
+  Door m_first;
+  Door m_second;
   std::optional<int> m_faultyAppends; ///< nullopt: until the next fault.
   std::chrono::milliseconds m_lateBy{};
   std::vector<std::unique_ptr<Timer>> m_lateAppends;
@@ -400,8 +430,16 @@
 main(int aCount, char** aValues)
 {
   int port = 0;
+  int secondPort = 0;
   const poptOption options[] = {
     { "port", 'p', POPT_ARG_INT, &port, 0, "port on 127.0.0.1", "PORT" },
+    { "second-port",
+      's',
+      POPT_ARG_INT,
+      &secondPort,
+      0,
+      "further port",
+      "PORT" },
     POPT_AUTOHELP POPT_TABLEEND
   };
   auto* context = poptGetContext(
@@ -411,7 +449,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   auto* base = event_base_new();
   {
-    pistachioshift::standin::Store store(base, static_cast<uint16_t>(port));
+    pistachioshift::standin::Store store(
+      base, static_cast<uint16_t>(port), static_cast<uint16_t>(secondPort));
     fmt::print("listening port={}\n", port);
     std::fflush(stdout);
     event_base_dispatch(base);
--- a/test/HostDaemon/StoreReturnTest.cpp
+++ b/test/HostDaemon/StoreReturnTest.cpp
@@ -302,4 +302,20 @@
   EXPECT_EQ(m_b.task.Latest().Table(), m_a.task.Latest().Table());
 }
 
+/** Guards against a host that the store turns away and that asks no peer for
+ * the state, because it reads the newest records and not from its end on. */
+TEST_F(StoreReturnTest, ReadNewest_StoreTurnsTheHostAway_PeersAreAsked)
+{
+  m_b.store.down = true;
+  Run();
+  int asked = 0;
+  m_b.task.SetOnUnavailable([&asked] { ++asked; });
+  m_b.task.ApplyPeerUpdate({}, { StoreEra(2), 1 });
+  Run(milliseconds(200));
+  const auto first = asked;
+  EXPECT_GT(first, 0);
+  Run(milliseconds(200));
+  EXPECT_GT(asked, first);
+}
+
 }
--- a/test/process/PlatformSupport.h
+++ b/test/process/PlatformSupport.h
@@ -50,7 +50,9 @@
     PickPorts();
     m_store = std::make_unique<ChildProcess>(
       "standin_store",
-      std::vector<std::string>{ fmt::format("--port={}", m_storePort) });
+      std::vector<std::string>{
+        fmt::format("--port={}", m_storePort),
+        fmt::format("--second-port={}", m_secondStorePort) });
     m_store->WaitForPort();
     WriteConfig();
     for (size_t index = 0; index < kHosts; ++index) {
@@ -107,6 +109,7 @@
   {
     PortPicker picker;
     m_storePort = picker.Pick();
+    m_secondStorePort = picker.Pick();
     for (size_t index = 0; index < kHosts; ++index) {
       Host host;
       for (int count = 0; count < 4; ++count) {
@@ -142,7 +145,7 @@
                         host.ports[0],
                         host.ports[1],
                         host.ports[2],
-                        m_storePort);
+                        aIndex + 1 < kHosts ? m_storePort : m_secondStorePort);
     file.close();
     host.server = std::make_unique<ChildProcess>(
       "standin_instance",
@@ -202,6 +205,12 @@
     HttpGet(m_storePort, "/fault?mode=" + aMode);
   }
 
+  /** Sets the fault that only the last host sees. */
+  void SetFaultOfLastHost(const std::string& aMode) const
+  {
+    HttpGet(m_storePort, "/fault?second=1&mode=" + aMode);
+  }
+
   /** How often each request ran, over all servers, by its id. */
   std::map<std::string, int> Runs() const
   {
@@ -260,6 +269,7 @@
   std::string m_grace;
   milliseconds m_work; ///< Execution time of each request.
   uint16_t m_storePort = 0;
+  uint16_t m_secondStorePort = 0; ///< Port of the same store for the last host.
   std::unique_ptr<ChildProcess> m_store;
   std::vector<Host> m_hosts;
   std::atomic<int> m_requests{ 0 };
--- a/test/process/StoreReturnTest.cpp
+++ b/test/process/StoreReturnTest.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <csignal>
 #include <map>
 #include <set>
 #include <string>
@@ -351,4 +352,112 @@
   EXPECT_EQ(watch->Stop(), "");
 }
 
+/** Guards against a version that comes back, or stays out of force, because
+ * versions follow each other while the store goes back. */
+TEST_F(StoreReturnTest, Config_StormAcrossTheReturn_NewestOneIsInForce)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  const auto prefix = [](int aVersion) {
+    return fmt::format("/n{}/", aVersion);
+  };
+  constexpr int kCopied = 10;
+  constexpr int kLost = 20;
+  constexpr int kLast = 40;
+  for (int version = 2; version <= kLast; ++version) {
+    WriteConfig(version, { prefix(version) });
+    std::this_thread::sleep_for(milliseconds(100));
+    if (version == kCopied) {
+      MakeCopy();
+    }
+    if (version == kLost) {
+      Return(milliseconds(300));
+      WriteConfig(kLost, { prefix(kLost) }); // The operator writes it again.
+    }
+  }
+  ASSERT_TRUE(IsInForce(prefix(kLast)));
+  const auto end = steady_clock::now() + seconds(2);
+  while (steady_clock::now() < end) {
+    for (size_t host = 0; host < kHosts; ++host) {
+      for (const auto version : { kCopied, kLost, kLast - 1 }) {
+        ASSERT_EQ(Ask(host, (prefix(version) + "x").c_str(), 1).status, 404)
+          << "version " << version << " on host " << host;
+      }
+    }
+  }
+}
+
+/** Guards against a host that the store turns away across the return: it must
+ * neither keep its rows nor go on with the state before. */
+TEST_F(StoreReturnTest, Keys_StoreTurnsAHostAway_OthersTakeItsRows)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  const auto watch = WatchHolds();
+  CopyThenMoveRowsOf(1);
+  SetFaultOfLastHost("down");
+  SetFault("down");
+  std::this_thread::sleep_for(milliseconds(300));
+  HttpGet(m_storePort, "/return");
+  SetFault("ok");
+  SetFaultOfLastHost("down");
+  WriteConfig(2, { "/n2/" });
+  EXPECT_TRUE(IsInForce("/n2/")); // The last host learns it from the others.
+  // The hosts act on the state before for a moment, then on that of the return.
+  std::this_thread::sleep_for(seconds(3));
+  EXPECT_TRUE(WaitServed(0, seconds(15)));
+  EXPECT_TRUE(WaitServed(2, seconds(15)));
+  SetFaultOfLastHost("ok");
+  EXPECT_TRUE(WaitServed(2, seconds(15)));
+  EXPECT_EQ(watch->Stop(), "");
+}
+
+/** Guards against a host that stops while it claims its rows. */
+TEST_F(StoreReturnTest, Keys_PlannedStopAcrossTheReturn_AreServedAgain)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  const auto watch = WatchHolds();
+  CopyThenMoveRowsOf(2);
+  m_hosts[1].daemon->Signal(SIGTERM);
+  Return();
+  EXPECT_EQ(m_hosts[1].daemon->Wait(), 0);
+  EXPECT_TRUE(WaitServed(0, seconds(15)));
+  StartDaemon(m_hosts[1]);
+  EXPECT_TRUE(WaitServed(1, seconds(15)));
+  EXPECT_EQ(watch->Stop(), "");
+}
+
+/** Guards against a request that runs at two servers because both take it for
+ * theirs. */
+TEST_F(StoreReturnTest, Requests_UnderLoadAcrossTwoReturns_NoWriteRunsTwice)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  const auto watch = WatchHolds();
+  CopyThenMoveRowsOf(2);
+  std::atomic<bool> stop{ false };
+  std::vector<std::thread> callers;
+  callers.reserve(4);
+  for (int number = 0; number < 4; ++number) {
+    callers.emplace_back([&, number] {
+      for (int turn = 0; !stop; ++turn) {
+        Ask(static_cast<size_t>(turn) % kHosts,
+            "/w/x",
+            (turn * 977 + number * 16384) % 65536);
+      }
+    });
+  }
+  Return();
+  m_hosts[0].daemon->Kill(); // It coordinates.
+  std::this_thread::sleep_for(milliseconds(300));
+  StartDaemon(m_hosts[0]);
+  std::this_thread::sleep_for(seconds(2));
+  Return();
+  std::this_thread::sleep_for(seconds(8));
+  stop = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(MostRuns(), 1);
+  EXPECT_TRUE(WaitServed(0, seconds(15)));
+  EXPECT_EQ(watch->Stop(), "");
+}
+
 }
