The first answer of a later era makes all topics be read anew (CONFIG)

Callers saw, in process_StoreReturnTest Config_StoreIsSilentBeforeTheReturn_*: a version that is confirmed right after a return is in force 2.7 to 3.4 s later, with 2 s allowed. The polls of the configuration that were in progress had been lost with the store, and were given up after 2.5 s; the poll after that waited for 0.9 s at an end that equals the position of before.

ConfigFollowerTest OnLaterEra_* is new.

--- a/src/HostDaemon/StateTask.h
+++ b/src/HostDaemon/StateTask.h
@@ -341,6 +341,9 @@
   void ApplyPeerSnapshot(const std::vector<StoreEntry>& aEntries,
                          const StorePosition& aNext) override;
 
+  /** \brief Reads the newest records if the era is later than that of End(). */
+  void OnLaterEra(StoreEra aEra);
+
   bool Connected() const override { return m_connected; }
 
 private:
--- a/src/HostDaemon/internal/StateTaskImpl.h
+++ b/src/HostDaemon/internal/StateTaskImpl.h
@@ -284,6 +284,15 @@
   }
 }
 
+template<KeyedStore Store>
+void
+StateTask<Store>::OnLaterEra(StoreEra aEra)
+{
+  if (m_hasRead && aEra > m_era) {
+    ReadLaterEra();
+  }
+}
+
 template<KeyedStore Store>
 void
 StateTask<Store>::EnterEra(StoreEra aEra)
--- a/test/platform/ConfigFollowerTest.cpp
+++ b/test/platform/ConfigFollowerTest.cpp
@@ -475,4 +475,24 @@
   EXPECT_EQ(m_follower.Position(), At(1));
 }
 
+/** Guards against a poll that waits at an end which has been given out again,
+ * while another call has shown that the store has come back from a copy. */
+TEST_F(ConfigFollowerTest, OnLaterEra_PollIsWaiting_NewestIsReadAtOnce)
+{
+  Write(Config(1));
+  const auto copy = m_topic;
+  Write(Config(2));
+  m_follower.Start();
+  Run(milliseconds(20)); // Its poll waits for 400 ms.
+  m_topic.ReturnTo(copy);
+  Write(Config(3));
+  m_follower.OnLaterEra(m_topic.Position().era);
+  Run(milliseconds(20));
+  EXPECT_EQ(m_follower.Current()->version, 3U);
+  EXPECT_EQ(m_follower.Position(), At(2));
+  const auto before = m_store.reads;
+  m_follower.OnLaterEra(m_topic.Position().era); // Known already.
+  EXPECT_EQ(m_store.reads, before);
+}
+
 }
--- a/test/process/StoreReturnTest.cpp
+++ b/test/process/StoreReturnTest.cpp
@@ -352,6 +352,27 @@
   EXPECT_EQ(watch->Stop(), "");
 }
 
+/** Guards against polls that were lost with the store, and against polls that
+ * then wait at an end which has been given out again. */
+TEST_F(StoreReturnTest, Config_StoreIsSilentBeforeTheReturn_IsInForce)
+{
+  ASSERT_TRUE(WaitServed(0, seconds(15)));
+  for (int round = 0; round < 4; ++round) {
+    MakeCopy();
+    const auto lost = 2 + 2 * round;
+    WriteConfig(lost, { fmt::format("/n{}/", lost) });
+    ASSERT_TRUE(IsInForce(fmt::format("/n{}/", lost)));
+    std::this_thread::sleep_for(milliseconds(1000 + 137 * round));
+    SetFault("silent");
+    std::this_thread::sleep_for(seconds(1));
+    HttpGet(m_storePort, "/return");
+    SetFault("ok");
+    WriteConfig(lost + 1, { fmt::format("/n{}/", lost + 1) });
+    EXPECT_TRUE(IsInForce(fmt::format("/n{}/", lost + 1))) << round;
+    std::this_thread::sleep_for(seconds(3));
+  }
+}
+
 /** Guards against a version that comes back, or stays out of force, because
  * versions follow each other while the store goes back. */
 TEST_F(StoreReturnTest, Config_StormAcrossTheReturn_NewestOneIsInForce)
