--- a/test/Ranges/PlacementTest.cpp
+++ b/test/Ranges/PlacementTest.cpp
@@ -29,6 +29,19 @@
     return StateOf(records);
   }
 
+  /** Frees the rows of hosts without a record, as the append does that removes
+   * the record of a failed host. */
+  static void FreeRowsOfRemovedHosts(RangeTable& aTable,
+                                     const MeshState& aState)
+  {
+    const auto rows = aTable.RowsOf(kOrders);
+    for (const auto& row : rows) {
+      if (aState.FindHost(row.holder.host) == nullptr) {
+        aTable.Free(kOrders, row.range, {});
+      }
+    }
+  }
+
   static double LoadOn(const RangeTable& aTable,
                        const std::string& aHost,
                        const LoadMap& aLoad)
@@ -67,6 +80,7 @@
   const auto targets = Targets("abcde", 1.0);
   AssignFreeRows(m_table, State("abcde"), kOrders, targets, LoadMap());
   const auto rest = Targets("abcd", 1.0);
+  FreeRowsOfRemovedHosts(m_table, State("abcd"));
   ASSERT_TRUE(AssignFreeRows(m_table, State("abcd"), kOrders, rest, LoadMap()));
   const LoadMap even;
   for (const auto* host : { "a", "b", "c", "d" }) {
@@ -327,6 +341,7 @@
   AssignFreeRows(m_table, StateOf(records), kOrders, targets, load);
   targets.resize(kHosts / 2);
   records.resize(kHosts / 2);
+  FreeRowsOfRemovedHosts(m_table, StateOf(records));
   const auto state = StateOf(records, m_table);
   for (int round = 0; round < 20; ++round) {
     auto table = m_table;
