Frames mark nested calls and requests whose body waits for credit

Cause: a holder's daemon could not tell a call of a running request from a new one, nor decide about a body before it was sent. Result: CodecTest checks both fields; no behaviour changes.

--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -29,6 +29,9 @@
   uint32_t priority = 0; ///< 0 is the most urgent.
   Duration goal{};       ///< Target latency; zero: none.
   RequestFingerprint fingerprint;
+  bool nested = false; ///< Made by a backend server while it runs a request.
+  /// The body is sent only once the holder's daemon has granted credit for it.
+  bool awaitsCredit = false;
 };
 
 /** \brief How an attempt ended that got no response from a backend server. */
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -135,6 +135,8 @@
   request.priority = aOpen.priority;
   request.goal = aOpen.goal;
   request.fingerprint = aOpen.fingerprint;
+  request.nested = aOpen.nested;
+  request.awaitsCredit = aOpen.awaitsCredit;
   const auto stream =
     std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
   m_streams.emplace(aOpen.stream, stream);
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -31,6 +31,8 @@
   open.priority = aRequest.priority;
   open.goal = aRequest.goal;
   open.fingerprint = aRequest.fingerprint;
+  open.nested = aRequest.nested;
+  open.awaitsCredit = aRequest.awaitsCredit;
   m_finished = !aRequest.hasBody;
   link->Send(open);
 }
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -159,6 +159,12 @@
     open.__set_priority(static_cast<int32_t>(aOpen.priority));
     open.__set_goalMicros(duration_cast<microseconds>(aOpen.goal).count());
     open.__set_fingerprint(static_cast<int64_t>(aOpen.fingerprint.Value()));
+    if (aOpen.nested) {
+      open.__set_nested(true);
+    }
+    if (aOpen.awaitsCredit) {
+      open.__set_awaitsCredit(true);
+    }
     frame.__set_requestOpen(open);
   }
 
@@ -379,6 +385,8 @@
     open.fingerprint =
       RequestFingerprint(static_cast<uint64_t>(aOpen.fingerprint));
   }
+  open.nested = aOpen.__isset.nested && aOpen.nested;
+  open.awaitsCredit = aOpen.__isset.awaitsCredit && aOpen.awaitsCredit;
   return open;
 }
 
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -52,6 +52,9 @@
   uint32_t priority = 0; ///< 0 is the most urgent.
   Duration goal{};       ///< Target latency; zero: none.
   RequestFingerprint fingerprint;
+  bool nested = false; ///< Made by a backend server while it runs a request.
+  /// The body is sent only once the receiver has granted credit for it.
+  bool awaitsCredit = false;
 };
 
 /** \brief Part of a request or response body. */
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -592,6 +592,16 @@
   this->fingerprint = val;
 __isset.fingerprint = true;
 }
+
+void WireRequestOpen::__set_nested(const bool val) {
+  this->nested = val;
+__isset.nested = true;
+}
+
+void WireRequestOpen::__set_awaitsCredit(const bool val) {
+  this->awaitsCredit = val;
+__isset.awaitsCredit = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireRequestOpen& obj)
 {
   obj.printTo(out);
@@ -771,6 +781,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->nested);
+          this->__isset.nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->awaitsCredit);
+          this->__isset.awaitsCredit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -887,6 +913,16 @@
     xfer += oprot->writeI64(this->fingerprint);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.nested) {
+    xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 17);
+    xfer += oprot->writeBool(this->nested);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.awaitsCredit) {
+    xfer += oprot->writeFieldBegin("awaitsCredit", ::apache::thrift::protocol::T_BOOL, 18);
+    xfer += oprot->writeBool(this->awaitsCredit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -910,6 +946,8 @@
   swap(a.priority, b.priority);
   swap(a.goalMicros, b.goalMicros);
   swap(a.fingerprint, b.fingerprint);
+  swap(a.nested, b.nested);
+  swap(a.awaitsCredit, b.awaitsCredit);
   swap(a.__isset, b.__isset);
 }
 
@@ -930,6 +968,8 @@
   priority = other14.priority;
   goalMicros = other14.goalMicros;
   fingerprint = other14.fingerprint;
+  nested = other14.nested;
+  awaitsCredit = other14.awaitsCredit;
   __isset = other14.__isset;
 }
 WireRequestOpen& WireRequestOpen::operator=(const WireRequestOpen& other15) {
@@ -949,6 +989,8 @@
   priority = other15.priority;
   goalMicros = other15.goalMicros;
   fingerprint = other15.fingerprint;
+  nested = other15.nested;
+  awaitsCredit = other15.awaitsCredit;
   __isset = other15.__isset;
   return *this;
 }
@@ -971,6 +1013,8 @@
   out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
   out << ", " << "goalMicros="; (__isset.goalMicros ? (out << to_string(goalMicros)) : (out << "<null>"));
   out << ", " << "fingerprint="; (__isset.fingerprint ? (out << to_string(fingerprint)) : (out << "<null>"));
+  out << ", " << "nested="; (__isset.nested ? (out << to_string(nested)) : (out << "<null>"));
+  out << ", " << "awaitsCredit="; (__isset.awaitsCredit ? (out << to_string(awaitsCredit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -268,12 +268,14 @@
 std::ostream& operator<<(std::ostream& out, const WireHello& obj);
 
 typedef struct _WireRequestOpen__isset {
-  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false), goalMicros(false), fingerprint(false) {}
+  _WireRequestOpen__isset() : contentLength(false), idempotencyKey(false), priority(false), goalMicros(false), fingerprint(false), nested(false), awaitsCredit(false) {}
   bool contentLength :1;
   bool idempotencyKey :1;
   bool priority :1;
   bool goalMicros :1;
   bool fingerprint :1;
+  bool nested :1;
+  bool awaitsCredit :1;
 } _WireRequestOpen__isset;
 
 class WireRequestOpen : public virtual ::apache::thrift::TBase {
@@ -295,7 +297,9 @@
                     isRepeat(0),
                     priority(0),
                     goalMicros(0),
-                    fingerprint(0) {
+                    fingerprint(0),
+                    nested(0),
+                    awaitsCredit(0) {
   }
 
   virtual ~WireRequestOpen() noexcept;
@@ -315,6 +319,8 @@
   int32_t priority;
   int64_t goalMicros;
   int64_t fingerprint;
+  bool nested;
+  bool awaitsCredit;
 
   _WireRequestOpen__isset __isset;
 
@@ -350,6 +356,10 @@
 
   void __set_fingerprint(const int64_t val);
 
+  void __set_nested(const bool val);
+
+  void __set_awaitsCredit(const bool val);
+
   bool operator == (const WireRequestOpen & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -394,6 +404,14 @@
       return false;
     else if (__isset.fingerprint && !(fingerprint == rhs.fingerprint))
       return false;
+    if (__isset.nested != rhs.__isset.nested)
+      return false;
+    else if (__isset.nested && !(nested == rhs.nested))
+      return false;
+    if (__isset.awaitsCredit != rhs.__isset.awaitsCredit)
+      return false;
+    else if (__isset.awaitsCredit && !(awaitsCredit == rhs.awaitsCredit))
+      return false;
     return true;
   }
   bool operator != (const WireRequestOpen &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -41,6 +41,8 @@
   14: optional i32 priority
   15: optional i64 goalMicros
   16: optional i64 fingerprint
+  17: optional bool nested
+  18: optional bool awaitsCredit
 }
 
 struct WireBody {
--- a/src/Routing/RouteTable.h
+++ b/src/Routing/RouteTable.h
@@ -35,6 +35,7 @@
   Duration targetLatency{}; ///< Answers should take no longer.
   uint32_t attempts = 1;    ///< Most backend servers tried for one request.
   uint32_t priority = 0;    ///< 0 is the most urgent.
+  bool upload = false;      ///< Requests have large bodies.
 
   bool operator==(const Route&) const = default;
 };
--- a/test/Inner/CodecTest.cpp
+++ b/test/Inner/CodecTest.cpp
@@ -201,6 +201,8 @@
   open.idempotencyKey = "k";
   open.repeat = true;
   open.known = TablePosition(9);
+  open.nested = true;
+  open.awaitsCredit = true;
   const auto bytes = EncodeFrame(open);
   const auto frames = SplitFrames(bytes);
   const auto frame = DecodeFrame(frames.at(0));
@@ -211,6 +213,8 @@
   EXPECT_EQ(decoded.remaining, open.remaining);
   EXPECT_EQ(decoded.known, open.known);
   EXPECT_TRUE(decoded.repeat);
+  EXPECT_TRUE(decoded.nested);
+  EXPECT_TRUE(decoded.awaitsCredit);
 }
 
 TEST_F(CodecTest, RangeRelease_RoundTrip_KeepsFields)
