Nested calls start before outer requests, which leave them slots

Cause: the caller of a nested call holds a slot while it waits. At the gate a nested call competed with new requests of its priority, was refused as cannot-finish, and its caller's work was wasted. Change: the gate has a class for nested calls. It starts before all others, its estimates of waits count no other class, and those of outer requests count its whole queue. Outer requests leave free the slots that nested calls have needed lately (NestedDemand: arrivals x service time over 2 s, at most a third of the slots, none 4 s after the last call). The ingress daemon passes the mark on. Gauge pistachio_gate_reserved.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -122,6 +122,7 @@
   request.repeat = m_resolved.repeat;
   request.priority = m_resolved.priority;
   request.goal = m_resolved.goal;
+  request.nested = m_resolved.nested;
   request.fingerprint = FingerprintOf(m_head, m_resolved.key, m_body);
   if (m_resuming) {
     m_resume.RequestRemainder(request.head);
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -284,6 +284,7 @@
   set("pistachio_in_flight", m_server.InFlight());
   set("pistachio_gate_running", m_server.Running());
   set("pistachio_gate_queued", m_server.Queued());
+  set("pistachio_gate_reserved", m_server.ReservedSlots());
   set("pistachio_inner_connections", m_peers.Connections());
   set("pistachio_inner_sessions", m_inner.Sessions());
   // -1: the backend server has stated no limit.
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -5,27 +5,14 @@
 
 #include <fmt/format.h>
 
+#include "src/HostDaemon/GateClasses.h"
+
 namespace pistachioshift {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-/** Number of classes at the gate, one for each priority; less urgent priorities
- * share the last class. */
-constexpr uint32_t kPriorityClasses = 8;
-
-/** Ratio of the gate weights of adjacent priorities. */
-constexpr double kPriorityWeightRatio = 4.0;
-
-/** Longest queue of a class, in requests. The gate already refuses requests
- * that would wait too long. */
-constexpr uint32_t kQueueBound = 256;
-
-/** Service time assumed before the first answer: the work that the priority
- * classes state. */
-constexpr Duration kInitialServiceTime = milliseconds(150);
-
 constexpr size_t kMaxHeldCalls = 2048;
 
 /** Interval of checks for expired holds and for queued requests that must be
@@ -79,20 +66,6 @@
   }
 }
 
-AdmissionSettings
-GateSettingsFor(uint32_t aSlots)
-{
-  AdmissionSettings settings;
-  settings.slots = aSlots;
-  settings.initialService = kInitialServiceTime;
-  double weight = 1.0;
-  for (uint32_t priority = 0; priority < kPriorityClasses; ++priority) {
-    settings.classes.push_back(AdmissionClass{ weight, kQueueBound });
-    weight /= kPriorityWeightRatio;
-  }
-  return settings;
-}
-
 }
 
 RangeServerTask::RangeServerTask(event_base* aBase,
@@ -226,7 +199,7 @@
     aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
     return;
   }
-  aCall->m_class = ClassIndex(std::min(request.priority, kPriorityClasses - 1));
+  aCall->m_class = GateClassOf(request);
   const auto wait = LinkWait(*aCall);
   if (!m_link.Admits(request.head.target, wait, request.goal)) {
     aCall->Refuse(RefusalReason::kCannotFinish, wait);
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -123,6 +123,11 @@
   {
     return m_gate && m_gate->HasFreeSlot(m_clock.Now());
   }
+  /** \brief Slots that outer requests leave for nested calls. */
+  uint32_t ReservedSlots() const
+  {
+    return m_gate ? m_gate->ReservedSlots(m_clock.Now()) : 0;
+  }
   /** \brief Requests per second that the backend server takes, as it stated;
    * nullopt: no limit. */
   std::optional<double> RequestLimit() const
--- a/src/Routing/AdmissionCheck.cpp
+++ b/src/Routing/AdmissionCheck.cpp
@@ -37,10 +37,12 @@
   if (aQueueEntry.latestStart < aNow) {
     return RefusalReason::kCannotFinish;
   }
-  if (HasFreeSlot(aNow) && m_queued.empty()) {
+  const auto& state = m_classes[aRequest.requestClass.Value()];
+  const bool nested = IsNested(aRequest.requestClass);
+  const bool isNext = nested ? state.queue.empty() : m_queued.empty();
+  if (isNext && MayStart(nested, aNow)) {
     return std::nullopt;
   }
-  const auto& state = m_classes[aRequest.requestClass.Value()];
   if (state.queue.size() >= state.settings.queueBound) {
     return RefusalReason::kQueueFull;
   }
@@ -122,7 +124,8 @@
   }
   const auto backlog = BacklogOf(aState, aNow);
   const auto ahead = QueuedSecondsAhead(aState, aQueueEntry);
-  const auto wait = backlog.FairSeconds(ahead) / backlog.limit;
+  const auto wait =
+    (backlog.nestedQueued + backlog.FairSeconds(ahead)) / backlog.limit;
   return wait > Seconds(std::max(aState.service, MeanExpectedOfRunning()));
 }
 
@@ -130,8 +133,10 @@
 AdmissionController::BacklogOf(const ClassState& aState, MonoTime aNow) const
 {
   Backlog backlog;
-  backlog.limit = static_cast<double>(Limit());
-  backlog.running = RunningSeconds(aNow);
+  const bool nested = IsNested(aState);
+  const auto slots = nested ? Limit() : Limit() - ReservedSlots(aNow);
+  backlog.limit = static_cast<double>(slots);
+  backlog.running = RunningSeconds(nested, aNow);
   if (const auto rate = m_rate.PerSecond()) {
     const auto used = *rate * Seconds(aState.service);
     if (used < backlog.limit) {
@@ -141,28 +146,42 @@
     }
   }
   backlog.share = ShareOf(aState);
+  if (nested) {
+    return backlog; // No other class delays nested calls.
+  }
   for (const auto& state : m_classes) {
     if (&state == &aState || state.queue.empty()) {
       continue;
     }
     const auto service = Seconds(state.service);
+    if (IsNested(state)) {
+      backlog.nestedQueued = static_cast<double>(state.queue.size()) * service;
+      continue;
+    }
     backlog.otherLargest += service;
     backlog.otherQueued += static_cast<double>(state.queue.size()) * service;
   }
   return backlog;
 }
 
-// Other classes delay a request at most by the work that they have queued, and
-// at most by their fair share plus one request each.
 double
 AdmissionController::Backlog::WaitSeconds(double aOwnAhead) const
 {
   if (limit <= 0.0) {
     return kInfiniteWait;
   }
+  return (running + QueueSeconds(aOwnAhead)) / limit;
+}
+
+// Other classes delay a request at most by the work that they have queued, and
+// at most by their fair share plus one request each. Nested calls delay it by
+// all that they have queued.
+double
+AdmissionController::Backlog::QueueSeconds(double aOwnAhead) const
+{
   const auto all = aOwnAhead + otherQueued;
   const auto fair = FairSeconds(aOwnAhead) + otherLargest;
-  return (running + std::min(all, fair)) / limit;
+  return nestedQueued + std::min(all, fair);
 }
 
 double
@@ -171,17 +190,25 @@
   return aOwnAhead / share;
 }
 
+// Work of running requests that must end before a request can start. For an
+// outer request, nested calls count only beyond the slots kept for them.
 double
-AdmissionController::RunningSeconds(MonoTime aNow) const
+AdmissionController::RunningSeconds(bool aNested, MonoTime aNow) const
 {
   // A request that has exceeded its expected service time is assumed to need
   // half of its elapsed time in addition.
   constexpr double kOverrun = 0.5;
+  const auto reserved = aNested ? 0 : ReservedSlots(aNow);
+  const double nestedShare =
+    m_nestedRunning > reserved
+      ? 1.0 - static_cast<double>(reserved) / m_nestedRunning
+      : 0.0;
   double seconds = 0.0;
   for (const auto& [id, running] : m_running) {
     const auto elapsed = Seconds(aNow - running.started);
     const auto left = Seconds(running.expected) - elapsed;
-    seconds += left > 0.0 ? left : kOverrun * elapsed;
+    const auto share = IsNested(running.requestClass) ? nestedShare : 1.0;
+    seconds += share * (left > 0.0 ? left : kOverrun * elapsed);
   }
   return seconds;
 }
@@ -190,8 +217,11 @@
 AdmissionController::ShareOf(const ClassState& aState) const
 {
   double weights = 0.0;
+  if (IsNested(aState)) {
+    return 1.0;
+  }
   for (const auto& state : m_classes) {
-    if (&state == &aState || !state.queue.empty()) {
+    if (&state == &aState || (!state.queue.empty() && !IsNested(state))) {
       weights += state.settings.weight;
     }
   }
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -15,6 +15,8 @@
 
 constexpr double kServiceSmoothing = 0.1;   // Weight of the newest sample.
 constexpr int kOverloadHorizonServices = 4; // In mean service times.
+// Slots kept for nested calls become free without any event.
+constexpr Duration kReservationCheck = std::chrono::milliseconds(100);
 
 }
 
@@ -47,6 +49,9 @@
     state.service = m_settings.initialService;
     m_classes.push_back(std::move(state));
   }
+  if (m_settings.nestedClass) {
+    StateOf(*m_settings.nestedClass); // Throws if there is no such class.
+  }
 }
 
 AdmissionActions
@@ -55,6 +60,9 @@
   AdmissionActions actions;
   auto& state = StateOf(aRequest.requestClass);
   RaiseServiceTimes(aNow);
+  if (IsNested(aRequest.requestClass)) {
+    m_nestedDemand.OnArrival(aNow);
+  }
   const auto queueEntry = MakeQueueEntry(aRequest, aNow);
   if (const auto reason = FindRefusalReason(aRequest, queueEntry, aNow)) {
     if (*reason == RefusalReason::kOverloaded) {
@@ -87,6 +95,7 @@
     return actions;
   }
   RecordResult(found->second, aResult, aNow);
+  m_nestedRunning -= IsNested(found->second.requestClass) ? 1 : 0;
   m_running.erase(found);
   StartNext(actions, aNow);
   return actions;
@@ -160,12 +169,46 @@
   return std::min(m_slots, m_adaptiveLimit.Value());
 }
 
+bool
+AdmissionController::IsNested(const ClassState& aState) const
+{
+  return m_settings.nestedClass &&
+         &m_classes[m_settings.nestedClass->Value()] == &aState;
+}
+
+uint32_t
+AdmissionController::ReservedSlots(MonoTime aNow) const
+{
+  if (!m_settings.nestedClass) {
+    return 0;
+  }
+  const auto service = ExpectedService(*m_settings.nestedClass);
+  return m_nestedDemand.Slots(service, Limit(), aNow);
+}
+
+bool
+AdmissionController::HasSlot(bool aNested, MonoTime aNow) const
+{
+  if (m_running.size() >= Limit()) {
+    return false;
+  }
+  const auto others = m_running.size() - m_nestedRunning;
+  return aNested || others + ReservedSlots(aNow) < Limit();
+}
+
+bool
+AdmissionController::MayStart(bool aNested, MonoTime aNow) const
+{
+  return HasSlot(aNested, aNow) && m_rate.MayStart(aNow);
+}
+
 std::optional<MonoTime>
 AdmissionController::NextWakeup(MonoTime aNow) const
 {
   std::optional<MonoTime> earliest;
   if (!m_queued.empty() && m_running.size() < Limit()) {
-    earliest = m_rate.NextStart(aNow);
+    earliest = HasSlot(IsNested(NextClass()), aNow) ? m_rate.NextStart(aNow)
+                                                    : aNow + kReservationCheck;
   }
   for (const auto& state : m_classes) {
     for (const auto& queueEntry : state.queue) {
@@ -232,8 +275,12 @@
                            MonoTime aNow)
 {
   auto& state = m_classes[aClass.Value()];
-  m_virtualTime = std::max(m_virtualTime, state.finishTag);
-  state.finishTag += Seconds(state.service) / state.settings.weight;
+  if (IsNested(aClass)) {
+    ++m_nestedRunning;
+  } else {
+    m_virtualTime = std::max(m_virtualTime, state.finishTag);
+    state.finishTag += Seconds(state.service) / state.settings.weight;
+  }
   m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service });
   m_rate.OnStart(aNow);
 }
@@ -242,8 +289,11 @@
 AdmissionController::StartNext(AdmissionActions& aActions, MonoTime aNow)
 {
   RefuseExpired(aActions, aNow);
-  while (HasFreeSlot(aNow) && !m_queued.empty()) {
+  while (!m_queued.empty()) {
     const auto next = NextClass();
+    if (!MayStart(IsNested(next), aNow)) {
+      break;
+    }
     const auto id = m_classes[next.Value()].queue.begin()->id;
     RemoveFromQueue(id);
     Start(next, id, aNow);
@@ -284,6 +334,11 @@
 ClassIndex
 AdmissionController::NextClass() const
 {
+  if (const auto nested = m_settings.nestedClass) {
+    if (!m_classes[nested->Value()].queue.empty()) {
+      return *nested;
+    }
+  }
   uint32_t best = 0;
   double least = std::numeric_limits<double>::infinity();
   for (uint32_t index = 0; index < m_classes.size(); ++index) {
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -9,6 +9,7 @@
 #include "src/Base/Clock.h"
 #include "src/Base/Ids.h"
 #include "src/Routing/AdaptiveLimit.h"
+#include "src/Routing/NestedDemand.h"
 #include "src/Routing/Outcome.h"
 #include "src/Routing/RequestRateLimit.h"
 #include "src/Routing/ServicePolicy.h"
@@ -36,6 +37,8 @@
 {
   uint32_t slots = 1; ///< Upper bound of the concurrency limit.
   std::vector<AdmissionClass> classes;
+  /// Class of nested calls, whose weight has no effect; nullopt: none.
+  std::optional<ClassIndex> nestedClass;
   QueueOrder order = QueueOrder::kLaxity;
   /// Expected service time of a class before its first answer.
   Duration initialService = std::chrono::milliseconds(5);
@@ -86,10 +89,12 @@
  * would wait for more than about one service time, and laxity reorders only
  * requests that arrive close together. Requests that all run for longer than
  * expected raise the expected service time before any of them has ended, so
- * that a cold server isn't sent a queue that it cannot serve. Each id passed to
- * Admit() is returned exactly once, as a start or as a refusal.
+ * that a cold server isn't sent a queue that it cannot serve. Requests of the
+ * nested class start before all others, which leave free the slots that nested
+ * calls have needed lately. Each id passed to Admit() is returned exactly once,
+ * as a start or as a refusal.
  *
- * \sa AdaptiveLimit
+ * \sa AdaptiveLimit, NestedDemand
  */
 class AdmissionController
 {
@@ -137,11 +142,12 @@
   /** \brief Requests that may start per second; nullopt: no limit. */
   std::optional<double> Rate() const { return m_rate.PerSecond(); }
 
-  /** \brief Whether a request that arrives at an empty queue starts at once. */
-  bool HasFreeSlot(MonoTime aNow) const
-  {
-    return m_running.size() < Limit() && m_rate.MayStart(aNow);
-  }
+  /** \brief Whether an outer request that arrives at an empty queue starts at
+   * once. */
+  bool HasFreeSlot(MonoTime aNow) const { return MayStart(false, aNow); }
+
+  /** \brief Slots that are kept for nested calls, those in use included. */
+  uint32_t ReservedSlots(MonoTime aNow) const;
 
   /** \brief The backend server restarted: slow start from one slot. */
   void Restarted(MonoTime aNow);
@@ -199,6 +205,7 @@
   struct Backlog
   {
     double running = 0.0;
+    double nestedQueued = 0.0; ///< Nested calls, which start before it.
     double otherQueued = 0.0;
     double otherLargest = 0.0; ///< One request of each other queued class.
     double share = 1.0;        ///< Fraction of the slots that the class gets.
@@ -207,11 +214,21 @@
     /** \param aOwnAhead queued work of the same class, in slot seconds. */
     double FairSeconds(double aOwnAhead) const;
 
+    /** \return Expected wait for queued requests in seconds. */
+    double QueueSeconds(double aOwnAhead) const;
+
     /** \return Expected wait in seconds. */
     double WaitSeconds(double aOwnAhead) const;
   };
 
   ClassState& StateOf(ClassIndex aClass);
+  bool IsNested(ClassIndex aClass) const
+  {
+    return m_settings.nestedClass == aClass;
+  }
+  bool IsNested(const ClassState& aState) const;
+  bool MayStart(bool aNested, MonoTime aNow) const;
+  bool HasSlot(bool aNested, MonoTime aNow) const;
   QueueEntry MakeQueueEntry(const AdmissionRequest& aRequest, MonoTime aNow);
   std::optional<RefusalReason> FindRefusalReason(
     const AdmissionRequest& aRequest,
@@ -221,7 +238,7 @@
                       const QueueEntry& aQueueEntry,
                       MonoTime aNow) const;
   Backlog BacklogOf(const ClassState& aState, MonoTime aNow) const;
-  double RunningSeconds(MonoTime aNow) const;
+  double RunningSeconds(bool aNested, MonoTime aNow) const;
   double ShareOf(const ClassState& aState) const;
   bool IsOverloaded(MonoTime aNow) const;
   Duration MeanExpectedOfRunning() const;
@@ -249,6 +266,8 @@
   RequestRateLimit m_rate;
   std::vector<ClassState> m_classes;
   std::unordered_map<RequestId, RunningRequest> m_running;
+  uint32_t m_nestedRunning = 0;
+  NestedDemand m_nestedDemand;
   std::unordered_map<RequestId, QueuedRequest> m_queued;
   double m_virtualTime = 0.0;
   uint64_t m_sequence = 0;
