Outer requests are refused while the calls of their server fail

Change: CalleeThrottle compares, for each callee, the calls wanted and the calls answered in the last seconds, and refuses outer requests in proportion, weighted by how often requests make such calls. The refusal is `callee-overloaded`, not run, final for the router (all instances make the same calls).

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -425,6 +425,9 @@
   m_context.metrics.ObserveLatency(elapsed);
   auto record = MakeRecord();
   record.outcome = aOutcome;
+  if (m_isResolved && m_resolved.nested && m_context.onNestedEnd) {
+    m_context.onNestedEnd(record);
+  }
   m_context.dialect.OnDone(record);
 }
 
--- a/src/Daemon/IngressTask.h
+++ b/src/Daemon/IngressTask.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_INGRESSTASK_H
 #define PISTACHIOSHIFT_DAEMON_INGRESSTASK_H
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -25,6 +26,8 @@
   RequestRouter& router;
   Metrics& metrics;
   BulkQueue& bulk; ///< Queue for the host's network link.
+  /// Called when a nested call has ended; may be empty.
+  std::function<void(const IngressRecord&)> onNestedEnd;
 };
 
 /** \brief Accepts callers' requests and runs each to its outcome. */
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -177,8 +177,16 @@
 void
 HostDaemon::Start(IngressDialect& aDialect, const HttpLimits& aLimits)
 {
-  const IngressContext context{ m_base,   m_clock,   m_random, aDialect,
-                                m_router, m_metrics, m_bulk };
+  const IngressContext context{ m_base,
+                                m_clock,
+                                m_random,
+                                aDialect,
+                                m_router,
+                                m_metrics,
+                                m_bulk,
+                                [this](const IngressRecord& aRecord) {
+                                  m_server.OnNestedEnd(aRecord);
+                                } };
   m_ingress =
     std::make_unique<IngressTask>(context, m_settings.callers, aLimits);
   m_dialect = &aDialect;
@@ -285,6 +293,7 @@
   set("pistachio_gate_running", m_server.Running());
   set("pistachio_gate_queued", m_server.Queued());
   set("pistachio_gate_reserved", m_server.ReservedSlots());
+  set("pistachio_callee_refused_share", m_server.CalleeRefusedShare());
   set("pistachio_inner_connections", m_peers.Connections());
   set("pistachio_inner_sessions", m_inner.Sessions());
   // -1: the backend server has stated no limit.
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -199,6 +199,9 @@
     aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
     return;
   }
+  if (RefuseForCallees(aCall)) {
+    return;
+  }
   aCall->m_class = GateClassOf(request);
   const auto wait = LinkWait(*aCall);
   if (!m_link.Admits(request.head.target, wait, request.goal)) {
@@ -260,6 +263,7 @@
         m_rateProbeTimer.StartOnce(kMaxRateProbe);
       }
       ReserveSuspect(*call);
+      NoteRunning(*call);
       call->Start(m_pool);
     } else {
       const auto reason = StartRefusal(*call);
@@ -366,6 +370,7 @@
 void
 RangeServerTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
+  NoteRunEnded(aCall);
   const auto id = aCall.Request().id;
   const auto known = m_calls.find(id);
   if (known == m_calls.end() || known->second.get() != &aCall) {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "Pistachioshift/Http"
@@ -23,6 +24,8 @@
 
 namespace pistachioshift {
 
+struct IngressRecord;
+
 /** \brief Settings for the backend server on this daemon's host. */
 struct RangeServerSettings
 {
@@ -74,6 +77,19 @@
   /** \brief Handles the backend server's announcement that it stops now. */
   void OnLeave(const ServerLeave& aLeave);
 
+  /**
+   * \brief Whether the backend server is running a request now.
+   * \param aLabel as ServerDialect::RequestLabel returns it.
+   */
+  bool IsRunning(const std::string& aLabel) const
+  {
+    return m_runningLabels.contains(aLabel);
+  }
+
+  /** \brief Handles the end of a call that the backend server has made through
+   * this daemon. */
+  void OnNestedEnd(const IngressRecord& aRecord);
+
   /** \brief Starts handing ranges to other hosts as the coordinator ordered. */
   void ApplyMoveOrders(const std::vector<MoveOrder>& aOrders);
 
@@ -128,6 +144,12 @@
   {
     return m_gate ? m_gate->ReservedSlots(m_clock.Now()) : 0;
   }
+  /** \brief Share of outer requests that is refused because the calls that
+   * the backend server makes fail. */
+  double CalleeRefusedShare() const
+  {
+    return m_callees.RefusedShare(m_clock.Now());
+  }
   /** \brief Requests per second that the backend server takes, as it stated;
    * nullopt: no limit. */
   std::optional<double> RequestLimit() const
@@ -176,6 +198,9 @@
                          const std::vector<ServerEndId>& aEnds);
   void WriteCrashEvidence();
   void Admit(const CallPtr& aCall);
+  bool RefuseForCallees(const CallPtr& aCall);
+  void NoteRunning(const OwnerCall& aCall);
+  void NoteRunEnded(const OwnerCall& aCall);
   void ApplyGateActions(const AdmissionActions& aActions);
   void ArmGateTimer();
   void RetryHeldCalls();
@@ -214,6 +239,10 @@
   GrantManager m_grants;
   std::unique_ptr<AdmissionController>
     m_gate; ///< Empty before the first heartbeat.
+  /// Of running requests; a label can be in use twice while one is repeated.
+  std::unordered_multiset<std::string> m_runningLabels;
+  CalleeThrottle m_callees;
+  std::optional<MonoTime> m_calleesThrottledAt; ///< Last refusal because of it.
   HttpClientPool m_pool;
   KeyLoadMeter m_loadMeter;
   std::unordered_map<RequestId, CallPtr> m_calls;
--- a/src/Routing/Outcome.cpp
+++ b/src/Routing/Outcome.cpp
@@ -36,6 +36,7 @@
   "body-too-large",
   "body-timeout",
   "fatal-request",
+  "callee-overloaded",
 };
 
 constexpr std::array<std::string_view, kRetryReasonCount> kRetryNames{
--- a/src/Routing/Outcome.h
+++ b/src/Routing/Outcome.h
@@ -43,6 +43,7 @@
   kBodyTooLarge,     ///< The body is too large to forward.
   kBodyTimeout,      ///< The caller stopped sending the body.
   kFatalRequest,     ///< Backend servers have ended while running it.
+  kCalleeOverloaded, ///< The calls that it would make aren't answered.
 };
 
 /** \brief Why a request was sent again. Each reason has its own counter. */
@@ -63,7 +64,7 @@
                                        Outcome::kUnknown };
 
 inline constexpr size_t kRefusalReasonCount =
-  static_cast<size_t>(RefusalReason::kFatalRequest) + 1;
+  static_cast<size_t>(RefusalReason::kCalleeOverloaded) + 1;
 
 inline constexpr size_t kRetryReasonCount =
   static_cast<size_t>(RetryReason::kHedged) + 1;
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -76,6 +76,7 @@
     case RefusalReason::kBodyTooLarge:
     case RefusalReason::kBodyTimeout:
     case RefusalReason::kFatalRequest:
+    case RefusalReason::kCalleeOverloaded: // All instances call that callee.
       return true;
     default:
       return false;
