A request with a key that its server sheds is sent to it again

Cause: for 8.5 s all servers of a service refused 55% of their requests as not run although they had free slots. Requests with a key were given up then, because only one server can run them (12,619 refusals). Each time takes a token of the service's retry budget. The bound of the new test was first on all served requests, which fluctuate more than the repeats serve (408 seen, 417 wanted); it is on the repeats now.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -205,6 +205,7 @@
   report.left = m_deadline - now;
   report.elapsed = now - m_arrived;
   report.runs = m_possibleRuns;
+  report.sheds = m_sheds;
   return report;
 }
 
@@ -237,6 +238,7 @@
     m_history.refused.push_back(*m_history.last);
   }
   m_retryAfter = aRefusal.retryAfter;
+  m_sheds += aRefusal.reason == RefusalReason::kShed ? 1 : 0;
   if (m_resuming) {
     TryResume();
     return;
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -97,6 +97,7 @@
   bool m_ended = false;
   bool m_isResolved = false;   ///< The dialect accepted the request.
   uint32_t m_possibleRuns = 0; ///< Attempts that may have run.
+  uint32_t m_sheds = 0;        ///< Refusals by a backend server itself.
   int m_status = 0;            ///< Sent to the caller; 0: none.
   std::optional<RefusalReason> m_reason;
   std::string_view m_cut;   ///< Why the response isn't complete, if so.
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -125,9 +125,19 @@
          aReport.attempts < aSettings.maxAttempts;
 }
 
+// Whether only the server that has refused the request can run it.
+bool
+IsShedByOnlyServer(const AttemptReport& aReport, const RetrySettings& aSettings)
+{
+  return aReport.refusal == RefusalReason::kShed && !aSettings.retryRefusals;
+}
+
 Duration
 RetryDelay(const AttemptReport& aReport, const RetrySettings& aSettings)
 {
+  if (IsShedByOnlyServer(aReport, aSettings)) {
+    return aSettings.shedDelay * aReport.sheds;
+  }
   if (!IsRedirect(aReport.refusal)) {
     return std::max(aReport.retryAfter, aSettings.redirectDelay);
   }
@@ -157,6 +167,11 @@
                          aReport.refusal != RefusalReason::kOwnerUnreachable;
     return retries && aReport.elapsed < aSettings.redirectLimit;
   }
+  if (IsShedByOnlyServer(aReport, aSettings)) {
+    const auto left = aReport.left - RetryDelay(aReport, aSettings);
+    return aReport.sheds <= aSettings.shedRepeats &&
+           left >= aSettings.shedMinRemaining && aBudget.TrySpend();
+  }
   return aSettings.retryRefusals && aBudget.TrySpend();
 }
 
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -65,6 +65,7 @@
   uint32_t attempts = 1;    ///< So far, this one included.
   Duration elapsed{};       ///< Since the request arrived.
   uint32_t runs = 0;        ///< Attempts that may have run, this one included.
+  uint32_t sheds = 0;       ///< Refused by a backend server, this one included.
   Duration left{};          ///< Until the deadline.
 };
 
@@ -109,6 +110,13 @@
   uint32_t maxRuns = UINT32_MAX;
   /// Whether refusals for other reasons, such as overload, are retried.
   bool retryRefusals = true;
+  /// Where refusals are not retried: times that a request which the backend
+  /// server itself has refused is sent to the same server again.
+  uint32_t shedRepeats = 0;
+  /// Delay before the first of them; the next one waits twice as long.
+  Duration shedDelay = std::chrono::milliseconds(5);
+  /// Time that must be left until the deadline after the delay.
+  Duration shedMinRemaining{};
   /// Whether a request whose owner cannot be reached is retried until
   /// redirectLimit; if not, it is refused at once.
   bool retryUnreachable = true;
--- a/test/Routing/RetryTest.cpp
+++ b/test/Routing/RetryTest.cpp
@@ -1,3 +1,4 @@
+#include <random>
 #include <set>
 #include <string_view>
 
@@ -324,6 +325,66 @@
   EXPECT_EQ(NestedDeadline(milliseconds(-3), milliseconds(80)), Duration{});
 }
 
+// Load pattern: for 8 s all servers refuse 55% of their requests, each
+// independently, and a request with a key has only one server. Guards against
+// requests that are given up although their server has free slots, and against
+// more repeats than the budget allows.
+TEST_F(RetryTest, AllServersShed_RequestsWithKey_RepeatedWithinBudget)
+{
+  RetrySettings settings;
+  settings.retryRefusals = false;
+  settings.shedRepeats = 2;
+  constexpr double kShare = 0.2;
+  constexpr int kRequests = 800; // 100 per second.
+  RetryBudget budget(kShare);
+  const auto slack = budget.Tokens();
+  std::mt19937 random(1);
+  int servedByRepeat = 0;
+  int repeats = 0;
+  for (int request = 0; request < kRequests; ++request) {
+    budget.OnFirstAttempt();
+    AttemptReport report;
+    report.end = AttemptEnd::kNotRun;
+    report.refusal = RefusalReason::kShed;
+    report.left = milliseconds(400);
+    for (report.sheds = 1;; ++report.sheds) {
+      if (random() % 100 >= 55) {
+        servedByRepeat += report.sheds > 1 ? 1 : 0;
+        break;
+      }
+      const auto decision = DecideRetry(report, settings, budget);
+      if (!IsRetry(decision)) {
+        EXPECT_EQ(decision.outcome, Outcome::kNotRun);
+        break;
+      }
+      EXPECT_LE(decision.delay, milliseconds(10));
+      ++report.attempts;
+      ++repeats;
+    }
+    EXPECT_LE(report.sheds, 3U);
+  }
+  EXPECT_LE(repeats, kRequests * kShare + slack);
+  EXPECT_GE(repeats, kRequests * kShare);
+  EXPECT_GE(servedByRepeat, repeats / 3);
+}
+
+TEST_F(RetryTest, ShedByOnlyServer_NoTimeLeft_GivesUp)
+{
+  RetrySettings settings;
+  settings.retryRefusals = false;
+  settings.shedRepeats = 2;
+  settings.shedMinRemaining = milliseconds(60);
+  AttemptReport report;
+  report.end = AttemptEnd::kNotRun;
+  report.refusal = RefusalReason::kShed;
+  report.sheds = 1;
+  report.left = milliseconds(62);
+  RetryBudget budget(1.0);
+  const auto decision = DecideRetry(report, settings, budget);
+  EXPECT_EQ(decision.step, RetryStep::kGiveUp);
+  EXPECT_EQ(decision.outcome, Outcome::kNotRun);
+}
+
 TEST_F(RetryTest, ToString_AllReasons_DistinctNames)
 {
   std::set<std::string_view> names;
