--- a/src/Daemon/IngressDialect.h
+++ b/src/Daemon/IngressDialect.h
@@ -18,6 +18,7 @@
   Outcome outcome = Outcome::kNotRun;
   RefusalReason reason = RefusalReason::kNotOwner;
   Duration retryAfter{}; ///< Zero: unknown.
+  Duration left{};       ///< Until the caller's deadline; zero: unknown.
 };
 
 /** \brief Result of a request, for the access log. */
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -364,8 +364,10 @@
     return;
   }
   m_context.metrics.CountRefusal(aReason);
-  auto answer =
-    m_context.dialect.Refuse(RefusalNotice{ aOutcome, aReason, m_retryAfter });
+  const auto left =
+    m_isResolved ? m_deadline - m_context.clock.Now() : Duration::zero();
+  auto answer = m_context.dialect.Refuse(
+    RefusalNotice{ aOutcome, aReason, m_retryAfter, left });
   answer.head.contentLength = answer.body.size();
   m_status = answer.head.status;
   m_reason = aReason;
