Requests of a key beyond its share queue behind those of other keys

Cause: one key can have 16% of the load of a service, six times the mean load of its server. The queue of that server was full of its requests, and those of the other keys were refused in the same proportion. Change: the gate counts queued and running requests by key (KeyShares, O(1) a request, one entry for each key that has a request). A request whose key has more than the mean of the keys, and more than half of the slots, comes after the others of its class. It is displaced at once if they make it late. Requests without a key are unaffected, as are keys with even load. Result: Routing_KeyFairnessTest, 4 tests pass. Without keys, 50 of 190 requests of the other keys are started in the pattern of that test; the test wants 95%. Routing_AdmissionControllerTest, OverloadPatternTest, RequestRateLimitTest, NestedCallTest pass.

--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -221,12 +221,17 @@
   aCall->m_reservedLinkBytes = m_link.ExpectedLinkBytes(request.head.target);
   m_link.Reserve(aCall->m_reservedLinkBytes);
   const auto now = m_clock.Now();
-  if (const auto key = ParseShardKey(request.key)) {
+  const auto key = ParseShardKey(request.key);
+  if (key) {
     m_loadMeter.Count(*key, 1.0);
   }
   const auto due = std::min(request.deadline, now + MaxTimeInSystem(*aCall));
-  ApplyGateActions(
-    m_gate->Admit(AdmissionRequest{ request.id, aCall->m_class, due }, now));
+  ApplyGateActions(m_gate->Admit(
+    AdmissionRequest{ request.id,
+                      aCall->m_class,
+                      due,
+                      key ? std::optional(key->Value()) : std::nullopt },
+    now));
 }
 
 Duration
--- a/src/Routing/AdmissionCheck.cpp
+++ b/src/Routing/AdmissionCheck.cpp
@@ -75,10 +75,32 @@
   return std::all_of(
     position, aState.queue.end(), [&](const QueueEntry& aOther) {
       ahead += service;
-      return startsInTime(aOther);
+      const bool givesWay = aOther.behind && !aQueueEntry.behind;
+      return givesWay || startsInTime(aOther);
     });
 }
 
+// Refuses requests of keys beyond their share that an arriving request has made
+// late. Waiting on in the queue, they would only delay the refusal.
+void
+AdmissionController::DisplaceLate(ClassState& aState,
+                                  AdmissionActions& aActions,
+                                  MonoTime aNow)
+{
+  while (aState.queue.size() > 1 && aState.queue.rbegin()->behind) {
+    const auto& last = *aState.queue.rbegin();
+    const auto wait =
+      BacklogOf(aState, aNow).WaitSeconds(QueuedSecondsAhead(aState, last));
+    if (wait <= Seconds(last.latestStart - aNow)) {
+      return;
+    }
+    const auto id = last.id;
+    m_keys.Remove(RemoveFromQueue(id));
+    aActions.refusals.push_back(
+      { id, RefusalReason::kDisplaced, RetryAfter(aState, aNow) });
+  }
+}
+
 double
 AdmissionController::QueuedSecondsAhead(const ClassState& aState,
                                         const QueueEntry& aQueueEntry)
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -74,12 +74,17 @@
   }
   const bool wasIdle = state.queue.empty();
   const auto position = state.queue.insert(queueEntry).first;
-  m_queued.emplace(aRequest.id,
-                   QueuedRequest{ aRequest.requestClass, position });
+  m_queued.emplace(
+    aRequest.id,
+    QueuedRequest{ aRequest.requestClass, position, aRequest.key });
+  m_keys.Add(aRequest.key);
   if (wasIdle) {
     // An idle class gets no credit for the time in which it was idle.
     state.finishTag = std::max(state.finishTag, m_virtualTime);
   }
+  if (!queueEntry.behind) {
+    DisplaceLate(state, actions, aNow);
+  }
   StartNext(actions, aNow);
   return actions;
 }
@@ -95,6 +100,7 @@
     return actions;
   }
   RecordResult(found->second, aResult, aNow);
+  m_keys.Remove(found->second.key);
   m_nestedRunning -= IsNested(found->second.requestClass) ? 1 : 0;
   m_running.erase(found);
   StartNext(actions, aNow);
@@ -108,7 +114,7 @@
   if (!m_queued.contains(aId)) {
     return actions;
   }
-  RemoveFromQueue(aId);
+  m_keys.Remove(RemoveFromQueue(aId));
   actions.refusals.push_back({ aId, aReason, Duration{} });
   return actions;
 }
@@ -127,6 +133,7 @@
   AdmissionActions actions;
   for (const auto& [id, queued] : m_queued) {
     actions.refusals.push_back({ id, aReason, Duration{} });
+    m_keys.Remove(queued.key);
   }
   m_queued.clear();
   for (auto& state : m_classes) {
@@ -242,6 +249,7 @@
   QueueEntry queueEntry;
   queueEntry.id = aRequest.id;
   queueEntry.sequence = ++m_sequence;
+  queueEntry.behind = m_keys.WouldExceed(aRequest.key, Limit());
   // An idle server tries the request even if it is expected to be late: an
   // estimate that refuses all requests would never be corrected.
   const bool isIdle = m_running.empty() && m_queued.empty();
@@ -272,6 +280,7 @@
 void
 AdmissionController::Start(ClassIndex aClass,
                            const RequestId& aId,
+                           std::optional<uint32_t> aKey,
                            MonoTime aNow)
 {
   auto& state = m_classes[aClass.Value()];
@@ -281,7 +290,7 @@
     m_virtualTime = std::max(m_virtualTime, state.finishTag);
     state.finishTag += Seconds(state.service) / state.settings.weight;
   }
-  m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service });
+  m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service, aKey });
   m_rate.OnStart(aNow);
 }
 
@@ -295,8 +304,8 @@
       break;
     }
     const auto id = m_classes[next.Value()].queue.begin()->id;
-    RemoveFromQueue(id);
-    Start(next, id, aNow);
+    const auto key = RemoveFromQueue(id);
+    Start(next, id, key, aNow);
     aActions.starts.push_back(id);
   }
   UpdateQueuedSince(aNow);
@@ -324,7 +333,9 @@
       }
       const auto id = position->id;
       position = state.queue.erase(position);
-      m_queued.erase(id);
+      const auto queued = m_queued.find(id);
+      m_keys.Remove(queued->second.key);
+      m_queued.erase(queued);
       aActions.refusals.push_back(
         { id, RefusalReason::kCannotFinish, RetryAfter(state, aNow) });
     }
@@ -351,13 +362,15 @@
   return ClassIndex(best);
 }
 
-void
+std::optional<uint32_t>
 AdmissionController::RemoveFromQueue(const RequestId& aId)
 {
   const auto found = m_queued.find(aId);
   const auto& queued = found->second;
+  const auto key = queued.key;
   m_classes[queued.requestClass.Value()].queue.erase(queued.position);
   m_queued.erase(found);
+  return key;
 }
 
 void
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -9,6 +9,7 @@
 #include "src/Base/Clock.h"
 #include "src/Base/Ids.h"
 #include "src/Routing/AdaptiveLimit.h"
+#include "src/Routing/KeyShares.h"
 #include "src/Routing/NestedDemand.h"
 #include "src/Routing/Outcome.h"
 #include "src/Routing/RequestRateLimit.h"
@@ -51,7 +52,8 @@
 {
   RequestId id;
   ClassIndex requestClass;
-  MonoTime deadline; ///< On this host's monotonic clock.
+  MonoTime deadline;                ///< On this host's monotonic clock.
+  std::optional<uint32_t> key = {}; ///< None: not counted for any key.
 };
 
 /** \brief How a request that was started ended. */
@@ -91,10 +93,12 @@
  * expected raise the expected service time before any of them has ended, so
  * that a cold server isn't sent a queue that it cannot serve. Requests of the
  * nested class start before all others, which leave free the slots that nested
- * calls have needed lately. Each id passed to Admit() is returned exactly once,
- * as a start or as a refusal.
+ * calls have needed lately. Within a class, a request whose key has more than
+ * its fair share of the queued and running requests comes after the others, and
+ * gives way to them if it would be late then. Each id passed to Admit() is
+ * returned exactly once, as a start or as a refusal.
  *
- * \sa AdaptiveLimit, NestedDemand
+ * \sa AdaptiveLimit, NestedDemand, KeyShares
  */
 class AdmissionController
 {
@@ -171,9 +175,13 @@
     uint64_t sequence = 0; ///< Order of arrival; breaks ties.
     RequestId id;
     MonoTime latestStart; ///< To finish before the deadline.
+    bool behind = false;  ///< After the others: its key exceeds its share.
 
     bool operator<(const QueueEntry& aOther) const
     {
+      if (behind != aOther.behind) {
+        return aOther.behind;
+      }
       return key != aOther.key ? key < aOther.key : sequence < aOther.sequence;
     }
   };
@@ -193,12 +201,14 @@
     ClassIndex requestClass;
     MonoTime started;
     Duration expected{}; ///< Service time expected at the start.
+    std::optional<uint32_t> key;
   };
 
   struct QueuedRequest
   {
     ClassIndex requestClass;
     std::set<QueueEntry>::iterator position;
+    std::optional<uint32_t> key;
   };
 
   // Work ahead of an arriving request of one class, in seconds of one slot.
@@ -250,11 +260,17 @@
   void UpdateQueuedSince(MonoTime aNow);
   void RaiseServiceTimes(MonoTime aNow);
   Duration RetryAfter(const ClassState& aState, MonoTime aNow) const;
-  void Start(ClassIndex aClass, const RequestId& aId, MonoTime aNow);
+  void Start(ClassIndex aClass,
+             const RequestId& aId,
+             std::optional<uint32_t> aKey,
+             MonoTime aNow);
+  void DisplaceLate(ClassState& aState,
+                    AdmissionActions& aActions,
+                    MonoTime aNow);
   void StartNext(AdmissionActions& aActions, MonoTime aNow);
   void RefuseExpired(AdmissionActions& aActions, MonoTime aNow);
   ClassIndex NextClass() const;
-  void RemoveFromQueue(const RequestId& aId);
+  std::optional<uint32_t> RemoveFromQueue(const RequestId& aId);
   void RecordResult(const RunningRequest& aRunning,
                     ServiceResult aResult,
                     MonoTime aNow);
@@ -268,6 +284,7 @@
   std::unordered_map<RequestId, RunningRequest> m_running;
   uint32_t m_nestedRunning = 0;
   NestedDemand m_nestedDemand;
+  KeyShares m_keys; ///< Of queued and running requests.
   std::unordered_map<RequestId, QueuedRequest> m_queued;
   double m_virtualTime = 0.0;
   uint64_t m_sequence = 0;
