A less urgent kind is not served better, and no kind starves

Cause: the weights of the gate fix the shares of work, whatever the kinds ask for. A kind with few requests is served nearly always, also if a more urgent one is refused; the least urgent of three kinds with the same load gets a sixteenth of the most urgent one's work. Change: PriorityBalance compares the refusals of the gate's classes over 5 s. Nothing changes while there are no such refusals. It is a setting of the gate (balancesPriorities), set for backend servers with keys in ranges. Ruled out: on for all gates. Routing_AdmissionControllerTest then fails (AllClasses_Overload_NoneStarvesAndWaitIsShort, 1280 of 1333 ms of work): it states that weights alone fix the shares of work, which is what a gate without the setting still does.

--- a/src/HostDaemon/GateClasses.cpp
+++ b/src/HostDaemon/GateClasses.cpp
@@ -39,6 +39,7 @@
   }
   settings.classes.push_back(AdmissionClass{ 1.0, kQueueBound });
   settings.nestedClass = kNestedClass;
+  settings.balancesPriorities = true;
   return settings;
 }
 
--- a/src/Routing/AdmissionCheck.cpp
+++ b/src/Routing/AdmissionCheck.cpp
@@ -95,6 +95,7 @@
       return;
     }
     const auto id = last.id;
+    m_balance.OnRefused(IndexOf(aState), aNow);
     m_keys.Remove(RemoveFromQueue(id));
     aActions.refusals.push_back(
       { id, RefusalReason::kDisplaced, RetryAfter(aState, aNow) });
@@ -147,7 +148,7 @@
   const auto backlog = BacklogOf(aState, aNow);
   const auto ahead = QueuedSecondsAhead(aState, aQueueEntry);
   const auto wait =
-    (backlog.nestedQueued + backlog.FairSeconds(ahead)) / backlog.limit;
+    (backlog.firstQueued + backlog.FairSeconds(ahead)) / backlog.limit;
   return wait > Seconds(std::max(aState.service, MeanExpectedOfRunning()));
 }
 
@@ -168,16 +169,18 @@
     }
   }
   backlog.share = ShareOf(aState);
-  if (nested) {
-    return backlog; // No other class delays nested calls.
-  }
+  const auto rank = RankOf(IndexOf(aState));
   for (const auto& state : m_classes) {
     if (&state == &aState || state.queue.empty()) {
       continue;
     }
     const auto service = Seconds(state.service);
-    if (IsNested(state)) {
-      backlog.nestedQueued = static_cast<double>(state.queue.size()) * service;
+    const auto otherRank = RankOf(IndexOf(state));
+    if (otherRank > rank) {
+      continue; // It starts later and delays nothing.
+    }
+    if (otherRank < rank) {
+      backlog.firstQueued += static_cast<double>(state.queue.size()) * service;
       continue;
     }
     backlog.otherLargest += service;
@@ -196,14 +199,14 @@
 }
 
 // Other classes delay a request at most by the work that they have queued, and
-// at most by their fair share plus one request each. Nested calls delay it by
-// all that they have queued.
+// at most by their fair share plus one request each. Classes that start first
+// delay it by all that they have queued.
 double
 AdmissionController::Backlog::QueueSeconds(double aOwnAhead) const
 {
   const auto all = aOwnAhead + otherQueued;
   const auto fair = FairSeconds(aOwnAhead) + otherLargest;
-  return nestedQueued + std::min(all, fair);
+  return firstQueued + std::min(all, fair);
 }
 
 double
@@ -239,11 +242,11 @@
 AdmissionController::ShareOf(const ClassState& aState) const
 {
   double weights = 0.0;
-  if (IsNested(aState)) {
-    return 1.0;
-  }
+  const auto rank = RankOf(IndexOf(aState));
   for (const auto& state : m_classes) {
-    if (&state == &aState || (!state.queue.empty() && !IsNested(state))) {
+    const bool competes =
+      !state.queue.empty() && RankOf(IndexOf(state)) == rank;
+    if (&state == &aState || competes) {
       weights += state.settings.weight;
     }
   }
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -36,6 +36,7 @@
   : m_settings(std::move(aSettings))
   , m_slots(m_settings.slots)
   , m_adaptiveLimit(m_settings.slots)
+  , m_balance(m_settings.classes.size())
 {
   if (m_settings.classes.empty()) {
     throw RoutingError("admission settings have no request class");
@@ -62,12 +63,15 @@
   RaiseServiceTimes(aNow);
   if (IsNested(aRequest.requestClass)) {
     m_nestedDemand.OnArrival(aNow);
+  } else if (m_settings.balancesPriorities) {
+    m_balance.OnArrival(aRequest.requestClass.Value(), aNow);
   }
   const auto queueEntry = MakeQueueEntry(aRequest, aNow);
   if (const auto reason = FindRefusalReason(aRequest, queueEntry, aNow)) {
     if (*reason == RefusalReason::kOverloaded) {
       m_overloadedAt = aNow;
     }
+    m_balance.OnRefused(aRequest.requestClass.Value(), aNow);
     const auto retryAfter = RetryAfter(state, aNow);
     actions.refusals.push_back({ aRequest.id, *reason, retryAfter });
     return actions;
@@ -183,6 +187,16 @@
          &m_classes[m_settings.nestedClass->Value()] == &aState;
 }
 
+// Queued requests of a class with a lower rank start first.
+uint32_t
+AdmissionController::RankOf(size_t aClass) const
+{
+  if (m_settings.nestedClass && aClass == m_settings.nestedClass->Value()) {
+    return 0;
+  }
+  return 1 + static_cast<uint32_t>(m_balance.StandingOf(aClass));
+}
+
 uint32_t
 AdmissionController::ReservedSlots(MonoTime aNow) const
 {
@@ -334,6 +348,7 @@
       const auto id = position->id;
       position = state.queue.erase(position);
       const auto queued = m_queued.find(id);
+      m_balance.OnRefused(queued->second.requestClass.Value(), aNow);
       m_keys.Remove(queued->second.key);
       m_queued.erase(queued);
       aActions.refusals.push_back(
@@ -345,17 +360,17 @@
 ClassIndex
 AdmissionController::NextClass() const
 {
-  if (const auto nested = m_settings.nestedClass) {
-    if (!m_classes[nested->Value()].queue.empty()) {
-      return *nested;
-    }
-  }
   uint32_t best = 0;
+  uint32_t bestRank = UINT32_MAX;
   double least = std::numeric_limits<double>::infinity();
   for (uint32_t index = 0; index < m_classes.size(); ++index) {
     const auto& state = m_classes[index];
-    if (!state.queue.empty() && state.finishTag < least) {
+    const auto rank = RankOf(index);
+    const bool sooner =
+      rank < bestRank || (rank == bestRank && state.finishTag < least);
+    if (!state.queue.empty() && sooner) {
       least = state.finishTag;
+      bestRank = rank;
       best = index;
     }
   }
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -12,6 +12,7 @@
 #include "src/Routing/KeyShares.h"
 #include "src/Routing/NestedDemand.h"
 #include "src/Routing/Outcome.h"
+#include "src/Routing/PriorityBalance.h"
 #include "src/Routing/RequestRateLimit.h"
 #include "src/Routing/ServicePolicy.h"
 
@@ -40,6 +41,9 @@
   std::vector<AdmissionClass> classes;
   /// Class of nested calls, whose weight has no effect; nullopt: none.
   std::optional<ClassIndex> nestedClass;
+  /// Whether classes, in order of urgency, give way to others that are served
+  /// worse than they should be; without it, weights alone fix their shares.
+  bool balancesPriorities = false;
   QueueOrder order = QueueOrder::kLaxity;
   /// Expected service time of a class before its first answer.
   Duration initialService = std::chrono::milliseconds(5);
@@ -95,7 +99,9 @@
  * nested class start before all others, which leave free the slots that nested
  * calls have needed lately. Within a class, a request whose key has more than
  * its fair share of the queued and running requests comes after the others, and
- * gives way to them if it would be late then. Each id passed to Admit() is
+ * gives way to them if it would be late then. With balancesPriorities, a class
+ * that is refused less than a more urgent one gives way to it, and one that
+ * starves goes first, see PriorityBalance. Each id passed to Admit() is
  * returned exactly once, as a start or as a refusal.
  *
  * \sa AdaptiveLimit, NestedDemand, KeyShares
@@ -215,7 +221,7 @@
   struct Backlog
   {
     double running = 0.0;
-    double nestedQueued = 0.0; ///< Nested calls, which start before it.
+    double firstQueued = 0.0; ///< In classes that start before it.
     double otherQueued = 0.0;
     double otherLargest = 0.0; ///< One request of each other queued class.
     double share = 1.0;        ///< Fraction of the slots that the class gets.
@@ -236,7 +242,12 @@
   {
     return m_settings.nestedClass == aClass;
   }
+  size_t IndexOf(const ClassState& aState) const
+  {
+    return static_cast<size_t>(&aState - m_classes.data());
+  }
   bool IsNested(const ClassState& aState) const;
+  uint32_t RankOf(size_t aClass) const;
   bool MayStart(bool aNested, MonoTime aNow) const;
   bool HasSlot(bool aNested, MonoTime aNow) const;
   QueueEntry MakeQueueEntry(const AdmissionRequest& aRequest, MonoTime aNow);
@@ -284,7 +295,8 @@
   std::unordered_map<RequestId, RunningRequest> m_running;
   uint32_t m_nestedRunning = 0;
   NestedDemand m_nestedDemand;
-  KeyShares m_keys; ///< Of queued and running requests.
+  PriorityBalance m_balance; ///< Of outer requests.
+  KeyShares m_keys;          ///< Of queued and running requests.
   std::unordered_map<RequestId, QueuedRequest> m_queued;
   double m_virtualTime = 0.0;
   uint64_t m_sequence = 0;
--- a/src/Routing/CalleeThrottle.cpp
+++ b/src/Routing/CalleeThrottle.cpp
@@ -1,20 +1,11 @@
 #include "src/Routing/CalleeThrottle.h"
 
 #include <algorithm>
-#include <cmath>
-
-#include "src/Routing/Seconds.h"
 
 namespace pistachioshift {
 
-using internal::Seconds;
-
 namespace {
 
-/** Time constant of all sums. A daemon sees some ten calls in this time, and a
- * recovery is noticed within it. */
-constexpr Duration kMemory = std::chrono::milliseconds(1500);
-
 /** Fewer calls than this say nothing. */
 constexpr double kMinCalls = 8.0;
 
@@ -38,19 +29,6 @@
 
 }
 
-void
-CalleeThrottle::DecayingSum::Add(double aValue, MonoTime aNow)
-{
-  m_sum = At(aNow) + aValue;
-  m_at = aNow;
-}
-
-double
-CalleeThrottle::DecayingSum::At(MonoTime aNow) const
-{
-  return m_sum * std::exp(-Seconds(aNow - m_at) / Seconds(kMemory));
-}
-
 bool
 CalleeThrottle::Admits(MonoTime aNow)
 {
--- a/src/Routing/CalleeThrottle.h
+++ b/src/Routing/CalleeThrottle.h
@@ -6,6 +6,7 @@
 
 #include "src/Base/Clock.h"
 #include "src/Base/Ids.h"
+#include "src/Routing/DecayingSum.h"
 
 namespace pistachioshift {
 
@@ -53,31 +54,25 @@
   std::optional<ServiceName> WorstCallee(MonoTime aNow) const;
 
 private:
-  // Sum that decays with time.
-  class DecayingSum
-  {
-  public:
-    void Add(double aValue, MonoTime aNow);
-    double At(MonoTime aNow) const;
-
-  private:
-    double m_sum = 0.0;
-    MonoTime m_at;
-  };
+  /** Time constant of all sums. A daemon sees some ten calls in this time, and
+   * a recovery is noticed within it. */
+  static constexpr Duration kMemory = std::chrono::milliseconds(1500);
 
   struct Callee
   {
-    DecayingSum sent;
-    DecayingSum answered;
-    DecayingSum withheld; ///< Calls that refused requests would have made.
+    internal::DecayingSum sent{ kMemory };
+    internal::DecayingSum answered{ kMemory };
+    internal::DecayingSum withheld{
+      kMemory
+    }; ///< Calls that refused requests would have made.
   };
 
   double RefusedShareBy(const Callee& aCallee, MonoTime aNow) const;
   double CallsPerRequest(const Callee& aCallee, MonoTime aNow) const;
 
   std::unordered_map<ServiceName, Callee> m_callees;
-  DecayingSum m_started; ///< Outer requests.
-  double m_due = 0.0;    ///< Refusals due, as a fraction of one.
+  internal::DecayingSum m_started{ kMemory }; ///< Outer requests.
+  double m_due = 0.0; ///< Refusals due, as a fraction of one.
 };
 
 }
