--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -122,6 +122,7 @@
   request.repeat = m_resolved.repeat;
   request.priority = m_resolved.priority;
   request.goal = m_resolved.goal;
+  request.nested = m_resolved.nested;
   request.fingerprint = FingerprintOf(m_head, m_resolved.key, m_body);
   if (m_resuming) {
     m_resume.RequestRemainder(request.head);
@@ -204,6 +205,7 @@
   report.left = m_deadline - now;
   report.elapsed = now - m_arrived;
   report.runs = m_possibleRuns;
+  report.sheds = m_sheds;
   return report;
 }
 
@@ -236,6 +238,7 @@
     m_history.refused.push_back(*m_history.last);
   }
   m_retryAfter = aRefusal.retryAfter;
+  m_sheds += aRefusal.reason == RefusalReason::kShed ? 1 : 0;
   if (m_resuming) {
     TryResume();
     return;
@@ -361,8 +364,10 @@
     return;
   }
   m_context.metrics.CountRefusal(aReason);
-  auto answer =
-    m_context.dialect.Refuse(RefusalNotice{ aOutcome, aReason, m_retryAfter });
+  const auto left =
+    m_isResolved ? m_deadline - m_context.clock.Now() : Duration::zero();
+  auto answer = m_context.dialect.Refuse(
+    RefusalNotice{ aOutcome, aReason, m_retryAfter, left });
   answer.head.contentLength = answer.body.size();
   m_status = answer.head.status;
   m_reason = aReason;
@@ -424,6 +429,9 @@
   m_context.metrics.ObserveLatency(elapsed);
   auto record = MakeRecord();
   record.outcome = aOutcome;
+  if (m_isResolved && m_resolved.nested && m_context.onNestedEnd) {
+    m_context.onNestedEnd(record);
+  }
   m_context.dialect.OnDone(record);
 }
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -5,27 +5,14 @@
 
 #include <fmt/format.h>
 
+#include "src/HostDaemon/GateClasses.h"
+
 namespace pistachioshift {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-/** Number of classes at the gate, one for each priority; less urgent priorities
- * share the last class. */
-constexpr uint32_t kPriorityClasses = 8;
-
-/** Ratio of the gate weights of adjacent priorities. */
-constexpr double kPriorityWeightRatio = 4.0;
-
-/** Longest queue of a class, in requests. The gate already refuses requests
- * that would wait too long. */
-constexpr uint32_t kQueueBound = 256;
-
-/** Service time assumed before the first answer: the work that the priority
- * classes state. */
-constexpr Duration kInitialServiceTime = milliseconds(150);
-
 constexpr size_t kMaxHeldCalls = 2048;
 
 /** Interval of checks for expired holds and for queued requests that must be
@@ -79,20 +66,6 @@
   }
 }
 
-AdmissionSettings
-GateSettingsFor(uint32_t aSlots)
-{
-  AdmissionSettings settings;
-  settings.slots = aSlots;
-  settings.initialService = kInitialServiceTime;
-  double weight = 1.0;
-  for (uint32_t priority = 0; priority < kPriorityClasses; ++priority) {
-    settings.classes.push_back(AdmissionClass{ weight, kQueueBound });
-    weight /= kPriorityWeightRatio;
-  }
-  return settings;
-}
-
 }
 
 RangeServerTask::RangeServerTask(event_base* aBase,
@@ -226,7 +199,10 @@
     aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
     return;
   }
-  aCall->m_class = ClassIndex(std::min(request.priority, kPriorityClasses - 1));
+  if (RefuseForCallees(aCall)) {
+    return;
+  }
+  aCall->m_class = GateClassOf(request);
   const auto wait = LinkWait(*aCall);
   if (!m_link.Admits(request.head.target, wait, request.goal)) {
     aCall->Refuse(RefusalReason::kCannotFinish, wait);
@@ -245,12 +221,17 @@
   aCall->m_reservedLinkBytes = m_link.ExpectedLinkBytes(request.head.target);
   m_link.Reserve(aCall->m_reservedLinkBytes);
   const auto now = m_clock.Now();
-  if (const auto key = ParseShardKey(request.key)) {
+  const auto key = ParseShardKey(request.key);
+  if (key) {
     m_loadMeter.Count(*key, 1.0);
   }
   const auto due = std::min(request.deadline, now + MaxTimeInSystem(*aCall));
-  ApplyGateActions(
-    m_gate->Admit(AdmissionRequest{ request.id, aCall->m_class, due }, now));
+  ApplyGateActions(m_gate->Admit(
+    AdmissionRequest{ request.id,
+                      aCall->m_class,
+                      due,
+                      key ? std::optional(key->Value()) : std::nullopt },
+    now));
 }
 
 Duration
@@ -287,6 +268,7 @@
         m_rateProbeTimer.StartOnce(kMaxRateProbe);
       }
       ReserveSuspect(*call);
+      NoteRunning(*call);
       call->Start(m_pool);
     } else {
       const auto reason = StartRefusal(*call);
@@ -393,6 +375,7 @@
 void
 RangeServerTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
+  NoteRunEnded(aCall);
   const auto id = aCall.Request().id;
   const auto known = m_calls.find(id);
   if (known == m_calls.end() || known->second.get() != &aCall) {
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -15,6 +15,8 @@
 
 constexpr double kServiceSmoothing = 0.1;   // Weight of the newest sample.
 constexpr int kOverloadHorizonServices = 4; // In mean service times.
+// Slots kept for nested calls become free without any event.
+constexpr Duration kReservationCheck = std::chrono::milliseconds(100);
 
 }
 
@@ -34,6 +36,7 @@
   : m_settings(std::move(aSettings))
   , m_slots(m_settings.slots)
   , m_adaptiveLimit(m_settings.slots)
+  , m_balance(m_settings.classes.size())
 {
   if (m_settings.classes.empty()) {
     throw RoutingError("admission settings have no request class");
@@ -47,6 +50,9 @@
     state.service = m_settings.initialService;
     m_classes.push_back(std::move(state));
   }
+  if (m_settings.nestedClass) {
+    StateOf(*m_settings.nestedClass); // Throws if there is no such class.
+  }
 }
 
 AdmissionActions
@@ -55,23 +61,34 @@
   AdmissionActions actions;
   auto& state = StateOf(aRequest.requestClass);
   RaiseServiceTimes(aNow);
+  if (IsNested(aRequest.requestClass)) {
+    m_nestedDemand.OnArrival(aNow);
+  } else if (m_settings.balancesPriorities) {
+    m_balance.OnArrival(aRequest.requestClass.Value(), aNow);
+  }
   const auto queueEntry = MakeQueueEntry(aRequest, aNow);
   if (const auto reason = FindRefusalReason(aRequest, queueEntry, aNow)) {
     if (*reason == RefusalReason::kOverloaded) {
       m_overloadedAt = aNow;
     }
+    m_balance.OnRefused(aRequest.requestClass.Value(), aNow);
     const auto retryAfter = RetryAfter(state, aNow);
     actions.refusals.push_back({ aRequest.id, *reason, retryAfter });
     return actions;
   }
   const bool wasIdle = state.queue.empty();
   const auto position = state.queue.insert(queueEntry).first;
-  m_queued.emplace(aRequest.id,
-                   QueuedRequest{ aRequest.requestClass, position });
+  m_queued.emplace(
+    aRequest.id,
+    QueuedRequest{ aRequest.requestClass, position, aRequest.key });
+  m_keys.Add(aRequest.key);
   if (wasIdle) {
     // An idle class gets no credit for the time in which it was idle.
     state.finishTag = std::max(state.finishTag, m_virtualTime);
   }
+  if (!queueEntry.behind) {
+    DisplaceLate(state, actions, aNow);
+  }
   StartNext(actions, aNow);
   return actions;
 }
@@ -87,6 +104,8 @@
     return actions;
   }
   RecordResult(found->second, aResult, aNow);
+  m_keys.Remove(found->second.key);
+  m_nestedRunning -= IsNested(found->second.requestClass) ? 1 : 0;
   m_running.erase(found);
   StartNext(actions, aNow);
   return actions;
@@ -99,7 +118,7 @@
   if (!m_queued.contains(aId)) {
     return actions;
   }
-  RemoveFromQueue(aId);
+  m_keys.Remove(RemoveFromQueue(aId));
   actions.refusals.push_back({ aId, aReason, Duration{} });
   return actions;
 }
@@ -118,6 +137,7 @@
   AdmissionActions actions;
   for (const auto& [id, queued] : m_queued) {
     actions.refusals.push_back({ id, aReason, Duration{} });
+    m_keys.Remove(queued.key);
   }
   m_queued.clear();
   for (auto& state : m_classes) {
@@ -160,12 +180,56 @@
   return std::min(m_slots, m_adaptiveLimit.Value());
 }
 
+bool
+AdmissionController::IsNested(const ClassState& aState) const
+{
+  return m_settings.nestedClass &&
+         &m_classes[m_settings.nestedClass->Value()] == &aState;
+}
+
+// Queued requests of a class with a lower rank start first.
+uint32_t
+AdmissionController::RankOf(size_t aClass) const
+{
+  if (m_settings.nestedClass && aClass == m_settings.nestedClass->Value()) {
+    return 0;
+  }
+  return 1 + static_cast<uint32_t>(m_balance.StandingOf(aClass));
+}
+
+uint32_t
+AdmissionController::ReservedSlots(MonoTime aNow) const
+{
+  if (!m_settings.nestedClass) {
+    return 0;
+  }
+  const auto service = ExpectedService(*m_settings.nestedClass);
+  return m_nestedDemand.Slots(service, Limit(), aNow);
+}
+
+bool
+AdmissionController::HasSlot(bool aNested, MonoTime aNow) const
+{
+  if (m_running.size() >= Limit()) {
+    return false;
+  }
+  const auto others = m_running.size() - m_nestedRunning;
+  return aNested || others + ReservedSlots(aNow) < Limit();
+}
+
+bool
+AdmissionController::MayStart(bool aNested, MonoTime aNow) const
+{
+  return HasSlot(aNested, aNow) && m_rate.MayStart(aNow);
+}
+
 std::optional<MonoTime>
 AdmissionController::NextWakeup(MonoTime aNow) const
 {
   std::optional<MonoTime> earliest;
   if (!m_queued.empty() && m_running.size() < Limit()) {
-    earliest = m_rate.NextStart(aNow);
+    earliest = HasSlot(IsNested(NextClass()), aNow) ? m_rate.NextStart(aNow)
+                                                    : aNow + kReservationCheck;
   }
   for (const auto& state : m_classes) {
     for (const auto& queueEntry : state.queue) {
@@ -199,6 +263,7 @@
   QueueEntry queueEntry;
   queueEntry.id = aRequest.id;
   queueEntry.sequence = ++m_sequence;
+  queueEntry.behind = m_keys.WouldExceed(aRequest.key, Limit());
   // An idle server tries the request even if it is expected to be late: an
   // estimate that refuses all requests would never be corrected.
   const bool isIdle = m_running.empty() && m_queued.empty();
@@ -229,12 +294,17 @@
 void
 AdmissionController::Start(ClassIndex aClass,
                            const RequestId& aId,
+                           std::optional<uint32_t> aKey,
                            MonoTime aNow)
 {
   auto& state = m_classes[aClass.Value()];
-  m_virtualTime = std::max(m_virtualTime, state.finishTag);
-  state.finishTag += Seconds(state.service) / state.settings.weight;
-  m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service });
+  if (IsNested(aClass)) {
+    ++m_nestedRunning;
+  } else {
+    m_virtualTime = std::max(m_virtualTime, state.finishTag);
+    state.finishTag += Seconds(state.service) / state.settings.weight;
+  }
+  m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service, aKey });
   m_rate.OnStart(aNow);
 }
 
@@ -242,11 +312,14 @@
 AdmissionController::StartNext(AdmissionActions& aActions, MonoTime aNow)
 {
   RefuseExpired(aActions, aNow);
-  while (HasFreeSlot(aNow) && !m_queued.empty()) {
+  while (!m_queued.empty()) {
     const auto next = NextClass();
+    if (!MayStart(IsNested(next), aNow)) {
+      break;
+    }
     const auto id = m_classes[next.Value()].queue.begin()->id;
-    RemoveFromQueue(id);
-    Start(next, id, aNow);
+    const auto key = RemoveFromQueue(id);
+    Start(next, id, key, aNow);
     aActions.starts.push_back(id);
   }
   UpdateQueuedSince(aNow);
@@ -274,7 +347,10 @@
       }
       const auto id = position->id;
       position = state.queue.erase(position);
-      m_queued.erase(id);
+      const auto queued = m_queued.find(id);
+      m_balance.OnRefused(queued->second.requestClass.Value(), aNow);
+      m_keys.Remove(queued->second.key);
+      m_queued.erase(queued);
       aActions.refusals.push_back(
         { id, RefusalReason::kCannotFinish, RetryAfter(state, aNow) });
     }
@@ -285,24 +361,31 @@
 AdmissionController::NextClass() const
 {
   uint32_t best = 0;
+  uint32_t bestRank = UINT32_MAX;
   double least = std::numeric_limits<double>::infinity();
   for (uint32_t index = 0; index < m_classes.size(); ++index) {
     const auto& state = m_classes[index];
-    if (!state.queue.empty() && state.finishTag < least) {
+    const auto rank = RankOf(index);
+    const bool sooner =
+      rank < bestRank || (rank == bestRank && state.finishTag < least);
+    if (!state.queue.empty() && sooner) {
       least = state.finishTag;
+      bestRank = rank;
       best = index;
     }
   }
   return ClassIndex(best);
 }
 
-void
+std::optional<uint32_t>
 AdmissionController::RemoveFromQueue(const RequestId& aId)
 {
   const auto found = m_queued.find(aId);
   const auto& queued = found->second;
+  const auto key = queued.key;
   m_classes[queued.requestClass.Value()].queue.erase(queued.position);
   m_queued.erase(found);
+  return key;
 }
 
 void
