Balancer: uploads avoid instances whose link has no room

Cause: a refusal for lack of link says nothing about requests that are not uploads, but the balancer knew one kind of refusal only.

Change: uploads avoid an instance for the time that its refusal stated, at most 1 s, unless no instance has room, and prefer instances that gave credit sooner. The choice for other requests is unchanged.

Result: Routing_BalancerTest, 12 of 12 passed.

--- a/src/Routing/Balancer.cpp
+++ b/src/Routing/Balancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <utility>
 
 #include "src/Routing/Seconds.h"
 
@@ -25,6 +26,12 @@
  * requests leave the zone. */
 constexpr double kNearbyCostFactor = 0.4;
 constexpr double kShedSmoothing = 0.1;
+// The queue for a link is at most half a second long, so an older wait says
+// little about the next one.
+constexpr double kUploadWaitSmoothing = 0.5;
+constexpr Duration kUploadWaitDecay = std::chrono::seconds(1);
+// An estimate that is too long must not keep an instance without uploads.
+constexpr Duration kMaxNoRoomTime = std::chrono::seconds(1);
 // Cost factor at a shed rate of 1, less the factor of 1 without shedding.
 constexpr double kShedCostIncrease = 10.0;
 constexpr double kConfidenceSmoothing = 0.3;
@@ -75,16 +82,20 @@
 Balancer::Choose(RandomEngine& aRandom,
                  MonoTime aNow,
                  std::optional<DaemonId> aExcluded,
-                 std::optional<DaemonId> aLocal)
+                 std::optional<DaemonId> aLocal,
+                 BalancedKind aKind)
 {
-  const auto usable = Usable(aNow, aExcluded);
+  auto usable = Usable(aNow, aExcluded);
   if (usable.empty()) {
     return std::nullopt;
   }
-  auto chosen = ChooseOfTwo(usable, aRandom, aNow);
-  auto least = Cost(m_instances.at(chosen), aNow);
+  if (aKind == BalancedKind::kUpload) {
+    usable = WithRoom(std::move(usable), aNow);
+  }
+  auto chosen = ChooseOfTwo(usable, aRandom, aNow, aKind);
+  auto least = Cost(m_instances.at(chosen), aNow, aKind);
   const auto prefer = [&](DaemonId aId, double aFactor) {
-    const auto cost = aFactor * Cost(m_instances.at(aId), aNow);
+    const auto cost = aFactor * Cost(m_instances.at(aId), aNow, aKind);
     if (cost <= least) {
       chosen = aId;
       least = cost;
@@ -92,7 +103,7 @@
   };
   const auto nearby = NearbyOf(usable);
   if (!nearby.empty()) {
-    prefer(ChooseOfTwo(nearby, aRandom, aNow), kNearbyCostFactor);
+    prefer(ChooseOfTwo(nearby, aRandom, aNow, aKind), kNearbyCostFactor);
   }
   if (aLocal &&
       std::find(usable.begin(), usable.end(), *aLocal) != usable.end()) {
@@ -113,10 +124,24 @@
   return nearby;
 }
 
+// The instances with room for an upload; all if none has.
+std::vector<DaemonId>
+Balancer::WithRoom(std::vector<DaemonId> aIds, MonoTime aNow) const
+{
+  const auto isFull = [&](DaemonId aId) {
+    return aNow < m_instances.at(aId).noRoomUntil;
+  };
+  if (!std::all_of(aIds.begin(), aIds.end(), isFull)) {
+    std::erase_if(aIds, isFull);
+  }
+  return aIds;
+}
+
 DaemonId
 Balancer::ChooseOfTwo(const std::vector<DaemonId>& aUsable,
                       RandomEngine& aRandom,
-                      MonoTime aNow) const
+                      MonoTime aNow,
+                      BalancedKind aKind) const
 {
   if (aUsable.size() == 1) {
     return aUsable.front();
@@ -125,8 +150,8 @@
   std::uniform_int_distribution<size_t> step(1, aUsable.size() - 1);
   const auto one = first(aRandom);
   const auto two = (one + step(aRandom)) % aUsable.size();
-  const auto costOne = Cost(m_instances.at(aUsable[one]), aNow);
-  const auto costTwo = Cost(m_instances.at(aUsable[two]), aNow);
+  const auto costOne = Cost(m_instances.at(aUsable[one]), aNow, aKind);
+  const auto costTwo = Cost(m_instances.at(aUsable[two]), aNow, aKind);
   return costOne <= costTwo ? aUsable[one] : aUsable[two];
 }
 
@@ -186,6 +211,39 @@
   instance.reportedAt = aNow;
 }
 
+void
+Balancer::OnUploadGranted(DaemonId aInstance, Duration aWait, MonoTime aNow)
+{
+  const auto found = m_instances.find(aInstance);
+  if (found == m_instances.end()) {
+    return;
+  }
+  auto& instance = found->second;
+  const auto before = UploadWaitOf(instance, aNow);
+  instance.uploadWait =
+    before + kUploadWaitSmoothing * (Seconds(aWait) - before);
+  instance.uploadWaitAt = aNow;
+}
+
+void
+Balancer::OnUploadRefused(DaemonId aInstance,
+                          Duration aRetryAfter,
+                          MonoTime aNow)
+{
+  const auto found = m_instances.find(aInstance);
+  if (found != m_instances.end()) {
+    found->second.noRoomUntil = aNow + std::min(aRetryAfter, kMaxNoRoomTime);
+  }
+}
+
+// The wait of the last uploads; it says nothing after some queue lengths.
+double
+Balancer::UploadWaitOf(const Instance& aInstance, MonoTime aNow)
+{
+  return aInstance.uploadWait *
+         ExponentialDecay(aNow - aInstance.uploadWaitAt, kUploadWaitDecay);
+}
+
 bool
 Balancer::IsEjected(DaemonId aInstance, MonoTime aNow) const
 {
@@ -240,7 +298,9 @@
 }
 
 double
-Balancer::Cost(const Instance& aInstance, MonoTime aNow) const
+Balancer::Cost(const Instance& aInstance,
+               MonoTime aNow,
+               BalancedKind aKind) const
 {
   const auto age = aNow - aInstance.reportedAt;
   const auto weight = aInstance.reportConfidence *
@@ -248,7 +308,10 @@
   const auto inFlight =
     static_cast<double>(aInstance.inFlight) + weight * aInstance.othersInFlight;
   const auto shed = 1.0 + kShedCostIncrease * aInstance.shedRate;
-  const auto latency = std::max(LatencyOf(aInstance, aNow), kMinLatencySeconds);
+  auto latency = std::max(LatencyOf(aInstance, aNow), kMinLatencySeconds);
+  if (aKind == BalancedKind::kUpload) {
+    latency += UploadWaitOf(aInstance, aNow);
+  }
   return (inFlight + 1.0) * latency * shed / SlowStartShare(aInstance, aNow);
 }
 
--- a/src/Routing/Balancer.h
+++ b/src/Routing/Balancer.h
@@ -42,6 +42,13 @@
   kCancelled, ///< Ended by its sender; says nothing about the instance.
 };
 
+/** \brief What a request needs of an instance. */
+enum class BalancedKind : uint8_t
+{
+  kOther,
+  kUpload, ///< Room on the link of the instance's host.
+};
+
 /**
  * \brief Load balancer for the instances of a service without keys.
  *
@@ -79,7 +86,8 @@
   std::optional<DaemonId> Choose(RandomEngine& aRandom,
                                  MonoTime aNow,
                                  std::optional<DaemonId> aExcluded = {},
-                                 std::optional<DaemonId> aLocal = {});
+                                 std::optional<DaemonId> aLocal = {},
+                                 BalancedKind aKind = BalancedKind::kOther);
 
   void OnStart(DaemonId aInstance);
 
@@ -92,6 +100,19 @@
   /** \param aInFlight requests of all senders, as the instance reports. */
   void OnLoadReport(DaemonId aInstance, double aInFlight, MonoTime aNow);
 
+  /**
+   * \brief An upload got credit from an instance.
+   * \param aWait time from its head to the credit: the work that the instance
+   * had committed to before. Counts for uploads only.
+   */
+  void OnUploadGranted(DaemonId aInstance, Duration aWait, MonoTime aNow);
+
+  /**
+   * \brief An instance had no room for an upload. Uploads avoid it for a time,
+   * unless no instance has room.
+   */
+  void OnUploadRefused(DaemonId aInstance, Duration aRetryAfter, MonoTime aNow);
+
   bool IsEjected(DaemonId aInstance, MonoTime aNow) const;
   size_t EjectedCount(MonoTime aNow) const;
 
@@ -114,17 +135,26 @@
     MonoTime ejectedUntil;
     uint32_t ejections = 0;
     bool nearby = false;
+    double uploadWait = 0.0; ///< Mean in seconds.
+    MonoTime uploadWaitAt;
+    MonoTime noRoomUntil; ///< For uploads.
   };
 
   using Instances = std::map<DaemonId, Instance>;
 
   std::vector<DaemonId> Usable(MonoTime aNow,
                                std::optional<DaemonId> aExcluded) const;
+  std::vector<DaemonId> WithRoom(std::vector<DaemonId> aIds,
+                                 MonoTime aNow) const;
   std::vector<DaemonId> NearbyOf(const std::vector<DaemonId>& aIds) const;
   DaemonId ChooseOfTwo(const std::vector<DaemonId>& aUsable,
                        RandomEngine& aRandom,
-                       MonoTime aNow) const;
-  double Cost(const Instance& aInstance, MonoTime aNow) const;
+                       MonoTime aNow,
+                       BalancedKind aKind) const;
+  double Cost(const Instance& aInstance,
+              MonoTime aNow,
+              BalancedKind aKind) const;
+  static double UploadWaitOf(const Instance& aInstance, MonoTime aNow);
   double LatencyOf(const Instance& aInstance, MonoTime aNow) const;
   double SlowStartShare(const Instance& aInstance, MonoTime aNow) const;
   double MeanLatency() const;
--- a/test/Routing/BalancerTest.cpp
+++ b/test/Routing/BalancerTest.cpp
@@ -206,5 +206,41 @@
   }
 }
 
+// Load pattern: the link of one instance is full of uploads. Guards against
+// uploads that go there again and are refused, and against other requests that
+// avoid an instance with free slots.
+TEST_F(BalancerTest, Choose_UploadAfterARefusal_AvoidsTheInstanceForATime)
+{
+  constexpr auto kUpload = BalancedKind::kUpload;
+  SetInstances(2);
+  m_balancer.OnUploadRefused(DaemonId(1), milliseconds(300), m_now);
+  int others = 0;
+  for (int request = 0; request < 100; ++request) {
+    EXPECT_EQ(m_balancer.Choose(m_random, m_now, {}, DaemonId(1), kUpload),
+              DaemonId(2));
+    others += m_balancer.Choose(m_random, m_now) == DaemonId(1) ? 1 : 0;
+  }
+  EXPECT_GT(others, 0);
+  // If no instance has room, one of them is asked all the same.
+  m_balancer.OnUploadRefused(DaemonId(2), milliseconds(300), m_now);
+  EXPECT_TRUE(m_balancer.Choose(m_random, m_now, {}, {}, kUpload));
+  m_now += milliseconds(301);
+  EXPECT_EQ(m_balancer.Choose(m_random, m_now, {}, DaemonId(1), kUpload),
+            DaemonId(1));
+}
+
+TEST_F(BalancerTest, Choose_Upload_PrefersTheInstanceThatGaveCreditSooner)
+{
+  SetInstances(2);
+  End(DaemonId(1), InstanceResult::kDone, milliseconds(100));
+  End(DaemonId(2), InstanceResult::kDone, milliseconds(100));
+  m_balancer.OnUploadGranted(DaemonId(1), milliseconds(400), m_now);
+  m_balancer.OnUploadGranted(DaemonId(2), milliseconds(10), m_now);
+  for (int request = 0; request < 100; ++request) {
+    EXPECT_EQ(m_balancer.Choose(m_random, m_now, {}, {}, BalancedKind::kUpload),
+              DaemonId(2));
+  }
+}
+
 }
 }
