Bodies of requests that await credit are sent after the first Credit frame

Cause: a sender had a window of 256 KiB from the start, more than most bodies.

Change: with CallRequest::awaitsCredit the window begins at 0, and the first credit is passed on as CallListener::OnCredit. Other streams are unchanged.

--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_CALL_H
 #define PISTACHIOSHIFT_DAEMON_CALL_H
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,12 @@
   /** \brief More body may be sent, after SendBody returned false. */
   virtual void OnDrained() = 0;
 
+  /**
+   * \brief The body of a request that awaits credit may be sent from now on.
+   * \param aBytes credit; more than the body, so that its end is sent too.
+   */
+  virtual void OnCredit(int64_t /*aBytes*/) {}
+
   virtual void OnRefused(const CallRefusal& aRefusal) = 0;
   virtual void OnLost(CallLoss aLoss) = 0;
 };
--- a/src/Daemon/FlowWindow.h
+++ b/src/Daemon/FlowWindow.h
@@ -16,6 +16,12 @@
 class SendWindow
 {
 public:
+  /** \param aBytes that may be sent before the first credit. */
+  explicit SendWindow(int64_t aBytes = kStreamWindow)
+    : m_remaining(aBytes)
+  {
+  }
+
   /** \brief Accounts for sent bytes; the last piece may exceed the window. */
   void Consume(size_t aBytes) { m_remaining -= static_cast<int64_t>(aBytes); }
 
@@ -33,7 +39,7 @@
   bool IsOpen() const { return m_remaining > 0; }
 
 private:
-  int64_t m_remaining = kStreamWindow;
+  int64_t m_remaining;
 };
 
 /**
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -221,6 +221,9 @@
   if (!aPiece.data.empty() && !m_call->SendBody(aPiece.data)) {
     m_receive.Pause();
   }
+  if (!m_call) {
+    return; // Refused by these bytes.
+  }
   if (aPiece.last) {
     m_call->Finish();
     return;
--- a/src/Daemon/InnerSession.h
+++ b/src/Daemon/InnerSession.h
@@ -79,6 +79,7 @@
   void OnBody(std::string_view aData) override;
   void OnEnd() override;
   void OnDrained() override;
+  void OnCredit(int64_t aBytes) override { Grant(aBytes); }
   void OnRefused(const CallRefusal& aRefusal) override;
   void OnLost(CallLoss aLoss) override;
 
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -187,6 +187,7 @@
   bool m_bodyComplete = false;
   bool m_headSeen = false;
   bool m_finished = false;
+  bool m_awaitsCredit = false; ///< No body byte may be sent yet.
 };
 
 }
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "src/Daemon/Peer.h"
 
@@ -34,6 +35,10 @@
   open.nested = aRequest.nested;
   open.awaitsCredit = aRequest.awaitsCredit;
   m_finished = !aRequest.hasBody;
+  m_awaitsCredit = aRequest.awaitsCredit;
+  if (m_awaitsCredit) {
+    m_send = SendWindow(0);
+  }
   link->Send(open);
 }
 
@@ -169,8 +174,14 @@
 void
 RemoteCall::OnFrame(const Credit& aCredit)
 {
-  if (m_listener && m_send.AddCredit(aCredit.bytes)) {
-    const auto listener = m_listener;
+  const bool opened = m_send.AddCredit(aCredit.bytes);
+  const auto listener = m_listener;
+  if (!listener) {
+    return;
+  }
+  if (std::exchange(m_awaitsCredit, false)) {
+    listener->OnCredit(aCredit.bytes);
+  } else if (opened) {
     listener->OnDrained();
   }
 }
