The owner's daemon receives bodies of uploads before their requests queue

Cause: every body was sent as soon as its head, so bodies saturated the link, and a slow caller held a slot.

Bodies on the usual path count on the link. Cancelled, cut or drained uploads are withdrawn as not run. Metrics and log lines.

--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -45,6 +45,8 @@
                                "Entries started and stopped on this daemon"))
   , m_outcomeQueries(AddCounters("pistachio_outcome_queries_total",
                                  "Answers to outcome queries, by state"))
+  , m_uploads(AddCounters("pistachio_uploads_total",
+                          "Bodies received ahead of their requests, by event"))
   , m_latency(prometheus::BuildHistogram()
                 .Name("pistachio_request_seconds")
                 .Help("Time from the head of a request to the end of its "
@@ -156,6 +158,12 @@
   CountLabel(m_outcomeQueries, "state", aState);
 }
 
+void
+Metrics::CountUpload(std::string_view aEvent)
+{
+  CountLabel(m_uploads, "event", aEvent);
+}
+
 void
 Metrics::ObserveLatency(Duration aLatency)
 {
--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -39,6 +39,7 @@
   void CountControlRefusal(std::string_view aReason);
   void CountEntryChange(std::string_view aChange);
   void CountOutcomeQuery(std::string_view aState);
+  void CountUpload(std::string_view aEvent);
   void ObserveLatency(Duration aLatency);
 
   /** \brief Sets a gauge without labels, such as pistachio_in_flight. */
@@ -68,6 +69,7 @@
   Counters& m_controlRefusals;
   Counters& m_entryChanges;
   Counters& m_outcomeQueries;
+  Counters& m_uploads;
   prometheus::Histogram& m_latency;
 };
 
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -57,6 +57,11 @@
   if (m_state == State::kEnded) {
     return true;
   }
+  if (m_state == State::kUploading) {
+    ReceiveUpload(aData);
+    return true;
+  }
+  m_delegate.OnRequestBytes(aData.size());
   bool open = true;
   if (m_exchange) {
     open = m_exchange->SendBody(aData);
@@ -74,12 +79,42 @@
   if (m_state == State::kEnded || m_finished) {
     return;
   }
+  if (m_state == State::kUploading) {
+    FinishUpload();
+    return;
+  }
   m_finished = true;
   if (m_exchange) {
     m_exchange->Finish();
   }
 }
 
+/** The length in the head bounds the bytes that are kept, whatever the sender
+ * does. */
+void
+OwnerCall::ReceiveUpload(std::string_view aData)
+{
+  const auto length = m_request.head.contentLength.value_or(0);
+  if (m_bufferedBody.size() + aData.size() > length) {
+    Refuse(RefusalReason::kBodyTooLarge, Duration::zero());
+    return;
+  }
+  m_bufferedBody.append(aData);
+  m_delegate.OnUploadBytes(*this, aData.size());
+}
+
+void
+OwnerCall::FinishUpload()
+{
+  if (m_bufferedBody.size() != m_request.head.contentLength) {
+    // The body was cut short, so the request must not run.
+    Refuse(RefusalReason::kCancelled, Duration::zero());
+    return;
+  }
+  m_finished = true;
+  m_delegate.OnUploadReceived(*this);
+}
+
 void
 OwnerCall::PauseBody()
 {
@@ -190,7 +225,7 @@
   });
   if (!m_bufferedBody.empty()) {
     const bool open = m_exchange->SendBody(m_bufferedBody);
-    m_bufferedBody.clear();
+    m_bufferedBody = std::string(); // An upload's is large.
     if (open && m_bodyBlocked) {
       m_bodyBlocked = false;
       m_listener->OnDrained();
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -57,6 +57,14 @@
    * server has failed. */
   virtual void OnServerFailed(const OwnerCall&, ClientFailure) {}
 
+  /** \brief Called for body bytes that are passed on as they arrive. */
+  virtual void OnRequestBytes(size_t) {}
+
+  /** \brief Called for bytes of a body that is received before its request
+   * may start, and when such a body is complete. */
+  virtual void OnUploadBytes(OwnerCall&, size_t) {}
+  virtual void OnUploadReceived(OwnerCall&) {}
+
   /** \brief Called before a call is refused; used for logging. */
   virtual void OnRefusing(const OwnerCall&, const CallRefusal&) {}
 
@@ -102,9 +110,10 @@
   enum class State
   {
     kNew,
-    kHeld,    ///< Waits until this daemon holds the entry.
-    kQueued,  ///< Waits in the admission queue.
-    kRunning, ///< Passed to the HTTP client of the backend server.
+    kHeld,      ///< Waits until this daemon holds the entry.
+    kUploading, ///< Waits for credit, or for the body that has credit.
+    kQueued,    ///< Waits in the admission queue.
+    kRunning,   ///< Passed to the HTTP client of the backend server.
     kEnded,
   };
 
@@ -114,6 +123,8 @@
   void OnDeadline();
   void StartBodyTimer();
   void OnBodyTimer();
+  void ReceiveUpload(std::string_view aData);
+  void FinishUpload();
   void OnHoldExpired();
   /**
    * Sends the request to the backend server. CallDelegate::MayStart is checked
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -17,6 +17,10 @@
  * requests and heartbeats. */
 constexpr double kAnswerLinkShare = 0.93;
 
+/** Share of the link's bandwidth for bodies of uploads, so that heartbeats and
+ * small requests don't queue behind them. */
+constexpr double kUploadLinkShare = 0.8;
+
 /** Number of peers queried for the state while the store does not answer. */
 constexpr size_t kQueriedPeers = 2;
 
@@ -86,6 +90,7 @@
   aState.SetOnUnavailable([this] { QueryPeers(); });
   m_server.SetLink(aSettings.linkBytesPerSecond * kAnswerLinkShare,
                    [this] { return m_bulk.Backlog(); });
+  m_server.SetUploadRate(aSettings.linkBytesPerSecond * kUploadLinkShare);
   m_operator.OnGet("/metrics",
                    [this](const OperatorRequest&) { return RenderMetrics(); });
 }
@@ -289,6 +294,9 @@
   // -1: the backend server has stated no limit.
   set("pistachio_server_limit_per_second",
       m_server.RequestLimit().value_or(-1.0));
+  set("pistachio_uploads_waiting", m_server.Uploads().Waiting());
+  set("pistachio_uploads_in_transfer", m_server.Uploads().Transfers());
+  set("pistachio_upload_bytes_held", m_server.Uploads().HeldBytes());
   set("pistachio_crash_suspects", m_server.Suspects());
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End().offset);
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -358,6 +358,9 @@
   if (RefusesNewCalls(now) && m_gate && m_gate->QueuedCount() > 0) {
     ApplyGateActions(m_gate->RefuseQueued(RefusalReason::kDraining));
   }
+  if (RefusesNewCalls(now)) {
+    RefuseUploads(RefusalReason::kDraining);
+  }
   const bool silent = now - m_lastHeartbeat >= kHeartbeatSilence;
   if (!m_state.Joined() || !silent || !m_grants.HoldsExpired(now)) {
     return;
@@ -382,4 +385,10 @@
   SendReleased(server->incarnation, m_grants.TakeRelinquished());
 }
 
+std::optional<DaemonId>
+RangeServerTask::HolderHint(const OwnerCall&) const
+{
+  return std::nullopt;
+}
+
 }
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -113,9 +113,11 @@
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_lastHeartbeat(aClock.Now())
   , m_healthTimer(aBase, [this] { OnHealthTimer(); })
+  , m_uploads(UploadSettings{}, aClock.Now())
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
+  , m_uploadTimer(aBase, [this] { AdvanceUploads(); })
   , m_rateProbeTimer(aBase, [this] { EndRateProbe(); })
   , m_tick(aBase, [this] { OnTick(); })
 {
@@ -232,13 +234,20 @@
     aCall->Refuse(RefusalReason::kCannotFinish, wait);
     return;
   }
-  const auto result = m_outcomes.Begin(request.id, request.known);
-  if (result.verdict != BeginVerdict::kStarted) {
-    aCall->Refuse(RefusalOf(result.verdict), Duration::zero());
-    return;
+  if (!aCall->m_inOutcomeTable) { // Else it is an upload that is complete.
+    const auto result = m_outcomes.Begin(request.id, request.known);
+    if (result.verdict != BeginVerdict::kStarted) {
+      aCall->Refuse(RefusalOf(result.verdict), Duration::zero());
+      return;
+    }
+    aCall->m_inOutcomeTable = true;
   }
-  aCall->m_inOutcomeTable = true;
   m_calls[request.id] = aCall;
+  if (AwaitsBody(*aCall)) {
+    AdmitUpload(aCall);
+    return;
+  }
+  GrantUnplanned(*aCall);
   aCall->m_state = OwnerCall::State::kQueued;
   ReserveSuspect(*aCall);
   aCall->StartDeadlineTimer();
@@ -253,13 +262,6 @@
     m_gate->Admit(AdmissionRequest{ request.id, aCall->m_class, due }, now));
 }
 
-Duration
-RangeServerTask::LinkWait(const OwnerCall& aCall) const
-{
-  const auto backlog = m_backlog ? m_backlog() : Duration::zero();
-  return m_link.ExpectedWait(backlog, m_gate->ExpectedService(aCall.m_class));
-}
-
 Duration
 RangeServerTask::MaxTimeInSystem(const OwnerCall& aCall) const
 {
@@ -360,12 +362,6 @@
   return m_dialect.Classify(aCall.Request().head, aHead);
 }
 
-std::optional<DaemonId>
-RangeServerTask::HolderHint(const OwnerCall&) const
-{
-  return std::nullopt;
-}
-
 void
 RangeServerTask::OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal)
 {
@@ -406,6 +402,8 @@
                   aCall.m_answerBytes);
   }
   m_link.Release(std::exchange(aCall.m_reservedLinkBytes, 0));
+  m_uploads.End(id, m_clock.Now());
+  ArmUploadTimer();
   if (aResult == ServiceResult::kDone && aCall.m_answerComplete) {
     m_endMonitor.OnAnswered(aCall.m_startedAt);
     const auto request = aCall.Request().fingerprint;
@@ -479,6 +477,7 @@
   if (m_gate) {
     ApplyGateActions(m_gate->RefuseQueued(RefusalReason::kDraining));
   }
+  RefuseUploads(RefusalReason::kDraining);
   RetryHeldCalls();
 }
 
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -88,6 +88,12 @@
     m_backlog = std::move(aBacklog);
   }
 
+  /**
+   * \brief Sets the rate at which bodies of uploads are received.
+   * \param aBytesPerSecond part of the host's link; 0: no limit.
+   */
+  void SetUploadRate(double aBytesPerSecond);
+
   /** \brief Sets the receiver of the ranges that the backend server has
    * released, which writes them to the table. */
   void SetOnReleased(std::function<void(RangeRelease)> aCallback)
@@ -132,6 +138,7 @@
   /** \brief Requests under which backend servers have ended lately. */
   size_t Suspects() const { return m_suspects.Size(); }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
+  const UploadAdmission& Uploads() const { return m_uploads; }
 
   void OnStateChanged() override;
 
@@ -145,6 +152,9 @@
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
   void OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal) override;
   void OnServerFailed(const OwnerCall& aCall, ClientFailure aFailure) override;
+  void OnRequestBytes(size_t aBytes) override;
+  void OnUploadBytes(OwnerCall& aCall, size_t aBytes) override;
+  void OnUploadReceived(OwnerCall& aCall) override;
 
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
@@ -171,6 +181,14 @@
                          const std::vector<ServerEndId>& aEnds);
   void WriteCrashEvidence();
   void Admit(const CallPtr& aCall);
+  static bool AwaitsBody(const OwnerCall& aCall);
+  void AdmitUpload(const CallPtr& aCall);
+  void GrantUnplanned(const OwnerCall& aCall);
+  ServerBacklog BacklogOf(const OwnerCall& aCall) const;
+  void AdvanceUploads();
+  void ArmUploadTimer();
+  void RefuseUploads(RefusalReason aReason);
+  void LogUploadRefusals(bool aRefused);
   void ApplyGateActions(const AdmissionActions& aActions);
   void ArmGateTimer();
   void RetryHeldCalls();
@@ -251,11 +269,14 @@
   std::function<Duration()> m_backlog;
   std::function<void(RangeRelease)> m_onReleased;
   double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
+  UploadAdmission m_uploads;
+  std::optional<MonoTime> m_uploadRefusedAt; ///< While uploads are refused.
   bool m_sharded = false;
   bool m_draining = false;
   bool m_silent = false; ///< The silence of the server has been published.
   Timer m_acceptTimer;
   Timer m_gateTimer;
+  Timer m_uploadTimer;
   Timer m_rateProbeTimer; ///< From the first request of the probe on.
   Timer m_tick;
 };
