The ingress daemon reads the body of an upload once it has credit

Cause: up to 64 KiB were read and forwarded before the owner's daemon had admitted the request, and a lost attempt without its body counted as unknown.

Change: for uploads of known length up to 1 MiB the head is sent at once and the caller's body is read, and asked for with `100 Continue`, on credit only. Until the whole body has been sent, the request is known not to have run. Refusals before credit are retried at once elsewhere, within the retry budget. A body of unknown length that ends within 64 KiB is sent with its length.

--- a/src/Daemon/IngressAttempt.cpp
+++ b/src/Daemon/IngressAttempt.cpp
@@ -37,6 +37,14 @@
   }
 }
 
+void
+IngressAttempt::OnCredit(int64_t)
+{
+  if (const auto session = m_session) {
+    session->OnAttemptCredit();
+  }
+}
+
 void
 IngressAttempt::OnRefused(const CallRefusal& aRefusal)
 {
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -33,8 +33,15 @@
 {
   m_head = m_exchange->Head();
   StripHopByHop(m_head.headers);
+  // Resumed as soon as the kind of the request is known: a caller that waits
+  // for `100 Continue` is not asked for a body that has no credit yet.
+  m_exchange->PauseBody();
   m_exchange->SetListener(shared_from_this());
   auto read = m_context.dialect.Read(m_head);
+  const auto* resolved = std::get_if<ResolvedRequest>(&read);
+  if (resolved == nullptr || !resolved->upload) {
+    m_exchange->ResumeBody();
+  }
   if (const auto* reason = std::get_if<RefusalReason>(&read)) {
     Refuse(Outcome::kNotRun, *reason);
     return;
@@ -44,6 +51,14 @@
   m_deadline = m_arrived + m_resolved.timeLimit;
   m_deadlineTimer.StartOnce(m_resolved.timeLimit + kOutcomeGrace);
   m_context.router.BudgetOf(m_resolved.policy).OnFirstAttempt();
+  m_history.upload = m_resolved.upload;
+  if (m_resolved.upload && !AwaitsCredit()) {
+    m_exchange->ResumeBody();
+  }
+  if (AwaitsCredit()) {
+    ReadOnCredit();
+    return;
+  }
   if (!m_head.HasBody()) {
     m_bodyEnded = true;
     BeginAttempt();
@@ -82,8 +97,10 @@
   }
   m_bodyEnded = true;
   if (m_call) {
+    m_bodySent = true;
     m_call->Finish();
   } else if (!m_streaming) {
+    m_awaitsCredit = AwaitsCredit();
     BeginAttempt();
   }
 }
@@ -123,6 +140,11 @@
   request.priority = m_resolved.priority;
   request.goal = m_resolved.goal;
   request.fingerprint = FingerprintOf(m_head, m_resolved.key, m_body);
+  request.awaitsCredit = m_awaitsCredit;
+  if (m_awaitsCredit && m_bodyEnded) {
+    request.head.contentLength = m_body.size();
+    request.head.chunked = false;
+  }
   if (m_resuming) {
     m_resume.RequestRemainder(request.head);
   }
@@ -153,12 +175,23 @@
   m_attemptStarted = m_context.clock.Now();
   m_attempt = std::make_shared<IngressAttempt>(shared_from_this());
   m_answerFlowing = true;
+  m_hasCredit = !m_awaitsCredit;
+  m_bodySent = false;
   m_call = m_context.router.Start(*m_destination, MakeRequest(), m_attempt);
+  if (m_hasCredit) {
+    SendBuffered();
+  }
+}
+
+void
+IngressSession::SendBuffered()
+{
   bool open = true;
   if (!m_body.empty()) {
     open = m_call->SendBody(m_body);
   }
   if (m_bodyEnded) {
+    m_bodySent = true;
     m_call->Finish();
   } else if (open) {
     m_exchange->ResumeBody();
@@ -220,7 +253,7 @@
 void
 IngressSession::OnAttemptDrained()
 {
-  if (!m_bodyEnded) {
+  if (!m_bodyEnded && m_hasCredit) {
     m_exchange->ResumeBody();
   }
 }
@@ -230,7 +263,7 @@
 {
   const auto self = shared_from_this();
   CloseAttempt();
-  ReportToBalancer(InstanceResult::kShed);
+  ReportRefusal(aRefusal);
   m_history.hint = aRefusal.holder;
   if (aRefusal.reason == RefusalReason::kNotOwner && m_history.last) {
     m_history.refused.push_back(*m_history.last);
@@ -245,7 +278,10 @@
   report.end = aRefusal.outcome == Outcome::kNotRun ? AttemptEnd::kNotRun
                                                     : AttemptEnd::kUnknown;
   report.refusal = aRefusal.reason;
-  report.retryAfter = aRefusal.retryAfter;
+  // The time until there is room there doesn't delay a try elsewhere.
+  const bool elsewhere =
+    m_awaitsCredit && m_resolved.policy.division == Division::kAnyInstance;
+  report.retryAfter = elsewhere ? Duration{} : aRefusal.retryAfter;
   Decide(report);
 }
 
@@ -253,6 +289,9 @@
 IngressSession::OnLost(CallLoss aLoss)
 {
   const auto self = shared_from_this();
+  if (!MayHaveRun() && aLoss != CallLoss::kTruncated) {
+    aLoss = CallLoss::kNotSent;
+  }
   CloseAttempt();
   ReportToBalancer(InstanceResult::kFailed);
   m_history.hint.reset();
@@ -381,7 +420,8 @@
   }
   // While waiting for a retry, the last attempt is known not to have run.
   const bool waits = !m_call && !m_queryPending && m_timer.Running();
-  const bool started = m_call != nullptr || m_history.attempts > 0;
+  const bool started =
+    m_call != nullptr ? MayHaveRun() : m_history.attempts > 0;
   if (m_call) {
     m_call->Cancel();
   }
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -49,11 +49,17 @@
   void OnAnswerBody(std::string_view aData);
   void OnAnswerEnd();
   void OnAttemptDrained();
+  void OnAttemptCredit();
   void OnRefused(const CallRefusal& aRefusal);
   void OnLost(CallLoss aLoss);
 
 private:
+  bool AwaitsCredit() const;
+  void ReadOnCredit();
+  bool MayHaveRun() const;
+  void ReportRefusal(const CallRefusal& aRefusal);
   void BeginAttempt();
+  void SendBuffered();
   CallRequest MakeRequest() const;
   AttemptReport MakeReport() const;
   void Decide(const AttemptReport& aReport);
@@ -83,10 +89,13 @@
   MonoTime m_deadline;
   std::string m_body; ///< Start of the request body, kept for retries.
   bool m_bodyEnded = false;
-  bool m_streaming = false;   ///< The body is forwarded as it arrives.
-  bool m_replayable = true;   ///< m_body holds all of the body received so far.
-  bool m_answerBegun = false; ///< The caller has been sent the head.
-  bool m_resuming = false;    ///< A download continues on another attempt.
+  bool m_streaming = false; ///< The body is forwarded as it arrives.
+  bool m_replayable = true; ///< m_body holds all of the body received so far.
+  bool m_awaitsCredit = false; ///< Attempts begin without the body.
+  bool m_hasCredit = false;    ///< The attempt accepts the body.
+  bool m_bodySent = false;     ///< The attempt was sent the whole body.
+  bool m_answerBegun = false;  ///< The caller has been sent the head.
+  bool m_resuming = false;     ///< A download continues on another attempt.
   std::optional<ResponseHead> m_pendingHead; ///< Held until the body starts.
   std::string m_heldBody; ///< Start of a short answer that isn't whole yet.
   std::optional<uint64_t> m_answerLength; ///< In the head, if it was sent.
@@ -132,6 +141,7 @@
   void OnBody(std::string_view aData) override;
   void OnEnd() override;
   void OnDrained() override;
+  void OnCredit(int64_t aBytes) override;
   void OnRefused(const CallRefusal& aRefusal) override;
   void OnLost(CallLoss aLoss) override;
 
--- a/src/Daemon/RequestRouter.h
+++ b/src/Daemon/RequestRouter.h
@@ -28,6 +28,7 @@
   std::optional<DaemonId> last;  ///< Daemon of the last attempt.
   std::vector<DaemonId> refused; ///< Refused with kNotOwner.
   uint32_t attempts = 0;
+  bool upload = false; ///< Needs room on the link of the daemon chosen.
 
   bool Refused(DaemonId aDaemon) const
   {
@@ -68,6 +69,21 @@
                      InstanceResult aResult,
                      Duration aLatency) = 0;
 
+  /** \brief Reports that an upload got credit, and how long it waited. */
+  virtual void OnUploadGranted(const ServicePolicy&,
+                               const Destination&,
+                               Duration /*aWait*/)
+  {
+  }
+
+  /** \brief Reports that an instance had no room for an upload, and the time
+   * until it expects some. */
+  virtual void OnUploadRefused(const ServicePolicy&,
+                               const Destination&,
+                               Duration /*aRetryAfter*/)
+  {
+  }
+
   virtual RetryBudget& BudgetOf(const ServicePolicy& aPolicy) = 0;
 };
 
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -121,8 +121,10 @@
   if (aHistory.last != IdOf(m_state.Self()) && m_server.HasFreeSlot()) {
     preferred = IdOf(m_state.Self());
   }
+  const auto kind =
+    aHistory.upload ? BalancedKind::kUpload : BalancedKind::kOther;
   const auto chosen = instances.balancer.Choose(
-    m_random, m_clock.Now(), aHistory.last, preferred);
+    m_random, m_clock.Now(), aHistory.last, preferred, kind);
   if (!chosen) {
     return std::nullopt;
   }
@@ -174,6 +176,28 @@
   }
 }
 
+void
+RangeRouter::OnUploadGranted(const ServicePolicy& aPolicy,
+                             const Destination& aDestination,
+                             Duration aWait)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    m_instances[aPolicy.name].balancer.OnUploadGranted(
+      aDestination.daemon, aWait, m_clock.Now());
+  }
+}
+
+void
+RangeRouter::OnUploadRefused(const ServicePolicy& aPolicy,
+                             const Destination& aDestination,
+                             Duration aRetryAfter)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    m_instances[aPolicy.name].balancer.OnUploadRefused(
+      aDestination.daemon, aRetryAfter, m_clock.Now());
+  }
+}
+
 RetryBudget&
 RangeRouter::BudgetOf(const ServicePolicy& aPolicy)
 {
--- a/src/HostDaemon/RangeRouter.h
+++ b/src/HostDaemon/RangeRouter.h
@@ -44,6 +44,12 @@
              const Destination& aDestination,
              InstanceResult aResult,
              Duration aLatency) override;
+  void OnUploadGranted(const ServicePolicy& aPolicy,
+                       const Destination& aDestination,
+                       Duration aWait) override;
+  void OnUploadRefused(const ServicePolicy& aPolicy,
+                       const Destination& aDestination,
+                       Duration aRetryAfter) override;
   RetryBudget& BudgetOf(const ServicePolicy& aPolicy) override;
 
   void OnStateChanged() override;
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -433,6 +433,9 @@
 void
 ServerConnection::BodyWanted()
 {
+  if (m_bodyPaused) {
+    return; // ResumeBody() asks the caller to continue.
+  }
   if (m_expectsContinue && !m_headSent) {
     m_expectsContinue = false;
     evbuffer_add(m_stream->Output(), kContinue.data(), kContinue.size());
@@ -451,7 +454,11 @@
 ServerConnection::ResumeBody()
 {
   m_bodyPaused = false;
-  m_stream->ScheduleRead();
+  if (m_exchange && m_exchange->m_listener) {
+    BodyWanted();
+  } else {
+    m_stream->ScheduleRead();
+  }
 }
 
 }
