--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -52,13 +52,13 @@
   m_deadlineTimer.StartOnce(m_resolved.timeLimit + kOutcomeGrace);
   m_context.router.BudgetOf(m_resolved.policy).OnFirstAttempt();
   m_history.upload = m_resolved.upload;
-  if (m_resolved.upload && !AwaitsCredit()) {
-    m_exchange->ResumeBody();
-  }
   if (AwaitsCredit()) {
     ReadOnCredit();
     return;
   }
+  if (m_resolved.upload) {
+    m_exchange->ResumeBody();
+  }
   if (!m_head.HasBody()) {
     m_bodyEnded = true;
     BeginAttempt();
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -200,6 +200,17 @@
   EXPECT_EQ(config.limits.bodyBytes, 1000U);
 }
 
+// Guards against an upload that is repeated, or handled like a small request.
+TEST(OperatorConfigTest, Decode_Upload_IsNotIdempotent)
+{
+  std::string text = kConfig;
+  text.replace(text.find("non_idempotent"), 14, "upload");
+  const auto config = DecodeConfig(text);
+  EXPECT_TRUE(config.routes.Match("a.example", "/w/1")->upload);
+  EXPECT_FALSE(config.routes.Match("a.example", "/w/1")->idempotent);
+  EXPECT_FALSE(config.routes.Match("a.example", "/r/1")->upload);
+}
+
 TEST(OperatorConfigTest, Decode_MalformedText_Throws)
 {
   EXPECT_THROW(DecodeConfig("{}"), PlatformError);
--- a/test/process/PlatformSupport.h
+++ b/test/process/PlatformSupport.h
@@ -78,7 +78,10 @@
         "priority":2,"service":"orders","attempts":2},
       "write":{"hostname":"a.example","pathPrefix":"/w/",
         "routeType":"non_idempotent","timeout":"3000ms",
-        "targetLatency":"600ms","priority":1,"service":"orders","attempts":2})";
+        "targetLatency":"600ms","priority":1,"service":"orders","attempts":2},
+      "put":{"hostname":"a.example","pathPrefix":"/u/","routeType":"upload",
+        "timeout":"3000ms","targetLatency":"2000ms","priority":1,
+        "service":"orders","attempts":1})";
     for (const auto& prefix : aPrefixes) {
       routes += fmt::format(R"(,"{0}":{{"hostname":"a.example",
         "pathPrefix":"{0}","routeType":"idempotent","timeout":"3000ms",
@@ -171,9 +174,12 @@
   HttpReply Ask(size_t aHost,
                 const char* aPath,
                 int aKey,
-                const std::string& aId)
+                const std::string& aId,
+                std::string_view aBody = {})
   {
     HttpCall call;
+    call.isPost = !aBody.empty();
+    call.body = aBody;
     call.port = m_hosts[aHost].ports[0];
     call.path = aPath;
     call.headers = { { "Host", "a.example" },
