AdmissionController bounds the starts of any second (SetPace)

Cause: the token bucket of RequestRateLimit lets the requests of a whole second through when it is set and counts no earlier starts. A cold server got 31 requests in a second where 29 are allowed.

Change: StartWindowLimit records all starts. SetPace() applies it, and a limit of requests at once, beside SetRate() and SetLimit(); the lowest limit applies. Under a low limit of the pace, long requests no longer raise the expected service time: with two requests at once, a single one of seven times the usual time made the gate refuse nearly all others for seconds.

--- a/src/Routing/AdmissionCheck.cpp
+++ b/src/Routing/AdmissionCheck.cpp
@@ -126,18 +126,27 @@
   return wait > Seconds(std::max(aState.service, MeanExpectedOfRunning()));
 }
 
+// Requests that may start per second; nullopt: no limit.
+std::optional<double>
+AdmissionController::StartRate() const
+{
+  const auto rate = m_rate.PerSecond();
+  const auto pace = m_pace.PerSecond();
+  return rate && pace ? std::min(*rate, *pace) : rate ? rate : pace;
+}
+
 AdmissionController::Backlog
 AdmissionController::BacklogOf(const ClassState& aState, MonoTime aNow) const
 {
   Backlog backlog;
   backlog.limit = static_cast<double>(Limit());
   backlog.running = RunningSeconds(aNow);
-  if (const auto rate = m_rate.PerSecond()) {
+  if (const auto rate = StartRate()) {
     const auto used = *rate * Seconds(aState.service);
     if (used < backlog.limit) {
       // The next start waits for the rate, not for a slot.
       backlog.limit = used;
-      backlog.running = used * Seconds(m_rate.NextStart(aNow) - aNow);
+      backlog.running = used * Seconds(NextStart(aNow) - aNow);
     }
   }
   backlog.share = ShareOf(aState);
--- a/src/Routing/AdmissionController.cpp
+++ b/src/Routing/AdmissionController.cpp
@@ -148,6 +148,18 @@
   return actions;
 }
 
+AdmissionActions
+AdmissionController::SetPace(std::optional<double> aPerSecond,
+                             std::optional<uint32_t> aSlots,
+                             MonoTime aNow)
+{
+  AdmissionActions actions;
+  m_paceSlots = aSlots;
+  m_pace.Set(aPerSecond, aNow);
+  StartNext(actions, aNow);
+  return actions;
+}
+
 void
 AdmissionController::Restarted(MonoTime aNow)
 {
@@ -156,6 +168,12 @@
 
 uint32_t
 AdmissionController::Limit() const
+{
+  return std::min(UnpacedLimit(), m_paceSlots.value_or(m_slots));
+}
+
+uint32_t
+AdmissionController::UnpacedLimit() const
 {
   return std::min(m_slots, m_adaptiveLimit.Value());
 }
@@ -165,7 +183,7 @@
 {
   std::optional<MonoTime> earliest;
   if (!m_queued.empty() && m_running.size() < Limit()) {
-    earliest = m_rate.NextStart(aNow);
+    earliest = NextStart(aNow);
   }
   for (const auto& state : m_classes) {
     for (const auto& queueEntry : state.queue) {
@@ -236,6 +254,7 @@
   state.finishTag += Seconds(state.service) / state.settings.weight;
   m_running.emplace(aId, RunningRequest{ aClass, aNow, state.service });
   m_rate.OnStart(aNow);
+  m_pace.OnStart(aNow);
 }
 
 void
@@ -332,7 +351,8 @@
 void
 AdmissionController::RaiseServiceTimes(MonoTime aNow)
 {
-  if (2 * m_running.size() < Limit()) {
+  // Under a low limit of a pace, a single long request would raise the mean.
+  if (2 * m_running.size() < UnpacedLimit()) {
     return; // Too few to tell a slow server from a few long requests.
   }
   std::vector<std::pair<Duration, int64_t>> elapsed(m_classes.size());
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_ROUTING_ADMISSIONCONTROLLER_H
 #define PISTACHIOSHIFT_ROUTING_ADMISSIONCONTROLLER_H
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 #include "src/Routing/Outcome.h"
 #include "src/Routing/RequestRateLimit.h"
 #include "src/Routing/ServicePolicy.h"
+#include "src/Routing/StartWindowLimit.h"
 
 namespace pistachioshift {
 
@@ -137,10 +139,20 @@
   /** \brief Requests that may start per second; nullopt: no limit. */
   std::optional<double> Rate() const { return m_rate.PerSecond(); }
 
+  /**
+   * \brief Limits the requests that start within any second, those that were
+   * started before included, and the requests at once; nullopt: no limit. The
+   * limits of SetRate() and SetLimit() stay in force.
+   * \sa StartWindowLimit, ServerPace
+   */
+  AdmissionActions SetPace(std::optional<double> aPerSecond,
+                           std::optional<uint32_t> aSlots,
+                           MonoTime aNow);
+
   /** \brief Whether a request that arrives at an empty queue starts at once. */
   bool HasFreeSlot(MonoTime aNow) const
   {
-    return m_running.size() < Limit() && m_rate.MayStart(aNow);
+    return m_running.size() < Limit() && NextStart(aNow) <= aNow;
   }
 
   /** \brief The backend server restarted: slow start from one slot. */
@@ -228,6 +240,12 @@
   bool ExceedsOverloadWait(const ClassState& aState,
                            const QueueEntry& aQueueEntry,
                            MonoTime aNow) const;
+  MonoTime NextStart(MonoTime aNow) const
+  {
+    return std::max(m_rate.NextStart(aNow), m_pace.NextStart(aNow));
+  }
+  uint32_t UnpacedLimit() const;
+  std::optional<double> StartRate() const;
   static double QueuedSecondsAhead(const ClassState& aState,
                                    const QueueEntry& aQueueEntry);
   void UpdateQueuedSince(MonoTime aNow);
@@ -247,6 +265,8 @@
   uint32_t m_slots;
   AdaptiveLimit m_adaptiveLimit;
   RequestRateLimit m_rate;
+  StartWindowLimit m_pace;
+  std::optional<uint32_t> m_paceSlots;
   std::vector<ClassState> m_classes;
   std::unordered_map<RequestId, RunningRequest> m_running;
   std::unordered_map<RequestId, QueuedRequest> m_queued;
