The configuration's coldPerS and coldStart and the health answer's Cold-Ms are read

A malformed pace counts as not stated: refusing the whole configuration would keep its routes from taking effect.

--- a/src/HostDaemon/ServerDialect.h
+++ b/src/HostDaemon/ServerDialect.h
@@ -47,6 +47,13 @@
   virtual std::optional<ServerId> ReadHealth(
     const ResponseHead& aAnswer) const = 0;
 
+  /** \brief Reads from the answer to a health check for how long the backend
+   * server stays cold; zero: it is warm; nullopt: not stated. */
+  virtual std::optional<Duration> ReadColdTime(const ResponseHead&) const
+  {
+    return std::nullopt;
+  }
+
   /** \brief Reads what the backend server states about itself. */
   virtual ServerNotice ReadNotice(const ResponseHead& aAnswer) const = 0;
 };
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -78,6 +78,21 @@
   EXPECT_FALSE(dialect.ReadHealth(answer));
 }
 
+TEST(HealthTest, ReadColdTime_MillisecondsOrNothing)
+{
+  const PlatformServerDialect dialect;
+  ResponseHead answer;
+  EXPECT_EQ(dialect.ReadColdTime(answer), std::nullopt);
+  for (const char* text : { "", "-1", "2.5", "soon", "99999999999" }) {
+    answer.headers.Set(names::kColdTime, text);
+    EXPECT_EQ(dialect.ReadColdTime(answer), std::nullopt) << text;
+  }
+  answer.headers.Set(names::kColdTime, "2750");
+  EXPECT_EQ(dialect.ReadColdTime(answer), milliseconds(2750));
+  answer.headers.Set(names::kColdTime, "0");
+  EXPECT_EQ(dialect.ReadColdTime(answer), Duration{});
+}
+
 TEST(LeaveTest, Decode_Body_NamesTheIncarnation)
 {
   const ServerId id("i-1");
@@ -200,6 +215,28 @@
   EXPECT_EQ(config.limits.bodyBytes, 1000U);
 }
 
+/** Guards against a configuration that is refused as a whole because of an odd
+ * pace. */
+TEST(OperatorConfigTest, Decode_ColdPace_IsStatedOrZero)
+{
+  const auto paceOf = [](const std::string& aFields) {
+    std::string text = kConfig;
+    const std::string service = R"({"sharded":true})";
+    text.replace(
+      text.find(service), service.size(), R"({"sharded":true)" + aFields + "}");
+    return DecodeConfig(text).coldPaces.at(ServiceName("orders"));
+  };
+  EXPECT_EQ(paceOf(""), ColdPace{});
+  EXPECT_EQ(paceOf(R"(,"coldPerS":14.0,"coldStart":"3s")"),
+            (ColdPace{ 14.0, milliseconds(3000) }));
+  EXPECT_EQ(paceOf(R"(,"coldPerS":12)").perSecond, 12.0);
+  for (const char* odd : { R"("14")", "-3", "null", "[]" }) {
+    EXPECT_EQ(paceOf(R"(,"coldStart":"x","coldPerS":)" + std::string(odd)),
+              ColdPace{})
+      << odd;
+  }
+}
+
 TEST(OperatorConfigTest, Decode_MalformedText_Throws)
 {
   EXPECT_THROW(DecodeConfig("{}"), PlatformError);
