RangeServerTask paces its backend server (FAILBACK)

OnEvacuationEnded() is for the end of an evacuation. Gauges: pistachio_server_pace_per_second, pistachio_server_pace_limit. Where a pace is stated, balancers on other hosts ramp up new instances within coldStart instead of 10 s, as the owner's daemon guards the server.

--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -210,6 +210,14 @@
   m_server.SetHealthPath(found == aPaths.end() ? "" : found->second);
 }
 
+void
+HostDaemon::SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces)
+{
+  const auto found = aPaces.find(m_settings.server.service);
+  m_server.SetColdPace(found == aPaces.end() ? ColdPace{} : found->second);
+  m_router.SetColdPaces(aPaces);
+}
+
 void
 HostDaemon::BeginLeave()
 {
@@ -289,6 +297,11 @@
   // -1: the backend server has stated no limit.
   set("pistachio_server_limit_per_second",
       m_server.RequestLimit().value_or(-1.0));
+  // -1: the backend server is not paced.
+  set("pistachio_server_pace_per_second",
+      m_server.Pace().perSecond.value_or(-1.0));
+  set("pistachio_server_pace_limit",
+      m_server.Pace().slots ? *m_server.Pace().slots : -1.0);
   set("pistachio_crash_suspects", m_server.Suspects());
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End().offset);
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -105,6 +105,9 @@
   /** \brief Sets the paths of health checks, by service. */
   void SetHealthPaths(const std::map<ServiceName, std::string>& aPaths);
 
+  /** \brief Sets the stated paces of cold backend servers, by service. */
+  void SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces);
+
   /** \brief Whether new callers should use this daemon (readiness check). */
   bool Ready() const { return m_state.Joined() && m_configured && !m_leave; }
 
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -112,6 +112,16 @@
   }
 }
 
+void
+RangeRouter::SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces)
+{
+  for (const auto& [service, pace] : aPaces) {
+    const bool stated = pace.perSecond > 0.0 && pace.coldTime > Duration{};
+    m_instances[service].balancer.SetSlowStart(
+      stated ? pace.coldTime : BalancerSettings{}.slowStart);
+  }
+}
+
 std::optional<Destination>
 RangeRouter::ChooseInstance(const ServicePolicy& aPolicy,
                             const AttemptHistory& aHistory)
--- a/src/HostDaemon/RangeRouter.h
+++ b/src/HostDaemon/RangeRouter.h
@@ -57,6 +57,10 @@
   /** \brief Name of the host with this number; empty if unknown. */
   std::string NameOf(DaemonId aDaemon) const;
 
+  /** \brief Sets the stated paces of cold backend servers. Their daemons pace
+   * them, so that their share here may rise as soon as they are warm. */
+  void SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces);
+
   /** \brief Offset up to which the store was read. */
   int64_t StateEnd() const { return m_state.End().offset; }
 
--- a/src/HostDaemon/RangeServerHealth.cpp
+++ b/src/HostDaemon/RangeServerHealth.cpp
@@ -41,6 +41,7 @@
 RangeServerTask::SetHealthPath(std::string aPath)
 {
   m_healthPath = std::move(aPath);
+  m_pace.SetHealthChecks(!m_healthPath.empty());
   CheckHealth();
 }
 
@@ -58,6 +59,7 @@
     return;
   }
   ++m_healthChecks;
+  m_healthAskedAt = m_clock.Now();
   RequestHead head;
   head.method = "GET";
   head.target = m_healthPath;
@@ -88,6 +90,7 @@
   m_healthTimer.Stop();
   m_heard = m_grants.Incarnation();
   m_firstHeartbeat.reset();
+  OnColdChecked(aAnswer, m_healthAskedAt);
 }
 
 }
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -199,6 +199,8 @@
     return HeartbeatReply{};
   }
   const auto now = m_clock.Now();
+  EnsureGate(aHeartbeat.slots);
+  NotePaceHeartbeat(aHeartbeat); // Before any request starts at a new server.
   if (m_grants.Incarnation() != aHeartbeat.incarnation) {
     m_logger.Info("server-started",
                   "server={} born={} slots={}",
@@ -213,7 +215,6 @@
   m_lastHeartbeat = now;
   m_silent = false;
   m_serverId = aHeartbeat.incarnation.id;
-  EnsureGate(aHeartbeat.slots);
   const bool wasLeaving = m_grants.RevokingAll();
   auto heartbeat = aHeartbeat;
   if (HasLeft(heartbeat.incarnation)) {
@@ -355,6 +356,8 @@
 {
   const auto now = m_clock.Now();
   RepeatReleases();
+  m_pace.OnTick(now);
+  UpdatePace();
   if (RefusesNewCalls(now) && m_gate && m_gate->QueuedCount() > 0) {
     ApplyGateActions(m_gate->RefuseQueued(RefusalReason::kDraining));
   }
@@ -367,6 +370,7 @@
     return;
   }
   m_silent = true;
+  m_pace.OnSilent(now);
   m_logger.Warning(
     "server-silent",
     "server={} silent_ms={} heard={}",
--- a/src/HostDaemon/RangeServerSuspects.cpp
+++ b/src/HostDaemon/RangeServerSuspects.cpp
@@ -85,6 +85,7 @@
 void
 RangeServerTask::OnServerFailed(const OwnerCall& aCall, ClientFailure aFailure)
 {
+  NoteServerFailure(aCall, aFailure);
   switch (aFailure) {
     case ClientFailure::kClosedBeforeAnswer:
     case ClientFailure::kTruncatedAnswer:
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -113,6 +113,8 @@
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_lastHeartbeat(aClock.Now())
   , m_healthTimer(aBase, [this] { OnHealthTimer(); })
+  , m_pace(aClock.Now())
+  , m_coldCheckTimer(aBase, [this] { OnColdCheckTimer(); })
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
@@ -287,6 +289,7 @@
         m_rateProbeTimer.StartOnce(kMaxRateProbe);
       }
       ReserveSuspect(*call);
+      m_pace.OnStarted(id, call->m_class, call->Request().goal, m_clock.Now());
       call->Start(m_pool);
     } else {
       const auto reason = StartRefusal(*call);
@@ -394,6 +397,7 @@
 RangeServerTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
   const auto id = aCall.Request().id;
+  NotePaceEnd(aCall, aResult);
   const auto known = m_calls.find(id);
   if (known == m_calls.end() || known->second.get() != &aCall) {
     return;
@@ -457,6 +461,8 @@
     m_slots = slots;
     m_probesRate = true;
     m_gate->SetLimit(std::min(slots, kRateProbeSlots), m_clock.Now());
+    m_pace.SetSlots(slots, m_clock.Now());
+    UpdatePace();
   }
 }
 
@@ -482,17 +488,4 @@
   RetryHeldCalls();
 }
 
-HostReport
-RangeServerTask::MakeReport(size_t aMaxBuckets)
-{
-  HostReport report;
-  report.host = m_state.Self();
-  report.capacity = m_slots / std::max(m_serviceSeconds, 1e-3);
-  if (const auto rate = m_gate ? m_gate->Rate() : std::nullopt) {
-    report.capacity = std::min(report.capacity, *rate);
-  }
-  report.buckets = m_loadMeter.EndInterval(m_clock.Now(), aMaxBuckets);
-  return report;
-}
-
 }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -102,6 +102,13 @@
    * is not about to stop; empty: it does not say so. */
   void SetHealthPath(std::string aPath);
 
+  /** \brief Sets the pace of the backend server while it is cold. */
+  void SetColdPace(const ColdPace& aPace);
+
+  /** \brief The evacuation of this host's zone has ended: the backend server
+   * counts as cold until a later heartbeat says otherwise. */
+  void OnEvacuationEnded();
+
   /**
    * \brief Announces that this daemon will stop. It is assigned no more keys,
    * and requests that any instance can answer are routed to other hosts.
@@ -129,6 +136,8 @@
   {
     return m_gate ? m_gate->Rate() : std::nullopt;
   }
+  /** \brief Limits while the backend server is cold or has just started. */
+  const PaceLimits& Pace() const { return m_paceLimits; }
   /** \brief Requests under which backend servers have ended lately. */
   size_t Suspects() const { return m_suspects.Size(); }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
@@ -149,6 +158,7 @@
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
   class HealthCheck;
+  class ColdCheck;
 
   struct FirstHeartbeat
   {
@@ -193,6 +203,13 @@
   void CheckHealth();
   void OnHealthTimer();
   void OnHealthChecked(const ResponseHead& aAnswer);
+  void NotePaceHeartbeat(const ServerHeartbeat& aHeartbeat);
+  void NoteServerFailure(const OwnerCall& aCall, ClientFailure aFailure);
+  void NotePaceEnd(const OwnerCall& aCall, ServiceResult aResult);
+  void UpdatePace();
+  void LogPace(PaceReason aReason);
+  void OnColdCheckTimer();
+  void OnColdChecked(const ResponseHead& aAnswer, MonoTime aAskedAt);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   void BeginServerLeave();
   MonoTime DrainEnd() const;
@@ -236,7 +253,14 @@
   std::string m_healthPath;
   uint32_t m_healthChecks = 0;
   std::shared_ptr<ClientExchange> m_healthExchange; ///< Of the check that runs.
+  MonoTime m_healthAskedAt;
   Timer m_healthTimer;
+  ServerPace m_pace;
+  PaceLimits m_paceLimits; ///< Those that the gate applies.
+  PaceReason m_paceReason = PaceReason::kNone;
+  MonoTime m_pacedSince; ///< When m_paceReason changed.
+  std::shared_ptr<ClientExchange> m_coldExchange; ///< Of the check that runs.
+  Timer m_coldCheckTimer;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
--- a/src/Routing/Balancer.h
+++ b/src/Routing/Balancer.h
@@ -58,6 +58,9 @@
 public:
   explicit Balancer(BalancerSettings aSettings = {});
 
+  /** \brief Changes the time in which the load of new instances rises. */
+  void SetSlowStart(Duration aTime) { m_settings.slowStart = aTime; }
+
   /**
    * \brief Replaces the set of instances; new ones begin in slow start.
    *
