--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -87,6 +87,8 @@
   , m_lastHeartbeat(aClock.Now())
   , m_healthTimer(aBase, [this] { OnHealthTimer(); })
   , m_uploads(UploadSettings{}, aClock.Now())
+  , m_pace(aClock.Now())
+  , m_coldCheckTimer(aBase, [this] { OnColdCheckTimer(); })
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
@@ -271,6 +273,7 @@
       }
       ReserveSuspect(*call);
       NoteRunning(*call);
+      m_pace.OnStarted(id, call->m_class, call->Request().goal, m_clock.Now());
       call->Start(m_pool);
     } else {
       const auto reason = StartRefusal(*call);
@@ -373,6 +376,7 @@
 {
   NoteRunEnded(aCall);
   const auto id = aCall.Request().id;
+  NotePaceEnd(aCall, aResult);
   const auto known = m_calls.find(id);
   if (known == m_calls.end() || known->second.get() != &aCall) {
     return;
@@ -438,6 +442,8 @@
     m_slots = slots;
     m_probesRate = true;
     m_gate->SetLimit(std::min(slots, kRateProbeSlots), m_clock.Now());
+    m_pace.SetSlots(slots, m_clock.Now());
+    UpdatePace();
   }
 }
 
@@ -464,17 +470,4 @@
   RetryHeldCalls();
 }
 
-HostReport
-RangeServerTask::MakeReport(size_t aMaxBuckets)
-{
-  HostReport report;
-  report.host = m_state.Self();
-  report.capacity = m_slots / std::max(m_serviceSeconds, 1e-3);
-  if (const auto rate = m_gate ? m_gate->Rate() : std::nullopt) {
-    report.capacity = std::min(report.capacity, *rate);
-  }
-  report.buckets = m_loadMeter.EndInterval(m_clock.Now(), aMaxBuckets);
-  return report;
-}
-
 }
--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_ROUTING_ADMISSIONCONTROLLER_H
 #define PISTACHIOSHIFT_ROUTING_ADMISSIONCONTROLLER_H
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -15,6 +16,7 @@
 #include "src/Routing/PriorityBalance.h"
 #include "src/Routing/RequestRateLimit.h"
 #include "src/Routing/ServicePolicy.h"
+#include "src/Routing/StartWindowLimit.h"
 
 namespace pistachioshift {
 
@@ -159,6 +161,16 @@
   /** \brief Slots that are kept for nested calls, those in use included. */
   uint32_t ReservedSlots(MonoTime aNow) const;
 
+  /**
+   * \brief Limits the requests that start within any second, those that were
+   * started before included, and the requests at once; nullopt: no limit. The
+   * limits of SetRate() and SetLimit() stay in force.
+   * \sa StartWindowLimit, ServerPace
+   */
+  AdmissionActions SetPace(std::optional<double> aPerSecond,
+                           std::optional<uint32_t> aSlots,
+                           MonoTime aNow);
+
   /** \brief The backend server restarted: slow start from one slot. */
   void Restarted(MonoTime aNow);
 
@@ -266,6 +278,12 @@
   bool ExceedsOverloadWait(const ClassState& aState,
                            const QueueEntry& aQueueEntry,
                            MonoTime aNow) const;
+  MonoTime NextStart(MonoTime aNow) const
+  {
+    return std::max(m_rate.NextStart(aNow), m_pace.NextStart(aNow));
+  }
+  uint32_t UnpacedLimit() const;
+  std::optional<double> StartRate() const;
   static double QueuedSecondsAhead(const ClassState& aState,
                                    const QueueEntry& aQueueEntry);
   void UpdateQueuedSince(MonoTime aNow);
@@ -291,6 +309,8 @@
   uint32_t m_slots;
   AdaptiveLimit m_adaptiveLimit;
   RequestRateLimit m_rate;
+  StartWindowLimit m_pace;
+  std::optional<uint32_t> m_paceSlots;
   std::vector<ClassState> m_classes;
   std::unordered_map<RequestId, RunningRequest> m_running;
   uint32_t m_nestedRunning = 0;
