Placement bounds the rows per host

Cause: each move of a part of a row adds a row, and nothing merges rows under different fences.

Change: moves lead to at most 40 rows per host. From 20 rows of the receiver, whole rows and rows that border on its rows are preferred; at the limit the receiver gives its least loaded row in return. Free rows go to hosts with fewer than 80 rows as long as there are any, and are not split beyond a mean of 40, so that half of the hosts can fail. A host above 40 rows gives whole rows to the host with the fewest. A row takes up to 46 bytes, 80 rows 3,680.

Ruled out: leaving out the token of rows that the server reports as held.

Below 20 rows per host nothing changes.

--- a/src/Ranges/Assigner.cpp
+++ b/src/Ranges/Assigner.cpp
@@ -13,10 +13,16 @@
  */
 constexpr double kMaxPieceShare = 0.25;
 
+/** Mean number of rows per host from which free rows are not split. */
+constexpr size_t kMaxMeanRowsForSplit = kMaxRowsPerHost / 2;
+
 struct HostLoad
 {
   const PlacementTarget* target;
   double load = 0.0;
+  size_t rows = 0;
+
+  bool IsFull() const { return rows >= kMaxRowsPerHost; }
 
   double UtilizationWith(double aExtraLoad) const
   {
@@ -39,7 +45,9 @@
   for (const auto& row : aRows) {
     const auto found = indexes.find(row.holder);
     if (found != indexes.end() && aState.HolderOf(row) != nullptr) {
-      hosts[found->second].load += aLoad.LoadOf(row.range);
+      auto& host = hosts[found->second];
+      host.load += aLoad.LoadOf(row.range);
+      ++host.rows;
     }
   }
   return hosts;
@@ -61,6 +69,11 @@
   return *std::min_element(aHosts.begin(),
                            aHosts.end(),
                            [&](const HostLoad& aLeft, const HostLoad& aRight) {
+                             if (aLeft.IsFull() || aRight.IsFull()) {
+                               return aLeft.IsFull() == aRight.IsFull()
+                                        ? aLeft.rows < aRight.rows
+                                        : aRight.IsFull();
+                             }
                              return aLeft.UtilizationWith(aExtraLoad) <
                                     aRight.UtilizationWith(aExtraLoad);
                            });
@@ -119,6 +132,7 @@
   }
   const double meanLoad =
     aLoad.LoadOf(KeyRange{}) / static_cast<double>(aTargets.size());
+  const bool maySplit = rows.size() < aTargets.size() * kMaxMeanRowsForSplit;
   bool changed = false;
   for (const auto& row : rows) {
     if (!aState.MayReassign(row)) {
@@ -131,16 +145,19 @@
       // keeps the keys as evenly spread as they were.
       aTable.Assign(aService, row.range, previous->target->holder, {});
       previous->load += load;
+      ++previous->rows;
       continue;
     }
     const auto token = row.IsFree() ? row.handover : std::string();
-    const auto pieces = std::ceil(load / (meanLoad * kMaxPieceShare));
+    const auto pieces =
+      maySplit ? std::ceil(load / (meanLoad * kMaxPieceShare)) : 1.0;
     for (const auto& piece :
          aLoad.Split(row.range, static_cast<uint32_t>(std::max(pieces, 1.0)))) {
       const auto pieceLoad = aLoad.LoadOf(piece);
       auto& host = LeastUtilized(hosts, pieceLoad);
       aTable.Assign(aService, piece, host.target->holder, token);
       host.load += pieceLoad;
+      ++host.rows;
     }
   }
   return changed;
--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -8,6 +8,7 @@
 
 namespace pistachioshift {
 
+using internal::Exchange;
 using internal::HostLoad;
 
 namespace {
@@ -18,6 +19,17 @@
 /** Maximum load of a piece, as a multiple of the load to be moved. */
 constexpr double kMaxOvershoot = 1.3;
 
+/** Distance from the load to be moved, as a share of it, that a whole row may
+ * have in excess of a part of a row if the receiver has many rows. */
+constexpr double kSplitPenalty = 0.5;
+
+/** Advantage of a piece that borders on a row of the receiver: adjacent rows of
+ * a failed host become one free row. */
+constexpr double kBorderBonus = 0.1;
+
+/** Maximum load of the row given in return, as a share of the load moved. */
+constexpr double kMaxReturnShare = 0.5;
+
 const HostName&
 HostOf(const HostLoad& aHost)
 {
@@ -33,7 +45,7 @@
   std::map<RangeHolder, size_t> indexes;
   for (const auto& target : aTargets) {
     indexes.emplace(target.holder, hosts.size());
-    hosts.push_back(HostLoad{ &target, {}, 0.0 });
+    hosts.push_back(HostLoad{ &target, {} });
   }
   for (const auto& row : aRows) {
     const auto found = indexes.find(row.holder);
@@ -41,6 +53,8 @@
       auto& host = hosts[found->second];
       host.ranges.push_back(row.range);
       host.load += aLoad.LoadOf(row.range);
+      ++host.rows;
+      ++host.transient;
     }
   }
   return hosts;
@@ -73,10 +87,20 @@
       left.push_back({ aRange.last + 1, range.last });
     }
   }
+  aHost.rows = aHost.rows + left.size() - aHost.ranges.size();
   aHost.ranges = std::move(left);
   aHost.load -= aLoad;
 }
 
+/** Adds the load of a range that a host is to get. */
+void
+AddArriving(HostLoad& aHost, double aLoad)
+{
+  aHost.load += aLoad;
+  ++aHost.rows;
+  ++aHost.transient;
+}
+
 /** Pieces at either end of a range whose load is about aWanted. */
 std::vector<KeyRange>
 EndPieces(const KeyRange& aRange, const LoadMap& aLoad, double aWanted)
@@ -94,23 +118,27 @@
   return pieces;
 }
 
-/** Piece of a host's ranges whose load is closest to aWanted. */
-std::optional<KeyRange>
-ChoosePiece(const HostLoad& aFrom, const LoadMap& aLoad, double aWanted)
+/** Whether a range borders on a row of a host. */
+bool
+Borders(const KeyRange& aRange, const HostLoad& aHost)
 {
-  std::optional<KeyRange> best;
-  double leastDistance = aWanted;
-  for (const auto& range : aFrom.ranges) {
-    for (const auto& piece : EndPieces(range, aLoad, aWanted)) {
-      const auto load = aLoad.LoadOf(piece);
-      const auto distance = std::abs(load - aWanted);
-      if (load <= aWanted * kMaxOvershoot && distance < leastDistance) {
-        leastDistance = distance;
-        best = piece;
-      }
-    }
-  }
-  return best;
+  return std::any_of(
+    aHost.ranges.begin(), aHost.ranges.end(), [&](const KeyRange& aItem) {
+      return aItem.last + 1 == aRange.first || aRange.last + 1 == aItem.first;
+    });
+}
+
+/** The row of a host that has the least load. */
+const KeyRange*
+LeastLoadedRow(const HostLoad& aHost, const LoadMap& aLoad)
+{
+  const auto found =
+    std::min_element(aHost.ranges.begin(),
+                     aHost.ranges.end(),
+                     [&](const KeyRange& aLeft, const KeyRange& aRight) {
+                       return aLoad.LoadOf(aLeft) < aLoad.LoadOf(aRight);
+                     });
+  return found == aHost.ranges.end() ? nullptr : &*found;
 }
 
 bool
@@ -119,6 +147,25 @@
   return aLeft.Utilization() < aRight.Utilization();
 }
 
+bool
+HasFewerRows(const HostLoad& aLeft, const HostLoad& aRight)
+{
+  return aLeft.transient < aRight.transient;
+}
+
+void
+Move(HostLoad& aFrom,
+     HostLoad& aTo,
+     const KeyRange& aRange,
+     const LoadMap& aLoad,
+     std::vector<PlannedMove>& aMoves)
+{
+  const auto load = aLoad.LoadOf(aRange);
+  aMoves.push_back(PlannedMove{ aRange, HostOf(aFrom), HostOf(aTo) });
+  Remove(aFrom, aRange, load);
+  AddArriving(aTo, load);
+}
+
 double
 MeanUtilization(const std::vector<HostLoad>& aHosts)
 {
@@ -156,13 +203,60 @@
       Remove(*from, pending.move.range, load);
     }
     if (auto* to = Find(aHosts, pending.move.to)) {
-      to->load += load; // Its ranges are not moved again.
-      to->ranges.clear();
+      AddArriving(*to, load);
+      to->ranges.clear(); // They are not moved again.
     }
   }
 }
 
+bool
+Rebalancer::HasRoom(const HostLoad& aFrom,
+                    const HostLoad& aTo,
+                    bool aWholeRow) const
+{
+  if (aTo.transient >= kMaxRowsPerHost) {
+    return false;
+  }
+  if (aTo.rows < m_settings.maxRows) {
+    return true;
+  }
+  // The receiver gives a row in return.
+  const auto donorRows = aFrom.rows - (aWholeRow ? 1 : 0);
+  return !aTo.ranges.empty() && donorRows < m_settings.maxRows &&
+         aFrom.transient < kMaxRowsPerHost;
+}
+
 std::optional<KeyRange>
+Rebalancer::ChoosePiece(const HostLoad& aFrom,
+                        const HostLoad& aTo,
+                        const LoadMap& aLoad,
+                        double aWanted) const
+{
+  const bool manyRows = aTo.rows >= m_settings.maxRows / 2;
+  std::optional<KeyRange> best;
+  double leastDistance = aWanted;
+  for (const auto& range : aFrom.ranges) {
+    for (const auto& piece : EndPieces(range, aLoad, aWanted)) {
+      const bool whole = piece == range;
+      const auto load = aLoad.LoadOf(piece);
+      auto distance = std::abs(load - aWanted);
+      if (manyRows && !whole) {
+        distance += kSplitPenalty * aWanted;
+      }
+      if (manyRows && Borders(piece, aTo)) {
+        distance -= kBorderBonus * aWanted;
+      }
+      if (load <= aWanted * kMaxOvershoot && distance < leastDistance &&
+          HasRoom(aFrom, aTo, whole)) {
+        leastDistance = distance;
+        best = piece;
+      }
+    }
+  }
+  return best;
+}
+
+std::optional<Exchange>
 Rebalancer::ChooseRange(const HostLoad& aMostUtilized,
                         const HostLoad& aLeastUtilized,
                         double aMean,
@@ -182,7 +276,69 @@
     (aMostUtilized.Utilization() - aMean) * aMostUtilized.target->capacity;
   const auto wanted =
     imbalanced ? std::min(spare, excess) : spare * kIdleHostShare;
-  return ChoosePiece(aMostUtilized, aLoad, wanted);
+  const auto piece = ChoosePiece(
+    aMostUtilized, aLeastUtilized, aLoad, wanted);
+  if (!piece || aLeastUtilized.rows < m_settings.maxRows) {
+    return piece ? std::optional(Exchange{ *piece, {} }) : std::nullopt;
+  }
+  const auto* inReturn = LeastLoadedRow(aLeastUtilized, aLoad);
+  if (inReturn == nullptr ||
+      aLoad.LoadOf(*inReturn) > kMaxReturnShare * aLoad.LoadOf(*piece)) {
+    return std::nullopt;
+  }
+  return Exchange{ *piece, *inReturn };
+}
+
+size_t
+Rebalancer::MaxMoves(size_t aHosts) const
+{
+  return std::max(m_settings.minConcurrentMoves,
+                  static_cast<size_t>(static_cast<double>(aHosts) *
+                                      m_settings.concurrentMovesPerHost));
+}
+
+void
+Rebalancer::PlanForLoad(std::vector<HostLoad>& aHosts,
+                        const LoadMap& aLoad,
+                        size_t aMaxMoves,
+                        std::vector<PlannedMove>& aMoves) const
+{
+  // Skip hosts whose load cannot be split, such as that of a single hot key, so
+  // that they do not keep other hosts from being relieved.
+  auto donors = aHosts.size();
+  while (donors > 1 && aMoves.size() < aMaxMoves) {
+    const auto mean = MeanUtilization(aHosts);
+    std::ranges::sort(std::span(aHosts).first(donors), ByUtilization);
+    auto& mostUtilized = aHosts[donors - 1];
+    auto& leastUtilized =
+      *std::min_element(aHosts.begin(), aHosts.end(), ByUtilization);
+    const auto chosen = ChooseRange(mostUtilized, leastUtilized, mean, aLoad);
+    if (!chosen) {
+      --donors;
+      continue;
+    }
+    Move(mostUtilized, leastUtilized, chosen->range, aLoad, aMoves);
+    if (chosen->inReturn) {
+      Move(leastUtilized, mostUtilized, *chosen->inReturn, aLoad, aMoves);
+    }
+  }
+}
+
+void
+Rebalancer::PlanForRows(std::vector<HostLoad>& aHosts,
+                        const LoadMap& aLoad,
+                        size_t aMaxMoves,
+                        std::vector<PlannedMove>& aMoves) const
+{
+  for (auto& host : aHosts) {
+    auto& receiver =
+      *std::min_element(aHosts.begin(), aHosts.end(), HasFewerRows);
+    const auto* row = LeastLoadedRow(host, aLoad);
+    if (host.rows > m_settings.maxRows && row != nullptr &&
+        receiver.transient < m_settings.maxRows && aMoves.size() < aMaxMoves) {
+      Move(host, receiver, KeyRange(*row), aLoad, aMoves);
+    }
+  }
 }
 
 std::vector<PlannedMove>
@@ -194,31 +350,11 @@
   RemoveFinished(aRows, aNow);
   auto hosts = CollectLoads(aRows, aTargets, aLoad);
   ApplyPending(hosts, aLoad);
-  const auto maxMoves =
-    std::max(m_settings.minConcurrentMoves,
-             static_cast<size_t>(static_cast<double>(hosts.size()) *
-                                 m_settings.concurrentMovesPerHost));
+  const auto maxMoves = MaxMoves(hosts.size());
+  const auto newMoves = maxMoves - std::min(maxMoves, m_pending.size());
   std::vector<PlannedMove> moves;
-  // Skip hosts whose load cannot be split, such as that of a single hot key, so
-  // that they do not keep other hosts from being relieved.
-  auto donors = hosts.size();
-  while (donors > 1 && m_pending.size() + moves.size() < maxMoves) {
-    const auto mean = MeanUtilization(hosts);
-    std::ranges::sort(std::span(hosts).first(donors), ByUtilization);
-    auto& mostUtilized = hosts[donors - 1];
-    auto& leastUtilized =
-      *std::min_element(hosts.begin(), hosts.end(), ByUtilization);
-    const auto piece = ChooseRange(mostUtilized, leastUtilized, mean, aLoad);
-    if (!piece) {
-      --donors;
-      continue;
-    }
-    const auto moved = aLoad.LoadOf(*piece);
-    moves.push_back(
-      PlannedMove{ *piece, HostOf(mostUtilized), HostOf(leastUtilized) });
-    Remove(mostUtilized, *piece, moved);
-    leastUtilized.load += moved;
-  }
+  PlanForLoad(hosts, aLoad, newMoves, moves);
+  PlanForRows(hosts, aLoad, newMoves, moves);
   for (const auto& move : moves) {
     m_pending.push_back(Pending{ move, aNow });
   }
--- a/src/Ranges/Rebalancer.h
+++ b/src/Ranges/Rebalancer.h
@@ -33,6 +33,10 @@
   size_t minConcurrentMoves = 4;
   /// Time after which a move that did not happen no longer counts as pending.
   Duration moveTimeout = std::chrono::seconds(4);
+  /// Rows per host that moves may lead to. Moves split rows and nothing merges
+  /// them. Half of kMaxRowsPerHost, so that half of the hosts can take over the
+  /// rows of the others.
+  size_t maxRows = kMaxRowsPerHost / 2;
 };
 
 namespace internal {
@@ -43,11 +47,20 @@
   const PlacementTarget* target;
   std::vector<KeyRange> ranges;
   double load = 0.0;
+  size_t rows = 0;      ///< After all planned moves.
+  size_t transient = 0; ///< If rows arrive before others have left.
 
   /** \brief Utilization: load over capacity. */
   double Utilization() const { return load / target->capacity; }
 };
 
+/** \brief Range to be moved, and the row that the receiver gives in return. */
+struct Exchange
+{
+  KeyRange range;
+  std::optional<KeyRange> inReturn;
+};
+
 }
 
 /**
@@ -56,7 +69,8 @@
  *
  * Utilization is load over capacity. Ranges are split by load, so that adjacent
  * hot keys are spread over hosts. Hosts without load get a range at any
- * utilization.
+ * utilization. Whole rows are preferred if the receiver has many rows; at the
+ * limit it gives a whole row in return.
  */
 class Rebalancer
 {
@@ -82,10 +96,27 @@
   void RemoveFinished(const RangeRows& aRows, MonoTime aNow);
   void ApplyPending(std::vector<internal::HostLoad>& aHosts,
                     const LoadMap& aLoad) const;
-  std::optional<KeyRange> ChooseRange(const internal::HostLoad& aMostUtilized,
-                                      const internal::HostLoad& aLeastUtilized,
-                                      double aMean,
-                                      const LoadMap& aLoad) const;
+  std::optional<internal::Exchange> ChooseRange(
+    const internal::HostLoad& aMostUtilized,
+    const internal::HostLoad& aLeastUtilized,
+    double aMean,
+    const LoadMap& aLoad) const;
+  std::optional<KeyRange> ChoosePiece(const internal::HostLoad& aFrom,
+                                      const internal::HostLoad& aTo,
+                                      const LoadMap& aLoad,
+                                      double aWanted) const;
+  bool HasRoom(const internal::HostLoad& aFrom,
+               const internal::HostLoad& aTo,
+               bool aWholeRow) const;
+  size_t MaxMoves(size_t aHosts) const;
+  void PlanForLoad(std::vector<internal::HostLoad>& aHosts,
+                   const LoadMap& aLoad,
+                   size_t aMaxMoves,
+                   std::vector<PlannedMove>& aMoves) const;
+  void PlanForRows(std::vector<internal::HostLoad>& aHosts,
+                   const LoadMap& aLoad,
+                   size_t aMaxMoves,
+                   std::vector<PlannedMove>& aMoves) const;
 
   RebalanceSettings m_settings;
   std::vector<Pending> m_pending;
