A move between hosts with load must pay, and hot keys stay

Cause: moves were planned from a utilization of 0.6 and a gap of 0.25 on, whatever they cost: also when no host had capacity to spare, for wide ranges with hardly any load, and for a hot key whose requests then all waited.

It is an additional condition; the old thresholds stay, so that no move is planned that was not planned before for the same piece. Hosts without load still get their first keys. The hottest key of a host stays if it has a quarter of the capacity; pieces on either side of it are moved instead.

--- a/src/Ranges/LoadMap.cpp
+++ b/src/Ranges/LoadMap.cpp
@@ -49,18 +49,37 @@
   }
 }
 
-double
-LoadMap::LoadBelow(uint32_t aKey) const
+std::vector<LoadMap::Step>::const_iterator
+LoadMap::StepOf(uint32_t aKey) const
 {
   const auto next = std::upper_bound(
     m_steps.begin(),
     m_steps.end(),
     aKey,
     [](uint32_t aSought, const Step& aStep) { return aSought < aStep.key; });
-  const auto& step = *std::prev(next); // The first step is at key 0.
+  return std::prev(next); // The first step is at key 0.
+}
+
+double
+LoadMap::LoadBelow(uint32_t aKey) const
+{
+  const auto& step = *StepOf(aKey);
   return step.loadBefore + step.loadPerKey * (aKey - step.key);
 }
 
+KeyLoad
+LoadMap::HottestKey(const KeyRange& aRange) const
+{
+  auto step = StepOf(aRange.first);
+  KeyLoad hottest{ aRange.first, step->loadPerKey };
+  for (++step; step != m_steps.end() && step->key <= aRange.last; ++step) {
+    if (step->loadPerKey > hottest.load) {
+      hottest = KeyLoad{ step->key, step->loadPerKey };
+    }
+  }
+  return hottest;
+}
+
 double
 LoadMap::LoadOf(const KeyRange& aRange) const
 {
--- a/src/Ranges/LoadMap.h
+++ b/src/Ranges/LoadMap.h
@@ -16,6 +16,13 @@
   bool operator==(const LoadBucket&) const = default;
 };
 
+/** \brief Key and its load in requests per second. */
+struct KeyLoad
+{
+  uint32_t key = 0;
+  double load = 0.0;
+};
+
 /**
  * \brief Load of a service by key. Performs no I/O.
  *
@@ -49,6 +56,9 @@
    */
   uint32_t LastKeyForLoad(const KeyRange& aRange, double aLoad) const;
 
+  /** \brief The first of the keys of a range that have the most load. */
+  KeyLoad HottestKey(const KeyRange& aRange) const;
+
 private:
   /** Load from a key up to the next step. */
   struct Step
@@ -58,6 +68,7 @@
     double loadPerKey = 0.0;
   };
 
+  std::vector<Step>::const_iterator StepOf(uint32_t aKey) const;
   double LoadBelow(uint32_t aKey) const;
 
   std::vector<Step> m_steps; ///< Sorted by key; the first is at key 0.
--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -30,6 +30,10 @@
 /** Maximum load of the row given in return, as a share of the load moved. */
 constexpr double kMaxReturnShare = 0.5;
 
+/** Load from which the hottest key of a host stays, as a share of the host's
+ * capacity. Its neighbours are moved instead. */
+constexpr double kHotKeyShare = 0.25;
+
 const HostName&
 HostOf(const HostLoad& aHost)
 {
@@ -118,6 +122,43 @@
   return pieces;
 }
 
+/** Pieces of a row without a hot key, at the ends of the row. */
+std::vector<KeyRange>
+PiecesAround(const KeyRange& aRow,
+             std::optional<uint32_t> aHotKey,
+             const LoadMap& aLoad,
+             double aWanted)
+{
+  if (!aHotKey || !aRow.Contains(ShardKey(*aHotKey))) {
+    return EndPieces(aRow, aLoad, aWanted);
+  }
+  std::vector<KeyRange> pieces;
+  if (aRow.first < *aHotKey) {
+    const KeyRange below{ aRow.first, *aHotKey - 1 };
+    pieces.push_back(EndPieces(below, aLoad, aWanted).front());
+  }
+  if (*aHotKey < aRow.last) {
+    const KeyRange above{ *aHotKey + 1, aRow.last };
+    pieces.push_back(EndPieces(above, aLoad, aWanted).back());
+  }
+  return pieces;
+}
+
+/** The hottest key of a host, if it takes much of the host's capacity. */
+std::optional<uint32_t>
+HotKeyOf(const HostLoad& aHost, const LoadMap& aLoad)
+{
+  KeyLoad hottest;
+  for (const auto& range : aHost.ranges) {
+    const auto key = aLoad.HottestKey(range);
+    if (key.load > hottest.load) {
+      hottest = key;
+    }
+  }
+  const bool hot = hottest.load >= kHotKeyShare * aHost.target->capacity;
+  return hot ? std::optional(hottest.key) : std::nullopt;
+}
+
 /** Whether a range borders on a row of a host. */
 bool
 Borders(const KeyRange& aRange, const HostLoad& aHost)
@@ -226,6 +267,32 @@
          aFrom.transient < kMaxRowsPerHost;
 }
 
+bool
+Rebalancer::Pays(const HostLoad& aFrom,
+                 const HostLoad& aTo,
+                 const Exchange& aExchange,
+                 const LoadMap& aLoad) const
+{
+  if (aTo.load <= 0.0) {
+    return true; // It gets its first keys at any utilization.
+  }
+  const auto moved = aLoad.LoadOf(aExchange.range);
+  MoveEffect effect{ moved, moved, 0.0 };
+  double keys = aExchange.range.Size();
+  if (aExchange.inReturn) {
+    const auto load = aLoad.LoadOf(*aExchange.inReturn);
+    effect.load -= load;
+    effect.waiting += load;
+    keys += aExchange.inReturn->Size();
+  }
+  effect.keyShare = keys / kShardKeys;
+  return MovePays({ aFrom.load, aFrom.target->capacity },
+                  { aTo.load, aTo.target->capacity },
+                  effect,
+                  aLoad.LoadOf(KeyRange{}),
+                  m_settings.value);
+}
+
 std::optional<KeyRange>
 Rebalancer::ChoosePiece(const HostLoad& aFrom,
                         const HostLoad& aTo,
@@ -233,10 +300,11 @@
                         double aWanted) const
 {
   const bool manyRows = aTo.rows >= m_settings.maxRows / 2;
+  const auto hotKey = HotKeyOf(aFrom, aLoad);
   std::optional<KeyRange> best;
   double leastDistance = aWanted;
   for (const auto& range : aFrom.ranges) {
-    for (const auto& piece : EndPieces(range, aLoad, aWanted)) {
+    for (const auto& piece : PiecesAround(range, hotKey, aLoad, aWanted)) {
       const bool whole = piece == range;
       const auto load = aLoad.LoadOf(piece);
       auto distance = std::abs(load - aWanted);
@@ -247,7 +315,8 @@
         distance -= kBorderBonus * aWanted;
       }
       if (load <= aWanted * kMaxOvershoot && distance < leastDistance &&
-          HasRoom(aFrom, aTo, whole)) {
+          HasRoom(aFrom, aTo, whole) &&
+          Pays(aFrom, aTo, Exchange{ piece, {} }, aLoad)) {
         leastDistance = distance;
         best = piece;
       }
@@ -276,8 +345,7 @@
     (aMostUtilized.Utilization() - aMean) * aMostUtilized.target->capacity;
   const auto wanted =
     imbalanced ? std::min(spare, excess) : spare * kIdleHostShare;
-  const auto piece = ChoosePiece(
-    aMostUtilized, aLeastUtilized, aLoad, wanted);
+  const auto piece = ChoosePiece(aMostUtilized, aLeastUtilized, aLoad, wanted);
   if (!piece || aLeastUtilized.rows < m_settings.maxRows) {
     return piece ? std::optional(Exchange{ *piece, {} }) : std::nullopt;
   }
@@ -286,7 +354,9 @@
       aLoad.LoadOf(*inReturn) > kMaxReturnShare * aLoad.LoadOf(*piece)) {
     return std::nullopt;
   }
-  return Exchange{ *piece, *inReturn };
+  const Exchange exchange{ *piece, *inReturn };
+  const bool pays = Pays(aMostUtilized, aLeastUtilized, exchange, aLoad);
+  return pays ? std::optional(exchange) : std::nullopt;
 }
 
 size_t
--- a/src/Ranges/Rebalancer.h
+++ b/src/Ranges/Rebalancer.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "src/Ranges/Assigner.h"
+#include "src/Ranges/MoveValue.h"
 
 namespace pistachioshift {
 
@@ -37,6 +38,8 @@
   /// them. Half of kMaxRowsPerHost, so that half of the hosts can take over the
   /// rows of the others.
   size_t maxRows = kMaxRowsPerHost / 2;
+  /// Weights of the moves between hosts that both have load.
+  MoveValueSettings value;
 };
 
 namespace internal {
@@ -68,9 +71,10 @@
  * I/O.
  *
  * Utilization is load over capacity. Ranges are split by load, so that adjacent
- * hot keys are spread over hosts. Hosts without load get a range at any
- * utilization. Whole rows are preferred if the receiver has many rows; at the
- * limit it gives a whole row in return.
+ * hot keys are spread over hosts. A move between hosts with load must relieve
+ * more than it costs, and the hottest key of a host stays. Hosts without load
+ * get a range at any utilization. Whole rows are preferred if the receiver has
+ * many rows; at the limit it gives a whole row in return.
  */
 class Rebalancer
 {
@@ -105,6 +109,10 @@
                                       const internal::HostLoad& aTo,
                                       const LoadMap& aLoad,
                                       double aWanted) const;
+  bool Pays(const internal::HostLoad& aFrom,
+            const internal::HostLoad& aTo,
+            const internal::Exchange& aExchange,
+            const LoadMap& aLoad) const;
   bool HasRoom(const internal::HostLoad& aFrom,
                const internal::HostLoad& aTo,
                bool aWholeRow) const;
