--- a/src/Daemon/Call.h
+++ b/src/Daemon/Call.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_CALL_H
 #define PISTACHIOSHIFT_DAEMON_CALL_H
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,9 @@
   uint32_t priority = 0; ///< 0 is the most urgent.
   Duration goal{};       ///< Target latency; zero: none.
   RequestFingerprint fingerprint;
+  bool nested = false; ///< Made by a backend server while it runs a request.
+  /// The body is sent only once the holder's daemon has granted credit for it.
+  bool awaitsCredit = false;
 };
 
 /** \brief How an attempt ended that got no response from a backend server. */
@@ -66,6 +70,12 @@
   /** \brief More body may be sent, after SendBody returned false. */
   virtual void OnDrained() = 0;
 
+  /**
+   * \brief The body of a request that awaits credit may be sent from now on.
+   * \param aBytes credit; more than the body, so that its end is sent too.
+   */
+  virtual void OnCredit(int64_t /*aBytes*/) {}
+
   virtual void OnRefused(const CallRefusal& aRefusal) = 0;
   virtual void OnLost(CallLoss aLoss) = 0;
 };
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -33,8 +33,15 @@
 {
   m_head = m_exchange->Head();
   StripHopByHop(m_head.headers);
+  // Resumed as soon as the kind of the request is known: a caller that waits
+  // for `100 Continue` is not asked for a body that has no credit yet.
+  m_exchange->PauseBody();
   m_exchange->SetListener(shared_from_this());
   auto read = m_context.dialect.Read(m_head);
+  const auto* resolved = std::get_if<ResolvedRequest>(&read);
+  if (resolved == nullptr || !resolved->upload) {
+    m_exchange->ResumeBody();
+  }
   if (const auto* reason = std::get_if<RefusalReason>(&read)) {
     Refuse(Outcome::kNotRun, *reason);
     return;
@@ -44,6 +51,14 @@
   m_deadline = m_arrived + m_resolved.timeLimit;
   m_deadlineTimer.StartOnce(m_resolved.timeLimit + kOutcomeGrace);
   m_context.router.BudgetOf(m_resolved.policy).OnFirstAttempt();
+  m_history.upload = m_resolved.upload;
+  if (AwaitsCredit()) {
+    ReadOnCredit();
+    return;
+  }
+  if (m_resolved.upload) {
+    m_exchange->ResumeBody();
+  }
   if (!m_head.HasBody()) {
     m_bodyEnded = true;
     BeginAttempt();
@@ -82,8 +97,10 @@
   }
   m_bodyEnded = true;
   if (m_call) {
+    m_bodySent = true;
     m_call->Finish();
   } else if (!m_streaming) {
+    m_awaitsCredit = AwaitsCredit();
     BeginAttempt();
   }
 }
@@ -122,7 +139,13 @@
   request.repeat = m_resolved.repeat;
   request.priority = m_resolved.priority;
   request.goal = m_resolved.goal;
+  request.nested = m_resolved.nested;
   request.fingerprint = FingerprintOf(m_head, m_resolved.key, m_body);
+  request.awaitsCredit = m_awaitsCredit;
+  if (m_awaitsCredit && m_bodyEnded) {
+    request.head.contentLength = m_body.size();
+    request.head.chunked = false;
+  }
   if (m_resuming) {
     m_resume.RequestRemainder(request.head);
   }
@@ -153,12 +176,23 @@
   m_attemptStarted = m_context.clock.Now();
   m_attempt = std::make_shared<IngressAttempt>(shared_from_this());
   m_answerFlowing = true;
+  m_hasCredit = !m_awaitsCredit;
+  m_bodySent = false;
   m_call = m_context.router.Start(*m_destination, MakeRequest(), m_attempt);
+  if (m_hasCredit) {
+    SendBuffered();
+  }
+}
+
+void
+IngressSession::SendBuffered()
+{
   bool open = true;
   if (!m_body.empty()) {
     open = m_call->SendBody(m_body);
   }
   if (m_bodyEnded) {
+    m_bodySent = true;
     m_call->Finish();
   } else if (open) {
     m_exchange->ResumeBody();
@@ -204,6 +238,7 @@
   report.left = m_deadline - now;
   report.elapsed = now - m_arrived;
   report.runs = m_possibleRuns;
+  report.sheds = m_sheds;
   return report;
 }
 
@@ -220,7 +255,7 @@
 void
 IngressSession::OnAttemptDrained()
 {
-  if (!m_bodyEnded) {
+  if (!m_bodyEnded && m_hasCredit) {
     m_exchange->ResumeBody();
   }
 }
@@ -230,12 +265,13 @@
 {
   const auto self = shared_from_this();
   CloseAttempt();
-  ReportToBalancer(InstanceResult::kShed);
+  ReportRefusal(aRefusal);
   m_history.hint = aRefusal.holder;
   if (aRefusal.reason == RefusalReason::kNotOwner && m_history.last) {
     m_history.refused.push_back(*m_history.last);
   }
   m_retryAfter = aRefusal.retryAfter;
+  m_sheds += aRefusal.reason == RefusalReason::kShed ? 1 : 0;
   if (m_resuming) {
     TryResume();
     return;
@@ -245,7 +281,10 @@
   report.end = aRefusal.outcome == Outcome::kNotRun ? AttemptEnd::kNotRun
                                                     : AttemptEnd::kUnknown;
   report.refusal = aRefusal.reason;
-  report.retryAfter = aRefusal.retryAfter;
+  // The time until there is room there doesn't delay a try elsewhere.
+  const bool elsewhere =
+    m_awaitsCredit && m_resolved.policy.division == Division::kAnyInstance;
+  report.retryAfter = elsewhere ? Duration{} : aRefusal.retryAfter;
   Decide(report);
 }
 
@@ -253,6 +292,9 @@
 IngressSession::OnLost(CallLoss aLoss)
 {
   const auto self = shared_from_this();
+  if (!MayHaveRun() && aLoss != CallLoss::kTruncated) {
+    aLoss = CallLoss::kNotSent;
+  }
   CloseAttempt();
   ReportToBalancer(InstanceResult::kFailed);
   m_history.hint.reset();
@@ -361,8 +403,10 @@
     return;
   }
   m_context.metrics.CountRefusal(aReason);
-  auto answer =
-    m_context.dialect.Refuse(RefusalNotice{ aOutcome, aReason, m_retryAfter });
+  const auto left =
+    m_isResolved ? m_deadline - m_context.clock.Now() : Duration::zero();
+  auto answer = m_context.dialect.Refuse(
+    RefusalNotice{ aOutcome, aReason, m_retryAfter, left });
   answer.head.contentLength = answer.body.size();
   m_status = answer.head.status;
   m_reason = aReason;
@@ -381,7 +425,8 @@
   }
   // While waiting for a retry, the last attempt is known not to have run.
   const bool waits = !m_call && !m_queryPending && m_timer.Running();
-  const bool started = m_call != nullptr || m_history.attempts > 0;
+  const bool started =
+    m_call != nullptr ? MayHaveRun() : m_history.attempts > 0;
   if (m_call) {
     m_call->Cancel();
   }
@@ -424,6 +469,9 @@
   m_context.metrics.ObserveLatency(elapsed);
   auto record = MakeRecord();
   record.outcome = aOutcome;
+  if (m_isResolved && m_resolved.nested && m_context.onNestedEnd) {
+    m_context.onNestedEnd(record);
+  }
   m_context.dialect.OnDone(record);
 }
 
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -135,6 +135,8 @@
   request.priority = aOpen.priority;
   request.goal = aOpen.goal;
   request.fingerprint = aOpen.fingerprint;
+  request.nested = aOpen.nested;
+  request.awaitsCredit = aOpen.awaitsCredit;
   const auto stream =
     std::make_shared<InnerStream>(weak_from_this(), aOpen.stream);
   m_streams.emplace(aOpen.stream, stream);
@@ -219,6 +221,9 @@
   if (!aPiece.data.empty() && !m_call->SendBody(aPiece.data)) {
     m_receive.Pause();
   }
+  if (!m_call) {
+    return; // Refused by these bytes.
+  }
   if (aPiece.last) {
     m_call->Finish();
     return;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -17,6 +17,10 @@
  * requests and heartbeats. */
 constexpr double kAnswerLinkShare = 0.93;
 
+/** Share of the link's bandwidth for bodies of uploads, so that heartbeats and
+ * small requests don't queue behind them. */
+constexpr double kUploadLinkShare = 0.8;
+
 /** Number of peers queried for the state while the store does not answer. */
 constexpr size_t kQueriedPeers = 2;
 
@@ -86,6 +90,7 @@
   aState.SetOnUnavailable([this] { QueryPeers(); });
   m_server.SetLink(aSettings.linkBytesPerSecond * kAnswerLinkShare,
                    [this] { return m_bulk.Backlog(); });
+  m_server.SetUploadRate(aSettings.linkBytesPerSecond * kUploadLinkShare);
   m_operator.OnGet("/metrics",
                    [this](const OperatorRequest&) { return RenderMetrics(); });
 }
@@ -177,8 +182,16 @@
 void
 HostDaemon::Start(IngressDialect& aDialect, const HttpLimits& aLimits)
 {
-  const IngressContext context{ m_base,   m_clock,   m_random, aDialect,
-                                m_router, m_metrics, m_bulk };
+  const IngressContext context{ m_base,
+                                m_clock,
+                                m_random,
+                                aDialect,
+                                m_router,
+                                m_metrics,
+                                m_bulk,
+                                [this](const IngressRecord& aRecord) {
+                                  m_server.OnNestedEnd(aRecord);
+                                } };
   m_ingress =
     std::make_unique<IngressTask>(context, m_settings.callers, aLimits);
   m_dialect = &aDialect;
@@ -210,6 +223,14 @@
   m_server.SetHealthPath(found == aPaths.end() ? "" : found->second);
 }
 
+void
+HostDaemon::SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces)
+{
+  const auto found = aPaces.find(m_settings.server.service);
+  m_server.SetColdPace(found == aPaces.end() ? ColdPace{} : found->second);
+  m_router.SetColdPaces(aPaces);
+}
+
 void
 HostDaemon::BeginLeave()
 {
@@ -284,11 +305,21 @@
   set("pistachio_in_flight", m_server.InFlight());
   set("pistachio_gate_running", m_server.Running());
   set("pistachio_gate_queued", m_server.Queued());
+  set("pistachio_gate_reserved", m_server.ReservedSlots());
+  set("pistachio_callee_refused_share", m_server.CalleeRefusedShare());
   set("pistachio_inner_connections", m_peers.Connections());
   set("pistachio_inner_sessions", m_inner.Sessions());
   // -1: the backend server has stated no limit.
   set("pistachio_server_limit_per_second",
       m_server.RequestLimit().value_or(-1.0));
+  set("pistachio_uploads_waiting", m_server.Uploads().Waiting());
+  set("pistachio_uploads_in_transfer", m_server.Uploads().Transfers());
+  set("pistachio_upload_bytes_held", m_server.Uploads().HeldBytes());
+  // -1: the backend server is not paced.
+  set("pistachio_server_pace_per_second",
+      m_server.Pace().perSecond.value_or(-1.0));
+  set("pistachio_server_pace_limit",
+      m_server.Pace().slots ? *m_server.Pace().slots : -1.0);
   set("pistachio_crash_suspects", m_server.Suspects());
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End().offset);
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -112,6 +112,16 @@
   }
 }
 
+void
+RangeRouter::SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces)
+{
+  for (const auto& [service, pace] : aPaces) {
+    const bool stated = pace.perSecond > 0.0 && pace.coldTime > Duration{};
+    m_instances[service].balancer.SetSlowStart(
+      stated ? pace.coldTime : BalancerSettings{}.slowStart);
+  }
+}
+
 std::optional<Destination>
 RangeRouter::ChooseInstance(const ServicePolicy& aPolicy,
                             const AttemptHistory& aHistory)
@@ -121,8 +131,10 @@
   if (aHistory.last != IdOf(m_state.Self()) && m_server.HasFreeSlot()) {
     preferred = IdOf(m_state.Self());
   }
+  const auto kind =
+    aHistory.upload ? BalancedKind::kUpload : BalancedKind::kOther;
   const auto chosen = instances.balancer.Choose(
-    m_random, m_clock.Now(), aHistory.last, preferred);
+    m_random, m_clock.Now(), aHistory.last, preferred, kind);
   if (!chosen) {
     return std::nullopt;
   }
@@ -174,6 +186,28 @@
   }
 }
 
+void
+RangeRouter::OnUploadGranted(const ServicePolicy& aPolicy,
+                             const Destination& aDestination,
+                             Duration aWait)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    m_instances[aPolicy.name].balancer.OnUploadGranted(
+      aDestination.daemon, aWait, m_clock.Now());
+  }
+}
+
+void
+RangeRouter::OnUploadRefused(const ServicePolicy& aPolicy,
+                             const Destination& aDestination,
+                             Duration aRetryAfter)
+{
+  if (aPolicy.division == Division::kAnyInstance) {
+    m_instances[aPolicy.name].balancer.OnUploadRefused(
+      aDestination.daemon, aRetryAfter, m_clock.Now());
+  }
+}
+
 RetryBudget&
 RangeRouter::BudgetOf(const ServicePolicy& aPolicy)
 {
--- a/src/HostDaemon/RangeRouter.h
+++ b/src/HostDaemon/RangeRouter.h
@@ -44,6 +44,12 @@
              const Destination& aDestination,
              InstanceResult aResult,
              Duration aLatency) override;
+  void OnUploadGranted(const ServicePolicy& aPolicy,
+                       const Destination& aDestination,
+                       Duration aWait) override;
+  void OnUploadRefused(const ServicePolicy& aPolicy,
+                       const Destination& aDestination,
+                       Duration aRetryAfter) override;
   RetryBudget& BudgetOf(const ServicePolicy& aPolicy) override;
 
   void OnStateChanged() override;
@@ -57,6 +63,10 @@
   /** \brief Name of the host with this number; empty if unknown. */
   std::string NameOf(DaemonId aDaemon) const;
 
+  /** \brief Sets the stated paces of cold backend servers. Their daemons pace
+   * them, so that their share here may rise as soon as they are warm. */
+  void SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces);
+
   /** \brief Offset up to which the store was read. */
   int64_t StateEnd() const { return m_state.End().offset; }
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -5,27 +5,14 @@
 
 #include <fmt/format.h>
 
+#include "src/HostDaemon/GateClasses.h"
+
 namespace pistachioshift {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-/** Number of classes at the gate, one for each priority; less urgent priorities
- * share the last class. */
-constexpr uint32_t kPriorityClasses = 8;
-
-/** Ratio of the gate weights of adjacent priorities. */
-constexpr double kPriorityWeightRatio = 4.0;
-
-/** Longest queue of a class, in requests. The gate already refuses requests
- * that would wait too long. */
-constexpr uint32_t kQueueBound = 256;
-
-/** Service time assumed before the first answer: the work that the priority
- * classes state. */
-constexpr Duration kInitialServiceTime = milliseconds(150);
-
 constexpr size_t kMaxHeldCalls = 2048;
 
 /** Interval of checks for expired holds and for queued requests that must be
@@ -79,20 +66,6 @@
   }
 }
 
-AdmissionSettings
-GateSettingsFor(uint32_t aSlots)
-{
-  AdmissionSettings settings;
-  settings.slots = aSlots;
-  settings.initialService = kInitialServiceTime;
-  double weight = 1.0;
-  for (uint32_t priority = 0; priority < kPriorityClasses; ++priority) {
-    settings.classes.push_back(AdmissionClass{ weight, kQueueBound });
-    weight /= kPriorityWeightRatio;
-  }
-  return settings;
-}
-
 }
 
 RangeServerTask::RangeServerTask(event_base* aBase,
@@ -113,9 +86,13 @@
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_lastHeartbeat(aClock.Now())
   , m_healthTimer(aBase, [this] { OnHealthTimer(); })
+  , m_uploads(UploadSettings{}, aClock.Now())
+  , m_pace(aClock.Now())
+  , m_coldCheckTimer(aBase, [this] { OnColdCheckTimer(); })
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
+  , m_uploadTimer(aBase, [this] { AdvanceUploads(); })
   , m_rateProbeTimer(aBase, [this] { EndRateProbe(); })
   , m_tick(aBase, [this] { OnTick(); })
 {
@@ -226,38 +203,46 @@
     aCall->Refuse(RefusalReason::kDuplicate, Duration::zero());
     return;
   }
-  aCall->m_class = ClassIndex(std::min(request.priority, kPriorityClasses - 1));
+  if (RefuseForCallees(aCall)) {
+    return;
+  }
+  aCall->m_class = GateClassOf(request);
   const auto wait = LinkWait(*aCall);
   if (!m_link.Admits(request.head.target, wait, request.goal)) {
     aCall->Refuse(RefusalReason::kCannotFinish, wait);
     return;
   }
-  const auto result = m_outcomes.Begin(request.id, request.known);
-  if (result.verdict != BeginVerdict::kStarted) {
-    aCall->Refuse(RefusalOf(result.verdict), Duration::zero());
-    return;
+  if (!aCall->m_inOutcomeTable) { // Else it is an upload that is complete.
+    const auto result = m_outcomes.Begin(request.id, request.known);
+    if (result.verdict != BeginVerdict::kStarted) {
+      aCall->Refuse(RefusalOf(result.verdict), Duration::zero());
+      return;
+    }
+    aCall->m_inOutcomeTable = true;
   }
-  aCall->m_inOutcomeTable = true;
   m_calls[request.id] = aCall;
+  if (AwaitsBody(*aCall)) {
+    AdmitUpload(aCall);
+    return;
+  }
+  GrantUnplanned(*aCall);
   aCall->m_state = OwnerCall::State::kQueued;
   ReserveSuspect(*aCall);
   aCall->StartDeadlineTimer();
   aCall->m_reservedLinkBytes = m_link.ExpectedLinkBytes(request.head.target);
   m_link.Reserve(aCall->m_reservedLinkBytes);
   const auto now = m_clock.Now();
-  if (const auto key = ParseShardKey(request.key)) {
+  const auto key = ParseShardKey(request.key);
+  if (key) {
     m_loadMeter.Count(*key, 1.0);
   }
   const auto due = std::min(request.deadline, now + MaxTimeInSystem(*aCall));
-  ApplyGateActions(
-    m_gate->Admit(AdmissionRequest{ request.id, aCall->m_class, due }, now));
-}
-
-Duration
-RangeServerTask::LinkWait(const OwnerCall& aCall) const
-{
-  const auto backlog = m_backlog ? m_backlog() : Duration::zero();
-  return m_link.ExpectedWait(backlog, m_gate->ExpectedService(aCall.m_class));
+  ApplyGateActions(m_gate->Admit(
+    AdmissionRequest{ request.id,
+                      aCall->m_class,
+                      due,
+                      key ? std::optional(key->Value()) : std::nullopt },
+    now));
 }
 
 Duration
@@ -287,6 +272,8 @@
         m_rateProbeTimer.StartOnce(kMaxRateProbe);
       }
       ReserveSuspect(*call);
+      NoteRunning(*call);
+      m_pace.OnStarted(id, call->m_class, call->Request().goal, m_clock.Now());
       call->Start(m_pool);
     } else {
       const auto reason = StartRefusal(*call);
@@ -360,12 +347,6 @@
   return m_dialect.Classify(aCall.Request().head, aHead);
 }
 
-std::optional<DaemonId>
-RangeServerTask::HolderHint(const OwnerCall&) const
-{
-  return std::nullopt;
-}
-
 void
 RangeServerTask::OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal)
 {
@@ -393,7 +374,9 @@
 void
 RangeServerTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
+  NoteRunEnded(aCall);
   const auto id = aCall.Request().id;
+  NotePaceEnd(aCall, aResult);
   const auto known = m_calls.find(id);
   if (known == m_calls.end() || known->second.get() != &aCall) {
     return;
@@ -406,6 +389,8 @@
                   aCall.m_answerBytes);
   }
   m_link.Release(std::exchange(aCall.m_reservedLinkBytes, 0));
+  m_uploads.End(id, m_clock.Now());
+  ArmUploadTimer();
   if (aResult == ServiceResult::kDone && aCall.m_answerComplete) {
     m_endMonitor.OnAnswered(aCall.m_startedAt);
     const auto request = aCall.Request().fingerprint;
@@ -457,6 +442,8 @@
     m_slots = slots;
     m_probesRate = true;
     m_gate->SetLimit(std::min(slots, kRateProbeSlots), m_clock.Now());
+    m_pace.SetSlots(slots, m_clock.Now());
+    UpdatePace();
   }
 }
 
@@ -479,20 +466,8 @@
   if (m_gate) {
     ApplyGateActions(m_gate->RefuseQueued(RefusalReason::kDraining));
   }
+  RefuseUploads(RefusalReason::kDraining);
   RetryHeldCalls();
 }
 
-HostReport
-RangeServerTask::MakeReport(size_t aMaxBuckets)
-{
-  HostReport report;
-  report.host = m_state.Self();
-  report.capacity = m_slots / std::max(m_serviceSeconds, 1e-3);
-  if (const auto rate = m_gate ? m_gate->Rate() : std::nullopt) {
-    report.capacity = std::min(report.capacity, *rate);
-  }
-  report.buckets = m_loadMeter.EndInterval(m_clock.Now(), aMaxBuckets);
-  return report;
-}
-
 }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "Pistachioshift/Http"
@@ -23,6 +24,8 @@
 
 namespace pistachioshift {
 
+struct IngressRecord;
+
 /** \brief Settings for the backend server on this daemon's host. */
 struct RangeServerSettings
 {
@@ -74,6 +77,19 @@
   /** \brief Handles the backend server's announcement that it stops now. */
   void OnLeave(const ServerLeave& aLeave);
 
+  /**
+   * \brief Whether the backend server is running a request now.
+   * \param aLabel as ServerDialect::RequestLabel returns it.
+   */
+  bool IsRunning(const std::string& aLabel) const
+  {
+    return m_runningLabels.contains(aLabel);
+  }
+
+  /** \brief Handles the end of a call that the backend server has made through
+   * this daemon. */
+  void OnNestedEnd(const IngressRecord& aRecord);
+
   /** \brief Starts handing ranges to other hosts as the coordinator ordered. */
   void ApplyMoveOrders(const std::vector<MoveOrder>& aOrders);
 
@@ -88,6 +104,12 @@
     m_backlog = std::move(aBacklog);
   }
 
+  /**
+   * \brief Sets the rate at which bodies of uploads are received.
+   * \param aBytesPerSecond part of the host's link; 0: no limit.
+   */
+  void SetUploadRate(double aBytesPerSecond);
+
   /** \brief Sets the receiver of the ranges that the backend server has
    * released, which writes them to the table. */
   void SetOnReleased(std::function<void(RangeRelease)> aCallback)
@@ -102,6 +124,13 @@
    * is not about to stop; empty: it does not say so. */
   void SetHealthPath(std::string aPath);
 
+  /** \brief Sets the pace of the backend server while it is cold. */
+  void SetColdPace(const ColdPace& aPace);
+
+  /** \brief The evacuation of this host's zone has ended: the backend server
+   * counts as cold until a later heartbeat says otherwise. */
+  void OnEvacuationEnded();
+
   /**
    * \brief Announces that this daemon will stop. It is assigned no more keys,
    * and requests that any instance can answer are routed to other hosts.
@@ -123,15 +152,29 @@
   {
     return m_gate && m_gate->HasFreeSlot(m_clock.Now());
   }
+  /** \brief Slots that outer requests leave for nested calls. */
+  uint32_t ReservedSlots() const
+  {
+    return m_gate ? m_gate->ReservedSlots(m_clock.Now()) : 0;
+  }
+  /** \brief Share of outer requests that is refused because the calls that
+   * the backend server makes fail. */
+  double CalleeRefusedShare() const
+  {
+    return m_callees.RefusedShare(m_clock.Now());
+  }
   /** \brief Requests per second that the backend server takes, as it stated;
    * nullopt: no limit. */
   std::optional<double> RequestLimit() const
   {
     return m_gate ? m_gate->Rate() : std::nullopt;
   }
+  /** \brief Limits while the backend server is cold or has just started. */
+  const PaceLimits& Pace() const { return m_paceLimits; }
   /** \brief Requests under which backend servers have ended lately. */
   size_t Suspects() const { return m_suspects.Size(); }
   size_t Queued() const { return m_gate ? m_gate->QueuedCount() : 0; }
+  const UploadAdmission& Uploads() const { return m_uploads; }
 
   void OnStateChanged() override;
 
@@ -145,10 +188,14 @@
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
   void OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal) override;
   void OnServerFailed(const OwnerCall& aCall, ClientFailure aFailure) override;
+  void OnRequestBytes(size_t aBytes) override;
+  void OnUploadBytes(OwnerCall& aCall, size_t aBytes) override;
+  void OnUploadReceived(OwnerCall& aCall) override;
 
 private:
   using CallPtr = std::shared_ptr<OwnerCall>;
   class HealthCheck;
+  class ColdCheck;
 
   struct FirstHeartbeat
   {
@@ -171,6 +218,17 @@
                          const std::vector<ServerEndId>& aEnds);
   void WriteCrashEvidence();
   void Admit(const CallPtr& aCall);
+  bool RefuseForCallees(const CallPtr& aCall);
+  void NoteRunning(const OwnerCall& aCall);
+  void NoteRunEnded(const OwnerCall& aCall);
+  static bool AwaitsBody(const OwnerCall& aCall);
+  void AdmitUpload(const CallPtr& aCall);
+  void GrantUnplanned(const OwnerCall& aCall);
+  ServerBacklog BacklogOf(const OwnerCall& aCall) const;
+  void AdvanceUploads();
+  void ArmUploadTimer();
+  void RefuseUploads(RefusalReason aReason);
+  void LogUploadRefusals(bool aRefused);
   void ApplyGateActions(const AdmissionActions& aActions);
   void ArmGateTimer();
   void RetryHeldCalls();
@@ -193,6 +251,13 @@
   void CheckHealth();
   void OnHealthTimer();
   void OnHealthChecked(const ResponseHead& aAnswer);
+  void NotePaceHeartbeat(const ServerHeartbeat& aHeartbeat);
+  void NoteServerFailure(const OwnerCall& aCall, ClientFailure aFailure);
+  void NotePaceEnd(const OwnerCall& aCall, ServiceResult aResult);
+  void UpdatePace();
+  void LogPace(PaceReason aReason);
+  void OnColdCheckTimer();
+  void OnColdChecked(const ResponseHead& aAnswer, MonoTime aAskedAt);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   void BeginServerLeave();
   MonoTime DrainEnd() const;
@@ -209,6 +274,10 @@
   GrantManager m_grants;
   std::unique_ptr<AdmissionController>
     m_gate; ///< Empty before the first heartbeat.
+  /// Of running requests; a label can be in use twice while one is repeated.
+  std::unordered_multiset<std::string> m_runningLabels;
+  CalleeThrottle m_callees;
+  std::optional<MonoTime> m_calleesThrottledAt; ///< Last refusal because of it.
   HttpClientPool m_pool;
   KeyLoadMeter m_loadMeter;
   std::unordered_map<RequestId, CallPtr> m_calls;
@@ -236,7 +305,14 @@
   std::string m_healthPath;
   uint32_t m_healthChecks = 0;
   std::shared_ptr<ClientExchange> m_healthExchange; ///< Of the check that runs.
+  MonoTime m_healthAskedAt;
   Timer m_healthTimer;
+  ServerPace m_pace;
+  PaceLimits m_paceLimits; ///< Those that the gate applies.
+  PaceReason m_paceReason = PaceReason::kNone;
+  MonoTime m_pacedSince; ///< When m_paceReason changed.
+  std::shared_ptr<ClientExchange> m_coldExchange; ///< Of the check that runs.
+  Timer m_coldCheckTimer;
   std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
@@ -251,11 +327,14 @@
   std::function<Duration()> m_backlog;
   std::function<void(RangeRelease)> m_onReleased;
   double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
+  UploadAdmission m_uploads;
+  std::optional<MonoTime> m_uploadRefusedAt; ///< While uploads are refused.
   bool m_sharded = false;
   bool m_draining = false;
   bool m_silent = false; ///< The silence of the server has been published.
   Timer m_acceptTimer;
   Timer m_gateTimer;
+  Timer m_uploadTimer;
   Timer m_rateProbeTimer; ///< From the first request of the probe on.
   Timer m_tick;
 };
