--- a/src/HostDaemon/UpdateBroadcaster.cpp
+++ b/src/HostDaemon/UpdateBroadcaster.cpp
@@ -17,7 +17,7 @@
  * within this time. */
 constexpr Duration kMaxConfigurationDelay = std::chrono::milliseconds(250);
 
-/** Longest configuration that is sent to other hosts; less than a frame. */
+/** Longest records that are sent to other hosts; less than a frame. */
 constexpr size_t kMaxConfigurationBytes = size_t{ 1024 } * 1024;
 
 }
@@ -101,22 +101,27 @@
     });
 }
 
-/** An update with the last record; empty if there is none, or it is too long to
- * be sent. */
 std::optional<ConfigurationUpdate>
-UpdateBroadcaster::MakeUpdate(const StoreRecords& aRecords)
+MakeConfigurationUpdate(const StoreRecords& aRecords)
 {
-  if (aRecords.entries.empty()) {
+  if (aRecords.entries.empty() && !aRecords.snapshot) {
     return std::nullopt;
   }
-  const auto& newest = aRecords.entries.back();
-  if (newest.value.value_or("").size() > kMaxConfigurationBytes) {
-    return std::nullopt; // The others read it from the store.
-  }
-  // Each record is a whole configuration.
   ConfigurationUpdate update;
   update.records.next = aRecords.Next();
-  update.records.entries = { newest };
+  update.records.snapshot = aRecords.snapshot;
+  if (aRecords.snapshot) {
+    update.records.entries = aRecords.entries;
+  } else { // Each record is a whole configuration.
+    update.records.entries = { aRecords.entries.back() };
+  }
+  size_t bytes = 0;
+  for (const auto& entry : update.records.entries) {
+    bytes += entry.key.size() + entry.value.value_or("").size();
+  }
+  if (bytes > kMaxConfigurationBytes) {
+    return std::nullopt; // The others read them from the store.
+  }
   return update;
 }
 
@@ -124,7 +129,7 @@
 UpdateBroadcaster::SendConfiguration(const HostName& aHost,
                                      const StoreRecords& aRecords)
 {
-  const auto update = MakeUpdate(aRecords);
+  const auto update = MakeConfigurationUpdate(aRecords);
   const auto* host = m_state.State().FindHost(aHost);
   if (update && host != nullptr) {
     m_peers.SendConfiguration(host->inner, *update);
@@ -134,7 +139,7 @@
 void
 UpdateBroadcaster::BroadcastConfiguration(const StoreRecords& aRecords)
 {
-  auto made = MakeUpdate(aRecords);
+  auto made = MakeConfigurationUpdate(aRecords);
   if (!made) {
     return;
   }
--- a/src/HostDaemon/UpdateBroadcaster.h
+++ b/src/HostDaemon/UpdateBroadcaster.h
@@ -11,6 +11,14 @@
 
 namespace pistachioshift {
 
+/**
+ * \brief Update with all records of a snapshot, else with the last one. Empty
+ * if there is none, or they are too long to be sent: a part of them would make
+ * the receiver skip the others.
+ */
+std::optional<ConfigurationUpdate> MakeConfigurationUpdate(
+  const StoreRecords& aRecords);
+
 /**
  * \brief Sends new records of the store to the other hosts.
  *
@@ -62,8 +70,6 @@
 
 private:
   void Broadcast();
-  static std::optional<ConfigurationUpdate> MakeUpdate(
-    const StoreRecords& aRecords);
   void SendConfigurationToCoordinator();
   std::vector<BroadcastGroup> Groups() const;
   std::vector<Endpoint> RelayTargets(const StateReply& aUpdate) const;
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -212,7 +212,8 @@
   std::vector<StoreEntry> entries;
   /// Hosts to which the receiver forwards the entries.
   std::vector<HostName> relayTo;
-  /// The entries are the whole state, of a later era than the one asked for.
+  /// The entries are the whole state, of a later era than the one asked for, or
+  /// all records of the operator that are in force.
   bool snapshot = false;
 };
 
@@ -227,7 +228,11 @@
 RecordsOf(const ConfigurationUpdate& aUpdate)
 {
   const auto& next = aUpdate.records.next;
-  return { aUpdate.records.entries, next.offset, next.offset, next.era };
+  return { aUpdate.records.entries,
+           next.offset,
+           next.offset,
+           next.era,
+           aUpdate.records.snapshot };
 }
 
 /**
--- a/src/Ranges/KeyedStore.h
+++ b/src/Ranges/KeyedStore.h
@@ -50,6 +50,8 @@
   int64_t next = 0; ///< Offset at which the next read starts.
   int64_t end = 0;  ///< Offset of the next record to be appended.
   StoreEra era;     ///< Era in which the read was answered.
+  /// The records are those in force at `next`, not the ones after an offset.
+  bool snapshot = false;
 
   StorePosition Next() const { return { era, next }; }
 };
