A daemon in an evacuated zone releases its keys and starts no more requests

Change: ZoneEvacuation decides for the own server. It is published as draining, its keys are revoked (GrantManager::SetEvacuating, apart from a leave, so that it can be taken back), and requests start until the earlier of 3 s after the notice and 4 s after the set of before was last known to be in force. With the bound `evacuate` in the settings none is started before the zones are known. RangeRouter routes nothing without a key to an evacuated zone; the coordinator leaves out its hosts also before they have published that they drain. LaggingPeers: a host that lacks a position for 900 ms is sent the records in force, four hosts in 500 ms at most.

--- a/src/HostDaemon/CoordinatorTask.cpp
+++ b/src/HostDaemon/CoordinatorTask.cpp
@@ -327,9 +327,13 @@
                                       uint64_t aVersion)
 {
   const auto own = Configuration();
-  const bool outdated =
-    aPosition.offset > 0 && aPosition == own.position && aVersion < own.version;
-  if (outdated && m_onPeerOutdated) {
+  if (aPosition.offset <= 0) {
+    return; // It has read nothing yet.
+  }
+  const bool outdated = aPosition == own.position && aVersion < own.version;
+  const bool lags =
+    m_lagging.OnReport(aPeer, aPosition, own.position, m_clock.Now());
+  if ((outdated || lags) && m_onPeerOutdated) {
     m_onPeerOutdated(aPeer);
   }
 }
@@ -412,9 +416,9 @@
 {
   std::vector<PlacementTarget> targets;
   for (const auto& [name, host] : m_state.State().Hosts()) {
-    const bool usable = host.service == aService &&
-                        m_state.State().CanTakeKeys(host) &&
-                        HasRecentReport(name);
+    const bool usable =
+      host.service == aService && m_state.State().CanTakeKeys(host) &&
+      HasRecentReport(name) && !m_evacuatedZones.contains(host.zone);
     if (!usable) {
       continue;
     }
--- a/src/HostDaemon/CoordinatorTask.h
+++ b/src/HostDaemon/CoordinatorTask.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "Pistachioshift/Ranges"
 #include "src/Daemon/PeersTask.h"
 #include "src/Daemon/Timer.h"
+#include "src/HostDaemon/LaggingPeers.h"
 #include "src/HostDaemon/RangeServerTask.h"
 #include "src/HostDaemon/StateTask.h"
 
@@ -51,6 +53,13 @@
   /** \brief Sets the services whose keys are divided into ranges. */
   void SetShardedServices(std::set<ServiceName> aServices);
 
+  /** \brief Sets the zones whose hosts get no keys, also before they have
+   * published their servers as draining. */
+  void SetEvacuatedZones(std::set<ZoneName> aZones)
+  {
+    m_evacuatedZones = std::move(aZones);
+  }
+
   /**
    * \brief Records the report of a host.
    * \return the moves ordered from that host since its last report, and how far
@@ -79,9 +88,10 @@
   }
 
   /**
-   * \brief Sets the callback for a peer that has read as far as this host and
-   * has an older configuration in force. The store has then lost the one of
-   * this host, so that the peer can learn it only from here.
+   * \brief Sets the callback for a peer that has to learn the operator's
+   * records from here. Either it has read as far as this host and has an older
+   * configuration in force, which the store has then lost, or it has not read
+   * as far for some time.
    */
   void SetOnPeerOutdated(std::function<void(const HostName&)> aCallback)
   {
@@ -176,6 +186,7 @@
   Timer m_tick;
   Timer m_catchUpTimer;
   std::set<ServiceName> m_sharded;
+  std::set<ZoneName> m_evacuatedZones;
   std::map<HostName, ReceivedReport> m_reports;
   /// Time of the first unanswered report.
   std::map<HostName, MonoTime> m_unansweredSince;
@@ -197,6 +208,7 @@
   MonoTime m_lastTickAt;
   MonoTime m_lastPeerReportAt;
   PeerAhead m_ahead; ///< When m_catchUpTimer was started.
+  LaggingPeers m_lagging;
   ConfigurationSource m_configuration;
   std::function<void(const ConfigurationReading&)> m_onPeerConfiguration;
   std::function<void(const HostName&)> m_onPeerOutdated;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -210,6 +210,17 @@
   m_server.SetHealthPath(found == aPaths.end() ? "" : found->second);
 }
 
+void
+HostDaemon::SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                              std::optional<MonoTime> aUnchangedAt)
+{
+  m_router.SetEvacuatedZones(aZones);
+  m_coordinator.SetEvacuatedZones(aZones);
+  m_server.SetEvacuatedZones(aZones, aUnchangedAt);
+  m_metrics.SetGauge("pistachio_evacuated_zones",
+                     static_cast<double>(aZones.size()));
+}
+
 void
 HostDaemon::BeginLeave()
 {
@@ -289,6 +300,7 @@
   // -1: the backend server has stated no limit.
   set("pistachio_server_limit_per_second",
       m_server.RequestLimit().value_or(-1.0));
+  set("pistachio_server_evacuated", m_server.Evacuated() ? 1 : 0);
   set("pistachio_crash_suspects", m_server.Suspects());
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End().offset);
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -105,6 +105,14 @@
   /** \brief Sets the paths of health checks, by service. */
   void SetHealthPaths(const std::map<ServiceName, std::string>& aPaths);
 
+  /**
+   * \brief Applies the set of zones that the operator evacuates.
+   * \param aUnchangedAt when the set of before was last known to be in force;
+   * empty: not known.
+   */
+  void SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                         std::optional<MonoTime> aUnchangedAt = std::nullopt);
+
   /** \brief Whether new callers should use this daemon (readiness check). */
   bool Ready() const { return m_state.Joined() && m_configured && !m_leave; }
 
--- a/src/HostDaemon/RangeRouter.cpp
+++ b/src/HostDaemon/RangeRouter.cpp
@@ -85,7 +85,8 @@
   std::map<ServiceName, InstanceSet> usable;
   std::map<ServiceName, InstanceSet> draining;
   for (const auto& [name, host] : m_state.State().Hosts()) {
-    if (!host.server || m_state.State().Suspected(name)) {
+    if (!host.server || m_state.State().Suspected(name) ||
+        m_evacuatedZones.contains(host.zone)) {
       continue;
     }
     const bool isDraining = host.server->state == ServerState::kDraining;
@@ -112,6 +113,14 @@
   }
 }
 
+void
+RangeRouter::SetEvacuatedZones(std::set<ZoneName> aZones)
+{
+  m_evacuatedZones = std::move(aZones);
+  m_hostsVersion.reset();
+  OnStateChanged();
+}
+
 std::optional<Destination>
 RangeRouter::ChooseInstance(const ServicePolicy& aPolicy,
                             const AttemptHistory& aHistory)
--- a/src/HostDaemon/RangeRouter.h
+++ b/src/HostDaemon/RangeRouter.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,10 @@
    */
   void SetRetrySlack(double aRetries) { m_retrySlack = aRetries; }
 
+  /** \brief Sets the zones to which no request is routed that any instance can
+   * run, not even if all instances are there. */
+  void SetEvacuatedZones(std::set<ZoneName> aZones);
+
   /** \brief Name of the host with this number; empty if unknown. */
   std::string NameOf(DaemonId aDaemon) const;
 
@@ -92,6 +97,7 @@
   std::map<DaemonId, HostName> m_names;
   std::map<ServiceName, ServiceInstances> m_instances;
   std::map<ServiceName, RetryBudget> m_budgets;
+  std::set<ZoneName> m_evacuatedZones;
   double m_retrySlack = 0.0;              ///< 0: not limited.
   std::optional<uint64_t> m_hostsVersion; ///< Of m_instances.
 };
--- a/src/HostDaemon/RangeServerHealth.cpp
+++ b/src/HostDaemon/RangeServerHealth.cpp
@@ -51,8 +51,9 @@
 void
 RangeServerTask::CheckHealth()
 {
-  const bool needed =
-    m_serverId && !HasHeardServer() && !m_grants.RevokingAll() && !m_exitAt;
+  const bool needed = m_serverId && !HasHeardServer() &&
+                      !m_grants.RevokingAll() && !m_exitAt &&
+                      m_evacuation.TakesKeys();
   if (!needed || m_healthPath.empty() || m_healthTimer.Running() ||
       m_healthChecks >= kMaxChecks) {
     return;
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -104,8 +104,9 @@
   ServerStatus server;
   server.incarnation = aHeartbeat.incarnation;
   server.slots = aHeartbeat.slots;
-  server.state = m_exitAt || m_grants.RevokingAll() ? ServerState::kDraining
-                                                    : ServerState::kReady;
+  const bool takesKeys =
+    !m_exitAt && !m_grants.RevokingAll() && m_evacuation.TakesKeys();
+  server.state = takesKeys ? ServerState::kReady : ServerState::kDraining;
   server.leaving = m_grants.RevokingAll();
   m_state.PublishServer(server);
 }
@@ -345,6 +346,7 @@
     if (HasLeft(known->incarnation) || known->leaving) {
       BeginServerLeave();
     }
+    PublishEvacuation();
     CheckHealth();
   }
   RetryHeldCalls();
@@ -358,6 +360,7 @@
   if (RefusesNewCalls(now) && m_gate && m_gate->QueuedCount() > 0) {
     ApplyGateActions(m_gate->RefuseQueued(RefusalReason::kDraining));
   }
+  EndEvacuationStarts(now);
   const bool silent = now - m_lastHeartbeat >= kHeartbeatSilence;
   if (!m_state.Joined() || !silent || !m_grants.HoldsExpired(now)) {
     return;
@@ -375,7 +378,8 @@
     HasHeardServer());
   // A silent server is still sent requests that any server can run, unless it
   // leaves or may have left.
-  const bool usable = HasHeardServer() && !m_grants.RevokingAll();
+  const bool usable =
+    HasHeardServer() && !m_grants.RevokingAll() && m_evacuation.TakesKeys();
   server->state = usable ? ServerState::kSilent : ServerState::kDraining;
   m_grants.RelinquishExpired(RowsOf(server->incarnation));
   m_state.PublishServer(server);
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -109,6 +109,7 @@
   , m_dialect(aDialect)
   , m_logger(aLogger)
   , m_grants(GrantSettings{}, aClock.Now())
+  , m_evacuation(aSettings.evacuateLimit)
   , m_pool(aBase, aSettings.endpoint, PoolLimits())
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_lastHeartbeat(aClock.Now())
@@ -167,7 +168,8 @@
 bool
 RangeServerTask::RefusesNewCalls(MonoTime aNow) const
 {
-  return m_draining || (m_drainEndsAt && aNow >= *m_drainEndsAt);
+  return m_draining || (m_drainEndsAt && aNow >= *m_drainEndsAt) ||
+         m_evacuation.RefusesStarts(aNow);
 }
 
 bool
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +21,7 @@
 #include "src/HostDaemon/ServerDialect.h"
 #include "src/HostDaemon/ServerEndMonitor.h"
 #include "src/HostDaemon/StateTask.h"
+#include "src/HostDaemon/ZoneEvacuation.h"
 
 namespace pistachioshift {
 
@@ -31,6 +33,10 @@
   /// Requests are still started for this time after the backend server's
   /// announcement of its stop was acknowledged.
   Duration drainTime = std::chrono::milliseconds(1600);
+  /// No request may reach the backend server later than this after the operator
+  /// has ordered an evacuation of its zone. If set, none is started before the
+  /// evacuated zones are known.
+  std::optional<Duration> evacuateLimit;
 };
 
 /**
@@ -114,6 +120,14 @@
   /** \brief Refuses new and queued requests from now on. */
   void BeginDrain();
 
+  /** \brief Applies the set of zones that the operator evacuates.
+   * \sa ZoneEvacuation */
+  void SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                         std::optional<MonoTime> aUnchangedAt);
+
+  /** \brief Whether the zone of this host is evacuated. */
+  bool Evacuated() const { return m_evacuation.Active(); }
+
   /** \brief Load by key and capacity of this host, for the coordinator. */
   HostReport MakeReport(size_t aMaxBuckets);
 
@@ -200,6 +214,9 @@
                     std::vector<Relinquished> aRanges);
   void RepeatReleases();
   void OnTick();
+  void PublishEvacuation();
+  void OnEvacuationEnded();
+  void EndEvacuationStarts(MonoTime aNow);
 
   event_base* m_base;
   RangeServerSettings m_settings;
@@ -209,6 +226,8 @@
   GrantManager m_grants;
   std::unique_ptr<AdmissionController>
     m_gate; ///< Empty before the first heartbeat.
+  ZoneEvacuation m_evacuation;
+  bool m_startsEvacuated = false; ///< Requests still start in this evacuation.
   HttpClientPool m_pool;
   KeyLoadMeter m_loadMeter;
   std::unordered_map<RequestId, CallPtr> m_calls;
--- a/src/Ranges/GrantManager.cpp
+++ b/src/Ranges/GrantManager.cpp
@@ -98,7 +98,7 @@
   if (aHeartbeat.state == ServerState::kDraining) {
     m_revokingAll = true;
   }
-  if (m_revokingAll) {
+  if (m_revokingAll || m_evacuating) {
     for (const auto& row : aRows) {
       Revoke(row.range, row.fence, std::nullopt);
     }
@@ -286,11 +286,11 @@
 bool
 GrantManager::IsRevoking(ShardKey aKey) const
 {
-  return m_revokingAll || std::any_of(m_revocations.begin(),
-                                      m_revocations.end(),
-                                      [&](const auto& aItem) {
-                                        return aItem.range.Contains(aKey);
-                                      });
+  return m_revokingAll || m_evacuating ||
+         std::any_of(
+           m_revocations.begin(), m_revocations.end(), [&](const auto& aItem) {
+             return aItem.range.Contains(aKey);
+           });
 }
 
 bool
--- a/src/Ranges/GrantManager.h
+++ b/src/Ranges/GrantManager.h
@@ -172,6 +172,12 @@
   void RevokeAll() { m_revokingAll = true; }
   bool RevokingAll() const { return m_revokingAll; }
 
+  /** \brief Sets whether all ranges, and those assigned later, are to be
+   * revoked; applies to later incarnations as well and ends with the call that
+   * says so. Ranges whose revocation has begun by then are still handed over.
+   */
+  void SetEvacuating(bool aEvacuating) { m_evacuating = aEvacuating; }
+
   /**
    * \brief Relinquishes rows whose holds expired without a heartbeat.
    *
@@ -233,7 +239,8 @@
   std::vector<GrantedRange> m_granted; ///< By the last renewing reply.
   std::vector<Revocation> m_revocations;
   std::vector<Relinquished> m_relinquished;
-  bool m_revokingAll = false;
+  bool m_revokingAll = false; ///< Until the incarnation ends.
+  bool m_evacuating = false;
   MonoTime m_serveUntil;    ///< Earliest end of the holds, less a margin.
   MonoTime m_holdsExpireAt; ///< Latest end of the holds.
 };
--- a/test/HostDaemon/CoordinatorTaskTest.cpp
+++ b/test/HostDaemon/CoordinatorTaskTest.cpp
@@ -107,6 +107,26 @@
   EXPECT_TRUE(IsAssigned(kStock));
 }
 
+/** Guards against keys that go from one evacuated host to another which has
+ * not published its server as draining yet. */
+TEST_F(CoordinatorTaskTest, AssignFreeRanges_ZoneIsEvacuated_NotAssignedThere)
+{
+  auto record = RecordOf("b");
+  record.zone = ZoneName("north");
+  m_topic.Append({ EncodeHost(record) }, WriterPosition{ "b", 1, 0 });
+  m_hosts = { HostName("b") };
+  AddHost("c", kOrders);
+  m_coordinator.SetShardedServices({ kOrders });
+  m_coordinator.SetEvacuatedZones({ record.zone });
+  m_state.Start();
+  m_coordinator.Start();
+  RunWithReports(10);
+  ASSERT_TRUE(IsAssigned(kOrders));
+  for (const auto& row : m_state.State().Table().RowsOf(kOrders)) {
+    EXPECT_NE(row.holder.host, record.host);
+  }
+}
+
 /**
  * The others report to another host until it stops answering. The host that
  * takes over must not suspect all of them because they are new to it.
