--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -108,6 +108,14 @@
   /** \brief Sets the stated paces of cold backend servers, by service. */
   void SetColdPaces(const std::map<ServiceName, ColdPace>& aPaces);
 
+  /**
+   * \brief Applies the set of zones that the operator evacuates.
+   * \param aUnchangedAt when the set of before was last known to be in force;
+   * empty: not known.
+   */
+  void SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                         std::optional<MonoTime> aUnchangedAt = std::nullopt);
+
   /** \brief Whether new callers should use this daemon (readiness check). */
   bool Ready() const { return m_state.Joined() && m_configured && !m_leave; }
 
--- a/src/HostDaemon/RangeServerPace.cpp
+++ b/src/HostDaemon/RangeServerPace.cpp
@@ -75,13 +75,6 @@
   UpdatePace();
 }
 
-void
-RangeServerTask::OnEvacuationEnded()
-{
-  m_pace.OnEvacuationEnded(m_clock.Now());
-  UpdatePace();
-}
-
 void
 RangeServerTask::NotePaceHeartbeat(const ServerHeartbeat& aHeartbeat)
 {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -21,6 +22,7 @@
 #include "src/HostDaemon/ServerDialect.h"
 #include "src/HostDaemon/ServerEndMonitor.h"
 #include "src/HostDaemon/StateTask.h"
+#include "src/HostDaemon/ZoneEvacuation.h"
 
 namespace pistachioshift {
 
@@ -34,6 +36,10 @@
   /// Requests are still started for this time after the backend server's
   /// announcement of its stop was acknowledged.
   Duration drainTime = std::chrono::milliseconds(1600);
+  /// No request may reach the backend server later than this after the operator
+  /// has ordered an evacuation of its zone. If set, none is started before the
+  /// evacuated zones are known.
+  std::optional<Duration> evacuateLimit;
 };
 
 /**
@@ -127,10 +133,6 @@
   /** \brief Sets the pace of the backend server while it is cold. */
   void SetColdPace(const ColdPace& aPace);
 
-  /** \brief The evacuation of this host's zone has ended: the backend server
-   * counts as cold until a later heartbeat says otherwise. */
-  void OnEvacuationEnded();
-
   /**
    * \brief Announces that this daemon will stop. It is assigned no more keys,
    * and requests that any instance can answer are routed to other hosts.
@@ -143,6 +145,14 @@
   /** \brief Refuses new and queued requests from now on. */
   void BeginDrain();
 
+  /** \brief Applies the set of zones that the operator evacuates.
+   * \sa ZoneEvacuation */
+  void SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                         std::optional<MonoTime> aUnchangedAt);
+
+  /** \brief Whether the zone of this host is evacuated. */
+  bool Evacuated() const { return m_evacuation.Active(); }
+
   /** \brief Load by key and capacity of this host, for the coordinator. */
   HostReport MakeReport(size_t aMaxBuckets);
 
@@ -265,6 +275,11 @@
                     std::vector<Relinquished> aRanges);
   void RepeatReleases();
   void OnTick();
+  void PublishEvacuation();
+  /** The backend server counts as cold until a later heartbeat says otherwise.
+   */
+  void OnEvacuationEnded();
+  void EndEvacuationStarts(MonoTime aNow);
 
   event_base* m_base;
   RangeServerSettings m_settings;
@@ -278,6 +293,8 @@
   std::unordered_multiset<std::string> m_runningLabels;
   CalleeThrottle m_callees;
   std::optional<MonoTime> m_calleesThrottledAt; ///< Last refusal because of it.
+  ZoneEvacuation m_evacuation;
+  bool m_startsEvacuated = false; ///< Requests still start in this evacuation.
   HttpClientPool m_pool;
   KeyLoadMeter m_loadMeter;
   std::unordered_map<RequestId, CallPtr> m_calls;
