--- a/src/Routing/AdmissionController.h
+++ b/src/Routing/AdmissionController.h
@@ -56,8 +56,8 @@
 {
   RequestId id;
   ClassIndex requestClass;
-  MonoTime deadline;                ///< On this host's monotonic clock.
-  std::optional<uint32_t> key = {}; ///< None: not counted for any key.
+  MonoTime deadline;           ///< On this host's monotonic clock.
+  std::optional<uint32_t> key; ///< None: not counted for any key.
 };
 
 /** \brief How a request that was started ended. */
--- a/src/Routing/NestedDemand.cpp
+++ b/src/Routing/NestedDemand.cpp
@@ -45,8 +45,8 @@
 NestedDemand::Slots(Duration aService, uint32_t aLimit, MonoTime aNow) const
 {
   const auto needed = std::ceil(PerSecond(aNow) * Seconds(aService));
-  const auto bound = static_cast<double>(aLimit / kMaxShareDivisor);
-  return static_cast<uint32_t>(std::min(needed, bound));
+  const uint32_t bound = aLimit / kMaxShareDivisor;
+  return static_cast<uint32_t>(std::min<double>(needed, bound));
 }
 
 }
