Moves use free capacity when the load exceeds that of all hosts

The share of load that is spread over all keys made the idle receiver seem overloaded, and the piece that levels both hosts exceeds what the receiver can serve, so that it did not pay.

Change: the receiver is judged by its reported load. If the mean utilization is above 1, the piece is bounded by the receiver's free capacity.

--- a/src/Ranges/LoadMap.cpp
+++ b/src/Ranges/LoadMap.cpp
@@ -6,7 +6,8 @@
 namespace pistachioshift {
 
 LoadMap::LoadMap(double aUniformLoad)
-  : m_steps{ Step{ 0, 0.0, aUniformLoad / kShardKeys } }
+  : m_uniformLoad(aUniformLoad)
+  , m_steps{ Step{ 0, 0.0, aUniformLoad / kShardKeys } }
 {
 }
 
@@ -43,6 +44,7 @@
 void
 LoadMap::Scale(double aFactor)
 {
+  m_uniformLoad *= aFactor;
   for (auto& step : m_steps) {
     step.loadBefore *= aFactor;
     step.loadPerKey *= aFactor;
--- a/src/Ranges/LoadMap.h
+++ b/src/Ranges/LoadMap.h
@@ -43,6 +43,12 @@
 
   double LoadOf(const KeyRange& aRange) const;
 
+  /** \brief Part of the load of a number of keys that was not reported. */
+  double UniformLoadOf(double aKeys) const
+  {
+    return m_uniformLoad * aKeys / kShardKeys;
+  }
+
   /**
    * \brief Splits a range into contiguous pieces of about equal load.
    * \return at most `aPieces` pieces; fewer if the range has fewer keys.
@@ -71,6 +77,7 @@
   std::vector<Step>::const_iterator StepOf(uint32_t aKey) const;
   double LoadBelow(uint32_t aKey) const;
 
+  double m_uniformLoad;
   std::vector<Step> m_steps; ///< Sorted by key; the first is at key 0.
 };
 
--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -57,6 +57,7 @@
       auto& host = hosts[found->second];
       host.ranges.push_back(row.range);
       host.load += aLoad.LoadOf(row.range);
+      host.keys += row.range.Size();
       ++host.rows;
       ++host.transient;
     }
@@ -94,13 +95,15 @@
   aHost.rows = aHost.rows + left.size() - aHost.ranges.size();
   aHost.ranges = std::move(left);
   aHost.load -= aLoad;
+  aHost.keys -= aRange.Size();
 }
 
 /** Adds the load of a range that a host is to get. */
 void
-AddArriving(HostLoad& aHost, double aLoad)
+AddArriving(HostLoad& aHost, const KeyRange& aRange, double aLoad)
 {
   aHost.load += aLoad;
+  aHost.keys += aRange.Size();
   ++aHost.rows;
   ++aHost.transient;
 }
@@ -182,6 +185,14 @@
   return found == aHost.ranges.end() ? nullptr : &*found;
 }
 
+/** Load that the hosts reported for a host's keys. The part that is spread over
+ * all keys must not make a host without requests seem overloaded. */
+double
+ReportedLoad(const HostLoad& aHost, const LoadMap& aLoad)
+{
+  return std::max(aHost.load - aLoad.UniformLoadOf(aHost.keys), 0.0);
+}
+
 bool
 ByUtilization(const HostLoad& aLeft, const HostLoad& aRight)
 {
@@ -204,7 +215,7 @@
   const auto load = aLoad.LoadOf(aRange);
   aMoves.push_back(PlannedMove{ aRange, HostOf(aFrom), HostOf(aTo) });
   Remove(aFrom, aRange, load);
-  AddArriving(aTo, load);
+  AddArriving(aTo, aRange, load);
 }
 
 double
@@ -244,7 +255,7 @@
       Remove(*from, pending.move.range, load);
     }
     if (auto* to = Find(aHosts, pending.move.to)) {
-      AddArriving(*to, load);
+      AddArriving(*to, pending.move.range, load);
       to->ranges.clear(); // They are not moved again.
     }
   }
@@ -287,7 +298,7 @@
   }
   effect.keyShare = keys / kShardKeys;
   return MovePays({ aFrom.load, aFrom.target->capacity },
-                  { aTo.load, aTo.target->capacity },
+                  { ReportedLoad(aTo, aLoad), aTo.target->capacity },
                   effect,
                   aLoad.LoadOf(KeyRange{}),
                   m_settings.value);
@@ -343,8 +354,13 @@
     (aMean - aLeastUtilized.Utilization()) * aLeastUtilized.target->capacity;
   const auto excess =
     (aMostUtilized.Utilization() - aMean) * aMostUtilized.target->capacity;
-  const auto wanted =
-    imbalanced ? std::min(spare, excess) : spare * kIdleHostShare;
+  auto wanted = imbalanced ? std::min(spare, excess) : spare * kIdleHostShare;
+  if (!idle && aMean > 1.0) {
+    // Load above the receiver's capacity would not be served there either.
+    wanted = std::min(wanted,
+                      aLeastUtilized.target->capacity -
+                        ReportedLoad(aLeastUtilized, aLoad));
+  }
   const auto piece = ChoosePiece(aMostUtilized, aLeastUtilized, aLoad, wanted);
   if (!piece || aLeastUtilized.rows < m_settings.maxRows) {
     return piece ? std::optional(Exchange{ *piece, {} }) : std::nullopt;
--- a/src/Ranges/Rebalancer.h
+++ b/src/Ranges/Rebalancer.h
@@ -50,6 +50,7 @@
   const PlacementTarget* target;
   std::vector<KeyRange> ranges;
   double load = 0.0;
+  double keys = 0.0;
   size_t rows = 0;      ///< After all planned moves.
   size_t transient = 0; ///< If rows arrive before others have left.
 
--- a/test/Ranges/MoveValueTest.cpp
+++ b/test/Ranges/MoveValueTest.cpp
@@ -82,6 +82,17 @@
   EXPECT_GT(moved, 20.0);
 }
 
+/** Load pattern: more requests than all hosts can serve, all for one of them.
+ * Guards against hosts that stay idle because no placement serves all. */
+TEST_F(MoveValueTest, Plan_MoreLoadThanCapacityOnOneHost_FreeCapacityIsUsed)
+{
+  LoadMap load(60.0);
+  load.Add({ LoadBucket{ { 1000, 1999 }, 600.0 } });
+  const auto moves = PlanFor(kShardKeys / 2 - 1, load);
+  ASSERT_FALSE(moves.empty());
+  EXPECT_LT(load.LoadOf(moves.front().range), 130.0);
+}
+
 /** Load pattern: even load with a slight imbalance, as after an assignment. */
 TEST_F(MoveValueTest, Plan_EvenLoadAtSeventyPercent_MovesNothing)
 {
