The mean service time follows the first answers

Cause: the mean started at 0.2 s and each answer had a weight of 0.02, so that after 30 answers of a server with 50 ms more than half of the initial value was left, and its reported capacity was less than half of the real one.

Change: ServiceTimeMean counts the initial value as five answers until the weight has fallen to 0.02. The header with the server's load is not used; see docs/design/placement-under-load.md.

--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -50,10 +50,6 @@
 /** The same limit in mean service times; the larger of the two applies. */
 constexpr int kServiceTimeMultiple = 3;
 
-/** Weight of the newest service time, so that the mean covers some hundred
- * requests, or a few seconds. */
-constexpr double kServiceSmoothing = 0.02;
-
 HttpClientLimits
 PoolLimits()
 {
@@ -386,7 +382,7 @@
                 Running(),
                 Queued(),
                 m_heldCalls.size(),
-                m_serviceSeconds * 1000.0,
+                m_serviceTime.Seconds() * 1000.0,
                 m_state.End().offset);
 }
 
@@ -430,7 +426,7 @@
   }
   const auto now = m_clock.Now();
   if (aResult == ServiceResult::kDone) {
-    UpdateServiceTime(now - aCall.m_startedAt);
+    m_serviceTime.Add(now - aCall.m_startedAt);
     m_link.RecordSize(aCall.Request().head.target, aCall.m_answerBytes);
   }
   // The gate is the only sender and never exceeds the slots, so a refusal or a
@@ -441,13 +437,6 @@
   ApplyGateActions(m_gate->Finished(id, result, now));
 }
 
-void
-RangeServerTask::UpdateServiceTime(Duration aTaken)
-{
-  const auto seconds = std::chrono::duration<double>(aTaken).count();
-  m_serviceSeconds += kServiceSmoothing * (seconds - m_serviceSeconds);
-}
-
 void
 RangeServerTask::EnsureGate(uint32_t aSlots)
 {
@@ -487,7 +476,7 @@
 {
   HostReport report;
   report.host = m_state.Self();
-  report.capacity = m_slots / std::max(m_serviceSeconds, 1e-3);
+  report.capacity = m_slots / std::max(m_serviceTime.Seconds(), 1e-3);
   if (const auto rate = m_gate ? m_gate->Rate() : std::nullopt) {
     report.capacity = std::min(report.capacity, *rate);
   }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -19,6 +19,7 @@
 #include "src/HostDaemon/KeyLoadMeter.h"
 #include "src/HostDaemon/ServerDialect.h"
 #include "src/HostDaemon/ServerEndMonitor.h"
+#include "src/HostDaemon/ServiceTimeMean.h"
 #include "src/HostDaemon/StateTask.h"
 
 namespace pistachioshift {
@@ -178,7 +179,6 @@
   void ApplyStatedLimit(const OwnerCall& aCall, const ServerNotice& aNotice);
   void LimitRate(std::optional<double> aPerSecond);
   void EndRateProbe();
-  void UpdateServiceTime(Duration aTaken);
   Duration LinkWait(const OwnerCall& aCall) const;
   Duration MaxTimeInSystem(const OwnerCall& aCall) const;
   bool RefusesNewCalls(MonoTime aNow) const;
@@ -250,7 +250,7 @@
   LinkAdmission m_link{ kDirectBytes };
   std::function<Duration()> m_backlog;
   std::function<void(RangeRelease)> m_onReleased;
-  double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
+  ServiceTimeMean m_serviceTime;
   bool m_sharded = false;
   bool m_draining = false;
   bool m_silent = false; ///< The silence of the server has been published.
