--- a/src/Daemon/ResolvedRequest.h
+++ b/src/Daemon/ResolvedRequest.h
@@ -30,7 +30,7 @@
   uint32_t priority = 0; ///< 0 is the most urgent.
   Duration goal{};       ///< Target latency; zero: none.
   std::string logId;     ///< Identifies the request in the log; may be empty.
-  bool nested = false; ///< Made by a backend server while it runs a request.
+  bool nested = false;   ///< Made by a backend server while it runs a request.
   /// A large request body: it is admitted by its size before it is read.
   bool upload = false;
   RetrySettings retry{ .maxAttempts = kMaxRequestAttempts,
