--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -231,6 +231,17 @@
   m_router.SetColdPaces(aPaces);
 }
 
+void
+HostDaemon::SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                              std::optional<MonoTime> aUnchangedAt)
+{
+  m_router.SetEvacuatedZones(aZones);
+  m_coordinator.SetEvacuatedZones(aZones);
+  m_server.SetEvacuatedZones(aZones, aUnchangedAt);
+  m_metrics.SetGauge("pistachio_evacuated_zones",
+                     static_cast<double>(aZones.size()));
+}
+
 void
 HostDaemon::BeginLeave()
 {
@@ -320,6 +331,7 @@
       m_server.Pace().perSecond.value_or(-1.0));
   set("pistachio_server_pace_limit",
       m_server.Pace().slots ? *m_server.Pace().slots : -1.0);
+  set("pistachio_server_evacuated", m_server.Evacuated() ? 1 : 0);
   set("pistachio_crash_suspects", m_server.Suspects());
   set("pistachio_hosts", m_state.State().Hosts().size());
   set("pistachio_store_end", m_state.End().offset);
--- a/src/HostDaemon/RangeServerPace.cpp
+++ b/src/HostDaemon/RangeServerPace.cpp
@@ -75,13 +75,6 @@
   UpdatePace();
 }
 
-void
-RangeServerTask::OnEvacuationEnded()
-{
-  m_pace.OnEvacuationEnded(m_clock.Now());
-  UpdatePace();
-}
-
 void
 RangeServerTask::NotePaceHeartbeat(const ServerHeartbeat& aHeartbeat)
 {
@@ -206,7 +199,7 @@
     m_paceReason == PaceReason::kMaybeCold && now - m_pacedSince < kReportDelay;
   const auto pace = brief ? PaceLimits{} : m_paceLimits;
   const auto slots = std::min(m_slots, pace.slots.value_or(m_slots));
-  report.capacity = slots / std::max(m_serviceSeconds, 1e-3);
+  report.capacity = slots / std::max(m_serviceTime.Seconds(), 1e-3);
   if (const auto rate = m_gate ? m_gate->Rate() : std::nullopt) {
     report.capacity = std::min(report.capacity, *rate);
   }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -20,7 +21,9 @@
 #include "src/HostDaemon/KeyLoadMeter.h"
 #include "src/HostDaemon/ServerDialect.h"
 #include "src/HostDaemon/ServerEndMonitor.h"
+#include "src/HostDaemon/ServiceTimeMean.h"
 #include "src/HostDaemon/StateTask.h"
+#include "src/HostDaemon/ZoneEvacuation.h"
 
 namespace pistachioshift {
 
@@ -34,6 +37,10 @@
   /// Requests are still started for this time after the backend server's
   /// announcement of its stop was acknowledged.
   Duration drainTime = std::chrono::milliseconds(1600);
+  /// No request may reach the backend server later than this after the operator
+  /// has ordered an evacuation of its zone. If set, none is started before the
+  /// evacuated zones are known.
+  std::optional<Duration> evacuateLimit;
 };
 
 /**
@@ -127,10 +134,6 @@
   /** \brief Sets the pace of the backend server while it is cold. */
   void SetColdPace(const ColdPace& aPace);
 
-  /** \brief The evacuation of this host's zone has ended: the backend server
-   * counts as cold until a later heartbeat says otherwise. */
-  void OnEvacuationEnded();
-
   /**
    * \brief Announces that this daemon will stop. It is assigned no more keys,
    * and requests that any instance can answer are routed to other hosts.
@@ -143,6 +146,14 @@
   /** \brief Refuses new and queued requests from now on. */
   void BeginDrain();
 
+  /** \brief Applies the set of zones that the operator evacuates.
+   * \sa ZoneEvacuation */
+  void SetEvacuatedZones(const std::set<ZoneName>& aZones,
+                         std::optional<MonoTime> aUnchangedAt);
+
+  /** \brief Whether the zone of this host is evacuated. */
+  bool Evacuated() const { return m_evacuation.Active(); }
+
   /** \brief Load by key and capacity of this host, for the coordinator. */
   HostReport MakeReport(size_t aMaxBuckets);
 
@@ -236,7 +247,6 @@
   void ApplyStatedLimit(const OwnerCall& aCall, const ServerNotice& aNotice);
   void LimitRate(std::optional<double> aPerSecond);
   void EndRateProbe();
-  void UpdateServiceTime(Duration aTaken);
   Duration LinkWait(const OwnerCall& aCall) const;
   Duration MaxTimeInSystem(const OwnerCall& aCall) const;
   bool RefusesNewCalls(MonoTime aNow) const;
@@ -265,6 +275,11 @@
                     std::vector<Relinquished> aRanges);
   void RepeatReleases();
   void OnTick();
+  void PublishEvacuation();
+  /** The backend server counts as cold until a later heartbeat says otherwise.
+   */
+  void OnEvacuationEnded();
+  void EndEvacuationStarts(MonoTime aNow);
 
   event_base* m_base;
   RangeServerSettings m_settings;
@@ -278,6 +293,8 @@
   std::unordered_multiset<std::string> m_runningLabels;
   CalleeThrottle m_callees;
   std::optional<MonoTime> m_calleesThrottledAt; ///< Last refusal because of it.
+  ZoneEvacuation m_evacuation;
+  bool m_startsEvacuated = false; ///< Requests still start in this evacuation.
   HttpClientPool m_pool;
   KeyLoadMeter m_loadMeter;
   std::unordered_map<RequestId, CallPtr> m_calls;
@@ -326,9 +343,9 @@
   LinkAdmission m_link{ kDirectBytes };
   std::function<Duration()> m_backlog;
   std::function<void(RangeRelease)> m_onReleased;
-  double m_serviceSeconds = 0.2; ///< Mean; starts at a typical value.
   UploadAdmission m_uploads;
   std::optional<MonoTime> m_uploadRefusedAt; ///< While uploads are refused.
+  ServiceTimeMean m_serviceTime;
   bool m_sharded = false;
   bool m_draining = false;
   bool m_silent = false; ///< The silence of the server has been published.
--- a/test/platform/ServerPaceTaskTest.cpp
+++ b/test/platform/ServerPaceTaskTest.cpp
@@ -116,7 +116,8 @@
   m_server.SetColdPace({ kPace, milliseconds(3000) });
   Join();
   EXPECT_EQ(m_server.Pace(), PaceLimits{});
-  m_server.OnEvacuationEnded();
+  m_server.SetEvacuatedZones({ m_state.OwnRecord().zone }, std::nullopt);
+  m_server.SetEvacuatedZones({}, std::nullopt);
   SendHeartbeat({}, KnownStart());
   EXPECT_EQ(m_server.Pace().perSecond, kPace);
   Run(milliseconds(900));
