Host daemons compress frames to hosts of other zones

Change: HostDaemon states in the Hello of each accepted connection that it reads compressed blocks. PeersTask states it on connections to peers for which a function of HostDaemon returns true: those whose host record names another zone. pistachiod does neither. pistachio_inner_bytes_total counts bytes before and after.

--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -30,6 +30,8 @@
   std::function<void(const StateReply&)> update;
   std::function<void(const RangeRelease&)> release;
   std::function<void(const ConfigurationUpdate&)> configuration;
+  /// Set if peers may ask for compression; counts the bytes.
+  std::shared_ptr<FrameByteTotals> compression;
   /// A frame could not be handled; its connection ends.
   std::function<void(std::string_view)> error;
 };
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -25,15 +25,18 @@
 void
 InnerSession::Start(int aSocket)
 {
-  m_connection = Connection::Accept(m_task.m_base,
-                                    m_task.m_clock,
-                                    aSocket,
-                                    ConnectionSettings(),
-                                    weak_from_this());
+  const auto& compression = m_task.m_services.compression;
+  ConnectionSettings settings;
+  settings.byteTotals = compression;
+  m_connection = Connection::Accept(
+    m_task.m_base, m_task.m_clock, aSocket, settings, weak_from_this());
   m_told = m_task.m_calls.Position();
   m_connection->SetPosition(m_told);
-  m_connection->Send(
-    Hello{ m_task.m_boot, Hello::kProtocol, m_task.m_services.self(), m_told });
+  m_connection->Send(Hello{ m_task.m_boot,
+                            Hello::kProtocol,
+                            m_task.m_services.self(),
+                            m_told,
+                            compression ? kDeflateBlocks : 0 });
 }
 
 void
--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -45,6 +45,9 @@
                                "Entries started and stopped on this daemon"))
   , m_outcomeQueries(AddCounters("pistachio_outcome_queries_total",
                                  "Answers to outcome queries, by state"))
+  , m_innerBytes(AddCounters("pistachio_inner_bytes_total",
+                             "Bytes on compressed connections to other "
+                             "daemons, by direction and form"))
   , m_latency(prometheus::BuildHistogram()
                 .Name("pistachio_request_seconds")
                 .Help("Time from the head of a request to the end of its "
@@ -156,6 +159,16 @@
   CountLabel(m_outcomeQueries, "state", aState);
 }
 
+void
+Metrics::SetInnerBytes(std::string_view aDirection,
+                       std::string_view aForm,
+                       uint64_t aBytes)
+{
+  auto& counter = m_innerBytes.Add({ { "direction", std::string(aDirection) },
+                                     { "form", std::string(aForm) } });
+  counter.Increment(static_cast<double>(aBytes) - counter.Value());
+}
+
 void
 Metrics::ObserveLatency(Duration aLatency)
 {
--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_METRICS_H
 #define PISTACHIOSHIFT_DAEMON_METRICS_H
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,6 +40,12 @@
   void CountControlRefusal(std::string_view aReason);
   void CountEntryChange(std::string_view aChange);
   void CountOutcomeQuery(std::string_view aState);
+  /** \brief Sets the bytes of compressed connections to other daemons.
+   * \param aDirection sent or received
+   * \param aForm frames (uncompressed) or wire */
+  void SetInnerBytes(std::string_view aDirection,
+                     std::string_view aForm,
+                     uint64_t aBytes);
   void ObserveLatency(Duration aLatency);
 
   /** \brief Sets a gauge without labels, such as pistachio_in_flight. */
@@ -68,6 +75,7 @@
   Counters& m_controlRefusals;
   Counters& m_entryChanges;
   Counters& m_outcomeQueries;
+  Counters& m_innerBytes;
   prometheus::Histogram& m_latency;
 };
 
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -30,11 +30,7 @@
 {
   if (!Connected()) {
     m_link = std::make_shared<PeerLink>(*this);
-    m_link->Connect(
-      m_task.m_base,
-      m_task.m_clock,
-      m_endpoint,
-      Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
+    m_link->Connect(m_task.m_base, m_task.m_clock, m_endpoint, MakeHello());
   }
   return *m_link;
 }
@@ -44,14 +40,22 @@
 {
   auto link = std::make_shared<PeerLink>(*this);
   m_queryLinks.push_back(link);
-  link->Connect(
-    m_task.m_base,
-    m_task.m_clock,
-    m_endpoint,
-    Hello{ m_task.m_boot, Hello::kProtocol, DaemonId(), TablePosition() });
+  link->Connect(m_task.m_base, m_task.m_clock, m_endpoint, MakeHello());
   return link;
 }
 
+Hello
+Peer::MakeHello() const
+{
+  const auto& isCompressed = m_task.m_isCompressed;
+  const bool compressed = isCompressed && isCompressed(m_endpoint);
+  return Hello{ m_task.m_boot,
+                Hello::kProtocol,
+                DaemonId(),
+                TablePosition(),
+                compressed ? kDeflateBlocks : 0 };
+}
+
 const ConnectionSettings&
 Peer::Settings() const
 {
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -130,6 +130,8 @@
   std::optional<BootId> BootOf(const RequestId& aRequest) const;
 
 private:
+  Hello MakeHello() const;
+
   PeersTask& m_task;
   Endpoint m_endpoint;
   std::shared_ptr<PeerLink> m_link;
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -22,6 +22,14 @@
 
 PeersTask::~PeersTask() = default;
 
+void
+PeersTask::SetCompression(std::function<bool(const Endpoint&)> aIsCompressed,
+                          std::shared_ptr<FrameByteTotals> aTotals)
+{
+  m_isCompressed = std::move(aIsCompressed);
+  m_settings.byteTotals = std::move(aTotals);
+}
+
 std::shared_ptr<Peer>
 PeersTask::Find(const Endpoint& aPeer)
 {
--- a/src/Daemon/PeersTask.h
+++ b/src/Daemon/PeersTask.h
@@ -39,6 +39,14 @@
             const ConnectionSettings& aSettings = {});
   ~PeersTask();
 
+  /**
+   * \brief Sets which peers are asked to compress the frames of connections
+   * that are opened from now on; none by default.
+   * \param aTotals counts their bytes.
+   */
+  void SetCompression(std::function<bool(const Endpoint&)> aIsCompressed,
+                      std::shared_ptr<FrameByteTotals> aTotals);
+
   /** \brief Starts an attempt at another daemon; it fails at once, as not
    * sent, while that daemon is known to be unreachable. */
   std::shared_ptr<Call> Start(const Endpoint& aPeer,
@@ -106,6 +114,7 @@
   const Logger& m_logger;
   Metrics& m_metrics;
   ConnectionSettings m_settings;
+  std::function<bool(const Endpoint&)> m_isCompressed;
   std::map<Endpoint, std::shared_ptr<Peer>> m_peers;
   /// Calls to peers that cannot be reached.
   std::vector<std::shared_ptr<RemoteCall>> m_unreachable;
--- a/src/HostDaemon/HostDaemon.cpp
+++ b/src/HostDaemon/HostDaemon.cpp
@@ -81,6 +81,9 @@
   aState.AddListener(m_broadcaster);
   aState.SetOnAppended(
     [this](const StateUpdate& aUpdate) { m_broadcaster.OnAppended(aUpdate); });
+  m_peers.SetCompression(
+    [this](const Endpoint& aPeer) { return IsInOtherZone(aPeer); },
+    m_byteTotals);
   m_server.SetOnReleased(
     [this](RangeRelease aRelease) { m_releases.Send(std::move(aRelease)); });
   aState.SetOnUnavailable([this] { QueryPeers(); });
@@ -128,6 +131,7 @@
     return RecordsReply{ aQuery.stream, {} };
   };
   services.load = [](const LoadReport&) {};
+  services.compression = m_byteTotals;
   return services;
 }
 
@@ -147,6 +151,17 @@
   return reply;
 }
 
+bool
+HostDaemon::IsInOtherZone(const Endpoint& aPeer) const
+{
+  const auto& hosts = m_state.State().Hosts();
+  const auto found =
+    std::find_if(hosts.begin(), hosts.end(), [&](const auto& aItem) {
+      return aItem.second.inner == aPeer;
+    });
+  return found != hosts.end() && found->second.zone != m_settings.zone;
+}
+
 void
 HostDaemon::QueryPeers()
 {
@@ -294,6 +309,10 @@
   set("pistachio_store_end", m_state.End().offset);
   set("pistachio_store_era", m_state.End().era.Value());
   set("pistachio_store_returns", m_state.Returns());
+  m_metrics.SetInnerBytes("sent", "frames", m_byteTotals->sentFrames);
+  m_metrics.SetInnerBytes("sent", "wire", m_byteTotals->sentWire);
+  m_metrics.SetInnerBytes("received", "frames", m_byteTotals->receivedFrames);
+  m_metrics.SetInnerBytes("received", "wire", m_byteTotals->receivedWire);
   set("pistachio_coordinator", m_coordinator.Active() ? 1 : 0);
   const auto configuration = m_coordinator.Configuration();
   set("pistachio_config_position", configuration.position.offset);
--- a/src/HostDaemon/HostDaemon.h
+++ b/src/HostDaemon/HostDaemon.h
@@ -122,6 +122,7 @@
   InnerServices MakeInnerServices();
   std::optional<StateReply> AnswerState(const StateQuery& aQuery) const;
   void QueryPeers();
+  bool IsInOtherZone(const Endpoint& aPeer) const;
   void OnLeaveTick();
   void LogLeaveEnd(const LeaveWork& aWork) const;
   OperatorAnswer RenderMetrics();
@@ -134,6 +135,8 @@
   Metrics& m_metrics;
   RandomEngine& m_random;
   BootId m_boot;
+  std::shared_ptr<FrameByteTotals> m_byteTotals =
+    std::make_shared<FrameByteTotals>();
   RangeServerTask m_server;
   PeersTask m_peers;
   RangeRouter m_router;
