--- a/bench/InnerBench.cpp
+++ b/bench/InnerBench.cpp
@@ -1,5 +1,12 @@
+#include <functional>
+#include <memory>
+#include <random>
+
+#include <malloc.h>
+
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
+#include <zlib.h>
 
 #include "Pistachioshift/Inner"
 #include "Pistachioshift/Ownership"
@@ -217,6 +224,124 @@
 BENCHMARK_CAPTURE(DecodeInnerFrame, body16K, SampleBody());
 BENCHMARK_CAPTURE(DecodeInnerFrame, loadReport, SampleLoadReport());
 
+/** Heads that differ as those of requests do, each with its length prefix. */
+std::vector<std::string>
+SampleHeads()
+{
+  constexpr size_t kHeads = 1000;
+  std::mt19937_64 random(20261204);
+  std::vector<std::string> heads;
+  for (size_t count = 0; count < kHeads; ++count) {
+    auto open = SampleRequest();
+    open.stream = StreamId(static_cast<int64_t>(count));
+    open.request = { random(), random() };
+    open.key = fmt::format("outlet-{:06}", random() % 1'000'000);
+    open.head.target = fmt::format("/v1/{}/specifications", open.key);
+    open.head.headers.Add("Host", "registry.internal");
+    open.head.headers.Add("Content-Type", "application/json");
+    open.head.headers.Add("X-Request-Id", fmt::format("{:016x}", random()));
+    open.head.headers.Add("X-Trace", fmt::format("{:016x}", random()));
+    open.remaining = std::chrono::microseconds(random() % 800'000);
+    open.fingerprint = RequestFingerprint(random());
+    heads.push_back(EncodeFrame(open));
+  }
+  return heads;
+}
+
+/** Bytes that are allocated now. */
+size_t
+AllocatedBytes()
+{
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+/** Memory of a stream after its first block. */
+template<class Stream, class Action>
+double
+MemoryOf(const std::function<std::unique_ptr<Stream>()>& aMake, Action aAction)
+{
+  const auto before = AllocatedBytes();
+  const auto stream = aMake();
+  aAction(*stream);
+  return static_cast<double>(AllocatedBytes() - before);
+}
+
+void
+SetBytes(benchmark::State& aState, size_t aPlain, size_t aWire, size_t aHeads)
+{
+  const auto heads = static_cast<double>(aHeads);
+  aState.counters["plain/head"] = static_cast<double>(aPlain) / heads;
+  aState.counters["wire/head"] = static_cast<double>(aWire) / heads;
+}
+
+// Arguments: windowBits, memLevel, strategy, heads in a batch. One item is one
+// head. Level 1.
+void
+CompressHeads(benchmark::State& aState)
+{
+  const auto heads = SampleHeads();
+  const internal::DeflateSettings settings{
+    .windowBits = static_cast<int>(aState.range(0)),
+    .memoryLevel = static_cast<int>(aState.range(1)),
+    .strategy = static_cast<int>(aState.range(2))
+  };
+  const auto batch = static_cast<size_t>(aState.range(3));
+  internal::BlockDeflater deflater(settings);
+  size_t next = 0;
+  size_t plain = 0;
+  size_t wire = 0;
+  for (auto _ : aState) {
+    std::string frames;
+    for (size_t count = 0; count < batch; ++count) {
+      frames += heads[next++ % heads.size()];
+    }
+    plain += frames.size();
+    wire += deflater.Deflate(frames).size();
+  }
+  SetBytes(aState, plain, wire, next);
+  aState.counters["memory"] = MemoryOf<internal::BlockDeflater>(
+    [&] { return std::make_unique<internal::BlockDeflater>(settings); },
+    [&](auto& aStream) { aStream.Deflate(heads[0]); });
+  aState.SetItemsProcessed(static_cast<int64_t>(next));
+}
+BENCHMARK(CompressHeads)
+  ->Args({ 12, 5, Z_DEFAULT_STRATEGY, 1 })
+  ->Args({ 12, 5, Z_FIXED, 1 })
+  ->Args({ 11, 4, Z_DEFAULT_STRATEGY, 1 })
+  ->Args({ 11, 4, Z_FIXED, 1 })
+  ->Args({ 13, 6, Z_DEFAULT_STRATEGY, 1 })
+  ->Args({ 15, 8, Z_DEFAULT_STRATEGY, 1 })
+  ->Args({ 12, 5, Z_DEFAULT_STRATEGY, 8 })
+  ->Args({ 12, 5, Z_FIXED, 8 });
+
+// Inflates blocks of one head each.
+void
+DecompressHeads(benchmark::State& aState)
+{
+  const auto heads = SampleHeads();
+  internal::BlockDeflater deflater;
+  std::vector<std::string> blocks;
+  blocks.reserve(heads.size());
+  for (const auto& head : heads) {
+    blocks.push_back(deflater.Deflate(head).substr(kFrameLengthBytes));
+  }
+  std::unique_ptr<internal::BlockInflater> inflater;
+  size_t next = 0;
+  for (auto _ : aState) {
+    const auto index = next++ % blocks.size();
+    if (index == 0) {
+      inflater = std::make_unique<internal::BlockInflater>();
+    }
+    benchmark::DoNotOptimize(inflater->Inflate(blocks[index]));
+  }
+  aState.counters["memory"] = MemoryOf<internal::BlockInflater>(
+    [] { return std::make_unique<internal::BlockInflater>(); },
+    [&](auto& aStream) { aStream.Inflate(blocks[0]); });
+  aState.SetItemsProcessed(static_cast<int64_t>(next));
+}
+BENCHMARK(DecompressHeads);
+
 /** Members with witness sets, and so many entries held by them. */
 OwnershipView
 SampleView(size_t aMembers, uint32_t aEntries)
