--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -47,6 +47,9 @@
                                  "Answers to outcome queries, by state"))
   , m_uploads(AddCounters("pistachio_uploads_total",
                           "Bodies received ahead of their requests, by event"))
+  , m_innerBytes(AddCounters("pistachio_inner_bytes_total",
+                             "Bytes on compressed connections to other "
+                             "daemons, by direction and form"))
   , m_latency(prometheus::BuildHistogram()
                 .Name("pistachio_request_seconds")
                 .Help("Time from the head of a request to the end of its "
@@ -164,6 +167,16 @@
   CountLabel(m_uploads, "event", aEvent);
 }
 
+void
+Metrics::SetInnerBytes(std::string_view aDirection,
+                       std::string_view aForm,
+                       uint64_t aBytes)
+{
+  auto& counter = m_innerBytes.Add({ { "direction", std::string(aDirection) },
+                                     { "form", std::string(aForm) } });
+  counter.Increment(static_cast<double>(aBytes) - counter.Value());
+}
+
 void
 Metrics::ObserveLatency(Duration aLatency)
 {
