--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -82,10 +82,10 @@
   , m_pool(aBase, aSettings.endpoint, PoolLimits())
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
   , m_healthTimer(aBase, [this] { OnHealthTimer(); })
-  , m_lastHeartbeat(aClock.Now())
-  , m_uploads(UploadSettings{}, aClock.Now())
   , m_pace(aClock.Now())
   , m_coldCheckTimer(aBase, [this] { OnColdCheckTimer(); })
+  , m_lastHeartbeat(aClock.Now())
+  , m_uploads(UploadSettings{}, aClock.Now())
   , m_acceptTimer(aBase, [this] { AcceptNewCalls(); })
   , m_gateTimer(aBase,
                 [this] { ApplyGateActions(m_gate->Expire(m_clock.Now())); })
