--- a/src/Routing/CalleeThrottle.cpp
+++ b/src/Routing/CalleeThrottle.cpp
@@ -9,15 +9,16 @@
 /** Fewer calls than this say nothing. */
 constexpr double kMinCalls = 8.0;
 
-/** Calls that are wanted for each answered one before requests are refused.
- * Below 1.5, single failures would refuse requests; with it, at most a third
- * of the calls of admitted requests fails for long. */
-constexpr double kWantedPerAnswer = 1.5;
+/** Calls that are wanted for each answered one before requests are refused. A
+ * callee that sheds half of its calls at random, although it has room, still
+ * answers some of the requests; with 1.5, a third of these would be refused
+ * while slots are free. */
+constexpr double kWantedPerAnswer = 3.0;
 
 /** The same factor while nearly all calls that are sent are answered. The rate
- * of admitted requests then grows by e^2 in each kMemory, from a tenth to all
- * of them in less than two seconds. */
-constexpr double kWantedPerAnswerInRecovery = 3.0;
+ * of admitted requests then grows from a tenth to all of them in less than two
+ * seconds. */
+constexpr double kWantedPerAnswerInRecovery = 5.0;
 constexpr double kRecoveredShare = 0.9;
 
 /** Calls end later than their request starts: after a fall of the load, more
--- a/test/Routing/CalleeThrottleTest.cpp
+++ b/test/Routing/CalleeThrottleTest.cpp
@@ -80,6 +80,16 @@
   EXPECT_EQ(m_throttle.WorstCallee(m_now), kCallee);
 }
 
+// Load pattern: all servers of the callee shed 55% of their calls, and retries
+// bring the answered share to a half. Guards against requests that are refused
+// although half of them would be answered.
+TEST_F(CalleeThrottleTest, CalleeShedsHalfOfItsCalls_AllAdmitted)
+{
+  constexpr double kCallsPerSecond = 0.7 * kPerSecond;
+  const auto sums = Run(seconds(8), 0.5 * kCallsPerSecond);
+  EXPECT_EQ(sums.admitted, sums.arrived);
+}
+
 // The callee recovers. Guards against a throttle that keeps itself in force.
 TEST_F(CalleeThrottleTest, CalleeRecovers_AllAdmittedWithinSeconds)
 {
