--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOSHIFT_DAEMON_METRICS_H
 #define PISTACHIOSHIFT_DAEMON_METRICS_H
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -40,6 +41,12 @@
   void CountEntryChange(std::string_view aChange);
   void CountOutcomeQuery(std::string_view aState);
   void CountUpload(std::string_view aEvent);
+  /** \brief Sets the bytes of compressed connections to other daemons.
+   * \param aDirection sent or received
+   * \param aForm frames (uncompressed) or wire */
+  void SetInnerBytes(std::string_view aDirection,
+                     std::string_view aForm,
+                     uint64_t aBytes);
   void ObserveLatency(Duration aLatency);
 
   /** \brief Sets a gauge without labels, such as pistachio_in_flight. */
@@ -70,6 +77,7 @@
   Counters& m_entryChanges;
   Counters& m_outcomeQueries;
   Counters& m_uploads;
+  Counters& m_innerBytes;
   prometheus::Histogram& m_latency;
 };
 
