--- a/test/Routing/RetryAfterTest.cpp
+++ b/test/Routing/RetryAfterTest.cpp
@@ -16,6 +16,7 @@
 {
   for (const auto left : { milliseconds(600), milliseconds(1500) }) {
     std::vector<Duration> returns;
+    returns.reserve(100);
     for (int caller = 0; caller < 100; ++caller) {
       returns.push_back(
         SpreadRetryAfter(milliseconds(700), left, caller / 100.0));
