The number of requests at once is paced only where a pace is stated

Cause: without a stated pace, a server that had started or recovered began with two requests at once and left its keys waiting. Ruled out: the stated pace, which neither deployment has. Change: UpdatePace drops the number of slots unless a pace is stated; a test.

--- a/src/HostDaemon/RangeServerPace.cpp
+++ b/src/HostDaemon/RangeServerPace.cpp
@@ -122,7 +122,11 @@
   }
   const auto now = m_clock.Now();
   LogPace(m_pace.Reason(now));
-  const auto limits = m_pace.Limits(now);
+  auto limits = m_pace.Limits(now);
+  if (!m_pace.HasStatedPace()) {
+    // Without a stated pace, fewer requests at once served callers less.
+    limits.slots.reset();
+  }
   if (limits != m_paceLimits) {
     m_paceLimits = limits;
     ApplyGateActions(m_gate->SetPace(limits.perSecond, limits.slots, now));
--- a/src/Routing/ServerPace.h
+++ b/src/Routing/ServerPace.h
@@ -137,6 +137,9 @@
   PaceLimits Limits(MonoTime aNow) const;
   PaceReason Reason(MonoTime aNow) const;
 
+  /** \brief Whether the configuration states a pace. */
+  bool HasStatedPace() const { return m_stated.perSecond > 0.0; }
+
 private:
   struct RunningRequest
   {
@@ -145,7 +148,6 @@
     MonoTime started;
   };
 
-  bool HasStatedPace() const { return m_stated.perSecond > 0.0; }
   bool IsCold(MonoTime aNow) const;
   void UpdateCold(MonoTime aNow);
   void BeginSlowStart(MonoTime aNow);
--- a/test/platform/ServerPaceTaskTest.cpp
+++ b/test/platform/ServerPaceTaskTest.cpp
@@ -125,6 +125,16 @@
   EXPECT_EQ(m_server.Pace(), PaceLimits{});
 }
 
+/** Guards against a restarted server that is left idle where no pace is stated:
+ * its slots and the expected service times limit it well enough. */
+TEST_F(ServerPaceTaskTest, NoPaceStated_ServerRestarts_IsNotLimited)
+{
+  Join();
+  Load(milliseconds(300));
+  SendHeartbeat(milliseconds(3000), LaterStart());
+  EXPECT_EQ(m_server.Pace(), PaceLimits{});
+}
+
 /** Guards against a change for deployments that state no pace, whose daemon or
  * system merely starts. */
 TEST_F(ServerPaceTaskTest, NoPaceStated_ServerKeptRunning_IsNotLimited)
