--- a/src/Daemon/RequestRouter.h
+++ b/src/Daemon/RequestRouter.h
@@ -28,7 +28,7 @@
   std::optional<DaemonId> last;  ///< Daemon of the last attempt.
   std::vector<DaemonId> refused; ///< Refused with kNotOwner.
   uint32_t attempts = 0;
-  bool upload = false; ///< Needs room on the link of the daemon chosen.
+  bool upload = false; ///< The link of the chosen host admits the body.
 
   bool Refused(DaemonId aDaemon) const
   {
--- a/src/Ranges/MoveValue.h
+++ b/src/Ranges/MoveValue.h
@@ -32,7 +32,8 @@
   double capacity = 1.0;
 };
 
-/** \brief What a move, and the move in return if there is one, would change. */
+/** \brief What a move, and the opposite move of an exchange if there is one,
+ * would change. */
 struct MoveEffect
 {
   double load = 0.0;     ///< Load that the receiver has more than before.
--- a/src/Ranges/Rebalancer.cpp
+++ b/src/Ranges/Rebalancer.cpp
@@ -27,8 +27,8 @@
  * a failed host become one free row. */
 constexpr double kBorderBonus = 0.1;
 
-/** Maximum load of the row given in return, as a share of the load moved. */
-constexpr double kMaxReturnShare = 0.5;
+/** Maximum load of the row handed back, as a share of the load moved. */
+constexpr double kMaxSwapShare = 0.5;
 
 /** Load from which the hottest key of a host stays, as a share of the host's
  * capacity. Its neighbours are moved instead. */
@@ -272,7 +272,7 @@
   if (aTo.rows < m_settings.maxRows) {
     return true;
   }
-  // The receiver gives a row in return.
+  // The receiver hands back a row.
   const auto donorRows = aFrom.rows - (aWholeRow ? 1 : 0);
   return !aTo.ranges.empty() && donorRows < m_settings.maxRows &&
          aFrom.transient < kMaxRowsPerHost;
@@ -290,11 +290,11 @@
   const auto moved = aLoad.LoadOf(aExchange.range);
   MoveEffect effect{ moved, moved, 0.0 };
   double keys = aExchange.range.Size();
-  if (aExchange.inReturn) {
-    const auto load = aLoad.LoadOf(*aExchange.inReturn);
+  if (aExchange.swappedRow) {
+    const auto load = aLoad.LoadOf(*aExchange.swappedRow);
     effect.load -= load;
     effect.waiting += load;
-    keys += aExchange.inReturn->Size();
+    keys += aExchange.swappedRow->Size();
   }
   effect.keyShare = keys / kShardKeys;
   return MovePays({ aFrom.load, aFrom.target->capacity },
@@ -365,12 +365,12 @@
   if (!piece || aLeastUtilized.rows < m_settings.maxRows) {
     return piece ? std::optional(Exchange{ *piece, {} }) : std::nullopt;
   }
-  const auto* inReturn = LeastLoadedRow(aLeastUtilized, aLoad);
-  if (inReturn == nullptr ||
-      aLoad.LoadOf(*inReturn) > kMaxReturnShare * aLoad.LoadOf(*piece)) {
+  const auto* swappedRow = LeastLoadedRow(aLeastUtilized, aLoad);
+  if (swappedRow == nullptr ||
+      aLoad.LoadOf(*swappedRow) > kMaxSwapShare * aLoad.LoadOf(*piece)) {
     return std::nullopt;
   }
-  const Exchange exchange{ *piece, *inReturn };
+  const Exchange exchange{ *piece, *swappedRow };
   const bool pays = Pays(aMostUtilized, aLeastUtilized, exchange, aLoad);
   return pays ? std::optional(exchange) : std::nullopt;
 }
@@ -404,8 +404,8 @@
       continue;
     }
     Move(mostUtilized, leastUtilized, chosen->range, aLoad, aMoves);
-    if (chosen->inReturn) {
-      Move(leastUtilized, mostUtilized, *chosen->inReturn, aLoad, aMoves);
+    if (chosen->swappedRow) {
+      Move(leastUtilized, mostUtilized, *chosen->swappedRow, aLoad, aMoves);
     }
   }
 }
--- a/src/Ranges/Rebalancer.h
+++ b/src/Ranges/Rebalancer.h
@@ -58,11 +58,11 @@
   double Utilization() const { return load / target->capacity; }
 };
 
-/** \brief Range to be moved, and the row that the receiver gives in return. */
+/** \brief Range to be moved, and the row that the receiver hands back. */
 struct Exchange
 {
   KeyRange range;
-  std::optional<KeyRange> inReturn;
+  std::optional<KeyRange> swappedRow;
 };
 
 }
@@ -75,7 +75,7 @@
  * hot keys are spread over hosts. A move between hosts with load must relieve
  * more than it costs, and the hottest key of a host stays. Hosts without load
  * get a range at any utilization. Whole rows are preferred if the receiver has
- * many rows; at the limit it gives a whole row in return.
+ * many rows; at the limit it hands back a whole row.
  */
 class Rebalancer
 {
