Tests: hosts with hostile servers in a header, answers that are reset

HostileServer can answer as soon as it has the head of a request and reset the connection later, with the rest of the request unread.

--- a/test/process/HostileServerSupport.cpp
+++ b/test/process/HostileServerSupport.cpp
@@ -58,6 +58,24 @@
   return aRequest.substr(begin, aRequest.find('\r', begin) - begin);
 }
 
+std::string
+PathOf(const std::string& aRequest)
+{
+  const auto begin = aRequest.find(' ') + 1;
+  return aRequest.substr(begin, aRequest.find(' ', begin) - begin);
+}
+
+/** Resets the connection and leaves the descriptor open for other threads. */
+void
+Reset(int aSocket)
+{
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  if (connect(aSocket, &none, sizeof none) != 0) {
+    throw std::runtime_error("can't reset a connection");
+  }
+}
+
 std::string
 Block(const HostileAnswer& aAnswer)
 {
@@ -131,6 +149,11 @@
   ssize_t count = 0;
   while ((count = recv(aSocket, buffer, sizeof(buffer), 0)) > 0) {
     request.append(buffer, static_cast<size_t>(count));
+    const bool headDone = request.find("\r\n\r\n") != std::string::npos;
+    if (headDone && AnswerTo(request).resets) {
+      Answer(aSocket, request);
+      return;
+    }
     if (request.ends_with("\r\n\r\n")) {
       Answer(aSocket, request);
       request.clear();
@@ -139,22 +162,33 @@
   shutdown(aSocket, SHUT_RDWR);
 }
 
+const HostileAnswer&
+HostileServer::AnswerTo(const std::string& aRequest) const
+{
+  const auto path = PathOf(aRequest);
+  const bool rest = !HeaderOf(aRequest, "Range").empty();
+  return m_answers.at(rest ? path + " rest" : path);
+}
+
 void
 HostileServer::Answer(int aSocket, const std::string& aRequest)
 {
-  const auto begin = aRequest.find(' ') + 1;
-  const auto path = aRequest.substr(begin, aRequest.find(' ', begin) - begin);
   {
     const std::scoped_lock lock(m_mutex);
-    ++m_requests[path];
+    ++m_requests[PathOf(aRequest)];
   }
-  const bool rest = !HeaderOf(aRequest, "Range").empty();
-  const auto& answer = m_answers.at(rest ? path + " rest" : path);
+  const auto& answer = AnswerTo(aRequest);
   auto start = answer.start;
   if (const auto at = start.find("{id}"); at != std::string::npos) {
     start.replace(at, 4, HeaderOf(aRequest, "Pistachioshift-Attempt-Id"));
   }
-  if (!SendAll(aSocket, start) || answer.closes) {
+  const bool sent = SendAll(aSocket, start);
+  if (answer.resets) {
+    std::this_thread::sleep_for(answer.interval);
+    Reset(aSocket);
+    return;
+  }
+  if (!sent || answer.closes) {
     shutdown(aSocket, SHUT_RDWR);
     return;
   }
--- a/test/process/HostileServerSupport.h
+++ b/test/process/HostileServerSupport.h
@@ -22,6 +22,9 @@
   std::string unit;                     ///< Empty: the answer is complete.
   std::chrono::milliseconds interval{}; ///< Between units; 0: at full speed.
   bool closes = false; ///< Closes the connection after the start.
+  /// Is sent as soon as the head of a request is there. The rest of the request
+  /// is left unread, and the connection is reset after the interval.
+  bool resets = false;
 };
 
 /**
@@ -45,6 +48,7 @@
 private:
   void Accept();
   void Serve(int aSocket);
+  const HostileAnswer& AnswerTo(const std::string& aRequest) const;
   void Answer(int aSocket, const std::string& aRequest);
 
   std::map<std::string, HostileAnswer> m_answers;
