An answer without a length that is reset during the upload isn't complete

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer. The platform's store read in the same way: an append whose answer was cut like that counted as accepted.

Cause: Linux reports the error of a socket once. The write of the upload took the ECONNRESET; HttpClient goes on reading after a failed write, because the answer may still be on its way, and the read then saw an ordinary end of file. For a body that ends with its connection this is its end. The reset was in nobody's hands: Stream passed on that a write had failed, but not with which error.

Change: Stream keeps that a write has taken an error and reports the end of the input after it as a reset. EPIPE is left out: the socket gives it only if the peer had ended its output before the reset, and then all of the answer has arrived; a server may answer early, end its output and refuse the rest of the request. It is in Stream, so it holds for every reader: servers, probes and the store. Answers with a length or chunks have their own end and are read as before.

Ruled out: reading until an error before the write is retried (the error is gone by then, whichever call comes first), and taking each failed write for a cut (it loses whole answers, AnswerWithoutLength_EndsDuringTheUpload_IsWhole).

--- a/src/Http/internal/Stream.cpp
+++ b/src/Http/internal/Stream.cpp
@@ -28,18 +28,6 @@
   return recv(aSocket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
 }
 
-void
-HandleRead(bufferevent* /*aStream*/, void* aHandler)
-{
-  static_cast<StreamHandler*>(aHandler)->OnReadable();
-}
-
-void
-HandleWrite(bufferevent* /*aStream*/, void* aHandler)
-{
-  static_cast<StreamHandler*>(aHandler)->OnWritable();
-}
-
 void
 HandleReadAgain(evutil_socket_t /*aSocket*/, short /*aWhat*/, void* aHandler)
 {
@@ -66,6 +54,7 @@
                const StreamBounds& aBounds,
                StreamHandler& aHandler)
   : m_bounds(aBounds)
+  , m_handler(aHandler)
   , m_stream(bufferevent_socket_new(aBase, aSocket, BEV_OPT_CLOSE_ON_FREE))
   , m_timer(event_new(aBase, -1, 0, HandleTimer, &aHandler))
   , m_readAgain(event_new(aBase, -1, 0, HandleReadAgain, &aHandler))
@@ -73,8 +62,7 @@
   if (aSocket >= 0) {
     SetNoDelay(aSocket);
   }
-  bufferevent_setcb(
-    m_stream.get(), HandleRead, HandleWrite, HandleEvent, &aHandler);
+  bufferevent_setcb(m_stream.get(), HandleRead, HandleWrite, HandleEvent, this);
   bufferevent_setwatermark(
     m_stream.get(), EV_READ, 0, aBounds.inputHighWatermark);
   bufferevent_setwatermark(
@@ -83,20 +71,37 @@
 }
 
 void
-Stream::HandleEvent(bufferevent* aStream, short aWhat, void* aHandler)
+Stream::HandleRead(bufferevent* /*aStream*/, void* aSelf)
+{
+  static_cast<Stream*>(aSelf)->m_handler.OnReadable();
+}
+
+void
+Stream::HandleWrite(bufferevent* /*aStream*/, void* aSelf)
+{
+  static_cast<Stream*>(aSelf)->m_handler.OnWritable();
+}
+
+void
+Stream::HandleEvent(bufferevent* aStream, short aWhat, void* aSelf)
 {
-  auto* handler = static_cast<StreamHandler*>(aHandler);
+  const int error = EVUTIL_SOCKET_ERROR();
+  auto* self = static_cast<Stream*>(aSelf);
+  StreamHandler& handler = self->m_handler; // May destroy the stream.
   if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
     SetNoDelay(bufferevent_getfd(aStream));
-    handler->OnConnected();
+    handler.OnConnected();
   } else if ((aWhat & BEV_EVENT_EOF) != 0) {
-    handler->OnStreamEnd(StreamEnd::kEof);
+    handler.OnStreamEnd(self->m_reset ? StreamEnd::kReset : StreamEnd::kEof);
   } else if ((aWhat & BEV_EVENT_TIMEOUT) != 0) {
-    handler->OnStreamEnd(StreamEnd::kWriteStalled);
+    handler.OnStreamEnd(StreamEnd::kWriteStalled);
   } else if ((aWhat & BEV_EVENT_WRITING) != 0) {
-    handler->OnStreamEnd(StreamEnd::kWriteFailed);
+    // A socket reports its error once, and reads after that see an end of file.
+    // EPIPE is no such error: the peer had ended its output before the reset.
+    self->m_reset = self->m_reset || error != EPIPE;
+    handler.OnStreamEnd(StreamEnd::kWriteFailed);
   } else if ((aWhat & BEV_EVENT_ERROR) != 0) {
-    handler->OnStreamEnd(StreamEnd::kReset);
+    handler.OnStreamEnd(StreamEnd::kReset);
   }
 }
 
--- a/src/Http/internal/Stream.h
+++ b/src/Http/internal/Stream.h
@@ -14,7 +14,7 @@
 {
   kEof,
   kReset,
-  kWriteFailed, ///< Input may still arrive.
+  kWriteFailed, ///< Input may still arrive; its end is told by a later call.
   kWriteStalled,
 };
 
@@ -94,10 +94,14 @@
   evutil_socket_t Socket() const;
 
 private:
-  static void HandleEvent(bufferevent* aStream, short aWhat, void* aHandler);
+  static void HandleRead(bufferevent* aStream, void* aSelf);
+  static void HandleWrite(bufferevent* aStream, void* aSelf);
+  static void HandleEvent(bufferevent* aStream, short aWhat, void* aSelf);
 
   StreamBounds m_bounds;
+  StreamHandler& m_handler;
   bool m_held = false;
+  bool m_reset = false; ///< A write has taken the error of a reset.
   BufferEventPtr m_stream;
   EventPtr m_timer;
   EventPtr m_readAgain;
--- /dev/null
+++ b/test/Http/BrokenAnswerTest.cpp
@@ -0,0 +1,216 @@
+#include <array>
+#include <string>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include "src/Http/internal/SocketAddress.h"
+#include "test/Http/LoopbackSupport.h"
+
+namespace pistachioshift::test {
+namespace {
+
+constexpr size_t kUploadBytes = 16 * internal::kKiB * internal::kKiB;
+constexpr int kRounds = 20;
+const std::string kPart = "part of the body";
+
+/** How a server ends the connection of an answer. */
+enum class AnswerEnd
+{
+  kReset,
+  kClose,          ///< Reads on until the client closes.
+  kCloseThenReset, ///< The client has the end of the answer before the reset.
+};
+
+/** Answers the first bytes of a connection and leaves the rest unread. */
+class EarlyAnswerServer
+{
+public:
+  EarlyAnswerServer(event_base* aBase, std::string aAnswer)
+    : m_base(aBase)
+    , m_answer(std::move(aAnswer))
+  {
+    const auto address = internal::HttpAddressOf(Endpoint{ "127.0.0.1", 0 });
+    m_listener.reset(evconnlistener_new_bind(
+      aBase,
+      [](
+        evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+        static_cast<EarlyAnswerServer*>(aSelf)->Accept(aSocket);
+      },
+      this,
+      LEV_OPT_CLOSE_ON_FREE,
+      -1,
+      address.Get(),
+      static_cast<int>(address.Length())));
+  }
+  ~EarlyAnswerServer()
+  {
+    if (m_socket >= 0) {
+      evutil_closesocket(m_socket);
+    }
+  }
+  EarlyAnswerServer(const EarlyAnswerServer&) = delete;
+  EarlyAnswerServer& operator=(const EarlyAnswerServer&) = delete;
+
+  /** Ends the connection together with the answer. */
+  void EndAtOnce(AnswerEnd aEnd) { m_endAtOnce = aEnd; }
+
+  void End(AnswerEnd aEnd)
+  {
+    if (aEnd != AnswerEnd::kReset) {
+      shutdown(m_socket, SHUT_WR);
+    }
+    if (aEnd == AnswerEnd::kClose) {
+      m_discards = true;
+      return;
+    }
+    m_readable.reset();
+    const linger reset{ 1, 0 };
+    setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    evutil_closesocket(std::exchange(m_socket, -1));
+  }
+
+  Endpoint LocalEndpoint() const
+  {
+    return internal::LocalEndpointOf(evconnlistener_get_fd(m_listener.get()));
+  }
+
+private:
+  void Accept(evutil_socket_t aSocket)
+  {
+    m_socket = aSocket;
+    m_readable.reset(event_new(
+      m_base,
+      aSocket,
+      EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* aSelf) {
+        static_cast<EarlyAnswerServer*>(aSelf)->Read();
+      },
+      this));
+    event_add(m_readable.get(), nullptr);
+  }
+
+  void Read()
+  {
+    std::array<char, 1024> bytes{};
+    if (std::exchange(m_answered, true) && !m_discards) {
+      return;
+    }
+    const auto count = recv(m_socket, bytes.data(), bytes.size(), 0);
+    if (m_discards) {
+      if (count <= 0) {
+        m_readable.reset();
+      }
+      return;
+    }
+    send(m_socket, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+    if (m_endAtOnce) {
+      End(*m_endAtOnce);
+    }
+  }
+
+  event_base* m_base;
+  std::string m_answer;
+  std::optional<AnswerEnd> m_endAtOnce;
+  internal::ListenerPtr m_listener;
+  internal::EventPtr m_readable;
+  evutil_socket_t m_socket = -1;
+  bool m_answered = false;
+  bool m_discards = false;
+};
+
+class BrokenAnswerTest : public LoopbackTest
+{
+protected:
+  /** Sends more than the sockets hold, so that it is still being written. */
+  std::shared_ptr<AnswerRecorder> Upload(const EarlyAnswerServer& aServer)
+  {
+    m_pool = std::make_unique<HttpClientPool>(
+      m_base.get(), aServer.LocalEndpoint(), m_clientLimits);
+    auto answer = std::make_shared<AnswerRecorder>();
+    m_exchange = m_pool->Start(
+      { .method = "PUT", .target = "/", .chunked = true }, answer);
+    m_exchange->SendBody(std::string(kUploadBytes, 'u'));
+    return answer;
+  }
+
+  bool Done(const std::shared_ptr<AnswerRecorder>& aAnswer)
+  {
+    return RunUntil([&] { return aAnswer->Done(); });
+  }
+
+  std::shared_ptr<ClientExchange> m_exchange;
+};
+
+std::string
+StatusLine(const std::string& aVersion)
+{
+  return "HTTP/" + aVersion + " 200 OK\r\n";
+}
+
+}
+
+// Guards against a part of a body that is passed on as a whole answer, because
+// a write of the request has taken the error of the reset connection.
+TEST_F(BrokenAnswerTest, AnswerWithoutLength_ResetDuringTheUpload_IsTruncated)
+{
+  for (const auto* version : { "1.1", "1.0" }) {
+    for (int round = 0; round < kRounds; ++round) {
+      EarlyAnswerServer server(m_base.get(),
+                               StatusLine(version) + "\r\n" + kPart);
+      const auto answer = Upload(server);
+      ASSERT_TRUE(RunUntil([&] { return answer->body == kPart; }));
+      server.End(AnswerEnd::kReset);
+      ASSERT_TRUE(Done(answer));
+      EXPECT_FALSE(answer->ended) << version << " round " << round;
+      EXPECT_EQ(answer->failure, ClientFailure::kTruncatedAnswer);
+    }
+  }
+}
+
+// As above; the answer and the reset reach the client together.
+TEST_F(BrokenAnswerTest, AnswerWithoutLength_ResetAtOnce_IsNotWhole)
+{
+  for (int round = 0; round < kRounds; ++round) {
+    EarlyAnswerServer server(m_base.get(), StatusLine("1.1") + "\r\n" + kPart);
+    server.EndAtOnce(AnswerEnd::kReset);
+    const auto answer = Upload(server);
+    ASSERT_TRUE(Done(answer));
+    EXPECT_FALSE(answer->ended) << "round " << round;
+    EXPECT_TRUE(answer->failure.has_value());
+  }
+}
+
+// As above; the reset comes while the reader of the answer holds it up.
+TEST_F(BrokenAnswerTest, AnswerWithoutLength_ResetWhilePaused_IsTruncated)
+{
+  EarlyAnswerServer server(m_base.get(), StatusLine("1.1") + "\r\n" + kPart);
+  const auto answer = Upload(server);
+  ASSERT_TRUE(RunUntil([&] { return answer->body == kPart; }));
+  m_exchange->PauseBody();
+  server.End(AnswerEnd::kReset);
+  RunBriefly();
+  EXPECT_FALSE(answer->Done());
+  m_exchange->ResumeBody();
+  ASSERT_TRUE(Done(answer));
+  EXPECT_EQ(answer->failure, ClientFailure::kTruncatedAnswer);
+}
+
+// Guards against the loss of a whole answer: a server may answer early and end
+// its output with the answer, whatever becomes of the request.
+TEST_F(BrokenAnswerTest, AnswerWithoutLength_EndsDuringTheUpload_IsWhole)
+{
+  for (const auto end : { AnswerEnd::kClose, AnswerEnd::kCloseThenReset }) {
+    for (int round = 0; round < kRounds; ++round) {
+      EarlyAnswerServer server(m_base.get(),
+                               StatusLine("1.1") + "\r\n" + kPart);
+      server.EndAtOnce(end);
+      const auto answer = Upload(server);
+      ASSERT_TRUE(Done(answer));
+      EXPECT_TRUE(answer->ended) << "round " << round;
+      EXPECT_EQ(answer->body, kPart);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/test/process/BrokenAnswerTest.cpp
@@ -0,0 +1,181 @@
+#include "test/process/HostilePlatformSupport.h"
+
+#include <charconv>
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace pistachioshift::test {
+
+namespace {
+
+/** More than the sockets on the way hold. */
+constexpr size_t kUploadBytes = size_t{ 16 } * 1024 * 1024;
+constexpr int kRounds = 5;
+constexpr size_t kHosts = 2;
+/** Time for the answer to reach the caller before its connection is reset. */
+constexpr milliseconds kBeforeReset(100);
+
+const std::string kPart = "part of the body";
+
+/** A caller that sends a request and reads until the connection ends. */
+class WholeCaller
+{
+public:
+  WholeCaller(uint16_t aPort, std::string aRequest)
+    : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(aPort);
+    EXPECT_EQ(connect(m_socket,
+                      reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    m_sender = std::thread([this, request = std::move(aRequest)] {
+      size_t sent = 0;
+      ssize_t count = 1;
+      while (sent < request.size() && count > 0) {
+        count = send(
+          m_socket, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
+        sent += static_cast<size_t>(std::max<ssize_t>(count, 0));
+      }
+    });
+    Read();
+    shutdown(m_socket, SHUT_RDWR);
+    m_sender.join();
+    close(m_socket);
+  }
+  WholeCaller(const WholeCaller&) = delete;
+  WholeCaller& operator=(const WholeCaller&) = delete;
+
+  const std::string& Answer() const { return m_answer; }
+
+  int Status() const
+  {
+    constexpr size_t kAt = 9; // After the version.
+    constexpr size_t kDigits = 3;
+    int status = 0;
+    if (m_answer.size() > kAt + kDigits) {
+      std::from_chars(
+        m_answer.data() + kAt, m_answer.data() + kAt + kDigits, status);
+    }
+    return status;
+  }
+
+  /** Whether the answer has the end that its head announces. */
+  bool IsWhole() const
+  {
+    const auto head = m_answer.find("\r\n\r\n");
+    if (head == std::string::npos) {
+      return false;
+    }
+    if (m_answer.find("Transfer-Encoding: chunked") < head) {
+      return m_answer.ends_with("\r\n0\r\n\r\n");
+    }
+    const std::string length = "Content-Length: ";
+    if (const auto at = m_answer.find(length); at < head) {
+      const auto bytes = std::stoul(m_answer.substr(at + length.size()));
+      return m_answer.size() == head + 4 + bytes;
+    }
+    return m_orderly;
+  }
+
+private:
+  void Read()
+  {
+    pollfd wait{ m_socket, POLLIN, 0 };
+    constexpr milliseconds kLimit = kPatience;
+    while (poll(&wait, 1, static_cast<int>(kLimit.count())) > 0) {
+      char part[4096];
+      const auto count = recv(m_socket, part, sizeof(part), 0);
+      if (count <= 0) {
+        m_orderly = count == 0;
+        return;
+      }
+      m_answer.append(part, static_cast<size_t>(count));
+    }
+    ADD_FAILURE() << "the connection does not end";
+  }
+
+  int m_socket;
+  std::thread m_sender;
+  std::string m_answer;
+  bool m_orderly = false; ///< The connection was closed and not reset.
+};
+
+/** Answers to an upload, the same on each route. */
+std::map<std::string, HostileAnswer>
+ResetAnswers()
+{
+  std::map<std::string, HostileAnswer> answers;
+  for (const std::string route : { "/r/", "/w/", "/u/" }) {
+    for (const std::string version : { "1.1", "1.0" }) {
+      const auto start =
+        fmt::format("HTTP/{} 200 OK\r\n{}\r\n{}", version, kIdFields, kPart);
+      answers[route + version] = { start, "", kBeforeReset, false, true };
+    }
+  }
+  return answers;
+}
+
+}
+
+/** Answers that no caller may get, from servers next to either host. */
+class BrokenAnswerTest : public HostilePlatformTest
+{
+protected:
+  void Start(const std::map<std::string, HostileAnswer>& aAnswers)
+  {
+    StartStore();
+    AddHost(aAnswers);
+    AddHost({}); // Its server gets no request; its callers' go to the other.
+    StartHeartbeats(16);
+    for (size_t host = 0; host < kHosts; ++host) {
+      ASSERT_TRUE(WaitUntil([&] { return Ask("/r/ok", host).status == 200; }));
+    }
+  }
+
+  std::string RequestText(const std::string& aMethod,
+                          const std::string& aPath,
+                          const std::string& aVersion)
+  {
+    auto text = fmt::format("{} {} HTTP/{}\r\n", aMethod, aPath, aVersion);
+    for (const auto& [name, value] : MakeCall(aPath).headers) {
+      text += fmt::format("{}: {}\r\n", name, value);
+    }
+    return text + "Connection: close\r\n";
+  }
+
+  WholeCaller Upload(const std::string& aPath, size_t aHost)
+  {
+    auto text = RequestText("POST", aPath, "1.1");
+    text += fmt::format("Content-Length: {}\r\n\r\n", kUploadBytes);
+    text.append(kUploadBytes, 'u');
+    return WholeCaller(m_hosts[aHost].ports.callers, std::move(text));
+  }
+};
+
+// Guards against a part of a body that a caller gets as a whole answer.
+TEST_F(BrokenAnswerTest, Upload_AnswerWithoutLengthIsReset_IsNotWhole)
+{
+  Start(ResetAnswers());
+  for (size_t host = 0; host < kHosts; ++host) {
+    for (const auto& [path, answer] : ResetAnswers()) {
+      const auto before = m_hosts[0].backend->Requests(path);
+      for (int round = 0; round < kRounds; ++round) {
+        const auto caller = Upload(path, host);
+        const bool success = caller.Status() / 100 == 2;
+        EXPECT_FALSE(success && caller.IsWhole())
+          << path << " at " << host << ": " << caller.Answer();
+        EXPECT_TRUE(success || caller.Status() == 502)
+          << path << " at " << host << ": " << caller.Answer();
+      }
+      EXPECT_GT(m_hosts[0].backend->Requests(path), before) << path;
+    }
+  }
+}
+
+}
