A status with more than three digits makes an answer malformed

Callers saw: a server answered with the status 0200 or 00200, and the caller got its answer as a 200. From the store, such an answer to an append was taken for an accepted one.

Cause: http_parser reads the digits of a status as a number of any length up to 999, so leading zeros vanish. HttpClient checks only the number.

Change: AnswerHeadCheck sees the bytes of an answer's head as they arrived and counts the digits of its status. The head is malformed unless there are three (RFC 9112, 4): callers get 502, the store's appends are unknown and its reads failed. MessageParser holds it, so it is the same for all that read with HttpClient. The range of a status (100 to 599) is checked there too instead of in ClientConnection, and by the writer: Http_HeadRoundTripTest found that the parser took 000, which the writer sent as `0`, a status that is refused now.

The tests failed before, on: Http_BrokenAnswerTest (Status_NotThreeDigits_IsMalformed: 0200 and 00200, with and without a reason), process_BrokenAnswerTest (Status_NotThreeDigits_IsBadGateway: 200 at the callers of both daemons, on idempotent and non-idempotent routes), process_BrokenStoreAnswerTest (Calls_HeadIsMalformed_HaveNoAnswer: accepted, and read as records). They pass now.

--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -6,9 +6,7 @@
 namespace {
 
 constexpr int kSwitchingProtocols = 101;
-constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
 
 }
 
@@ -229,9 +227,7 @@
 ClientConnection::HandleHead()
 {
   ResponseHead head = m_parser.TakeResponseHead();
-  const bool isStatus =
-    head.status >= kFirstStatus && head.status <= kLastStatus;
-  if (!isStatus || head.status == kSwitchingProtocols) {
+  if (head.status == kSwitchingProtocols) {
     Fail(ClientFailure::kMalformedAnswer);
     return;
   }
--- a/src/Http/internal/MessageParser.cpp
+++ b/src/Http/internal/MessageParser.cpp
@@ -76,6 +76,7 @@
   m_headDone = false;
   m_lastWasName = false;
   m_headBytes = 0;
+  m_answerCheck = {};
   m_headerCount = 0;
   m_target.clear();
   m_name.clear();
@@ -193,7 +194,7 @@
   if (!inHead || step.event == ParseEvent::kError) {
     return step;
   }
-  m_headBytes += step.consumed;
+  AddToHead(aInput, step);
   if (m_headBytes > m_bounds.maxBytes || m_headerCount > m_bounds.maxHeaders) {
     return Fail(ParseProblem::kHeadTooLarge);
   }
@@ -203,6 +204,17 @@
   return step;
 }
 
+void
+MessageParser::AddToHead(std::string_view aInput, const ParseStep& aStep)
+{
+  m_headBytes += aStep.consumed;
+  if (m_kind == MessageKind::kResponse) {
+    // http_parser tells of a head before it takes the last byte of it.
+    const size_t last = aStep.event == ParseEvent::kHead ? 1 : 0;
+    m_answerCheck.Add(aInput.substr(0, aStep.consumed + last));
+  }
+}
+
 ParseStep
 MessageParser::StepEof()
 {
@@ -217,6 +229,10 @@
     return false;
   }
   m_problem = ParseProblem::kMalformed;
+  if (m_kind == MessageKind::kResponse &&
+      !(m_answerCheck.IsValid() && IsStatus(m_parser.status_code))) {
+    return false;
+  }
   for (const Header& field : m_headers) {
     if (!IsToken(field.name) || !IsFieldValue(field.value)) {
       return false;
--- a/src/Http/internal/MessageParser.h
+++ b/src/Http/internal/MessageParser.h
@@ -8,6 +8,7 @@
 #include <http_parser.h>
 
 #include "src/Http/Message.h"
+#include "src/Http/internal/AnswerHeadCheck.h"
 
 namespace pistachioshift::internal {
 
@@ -85,6 +86,7 @@
   int Emit(ParseEvent aEvent);
   ParseStep Run(const char* aData, size_t aSize);
   ParseStep Fail(ParseProblem aProblem);
+  void AddToHead(std::string_view aInput, const ParseStep& aStep);
   bool CheckHead();
   bool CheckRequest();
   bool CheckFraming();
@@ -97,6 +99,7 @@
   bool m_headDone = false;
   bool m_lastWasName = false;
   size_t m_headBytes = 0;
+  AnswerHeadCheck m_answerCheck;
   size_t m_headerCount = 0;
   std::string m_target;
   std::string m_name;
--- a/src/Http/internal/MessageWriter.cpp
+++ b/src/Http/internal/MessageWriter.cpp
@@ -151,6 +151,9 @@
                   Framing aFraming,
                   Persistence aPersistence)
 {
+  if (!IsStatus(static_cast<unsigned int>(aHead.status))) {
+    throw HttpError(fmt::format("status {} can't be sent", aHead.status));
+  }
   std::string text =
     fmt::format("HTTP/1.1 {} {}\r\n", aHead.status, ReasonOf(aHead.status));
   AppendFields(text, aHead.headers);
--- a/src/Http/internal/Syntax.cpp
+++ b/src/Http/internal/Syntax.cpp
@@ -7,6 +7,8 @@
 
 constexpr unsigned char kLastControl = 0x1f;
 constexpr unsigned char kDelete = 0x7f;
+constexpr unsigned int kFirstStatus = 100;
+constexpr unsigned int kLastStatus = 599;
 
 bool
 IsControl(char aChar)
@@ -48,4 +50,10 @@
          });
 }
 
+bool
+IsStatus(unsigned int aNumber)
+{
+  return aNumber >= kFirstStatus && aNumber <= kLastStatus;
+}
+
 }
--- a/src/Http/internal/Syntax.h
+++ b/src/Http/internal/Syntax.h
@@ -5,8 +5,8 @@
 
 namespace pistachioshift::internal {
 
-/** Syntax of the parts of a head (RFC 9110, 5.5 and 5.6.2; RFC 9112, 3.2). The
- * parser accepts exactly what the writer can send. */
+/** Syntax of the parts of a head (RFC 9110, 5.5, 5.6.2 and 15; RFC 9112, 3.2).
+ * The parser accepts exactly what the writer can send. */
 
 /** A method or the name of a field. */
 bool IsToken(std::string_view aText);
@@ -17,6 +17,9 @@
 /** A target in origin form: no control characters or blanks. */
 bool IsOriginForm(std::string_view aText);
 
+/** The status of an answer. */
+bool IsStatus(unsigned int aNumber);
+
 }
 
 #endif
--- a/test/Http/BrokenAnswerTest.cpp
+++ b/test/Http/BrokenAnswerTest.cpp
@@ -139,6 +139,27 @@
     return RunUntil([&] { return aAnswer->Done(); });
   }
 
+  /** Answer of a server that sends just these bytes and closes. */
+  std::shared_ptr<AnswerRecorder> AnswerTo(const std::string& aBytes)
+  {
+    RawServer peer(m_base.get(), aBytes, true);
+    m_pool = std::make_unique<HttpClientPool>(
+      m_base.get(), peer.LocalEndpoint(), m_clientLimits);
+    auto answer = std::make_shared<AnswerRecorder>();
+    m_pool->Start({ .method = "GET", .target = "/" }, answer)->Finish();
+    EXPECT_TRUE(Done(answer));
+    return answer;
+  }
+
+  void ExpectMalformed(const std::string& aBytes)
+  {
+    SCOPED_TRACE(testing::PrintToString(aBytes));
+    const auto answer = AnswerTo(aBytes);
+    EXPECT_FALSE(answer->head.has_value());
+    EXPECT_FALSE(answer->ended);
+    EXPECT_EQ(answer->failure, ClientFailure::kMalformedAnswer);
+  }
+
   std::shared_ptr<ClientExchange> m_exchange;
 };
 
@@ -213,4 +234,24 @@
   }
 }
 
+// Guards against an answer whose status no caller understands.
+TEST_F(BrokenAnswerTest, Status_OutOfRange_IsMalformed)
+{
+  for (const auto* status : { "000", "001", "099", "600", "999" }) {
+    ExpectMalformed(std::string("HTTP/1.1 ") + status +
+                    " Status\r\nContent-Length: 2\r\n\r\nok");
+  }
+}
+
+// Guards against a status that is read as another one.
+TEST_F(BrokenAnswerTest, Status_NotThreeDigits_IsMalformed)
+{
+  for (const auto* status :
+       { "0", "00", "20", "0000", "0200", "00200", "2000", "0103" }) {
+    ExpectMalformed(std::string("HTTP/1.1 ") + status +
+                    " Status\r\nContent-Length: 2\r\n\r\nok");
+    ExpectMalformed(std::string("HTTP/1.1 ") + status + "\r\n\r\nok");
+  }
+}
+
 }
--- a/test/Http/HeadRoundTripTest.cpp
+++ b/test/Http/HeadRoundTripTest.cpp
@@ -168,6 +168,14 @@
   EXPECT_EQ(*head->headers.Find("X"), "a\tb \xc3\xa4");
 }
 
+/** Guards against an answer with a status that no parser takes. */
+TEST(HeadRoundTripTest, Write_StatusOutOfRange_Throws)
+{
+  for (const int status : { -1, 0, 99, 600, 1000 }) {
+    EXPECT_THROW(Write(ResponseHead{ .status = status }), HttpError) << status;
+  }
+}
+
 RC_GTEST_PROP(HeadRoundTripProperty,
               Request_Spoiled_WhatIsAcceptedCanBeWritten,
               ())
--- a/test/process/BrokenAnswerTest.cpp
+++ b/test/process/BrokenAnswerTest.cpp
@@ -121,6 +121,24 @@
   return answers;
 }
 
+std::string
+StatusAnswer(const std::string& aStatus)
+{
+  return fmt::format(
+    "HTTP/1.1 {} Status\r\n{}Content-Length: 2\r\n\r\nok", aStatus, kIdFields);
+}
+
+std::map<std::string, HostileAnswer>
+StatusAnswers(const std::vector<std::string>& aStatus)
+{
+  std::map<std::string, HostileAnswer> answers;
+  for (const auto& status : aStatus) {
+    answers["/r/" + status] = { StatusAnswer(status), "", {}, true };
+    answers["/w/" + status] = { StatusAnswer(status), "", {}, true };
+  }
+  return answers;
+}
+
 }
 
 /** Answers that no caller may get, from servers next to either host. */
@@ -156,6 +174,29 @@
     text.append(kUploadBytes, 'u');
     return WholeCaller(m_hosts[aHost].ports.callers, std::move(text));
   }
+
+  WholeCaller Get(const std::string& aPath,
+                  size_t aHost,
+                  const std::string& aVersion)
+  {
+    return WholeCaller(m_hosts[aHost].ports.callers,
+                       RequestText("GET", aPath, aVersion) + "\r\n");
+  }
+
+  /** Each path is answered with 502 at each host. */
+  void ExpectBadGateway(const std::map<std::string, HostileAnswer>& aAnswers)
+  {
+    Start(aAnswers);
+    for (size_t host = 0; host < kHosts; ++host) {
+      for (const auto& [path, answer] : aAnswers) {
+        const auto caller = Get(path, host, "1.1");
+        EXPECT_EQ(caller.Status(), 502)
+          << path << " at " << host << ": "
+          << testing::PrintToString(caller.Answer());
+        EXPECT_GT(m_hosts[0].backend->Requests(path), 0) << path;
+      }
+    }
+  }
 };
 
 // Guards against a part of a body that a caller gets as a whole answer.
@@ -178,4 +219,16 @@
   }
 }
 
+// Guards against an answer whose status no caller understands.
+TEST_F(BrokenAnswerTest, Status_OutOfRange_IsBadGateway)
+{
+  ExpectBadGateway(StatusAnswers({ "000", "001", "099", "600", "999" }));
+}
+
+// Guards against a status that is taken for another one.
+TEST_F(BrokenAnswerTest, Status_NotThreeDigits_IsBadGateway)
+{
+  ExpectBadGateway(StatusAnswers({ "0", "20", "0000", "0200", "00200" }));
+}
+
 }
--- a/test/process/BrokenStoreAnswerTest.cpp
+++ b/test/process/BrokenStoreAnswerTest.cpp
@@ -40,6 +40,17 @@
   return "HTTP/1.1 " + aStatus + " Status\r\n";
 }
 
+/** Starts of an answer that stand for no answer. */
+std::vector<std::string>
+BrokenHeads()
+{
+  std::vector<std::string> heads;
+  for (const auto* status : { "000", "099", "0200", "00200" }) {
+    heads.push_back(StatusLine(status) + "Server: s\r\n");
+  }
+  return heads;
+}
+
 std::string
 WithBody(const std::string& aHead, const std::string& aBody)
 {
@@ -205,4 +216,18 @@
   }
 }
 
+// Guards against a status or a field that is read as another one.
+TEST_F(BrokenStoreAnswerTest, Calls_HeadIsMalformed_HaveNoAnswer)
+{
+  for (const auto& head : BrokenHeads()) {
+    SCOPED_TRACE(testing::PrintToString(head));
+    Start({ { kAppend, Early(WithBody(head, AppendBody())) },
+            { kRead, Early(WithBody(head, std::string(16, '\0'))) } });
+    EXPECT_EQ(Append(), AppendVerdict::kUnknown);
+    const auto read = Read();
+    const auto* failure = std::get_if<StoreFailure>(&read);
+    EXPECT_TRUE(failure && *failure == StoreFailure::kUnavailable);
+  }
+}
+
 }
