A blank or control byte before a field's name makes an answer malformed

Callers saw, of an answer in whose head a field's name began with - a blank or a tab: a 200 with that line appended to the field before it. Next to the signature, callers got `Pistachioshift-Response-Signature: s X-Shop: 1`; a Content-Length in such a line was not taken for one; - a CR or a LF: a 200 whose body began in the middle of the head, with the line, the fields after it and then the server's body. A blank or control byte within or after a name was refused before.

Cause: http_parser (not built for strict parsing) takes a line that begins with a blank for the rest of the value before it, and hands both parts on without a mark. It takes a lone LF, or a CR with any byte after it, for the empty line that ends the head. The check of the names that this project adds sees only the fields that remain.

Change: AnswerHeadCheck looks at the lines as they arrived. The head of an answer is malformed if a line begins with a blank or tab, if a CR is not followed by LF, or if a line ends otherwise than the status line did. RFC 9112 lets a gateway refuse such lines (2.2, 5.2). Heads whose lines all end with a lone LF are read as before. Callers get 502, an append to the store is unknown, a read failed. Heads of requests are read as before: the fault is one of answers.

--- a/src/Http/internal/AnswerHeadCheck.cpp
+++ b/src/Http/internal/AnswerHeadCheck.cpp
@@ -7,6 +7,9 @@
 {
   for (const char byte : aBytes) {
     AddToStatusLine(byte);
+    if (m_place != Place::kBeforeHead) {
+      AddToLine(byte);
+    }
   }
 }
 
@@ -43,4 +46,26 @@
   }
 }
 
+bool
+AnswerHeadCheck::IsValidInLine(char aChar) const
+{
+  const bool afterCr = m_previous == '\r';
+  if (aChar == '\n') {
+    return m_endsWithCr.value_or(afterCr) == afterCr;
+  }
+  const bool blank = aChar == ' ' || aChar == '\t';
+  const bool continuesValue = blank && m_previous == '\n';
+  return !afterCr && !continuesValue;
+}
+
+void
+AnswerHeadCheck::AddToLine(char aChar)
+{
+  m_linesAreValid = m_linesAreValid && IsValidInLine(aChar);
+  if (aChar == '\n' && !m_endsWithCr) {
+    m_endsWithCr = m_previous == '\r';
+  }
+  m_previous = aChar;
+}
+
 }
--- a/test/Http/BrokenAnswerTest.cpp
+++ b/test/Http/BrokenAnswerTest.cpp
@@ -254,4 +254,26 @@
   }
 }
 
+// Guards against a line that is passed on with such a name, and against a body
+// that is read by a length that the server has not stated.
+TEST_F(BrokenAnswerTest, FieldName_WithBlankOrControlByte_IsMalformed)
+{
+  std::string bytes(1, '\x7f');
+  for (char byte = 0; byte <= ' '; ++byte) {
+    bytes.push_back(byte);
+  }
+  for (const char byte : bytes) {
+    for (const std::string name : { "X-Shop", "Content-Length" }) {
+      for (const size_t at : { size_t{ 0 }, size_t{ 3 }, name.size() }) {
+        auto spoiled = name;
+        spoiled.insert(at, 1, byte);
+        const auto line = spoiled + ": 1\r\n";
+        ExpectMalformed(StatusLine("1.1") + line + "\r\nok");
+        ExpectMalformed(StatusLine("1.1") + "Server: s\r\n" + line +
+                        "Content-Length: 2\r\n\r\nok");
+      }
+    }
+  }
+}
+
 }
--- a/test/Http/HeadRoundTripTest.cpp
+++ b/test/Http/HeadRoundTripTest.cpp
@@ -33,18 +33,20 @@
   }
 }
 
-/** The head of a message; nothing if the parser refuses it. */
+/** The head of a message; nothing if the parser refuses it.
+ * \param aFirst bytes that arrive before the others. */
 template<class Head>
 std::optional<Head>
-Parse(const std::string& aBytes)
+Parse(const std::string& aBytes, size_t aFirst = std::string::npos)
 {
   MessageParser parser(std::is_same_v<Head, RequestHead>
                          ? MessageKind::kRequest
                          : MessageKind::kResponse,
                        kBounds);
   std::string_view rest = aBytes;
+  size_t first = aFirst;
   while (!rest.empty()) {
-    const auto step = parser.Step(rest);
+    const auto step = parser.Step(rest.substr(0, first));
     if (step.event == ParseEvent::kHead) {
       return Take<Head>(parser);
     }
@@ -52,6 +54,7 @@
       return std::nullopt;
     }
     rest.remove_prefix(step.consumed);
+    first = std::string::npos;
   }
   return std::nullopt;
 }
@@ -168,6 +171,37 @@
   EXPECT_EQ(*head->headers.Find("X"), "a\tb \xc3\xa4");
 }
 
+/** Guards against a head that is refused or not as its bytes happen to arrive.
+ */
+TEST(HeadRoundTripTest, Parse_InTwoParts_IsTheSame)
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string rest = "X-Shop: 1\r\nContent-Length: 2\r\n\r\n";
+  const std::vector<std::string> good{ status + rest,
+                                       "\r\n" + status + rest,
+                                       status + "\r\n",
+                                       "HTTP/1.1 200\n\n",
+                                       "HTTP/1.0 200 OK\nX-Shop: 1\n\n" };
+  const std::vector<std::string> bad{
+    "HTTP/1.1 0200 OK\r\n" + rest, status + " " + rest,
+    status + "A: b\r\n\t" + rest,  status + "\r" + rest,
+    status + "\n" + rest,          status + "A: b\r\n\r" + rest,
+    status + "A: b\n" + rest,      "HTTP/1.1 200 OK\nA: b\n\r" + rest
+  };
+  for (const auto& bytes : good) {
+    for (size_t first = 1; first <= bytes.size(); ++first) {
+      EXPECT_TRUE(Parse<ResponseHead>(bytes, first))
+        << first << " of " << testing::PrintToString(bytes);
+    }
+  }
+  for (const auto& bytes : bad) {
+    for (size_t first = 1; first <= bytes.size(); ++first) {
+      EXPECT_FALSE(Parse<ResponseHead>(bytes, first))
+        << first << " of " << testing::PrintToString(bytes);
+    }
+  }
+}
+
 /** Guards against an answer with a status that no parser takes. */
 TEST(HeadRoundTripTest, Write_StatusOutOfRange_Throws)
 {
--- a/test/process/BrokenAnswerTest.cpp
+++ b/test/process/BrokenAnswerTest.cpp
@@ -139,6 +139,25 @@
   return answers;
 }
 
+/** Heads in which a byte stands before, within or after the name of a field
+ * that is passed on, or of one that tells the length of the body. */
+std::map<std::string, HostileAnswer>
+NameAnswers()
+{
+  std::map<std::string, HostileAnswer> answers;
+  for (const int byte : { 0x00, 0x01, 0x09, 0x0a, 0x0d, 0x1f, 0x20, 0x7f }) {
+    for (const std::string name : { "X-Shop", "Content-Length" }) {
+      for (const size_t at : { size_t{ 0 }, size_t{ 3 }, name.size() }) {
+        auto spoiled = name;
+        spoiled.insert(at, 1, static_cast<char>(byte));
+        const auto path = fmt::format("/r/{}-{}-{}", name, byte, at);
+        answers[path] = { kGood + spoiled + ": 1\r\n\r\nok", "", {}, true };
+      }
+    }
+  }
+  return answers;
+}
+
 }
 
 /** Answers that no caller may get, from servers next to either host. */
@@ -231,4 +250,11 @@
   ExpectBadGateway(StatusAnswers({ "0", "20", "0000", "0200", "00200" }));
 }
 
+// Guards against a line that is passed on with such a name, and against a body
+// that is read by a length that the server has not stated.
+TEST_F(BrokenAnswerTest, FieldName_WithBlankOrControlByte_IsBadGateway)
+{
+  ExpectBadGateway(NameAnswers());
+}
+
 }
--- a/test/process/BrokenStoreAnswerTest.cpp
+++ b/test/process/BrokenStoreAnswerTest.cpp
@@ -48,6 +48,15 @@
   for (const auto* status : { "000", "099", "0200", "00200" }) {
     heads.push_back(StatusLine(status) + "Server: s\r\n");
   }
+  for (const std::string line : { "X Shop",
+                                  "X-Shop ",
+                                  " X-Shop",
+                                  "\tX-Shop",
+                                  "\rX-Shop",
+                                  "X\x01Shop",
+                                  "X-Shop\x7f" }) {
+    heads.push_back(StatusLine("200") + "Server: s\r\n" + line + ": 1\r\n");
+  }
   return heads;
 }
 
