A cut answer to a caller of HTTP/1.0 ends with a reset

Callers saw: a caller that asks with HTTP/1.0 got a cut answer as a whole one, also where the daemon knew that it was cut. Such a caller is sent a body without a length until the connection closes, and HttpServer closed in an orderly way when it aborted the exchange (the server's connection was reset, the answer was longer than it may be, the write stalled, the daemon ended).

Change: from the head of such an answer until the whole of it is written, a close of the connection resets it (SO_LINGER with time 0), so that it covers each way to close, also the end of the process. A finished answer ends with an orderly close as before. Answers with a length or chunks have their own end.

--- a/src/Http/internal/ServerAnswer.cpp
+++ b/src/Http/internal/ServerAnswer.cpp
@@ -53,6 +53,10 @@
     FailExchange(AbortReason::kUnsendable, HttpRefusal::kUnsendableAnswer);
     return;
   }
+  if (framing == Framing::kUntilClose) {
+    // The close is the only end of this body: a cut one must not look whole.
+    m_stream->SetResetOnClose(true);
+  }
   evbuffer_add(m_stream->Output(), text.data(), text.size());
   m_headSent = true;
 }
--- a/src/Http/internal/ServerConnection.cpp
+++ b/src/Http/internal/ServerConnection.cpp
@@ -88,6 +88,9 @@
   }
   auto self = shared_from_this();
   m_state = State::kClosed;
+  if (!m_exchange && m_stream->OutputBytes() == 0) {
+    m_stream->SetResetOnClose(false); // The answer is whole and written.
+  }
   m_stream.reset();
   m_core->Forget(self);
   AbortExchange(aReason);
@@ -343,6 +346,7 @@
   // A close with input unread would reset the connection, and the caller
   // could lose the answer.
   m_state = State::kLingering;
+  m_stream->SetResetOnClose(false);
   m_stream->ShutdownWrite();
   m_stream->StartTimer(m_limits.lingerTimeout);
   m_stream->ScheduleRead();
--- a/src/Http/internal/Stream.cpp
+++ b/src/Http/internal/Stream.cpp
@@ -213,6 +213,17 @@
   shutdown(Socket(), SHUT_WR);
 }
 
+void
+Stream::SetResetOnClose(bool aReset)
+{
+  if (m_resetsOnClose == aReset) {
+    return;
+  }
+  m_resetsOnClose = aReset;
+  const linger option{ aReset ? 1 : 0, 0 };
+  setsockopt(Socket(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void
 Stream::ScheduleWritable()
 {
--- a/src/Http/internal/Stream.h
+++ b/src/Http/internal/Stream.h
@@ -82,6 +82,10 @@
   void NotifyWhenEmpty();
   void ShutdownWrite();
 
+  /** Whether a close, also one by the end of the process, resets the connection
+   * instead of ending it in an orderly way. */
+  void SetResetOnClose(bool aReset);
+
   /** Calls OnWritable from the loop if the output is low enough. */
   void ScheduleWritable();
 
@@ -101,6 +105,7 @@
   StreamBounds m_bounds;
   StreamHandler& m_handler;
   bool m_held = false;
+  bool m_resetsOnClose = false;
   bool m_reset = false; ///< A write has taken the error of a reset.
   BufferEventPtr m_stream;
   EventPtr m_timer;
--- a/test/Http/BrokenAnswerTest.cpp
+++ b/test/Http/BrokenAnswerTest.cpp
@@ -276,4 +276,45 @@
   }
 }
 
+// Guards against a cut answer that looks whole to a caller who has only the end
+// of the connection to go by.
+TEST_F(BrokenAnswerTest, CallerOfHttp10_AnswerIsAborted_ConnectionIsReset)
+{
+  std::shared_ptr<ServerExchange> exchange;
+  StartServer([&](const std::shared_ptr<ServerExchange>& aExchange) {
+    exchange = aExchange;
+    exchange->SendHead({ .status = 200 });
+    exchange->SendBody(kPart);
+  });
+  for (const bool whole : { true, false }) {
+    RawPeer peer(m_base.get(), m_server->LocalEndpoint());
+    peer.Write("GET / HTTP/1.0\r\n\r\n");
+    ASSERT_TRUE(RunUntil([&] { return peer.Received().ends_with(kPart); }));
+    if (whole) {
+      exchange->Finish();
+    } else {
+      exchange->Abort();
+    }
+    ASSERT_TRUE(RunUntil([&] { return peer.Closed(); }));
+    EXPECT_EQ(peer.IsReset(), !whole);
+  }
+}
+
+// Guards against the loss of a whole answer: its caller still sends a body that
+// nobody reads when the server is closed.
+TEST_F(BrokenAnswerTest, CallerOfHttp10_ServerClosesAfterTheAnswer_IsNotReset)
+{
+  StartServer([](const std::shared_ptr<ServerExchange>& aExchange) {
+    aExchange->SendHead({ .status = 200 });
+    aExchange->SendBody(kPart);
+    aExchange->Finish();
+  });
+  RawPeer peer(m_base.get(), m_server->LocalEndpoint());
+  peer.Write("POST / HTTP/1.0\r\nContent-Length: 9\r\n\r\npart");
+  ASSERT_TRUE(RunUntil([&] { return peer.Received().ends_with(kPart); }));
+  m_server.reset();
+  ASSERT_TRUE(RunUntil([&] { return peer.Closed(); }));
+  EXPECT_FALSE(peer.IsReset());
+}
+
 }
--- a/test/Http/LoopbackSupport.cpp
+++ b/test/Http/LoopbackSupport.cpp
@@ -71,12 +71,14 @@
     m_stream.get(),
     nullptr,
     nullptr,
-    [](bufferevent*, short aWhat, void* aClosed) {
+    [](bufferevent*, short aWhat, void* aSelf) {
+      auto* self = static_cast<RawPeer*>(aSelf);
       if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-        *static_cast<bool*>(aClosed) = true;
+        self->m_closed = true;
+        self->m_reset = (aWhat & BEV_EVENT_ERROR) != 0;
       }
     },
-    &m_closed);
+    this);
   bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
   bufferevent_socket_connect(
     m_stream.get(), address.Get(), static_cast<int>(address.Length()));
--- a/test/Http/LoopbackSupport.h
+++ b/test/Http/LoopbackSupport.h
@@ -89,14 +89,20 @@
 {
 public:
   RawPeer(event_base* aBase, const Endpoint& aEndpoint);
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
 
   void Write(std::string_view aData);
   std::string Received() const;
   bool Closed() const { return m_closed; }
+
+  /** Whether the connection ended with an error. */
+  bool IsReset() const { return m_reset; }
   void Close() { m_stream.reset(); }
 
 private:
   bool m_closed = false;
+  bool m_reset = false;
   internal::BufferEventPtr m_stream;
 };
 
--- a/test/process/BrokenAnswerTest.cpp
+++ b/test/process/BrokenAnswerTest.cpp
@@ -238,6 +238,25 @@
   }
 }
 
+// Guards against a cut answer that looks whole to a caller who has only the
+// end of the connection to go by.
+TEST_F(BrokenAnswerTest, CallerOfHttp10_AnswerIsCut_IsNotWhole)
+{
+  const auto chunked = kGood + "Transfer-Encoding: chunked\r\n\r\n";
+  Start({ { "/r/whole", { chunked + "4\r\nfour\r\n0\r\n\r\n", "", {}, true } },
+          { "/r/cut",
+            { chunked + "4\r\nfour\r\n", "", kBeforeReset, false, true } } });
+  for (size_t host = 0; host < kHosts; ++host) {
+    const auto whole = Get("/r/whole", host, "1.0");
+    EXPECT_EQ(whole.Status(), 200);
+    EXPECT_TRUE(whole.IsWhole() && whole.Answer().ends_with("\r\n\r\nfour"))
+      << whole.Answer();
+    const auto cut = Get("/r/cut", host, "1.0");
+    EXPECT_FALSE(cut.Status() == 200 && cut.IsWhole())
+      << "at " << host << ": " << cut.Answer();
+  }
+}
+
 // Guards against an answer whose status no caller understands.
 TEST_F(BrokenAnswerTest, Status_OutOfRange_IsBadGateway)
 {
