HttpLogService reads answers with HttpClient

What daemons of pistachiod saw: an answer of the log service with the status 0200 or 00200, or with a blank or a control byte anywhere in a field's name, was taken for an answer, so that an append counted as written. One with the status 099 made an append count as refused, which promises that nothing was written.

Cause: HttpLogService read with evhttp of libevent, the only reader of answers from servers, hosts or stores that isn't HttpClient. evhttp converts the status with atoi, takes all but 0 for valid, and doesn't look at the bytes of a name.

Change: it reads with a HttpClientPool of one connection a call, so that the same rules hold for this log and the platform's store: such an append is ambiguous, a read failed. Timeouts, bounds and one connection a call are as before.

--- a/src/Log/HttpLogService.cpp
+++ b/src/Log/HttpLogService.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
-#include <event2/buffer.h>
 #include <event2/event.h>
-#include <event2/http.h>
 #include <fmt/format.h>
 
+#include "src/Http/Client.h"
 #include "src/Log/LogBodies.h"
 
 namespace pistachioshift {
@@ -21,54 +21,30 @@
 // the initial timeout.
 constexpr int kTimeoutDecay = 8;
 
-timeval
-ToTimeval(Duration aDuration)
-{
-  using std::chrono::microseconds;
-  const auto micros = std::chrono::duration_cast<microseconds>(aDuration);
-  constexpr int64_t kMicrosPerSecond = 1000000;
-  timeval value{};
-  value.tv_sec = micros.count() / kMicrosPerSecond;
-  value.tv_usec = micros.count() % kMicrosPerSecond;
-  return value;
-}
-
 /** Outcome of an HTTP call; the body is not decoded. */
 struct HttpAnswer
 {
-  bool connected = false; ///< False if the request was not sent.
-  int status = 0;         ///< 0 if there was no answer.
+  bool sent = true; ///< False if certainly no byte of the request was sent.
+  int status = 0;   ///< 0 if there was no answer.
   std::string body;
 };
 
-std::string
-ReadBody(evhttp_request* aRequest)
-{
-  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
-  std::string body(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, body.data(), body.size());
-  return body;
-}
-
-// libevent's callback gets a request without status if the connection could
-// not be established, and a null request if it failed afterwards.
-HttpAnswer
-ToAnswer(evhttp_request* aRequest)
+HttpClientLimits
+CallLimits(Duration aTimeout)
 {
-  if (aRequest == nullptr) {
-    return HttpAnswer{ true, 0, {} };
-  }
-  const int status = evhttp_request_get_response_code(aRequest);
-  if (status == 0) {
-    return HttpAnswer{ false, 0, {} };
-  }
-  return HttpAnswer{ true, status, ReadBody(aRequest) };
+  HttpClientLimits limits;
+  limits.maxConnections = 1;
+  limits.connectTimeout = aTimeout;
+  limits.silenceTimeout = aTimeout;
+  limits.maxBodyBytes = internal::kMaxBodyBytes;
+  limits.maxUndeclaredBodyBytes = internal::kMaxBodyBytes;
+  return limits;
 }
 
 std::string
 Describe(const HttpAnswer& aAnswer)
 {
-  if (!aAnswer.connected) {
+  if (!aAnswer.sent) {
     return "could not connect";
   }
   if (aAnswer.status == 0) {
@@ -80,7 +56,7 @@
 AppendResult
 ToAppendResult(const HttpAnswer& aAnswer)
 {
-  if (!aAnswer.connected) {
+  if (!aAnswer.sent) {
     return AppendRefused{ Describe(aAnswer) };
   }
   if (aAnswer.status == 0) {
@@ -129,80 +105,96 @@
   {
     event_free(m_cleanupEvent);
     for (const auto& [number, call] : m_calls) {
-      evhttp_connection_free(call->connection);
+      call->CloseConnection();
     }
   }
 
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  void Start(evhttp_cmd_type aMethod,
-             const std::string& aPath,
+  void Start(const std::string& aMethod,
+             const std::string& aTarget,
              const std::string& aBody,
              Duration aTimeout,
              AnswerCallback aCallback)
   {
-    auto call = std::make_unique<Call>();
-    call->owner = this;
+    const auto call = std::make_shared<Call>(
+      *this, aTimeout, [this] { event_active(m_cleanupEvent, EV_TIMEOUT, 0); });
     call->callback = std::move(aCallback);
-    call->connection = Connect(aTimeout);
-    evhttp_request* request = evhttp_request_new(OnAnswer, call.get());
-    auto* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", m_options.endpoint.address.c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    evbuffer_add(
-      evhttp_request_get_output_buffer(request), aBody.data(), aBody.size());
-    Call* started = call.get();
-    m_calls.emplace(started, std::move(call));
-    // If this fails, OnAnswer is called too.
-    evhttp_make_request(started->connection, request, aMethod, aPath.c_str());
+    m_calls.emplace(call.get(), call);
+    RequestHead head{ .method = aMethod, .target = aTarget };
+    if (!aBody.empty()) {
+      head.contentLength = aBody.size();
+    }
+    call->Send(head, aBody);
   }
 
   Duration Timeout() const { return m_timeout; }
 
 private:
-  struct Call
+  // Its exchange and m_calls keep it alive.
+  class Call
+    : public ClientListener
+    , public std::enable_shared_from_this<Call>
   {
-    Impl* owner = nullptr;
-    evhttp_connection* connection = nullptr;
+  public:
+    Call(const Impl& aOwner, Duration aTimeout, std::function<void()> aOnDone)
+      : m_pool(std::make_unique<HttpClientPool>(aOwner.m_base,
+                                                aOwner.m_options.endpoint,
+                                                CallLimits(aTimeout)))
+      , m_onDone(std::move(aOnDone))
+    {
+    }
+
+    void Send(const RequestHead& aHead, const std::string& aBody)
+    {
+      const auto exchange = m_pool->Start(aHead, shared_from_this());
+      exchange->SendBody(aBody);
+      exchange->Finish();
+    }
+
+    void CloseConnection() { m_pool.reset(); }
+
+    void OnHead(const ResponseHead& aHead) override
+    {
+      answer.status = aHead.status;
+    }
+
+    void OnBody(std::string_view aData) override { answer.body.append(aData); }
+
+    void OnEnd() override { Finish(); }
+
+    void OnDrained() override {}
+
+    void OnFailed(ClientFailure aFailure) override
+    {
+      answer = HttpAnswer{ MayHaveRun(aFailure), 0, {} };
+      Finish();
+    }
+
     AnswerCallback callback;
     HttpAnswer answer;
     bool finished = false;
-  };
-
-  evhttp_connection* Connect(Duration aTimeout)
-  {
-    evhttp_connection* connection =
-      evhttp_connection_base_new(m_base,
-                                 nullptr,
-                                 m_options.endpoint.address.c_str(),
-                                 m_options.endpoint.port);
-    const timeval timeout = ToTimeval(aTimeout);
-    evhttp_connection_set_timeout_tv(connection, &timeout);
-    evhttp_connection_set_retries(connection, 0);
-    evhttp_connection_set_max_body_size(connection, internal::kMaxBodyBytes);
-    return connection;
-  }
 
-  // Runs the user's callback and frees the connection from a separate event: a
-  // connection can't be freed inside its own callback, and LogService must not
-  // call back from within a call to it.
-  static void OnAnswer(evhttp_request* aRequest, void* aArgument)
-  {
-    auto* call = static_cast<Call*>(aArgument);
-    if (call->finished) {
-      return;
+  private:
+    void Finish()
+    {
+      finished = true;
+      m_onDone();
     }
-    call->answer = ToAnswer(aRequest);
-    call->finished = true;
-    event_active(call->owner->m_cleanupEvent, EV_TIMEOUT, 0);
-  }
 
+    std::unique_ptr<HttpClientPool> m_pool;
+    std::function<void()> m_onDone;
+  };
+
+  // Runs the user's callback and closes the connection from a separate event: a
+  // connection isn't destroyed inside its own callback, and LogService must not
+  // call back from within a call to it.
   static void OnCleanup(evutil_socket_t, short, void* aArgument)
   {
     auto* self = static_cast<Impl*>(aArgument);
     for (auto& call : self->RemoveFinished()) {
-      evhttp_connection_free(call->connection);
+      call->CloseConnection();
       self->AdaptTimeout(call->answer);
       call->callback(call->answer);
     }
@@ -210,7 +202,7 @@
 
   void AdaptTimeout(const HttpAnswer& aAnswer)
   {
-    if (aAnswer.connected && aAnswer.status == 0) {
+    if (aAnswer.sent && aAnswer.status == 0) {
       m_timeout = std::min(m_options.maxTimeout, 2 * m_timeout);
     } else {
       m_timeout =
@@ -218,9 +210,9 @@
     }
   }
 
-  std::vector<std::unique_ptr<Call>> RemoveFinished()
+  std::vector<std::shared_ptr<Call>> RemoveFinished()
   {
-    std::vector<std::unique_ptr<Call>> finished;
+    std::vector<std::shared_ptr<Call>> finished;
     for (auto entry = m_calls.begin(); entry != m_calls.end();) {
       if (entry->second->finished) {
         finished.push_back(std::move(entry->second));
@@ -236,7 +228,7 @@
   HttpLogOptions m_options;
   Duration m_timeout;
   event* m_cleanupEvent;
-  std::map<Call*, std::unique_ptr<Call>> m_calls;
+  std::map<Call*, std::shared_ptr<Call>> m_calls;
 };
 
 HttpLogService::HttpLogService(event_base* aBase, HttpLogOptions aOptions)
@@ -252,7 +244,7 @@
                        AppendCallback aCallback)
 {
   internal::CheckAppend(aPayloads);
-  m_impl->Start(EVHTTP_REQ_POST,
+  m_impl->Start("POST",
                 fmt::format("/streams/{}/records", aStream.Value()),
                 internal::EncodeAppendRequest(aPayloads),
                 m_impl->Timeout(),
@@ -270,7 +262,7 @@
 {
   using std::chrono::milliseconds;
   const auto wait = std::chrono::duration_cast<milliseconds>(aWait);
-  m_impl->Start(EVHTTP_REQ_GET,
+  m_impl->Start("GET",
                 fmt::format("/streams/{}/records?from={}&max={}&wait_ms={}",
                             aStream.Value(),
                             aFrom.Value(),
--- a/src/Log/HttpLogService.h
+++ b/src/Log/HttpLogService.h
@@ -14,7 +14,7 @@
 /** \brief Settings of a HttpLogService. */
 struct HttpLogOptions
 {
-  Endpoint endpoint;
+  Endpoint endpoint;                              ///< By IP address.
   Duration timeout = std::chrono::seconds(5);     ///< Plus a read's wait time.
   Duration maxTimeout = std::chrono::seconds(30); ///< While the log is slow.
 };
--- a/test/process/BrokenStoreAnswerTest.cpp
+++ b/test/process/BrokenStoreAnswerTest.cpp
@@ -239,4 +239,15 @@
   }
 }
 
+TEST_F(BrokenStoreAnswerTest, StreamCalls_HeadIsMalformed_HaveNoAnswer)
+{
+  for (const auto& head : BrokenHeads()) {
+    SCOPED_TRACE(testing::PrintToString(head));
+    Start({ { kStreamAppend, Early(WithBody(head, StreamAppendBody())) },
+            { kStreamRead, Early(WithBody(head, StreamReadBody())) } });
+    EXPECT_TRUE(std::holds_alternative<AppendAmbiguous>(StreamAppend({ "p" })));
+    EXPECT_TRUE(std::holds_alternative<ReadFailed>(StreamRead()));
+  }
+}
+
 }
