--- a/test/process/HostileServerSupport.cpp
+++ b/test/process/HostileServerSupport.cpp
@@ -1,6 +1,7 @@
 #include "test/process/HostileServerSupport.h"
 
 #include <algorithm>
+#include <charconv>
 #include <stdexcept>
 
 #include <netinet/in.h>
@@ -247,4 +248,68 @@
   return m_closed;
 }
 
+WholeCaller::WholeCaller(uint16_t aPort, std::string aRequest)
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto address = LoopbackAddress(aPort);
+  if (connect(socket,
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
+    close(socket);
+    throw std::runtime_error("can't connect to a daemon");
+  }
+  std::thread sender(
+    [socket, request = std::move(aRequest)] { SendAll(socket, request); });
+  Read(socket);
+  shutdown(socket, SHUT_RDWR);
+  sender.join();
+  close(socket);
+}
+
+void
+WholeCaller::Read(int aSocket)
+{
+  constexpr std::chrono::milliseconds kLimit = std::chrono::seconds(20);
+  pollfd wait{ aSocket, POLLIN, 0 };
+  char part[4096];
+  ssize_t count = 1;
+  while (count > 0 && poll(&wait, 1, static_cast<int>(kLimit.count())) > 0) {
+    count = recv(aSocket, part, sizeof(part), 0);
+    m_answer.append(part, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+  }
+  m_orderly = count == 0;
+}
+
+int
+WholeCaller::Status() const
+{
+  constexpr size_t kAt = 9; // After the version.
+  constexpr size_t kDigits = 3;
+  int status = 0;
+  if (m_answer.size() > kAt + kDigits) {
+    const char* digits = m_answer.data() + kAt;
+    std::from_chars(digits, digits + kDigits, status);
+  }
+  return status;
+}
+
+bool
+WholeCaller::IsWhole() const
+{
+  const std::string end = "\r\n\r\n";
+  const auto head = m_answer.find(end);
+  if (head == std::string::npos) {
+    return false;
+  }
+  if (m_answer.find("Transfer-Encoding: chunked") < head) {
+    return m_answer.ends_with("\r\n0" + end);
+  }
+  const std::string length = "Content-Length: ";
+  if (const auto at = m_answer.find(length); at < head) {
+    const auto bytes = std::stoul(m_answer.substr(at + length.size()));
+    return m_answer.size() == head + end.size() + bytes;
+  }
+  return m_orderly;
+}
+
 }
--- a/test/process/HostileServerSupport.h
+++ b/test/process/HostileServerSupport.h
@@ -89,6 +89,28 @@
   bool m_closed = false;
 };
 
+/**
+ * \brief A caller that sends a request to 127.0.0.1, whatever comes meanwhile,
+ * and keeps all that it reads until the connection ends.
+ */
+class WholeCaller
+{
+public:
+  WholeCaller(uint16_t aPort, std::string aRequest);
+
+  const std::string& Answer() const { return m_answer; }
+  int Status() const;
+
+  /** \brief Whether the answer has the end that its head announces. */
+  bool IsWhole() const;
+
+private:
+  void Read(int aSocket);
+
+  std::string m_answer;
+  bool m_orderly = false; ///< The connection was closed and not reset.
+};
+
 }
 
 #endif
