FingerprintOf reads the Host field and not a copy that is gone

The fingerprint of a request could depend on what lay on the stack by then; whether it ever did was not seen.

With it Daemon_FingerprintTest stopped with stack-use-after-scope before and passes now, as do process_BrokenAnswerTest, BrokenMeshAnswerTest, RequestPathTest and PlatformTest.

--- a/src/Daemon/Fingerprint.cpp
+++ b/src/Daemon/Fingerprint.cpp
@@ -18,7 +18,7 @@
   // None of the fields contains a line feed.
   for (const std::string_view field :
        { std::string_view(aHead.method),
-         std::string_view(host == nullptr ? "" : *host),
+         host == nullptr ? std::string_view() : std::string_view(*host),
          std::string_view(aHead.target),
          aKey }) {
     text.append(field).push_back('\n');
