Replies to outcome queries are logged with what they are based on

Whether the reply "never seen" came from the process that had been sent the request, from a new process with the same boot id, or whether there was no reply at all, could not be told from lines or counters.

Hello states how long the accepting process has run (optional; older peers leave it out). A line outcome-reply names peer, attempt, what was stated, what was made of it, whether the boot ids agree, that uptime and the age of the attempt; pistachio_outcome_replies_total counts stated and taken states. What is made of a reply is unchanged.

Daemon_GoodbyeTest and Inner_CodecTest pass; the new codec test covers peers that don't state an uptime.

--- a/src/Daemon/InnerServerTask.cpp
+++ b/src/Daemon/InnerServerTask.cpp
@@ -34,6 +34,7 @@
   : m_base(aBase)
   , m_clock(aClock)
   , m_boot(aBoot)
+  , m_startedAt(aClock.Now())
   , m_calls(aCalls)
   , m_services(std::move(aServices))
   , m_metrics(aMetrics)
--- a/src/Daemon/InnerServerTask.h
+++ b/src/Daemon/InnerServerTask.h
@@ -96,6 +96,7 @@
   event_base* m_base;
   const Clock& m_clock;
   BootId m_boot;
+  MonoTime m_startedAt;
   CallServer& m_calls;
   InnerServices m_services;
   Metrics& m_metrics;
--- a/src/Daemon/InnerSession.cpp
+++ b/src/Daemon/InnerSession.cpp
@@ -2,26 +2,6 @@
 
 namespace pistachioshift {
 
-namespace {
-
-const char*
-ToString(RequestState aState)
-{
-  switch (aState) {
-    case RequestState::kRunning:
-      return "running";
-    case RequestState::kDone:
-      return "done";
-    case RequestState::kNeverSeen:
-      return "never-seen";
-    case RequestState::kForgotten:
-      return "forgotten";
-  }
-  return "forgotten";
-}
-
-}
-
 void
 InnerSession::Start(int aSocket)
 {
@@ -36,7 +16,8 @@
                             Hello::kProtocol,
                             m_task.m_services.self(),
                             m_told,
-                            compression ? kDeflateBlocks : 0 });
+                            compression ? kDeflateBlocks : 0,
+                            m_task.m_clock.Now() - m_task.m_startedAt });
 }
 
 void
--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -45,6 +45,9 @@
                                "Entries started and stopped on this daemon"))
   , m_outcomeQueries(AddCounters("pistachio_outcome_queries_total",
                                  "Answers to outcome queries, by state"))
+  , m_outcomeReplies(AddCounters("pistachio_outcome_replies_total",
+                                 "Replies of other daemons to outcome queries, "
+                                 "by stated and taken state"))
   , m_uploads(AddCounters("pistachio_uploads_total",
                           "Bodies received ahead of their requests, by event"))
   , m_innerBytes(AddCounters("pistachio_inner_bytes_total",
@@ -161,6 +164,15 @@
   CountLabel(m_outcomeQueries, "state", aState);
 }
 
+void
+Metrics::CountOutcomeReply(std::string_view aStated, std::string_view aTaken)
+{
+  m_outcomeReplies
+    .Add(
+      { { "stated", std::string(aStated) }, { "taken", std::string(aTaken) } })
+    .Increment();
+}
+
 void
 Metrics::CountUpload(std::string_view aEvent)
 {
--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -40,6 +40,9 @@
   void CountControlRefusal(std::string_view aReason);
   void CountEntryChange(std::string_view aChange);
   void CountOutcomeQuery(std::string_view aState);
+  /** \brief Counts a reply of another daemon to an outcome query.
+   * \param aTaken state that this daemon goes on with */
+  void CountOutcomeReply(std::string_view aStated, std::string_view aTaken);
   void CountUpload(std::string_view aEvent);
   /** \brief Sets the bytes of compressed connections to other daemons.
    * \param aDirection sent or received
@@ -76,6 +79,7 @@
   Counters& m_controlRefusals;
   Counters& m_entryChanges;
   Counters& m_outcomeQueries;
+  Counters& m_outcomeReplies;
   Counters& m_uploads;
   Counters& m_innerBytes;
   prometheus::Histogram& m_latency;
--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -127,25 +127,54 @@
   m_failedAt = m_task.m_clock.Now();
 }
 
+const Clock&
+Peer::GetClock() const
+{
+  return m_task.m_clock;
+}
+
 void
-Peer::AddLostRequest(const RequestId& aRequest, std::optional<BootId> aBoot)
+Peer::AddLostRequest(const RequestId& aRequest, const SentRequest& aSent)
 {
-  if (!aBoot || !m_bootOfLost.emplace(aRequest, *aBoot).second) {
+  if (!m_lost.emplace(aRequest, aSent).second) {
     return;
   }
   m_lostRequests.push_back(aRequest);
   if (m_lostRequests.size() > kMaxLostRequests) {
-    m_bootOfLost.erase(m_lostRequests.front());
+    m_lost.erase(m_lostRequests.front());
     m_lostRequests.pop_front();
   }
 }
 
-std::optional<BootId>
-Peer::BootOf(const RequestId& aRequest) const
+std::optional<SentRequest>
+Peer::FindLostRequest(const RequestId& aRequest) const
 {
-  const auto found = m_bootOfLost.find(aRequest);
-  return found == m_bootOfLost.end() ? std::nullopt
-                                     : std::optional(found->second);
+  const auto found = m_lost.find(aRequest);
+  return found == m_lost.end() ? std::nullopt : std::optional(found->second);
+}
+
+void
+Peer::OnOutcome(const RequestId& aRequest, const OutcomeEvidence& aEvidence)
+{
+  const auto milliseconds = [](const std::optional<Duration>& aTime) {
+    return aTime ? std::chrono::duration_cast<std::chrono::milliseconds>(*aTime)
+                     .count()
+                 : int64_t{ -1 };
+  };
+  m_task.m_metrics.CountOutcomeReply(ToString(aEvidence.stated),
+                                     ToString(aEvidence.taken));
+  m_task.m_logger.Info("outcome-reply",
+                       "peer={}:{} request={:016x}-{:016x} stated={} taken={} "
+                       "same_boot={} peer_uptime_ms={} age_ms={}",
+                       m_endpoint.address,
+                       m_endpoint.port,
+                       aRequest.high,
+                       aRequest.low,
+                       ToString(aEvidence.stated),
+                       ToString(aEvidence.taken),
+                       aEvidence.sameBoot,
+                       milliseconds(aEvidence.uptime),
+                       milliseconds(aEvidence.age));
 }
 
 void
@@ -198,10 +227,12 @@
 
 void
 PeerLink::AddQuery(QueryId aQuery,
-                   std::optional<BootId> aBoot,
+                   const RequestId& aRequest,
+                   std::optional<SentRequest> aSent,
                    PeersTask::OutcomeCallback aCallback)
 {
-  m_queries.emplace(aQuery, PendingQuery{ aBoot, std::move(aCallback) });
+  m_queries.emplace(aQuery,
+                    PendingQuery{ aRequest, aSent, std::move(aCallback) });
   UpdateBusy();
 }
 
@@ -255,6 +286,9 @@
     m_peer.OnPosition(pong->position);
   } else if (const auto* hello = std::get_if<Hello>(&aFrame)) {
     m_boot = hello->boot;
+    if (hello->uptime) {
+      m_startedBy = m_peer.GetClock().Now() - *hello->uptime;
+    }
     m_peer.OnHello(*hello);
   } else if (std::holds_alternative<Goodbye>(aFrame)) {
     OnGoodbye();
@@ -301,12 +335,23 @@
   if (query.empty()) {
     return;
   }
+  const auto& sent = query.mapped().sent;
+  const auto now = m_peer.GetClock().Now();
   auto result = aReply.result;
-  const auto& boot = query.mapped().boot;
-  const bool sameProcess = boot && boot == m_boot;
-  if (result.state == RequestState::kNeverSeen && !sameProcess) {
+  OutcomeEvidence evidence;
+  evidence.stated = result.state;
+  evidence.sameBoot = sent && sent->boot == m_boot;
+  if (m_startedBy) {
+    evidence.uptime = now - *m_startedBy;
+  }
+  if (sent) {
+    evidence.age = now - sent->openedAt;
+  }
+  if (result.state == RequestState::kNeverSeen && !evidence.sameBoot) {
     result.state = RequestState::kForgotten;
   }
+  evidence.taken = result.state;
+  m_peer.OnOutcome(query.mapped().request, evidence);
   query.mapped().callback(result);
   Close();
 }
@@ -333,8 +378,8 @@
   m_queries.clear();
   m_recordsQueries.clear();
   for (const auto& [stream, call] : calls) {
-    if (!call->AnswerComplete()) {
-      m_peer.AddLostRequest(call->Request(), m_boot);
+    if (!call->AnswerComplete() && m_boot) {
+      m_peer.AddLostRequest(call->Request(), { *m_boot, call->OpenedAt() });
     }
     call->OnLinkEnded(aEnd);
   }
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -15,6 +15,24 @@
 
 class RemoteCall;
 
+/** \brief What is known of the process that was sent a request. */
+struct SentRequest
+{
+  BootId boot;       ///< Stated by that process.
+  MonoTime openedAt; ///< When the attempt began, before anything was sent.
+};
+
+/** \brief What an outcome reply is based on. */
+struct OutcomeEvidence
+{
+  RequestState stated = RequestState::kForgotten; ///< By the peer.
+  RequestState taken = RequestState::kForgotten;  ///< What is made of it.
+  bool sameBoot = false; ///< The boot id is that of the process that was asked
+                         ///< to run the request.
+  std::optional<Duration> uptime; ///< Of the process that replied, at least.
+  std::optional<Duration> age;    ///< Time since the attempt began.
+};
+
 /**
  * \brief A single connection to another daemon and the streams on it. A
  * reconnect makes a new PeerLink.
@@ -42,11 +60,12 @@
   void Send(const Frame& aFrame) { m_connection->Send(aFrame); }
 
   /**
-   * \param aBoot process that was sent the request. Another one can't tell
-   * that it never ran.
+   * \param aSent identifies the process that was sent the request. Another
+   * one can't tell that it never ran.
    */
   void AddQuery(QueryId aQuery,
-                std::optional<BootId> aBoot,
+                const RequestId& aRequest,
+                std::optional<SentRequest> aSent,
                 PeersTask::OutcomeCallback aCallback);
   void AddRecordsQuery(PeersTask::RecordsCallback aCallback);
 
@@ -73,7 +92,8 @@
 private:
   struct PendingQuery
   {
-    std::optional<BootId> boot;
+    RequestId request;
+    std::optional<SentRequest> sent;
     PeersTask::OutcomeCallback callback;
   };
 
@@ -90,7 +110,9 @@
   PeersTask::OrdersCallback m_onOrders;
   int64_t m_lastStream = 0;
   std::optional<BootId> m_boot; ///< Of the process at the other end.
-  bool m_peerLeft = false;      ///< The peer runs no more requests.
+  /// Latest time at which the process at the other end can have started.
+  std::optional<MonoTime> m_startedBy;
+  bool m_peerLeft = false; ///< The peer runs no more requests.
 };
 
 /** \brief Another daemon, identified by its endpoint. */
@@ -117,17 +139,20 @@
 
   const ConnectionSettings& Settings() const;
 
+  const Clock& GetClock() const;
+
   void OnHello(const Hello& aHello);
   void OnPosition(TablePosition aPosition);
   void OnLinkEnded(const PeerLink& aLink, CloseReason aEnd);
   void OnError(std::string_view aProblem);
   void OnGoodbye(size_t aCalls);
+  void OnOutcome(const RequestId& aRequest, const OutcomeEvidence& aEvidence);
 
   /** \brief Keeps the process that was sent a request whose link ended. */
-  void AddLostRequest(const RequestId& aRequest, std::optional<BootId> aBoot);
+  void AddLostRequest(const RequestId& aRequest, const SentRequest& aSent);
 
   /** \brief Process that was sent a lost request, if it is known. */
-  std::optional<BootId> BootOf(const RequestId& aRequest) const;
+  std::optional<SentRequest> FindLostRequest(const RequestId& aRequest) const;
 
 private:
   Hello MakeHello() const;
@@ -137,8 +162,8 @@
   std::shared_ptr<PeerLink> m_link;
   std::vector<std::shared_ptr<PeerLink>> m_queryLinks;
   BootId m_boot;
-  std::unordered_map<RequestId, BootId> m_bootOfLost;
-  std::deque<RequestId> m_lostRequests; ///< Keys of m_bootOfLost, oldest first.
+  std::unordered_map<RequestId, SentRequest> m_lost;
+  std::deque<RequestId> m_lostRequests; ///< Keys of m_lost, oldest first.
   TablePosition m_knownPosition;
   MonoTime m_failedAt;
   bool m_connectFailed = false; ///< No connection succeeded since.
@@ -153,8 +178,9 @@
   RemoteCall(std::weak_ptr<PeerLink> aLink,
              std::shared_ptr<CallListener> aListener);
 
-  void Open(const CallRequest& aRequest, Duration aRemaining);
+  void Open(const CallRequest& aRequest, MonoTime aNow);
   const RequestId& Request() const { return m_request; }
+  MonoTime OpenedAt() const { return m_openedAt; }
 
   /** \brief Whether the whole answer has arrived. A paused call then delivers
    * the rest when it is resumed, whatever becomes of the link. */
@@ -182,6 +208,7 @@
   std::shared_ptr<CallListener> m_listener;
   StreamId m_stream;
   RequestId m_request;
+  MonoTime m_openedAt;
   SendWindow m_send;
   ReceiveWindow m_receive;
   std::string m_pausedBody; ///< Body that arrived while paused.
--- a/src/Daemon/PeersTask.cpp
+++ b/src/Daemon/PeersTask.cpp
@@ -56,7 +56,7 @@
   auto& link = peer->Link();
   const auto call =
     std::make_shared<RemoteCall>(link.weak_from_this(), std::move(aListener));
-  call->Open(aRequest, aRequest.deadline - m_clock.Now());
+  call->Open(aRequest, m_clock.Now());
   return call;
 }
 
@@ -77,7 +77,8 @@
   const auto peer = Find(aPeer);
   const auto link = peer->NewQueryLink();
   const QueryId query(1);
-  link->AddQuery(query, peer->BootOf(aRequest), std::move(aCallback));
+  link->AddQuery(
+    query, aRequest, peer->FindLostRequest(aRequest), std::move(aCallback));
   link->Send(OutcomeQuery{ query, aRequest, aKnown });
 }
 
--- a/src/Daemon/RemoteCall.cpp
+++ b/src/Daemon/RemoteCall.cpp
@@ -13,18 +13,19 @@
 }
 
 void
-RemoteCall::Open(const CallRequest& aRequest, Duration aRemaining)
+RemoteCall::Open(const CallRequest& aRequest, MonoTime aNow)
 {
   const auto link = m_link.lock();
   m_stream = link->Add(shared_from_this());
   m_request = aRequest.id;
+  m_openedAt = aNow;
   RequestOpen open;
   open.stream = m_stream;
   open.request = aRequest.id;
   open.service = aRequest.service;
   open.key = aRequest.key;
   open.head = aRequest.head;
-  open.remaining = aRemaining;
+  open.remaining = aRequest.deadline - aNow;
   open.hasBody = aRequest.hasBody;
   open.idempotencyKey = aRequest.idempotencyKey;
   open.repeat = aRequest.repeat;
--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -136,6 +136,10 @@
     if (aHello.compression != 0) {
       hello.__set_compression(aHello.compression);
     }
+    if (aHello.uptime) {
+      hello.__set_uptimeMicros(
+        duration_cast<microseconds>(*aHello.uptime).count());
+    }
     frame.__set_hello(hello);
   }
 
@@ -494,7 +498,10 @@
                   hello.protocol,
                   DaemonId(hello.daemon),
                   PositionFromWire(hello.position),
-                  hello.__isset.compression ? hello.compression : 0 };
+                  hello.__isset.compression ? hello.compression : 0,
+                  hello.__isset.uptimeMicros
+                    ? std::optional(DurationFromWire(hello.uptimeMicros))
+                    : std::nullopt };
   }
   if (isset.recordsQuery) {
     const auto& query = aFrame.recordsQuery;
--- a/src/Inner/Frames.h
+++ b/src/Inner/Frames.h
@@ -36,6 +36,8 @@
   TablePosition position; ///< Position of the sender's outcome table.
   /// Form of compressed blocks that the sender reads; 0: none.
   int32_t compression = 0;
+  /// Time since the sender started; stated by the end that accepts connections.
+  std::optional<Duration> uptime;
 };
 
 /** \brief Opens a stream: forwards a request to the holder of its key. */
--- a/src/Inner/gen/frames_types.cpp
+++ b/src/Inner/gen/frames_types.cpp
@@ -383,6 +383,11 @@
   this->compression = val;
 __isset.compression = true;
 }
+
+void WireHello::__set_uptimeMicros(const int64_t val) {
+  this->uptimeMicros = val;
+__isset.uptimeMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireHello& obj)
 {
   obj.printTo(out);
@@ -455,6 +460,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->uptimeMicros);
+          this->__isset.uptimeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -501,6 +514,11 @@
     xfer += oprot->writeI32(this->compression);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.uptimeMicros) {
+    xfer += oprot->writeFieldBegin("uptimeMicros", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->uptimeMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -513,6 +531,7 @@
   swap(a.daemon, b.daemon);
   swap(a.position, b.position);
   swap(a.compression, b.compression);
+  swap(a.uptimeMicros, b.uptimeMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -522,6 +541,7 @@
   daemon = other6.daemon;
   position = other6.position;
   compression = other6.compression;
+  uptimeMicros = other6.uptimeMicros;
   __isset = other6.__isset;
 }
 WireHello& WireHello::operator=(const WireHello& other7) noexcept {
@@ -530,6 +550,7 @@
   daemon = other7.daemon;
   position = other7.position;
   compression = other7.compression;
+  uptimeMicros = other7.uptimeMicros;
   __isset = other7.__isset;
   return *this;
 }
@@ -541,6 +562,7 @@
   out << ", " << "daemon=" << to_string(daemon);
   out << ", " << "position=" << to_string(position);
   out << ", " << "compression="; (__isset.compression ? (out << to_string(compression)) : (out << "<null>"));
+  out << ", " << "uptimeMicros="; (__isset.uptimeMicros ? (out << to_string(uptimeMicros)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/Inner/gen/frames_types.h
+++ b/src/Inner/gen/frames_types.h
@@ -213,8 +213,9 @@
 std::ostream& operator<<(std::ostream& out, const WireHeader& obj);
 
 typedef struct _WireHello__isset {
-  _WireHello__isset() : compression(false) {}
+  _WireHello__isset() : compression(false), uptimeMicros(false) {}
   bool compression :1;
+  bool uptimeMicros :1;
 } _WireHello__isset;
 
 class WireHello : public virtual ::apache::thrift::TBase {
@@ -227,7 +228,8 @@
               protocol(0),
               daemon(0),
               position(0),
-              compression(0) {
+              compression(0),
+              uptimeMicros(0) {
   }
 
   virtual ~WireHello() noexcept;
@@ -236,6 +238,7 @@
   int64_t daemon;
   int64_t position;
   int32_t compression;
+  int64_t uptimeMicros;
 
   _WireHello__isset __isset;
 
@@ -249,6 +252,8 @@
 
   void __set_compression(const int32_t val);
 
+  void __set_uptimeMicros(const int64_t val);
+
   bool operator == (const WireHello & rhs) const
   {
     if (!(boot == rhs.boot))
@@ -263,6 +268,10 @@
       return false;
     else if (__isset.compression && !(compression == rhs.compression))
       return false;
+    if (__isset.uptimeMicros != rhs.__isset.uptimeMicros)
+      return false;
+    else if (__isset.uptimeMicros && !(uptimeMicros == rhs.uptimeMicros))
+      return false;
     return true;
   }
   bool operator != (const WireHello &rhs) const {
--- a/src/Inner/idl/frames.thrift
+++ b/src/Inner/idl/frames.thrift
@@ -27,6 +27,7 @@
   3: required i64 daemon
   4: required i64 position
   5: optional i32 compression
+  6: optional i64 uptimeMicros
 }
 
 struct WireRequestOpen {
--- a/src/Routing/OutcomeTable.cpp
+++ b/src/Routing/OutcomeTable.cpp
@@ -4,6 +4,22 @@
 
 namespace pistachioshift {
 
+std::string_view
+ToString(RequestState aState)
+{
+  switch (aState) {
+    case RequestState::kRunning:
+      return "running";
+    case RequestState::kDone:
+      return "done";
+    case RequestState::kNeverSeen:
+      return "never-seen";
+    case RequestState::kForgotten:
+      return "forgotten";
+  }
+  return "forgotten";
+}
+
 OutcomeTable::OutcomeTable(OutcomeTableSettings aSettings)
   : m_settings(aSettings)
 {
--- a/src/Routing/OutcomeTable.h
+++ b/src/Routing/OutcomeTable.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "src/Base/Ids.h"
@@ -53,6 +54,9 @@
   kForgotten, ///< May have run; its record was evicted.
 };
 
+/** \brief Name in metric labels and log lines, such as never-seen. */
+std::string_view ToString(RequestState aState);
+
 /** \brief Result of OutcomeTable::Query(). */
 struct OutcomeQueryResult
 {
--- a/test/Inner/CodecTest.cpp
+++ b/test/Inner/CodecTest.cpp
@@ -217,6 +217,21 @@
   EXPECT_TRUE(decoded.awaitsCredit);
 }
 
+// Guards against a peer of an earlier version that is taken for a process which
+// has just started, or for one that has run for ever.
+TEST_F(CodecTest, Hello_RoundTrip_KeepsUptimeOrItsAbsence)
+{
+  for (const auto& uptime :
+       { std::optional<Duration>(),
+         std::optional<Duration>(Duration::zero()),
+         std::optional<Duration>(std::chrono::hours(9)) }) {
+    Hello hello;
+    hello.uptime = uptime;
+    const auto encoded = EncodeFrame(hello).substr(kFrameLengthBytes);
+    EXPECT_EQ(std::get<Hello>(DecodeFrame(encoded)).uptime, uptime);
+  }
+}
+
 TEST_F(CodecTest, RangeRelease_RoundTrip_KeepsFields)
 {
   const auto release = Release();
