Test: a new process with the owner's old boot id is believed (known red)

Fails on: the requester takes "never seen" of a new process of the owner for proof that the write did not run, if that process has drawn the boot id of the one before. The test for different ids moves into the same fixture, with its check as it was; a new one keeps the answer "never seen" of a process that still exists.

--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -294,47 +294,117 @@
   OutcomeTable table;
 };
 
-// Guards against TWICE: the process that ran a write has been replaced when its
-// outcome is asked for, and the new one, which knows nothing of it, says that
-// it has never seen it.
-TEST_F(GoodbyeTest, Query_ProcessWasReplaced_IsNotTakenForNeverSeen)
+/** \brief Fails on each request, which ends the connection but not the
+ * process: the request isn't recorded. */
+class FailingServer : public TableServer
 {
-  const auto endpoint = m_inner->LocalEndpoint();
-  m_inner.reset();
-  const auto start = [&](BootId aBoot, TableServer& aServer) {
+public:
+  std::shared_ptr<Call> Start(CallRequest,
+                              std::shared_ptr<CallListener>) override
+  {
+    throw std::runtime_error("injected failure");
+  }
+};
+
+/** \brief Loses the connection on which a write was sent, and asks for its
+ * outcome. */
+class LostWriteTest : public GoodbyeTest
+{
+protected:
+  LostWriteTest()
+  {
+    m_inner.reset();
+    m_peers = std::make_unique<PeersTask>(
+      m_base.get(), m_time, BootId(2), m_logger, m_metrics);
+  }
+  ~LostWriteTest() override { m_inner.reset(); }
+
+  void StartOwner(BootId aBoot, CallServer& aServer)
+  {
     m_inner = std::make_unique<InnerServerTask>(m_base.get(),
-                                                m_clock,
-                                                endpoint,
+                                                m_time,
+                                                m_endpoint,
                                                 aBoot,
                                                 aServer,
                                                 Services(),
                                                 m_metrics,
                                                 m_bulk);
-  };
-  TableServer before;
-  start(BootId(3), before);
-  CallRequest request;
-  request.id = { 1, 1 };
-  request.head.method = "POST";
-  request.head.target = "/";
-  request.deadline = m_clock.Now() + kTestTimeout;
-  request.known = m_peers->KnownPosition(endpoint);
-  const auto listener = std::make_shared<RecordingListener>();
-  const auto call = m_peers->Start(endpoint, request, listener);
-  ASSERT_TRUE(WaitFor([&] { return before.listeners.size() == 1; }));
-  m_inner.reset();
-  ASSERT_TRUE(WaitFor([&] { return listener->Ended(); }));
-  EXPECT_EQ(listener->loss, CallLoss::kClosed);
-  TableServer after;
-  start(BootId(4), after);
-  std::optional<OutcomeQueryResult> result;
-  m_peers->QueryOutcome(endpoint,
-                        request.id,
-                        request.known,
-                        [&](const auto& aResult) { result = aResult; });
-  ASSERT_TRUE(WaitFor([&] { return result.has_value(); }));
-  EXPECT_NE(result->state, RequestState::kNeverSeen)
-    << "the request would be sent again";
+    m_time.Advance(kStep);
+  }
+
+  void OpenWrite()
+  {
+    CallRequest request;
+    request.id = kWrite;
+    request.head.method = "POST";
+    request.head.target = "/";
+    request.deadline = m_time.Now() + kTestTimeout;
+    m_call = m_peers->Start(m_endpoint, request, m_listener);
+    m_time.Advance(kStep);
+  }
+
+  /** What the requester makes of the reply to its query. */
+  std::optional<RequestState> Query()
+  {
+    EXPECT_TRUE(WaitFor([&] { return m_listener->Ended(); }));
+    EXPECT_EQ(m_listener->loss, CallLoss::kClosed);
+    std::optional<RequestState> state;
+    m_peers->QueryOutcome(m_endpoint, kWrite, {}, [&](const auto& aResult) {
+      state = aResult.state;
+    });
+    EXPECT_TRUE(WaitFor([&] { return state.has_value(); }));
+    return state;
+  }
+
+  /** The write runs, then another process takes the place of the owner's. */
+  std::optional<RequestState> QueryAfterReplacement(BootId aBefore,
+                                                    BootId aAfter)
+  {
+    TableServer before;
+    TableServer after;
+    StartOwner(aBefore, before);
+    OpenWrite();
+    EXPECT_TRUE(WaitFor([&] { return before.listeners.size() == 1; }));
+    m_inner.reset();
+    StartOwner(aAfter, after);
+    const auto state = Query();
+    m_inner.reset();
+    return state;
+  }
+
+  static constexpr Duration kStep = std::chrono::milliseconds(100);
+  static constexpr RequestId kWrite{ 1, 1 };
+
+  const Endpoint m_endpoint = m_inner->LocalEndpoint();
+  ManualClock m_time; ///< Of both daemons.
+  std::shared_ptr<RecordingListener> m_listener =
+    std::make_shared<RecordingListener>();
+  std::shared_ptr<Call> m_call;
+};
+
+// Guards against TWICE: the write would be sent again.
+TEST_F(LostWriteTest, Query_NewProcess_IsNotTakenForNeverSeen)
+{
+  EXPECT_NE(QueryAfterReplacement(BootId(3), BootId(4)),
+            RequestState::kNeverSeen);
+}
+
+// Guards against REFUSED: after a loss of power, the new process has drawn the
+// boot id of the one before, and the write that ran is answered as "not run".
+TEST_F(LostWriteTest, Query_NewProcessWithTheSameBootId_IsNotTakenForNeverSeen)
+{
+  EXPECT_NE(QueryAfterReplacement(BootId(3), BootId(3)),
+            RequestState::kNeverSeen);
+}
+
+// Guards against answers 502 for writes that can be sent again: the process
+// that would have run the write still exists and has not seen it.
+TEST_F(LostWriteTest, Query_SameProcessHasNotSeenIt_IsNeverSeen)
+{
+  FailingServer server;
+  StartOwner(BootId(3), server);
+  OpenWrite();
+  EXPECT_EQ(Query(), RequestState::kNeverSeen);
   m_inner.reset();
 }
 
