"Never seen" counts only from a process that runs since before the attempt

Cause: after the loss of an owner's host, the caller's daemon asks the owner's endpoint what became of the write. If the host is back by then, a new process replies that it has never seen it. That was believed if the new process stated the boot id of the one that had been sent the write. Boot ids are random numbers; after a restart, the source may give the same ones again.

That the users' source repeated is not shown.

Now the reply counts only if the process that replies has also run for longer than the attempt, by the uptime in its Hello. The requester compares two durations of its own clock, so neither random numbers nor the time of day are needed: a process that started after the attempt can't pass.

--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -175,6 +175,14 @@
                        aEvidence.sameBoot,
                        milliseconds(aEvidence.uptime),
                        milliseconds(aEvidence.age));
+  if (aEvidence.sameBoot && !aEvidence.IsSameProcess()) {
+    m_task.m_logger.Error("boot-id-repeated",
+                          "peer={}:{} peer_uptime_ms={} age_ms={}",
+                          m_endpoint.address,
+                          m_endpoint.port,
+                          milliseconds(aEvidence.uptime),
+                          milliseconds(aEvidence.age));
+  }
 }
 
 void
@@ -347,7 +355,7 @@
   if (sent) {
     evidence.age = now - sent->openedAt;
   }
-  if (result.state == RequestState::kNeverSeen && !evidence.sameBoot) {
+  if (result.state == RequestState::kNeverSeen && !evidence.IsSameProcess()) {
     result.state = RequestState::kForgotten;
   }
   evidence.taken = result.state;
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -31,6 +31,15 @@
                          ///< to run the request.
   std::optional<Duration> uptime; ///< Of the process that replied, at least.
   std::optional<Duration> age;    ///< Time since the attempt began.
+
+  /**
+   * \brief Whether the process that replied was sent the request. The boot id
+   * alone doesn't show it: a random source may repeat after a restart.
+   */
+  bool IsSameProcess() const
+  {
+    return sameBoot && uptime && age && *uptime >= *age;
+  }
 };
 
 /**
