Generators are seeded from times and the process id too

Boot ids, request ids, and the writer ids by which log records are recognised as repeats, were drawn from a generator that was seeded from std::random_device alone.

The seed now contains the time of day and the time since boot in nanoseconds and the process id as well, in one function for pistachiod, pistachioctl and pistachiod_platform, which had a copy each.

--- a/src/Ctl/DocumentSession.cpp
+++ b/src/Ctl/DocumentSession.cpp
@@ -16,19 +16,11 @@
 // Beyond the time at which the task gives up a record that was never sent.
 constexpr Duration kGrace = std::chrono::seconds(1);
 
-RandomEngine
-SeededEngine()
-{
-  std::random_device device;
-  std::seed_seq seed{ device(), device(), device(), device() };
-  return RandomEngine(seed);
-}
-
 }
 
 DocumentSession::DocumentSession(const Endpoint& aLog, Duration aTimeout)
   : m_timeout(aTimeout)
-  , m_random(SeededEngine())
+  , m_random(MakeRandomEngine(ReadSeedSources()))
   , m_service(m_loop.Base(), HttpLogOptions{ aLog })
 {
   LogTaskOptions options;
--- a/src/Daemon/Daemon.cpp
+++ b/src/Daemon/Daemon.cpp
@@ -38,14 +38,6 @@
   return limits;
 }
 
-RandomEngine
-SeededEngine()
-{
-  std::random_device device;
-  std::seed_seq seed{ device(), device(), device(), device() };
-  return RandomEngine(seed);
-}
-
 std::optional<int64_t>
 ParseNumber(const std::string& aText)
 {
@@ -61,7 +53,7 @@
 Daemon::Daemon(event_base* aBase, const Settings& aSettings)
   : m_base(aBase)
   , m_settings(aSettings)
-  , m_random(SeededEngine())
+  , m_random(MakeRandomEngine(ReadSeedSources()))
   , m_boot(m_random())
   , m_logger("pistachiod", aSettings.logLevel)
   , m_logService(aBase, HttpLogOptions{ aSettings.log.endpoint })
