A connect timeout that is due after frames were written doesn't end the link

Callers saw: 503 ("did not run, never will") for a write, or a second attempt of it, although the owner's daemon got the request and its backend server ran it.

Cause: libevent writes queued frames in the callback that finds the socket connected, and puts the call of Connection::OnEvent at the end of the same round of the event loop. A connect timer that is due in that round runs in between. OnTimer took the missing event for a connection that wasn't established, and ended it with kConnectFailed, which promises that no queued frame was sent: Hello and the requests had left. RemoteCall told its listener kNotSent.

Change: a connection knows how many bytes were queued before OnEvent has reported it. If fewer wait in the output buffer, bytes have left; the timeout is then ignored, and a failure is kClosed. libevent has put the event in the queue before it writes, so the connection goes on as any other. If the buffer is full, nothing has left and kConnectFailed is true.

A deferred run delivers the connect event first, and a socket whose connect has failed isn't written.

--- a/src/Inner/Connection.cpp
+++ b/src/Inner/Connection.cpp
@@ -177,6 +177,9 @@
     return;
   }
   bufferevent_write(m_bufferEvent, bytes.data(), bytes.size());
+  if (!m_connected) {
+    m_queuedBeforeConnected += bytes.size();
+  }
   const auto* hello = std::get_if<Hello>(&aFrame);
   if (hello != nullptr && hello->compression != 0) {
     m_compression = std::make_unique<FrameCompression>(m_settings.byteTotals);
@@ -248,7 +251,21 @@
   // Frames that arrived before the peer closed.
   while (!m_ended && ReadFrames() > 0) {
   }
-  End(m_connected ? CloseReason::kClosed : CloseReason::kConnectFailed);
+  End(ReasonOfFailure());
+}
+
+bool
+Connection::WroteBeforeConnected() const
+{
+  const auto* output = bufferevent_get_output(m_bufferEvent);
+  return evbuffer_get_length(output) < m_queuedBeforeConnected;
+}
+
+CloseReason
+Connection::ReasonOfFailure() const
+{
+  return m_connected || WroteBeforeConnected() ? CloseReason::kClosed
+                                               : CloseReason::kConnectFailed;
 }
 
 void
@@ -428,7 +445,12 @@
     return;
   }
   if (!m_connected) {
-    End(CloseReason::kConnectFailed);
+    // libevent writes queued frames as soon as the socket is connected, and
+    // calls OnEvent later in the same round of the event loop. A timeout that
+    // is due in between is no failure.
+    if (!WroteBeforeConnected()) {
+      End(CloseReason::kConnectFailed);
+    }
     return;
   }
   const auto now = m_clock.Now();
--- a/src/Inner/Connection.h
+++ b/src/Inner/Connection.h
@@ -135,6 +135,9 @@
   void OnWritable();
   void OnEvent(short aEvents);
   void OnTimer();
+  /** Whether bytes left before OnEvent has reported the connection. */
+  bool WroteBeforeConnected() const;
+  CloseReason ReasonOfFailure() const;
   void SendPing();
   void SendCompressed(const Frame& aFrame, std::string aBytes);
   void ScheduleFlush();
@@ -159,6 +162,7 @@
   MonoTime m_lastRead;
   MonoTime m_lastHeartbeat;
   TablePosition m_position;
+  size_t m_queuedBeforeConnected = 0; ///< Bytes of frames.
   int64_t m_lastPingSequence = 0;
   int m_missedHeartbeats = 0;
   bool m_pinged = false; ///< Since heartbeats were enabled.
--- a/test/Inner/ConnectionTest.cpp
+++ b/test/Inner/ConnectionTest.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <tuple>
 
 #include <arpa/inet.h>
@@ -79,6 +80,23 @@
       m_base, m_clock, m_peer, ConnectionSettings(), m_listener);
   }
 
+  /** \brief Creates m_connection with a queued frame and a connect timeout
+   * that is due before the event loop runs.
+   * \return the other end, which is established */
+  int ConnectLate()
+  {
+    listen(m_listeningSocket, 8);
+    ConnectionSettings settings;
+    settings.connectTimeout = 1ms;
+    m_connection =
+      Connection::Connect(m_base, m_clock, m_peer, settings, m_listener);
+    m_connection->Send(Ping{ 1 });
+    m_sockets.push_back(
+      accept4(m_listeningSocket, nullptr, nullptr, SOCK_CLOEXEC));
+    std::this_thread::sleep_for(50ms);
+    return m_sockets.back();
+  }
+
   /** \brief Creates m_connection on one end of a socket pair.
    * \return the other end */
   int ConnectPair(const ConnectionSettings& aSettings = {})
@@ -171,6 +189,7 @@
   int m_listeningSocket;
   Endpoint m_peer;
   std::vector<int> m_sockets;
+  std::array<char, 64> m_bytes{}; ///< Read by a test.
   std::shared_ptr<RecordingListener> m_listener =
     std::make_shared<RecordingListener>();
   std::shared_ptr<Connection> m_connection;
@@ -258,6 +277,28 @@
   EXPECT_EQ(m_listener->end, CloseReason::kConnectFailed);
 }
 
+// Guards against "no queued frame was sent" for a connection whose connect
+// timeout is due in the round of the event loop that writes its frames: the
+// requests in them run, and their callers were told that they don't.
+TEST_F(ConnectionTest, Connect_TimeoutDueInTheRoundThatWrites_StaysOpen)
+{
+  const int peer = ConnectLate();
+  RunUntil([this] { return m_connection->Connected() || m_listener->end; });
+  ASSERT_GT(recv(peer, m_bytes.data(), m_bytes.size(), MSG_DONTWAIT), 0);
+  EXPECT_TRUE(m_connection->Connected());
+  EXPECT_FALSE(m_listener->end) << ToString(*m_listener->end);
+}
+
+// The same, when the peer has closed too by then.
+TEST_F(ConnectionTest, Connect_PeerClosesInTheRoundThatWrites_EndsAsClosed)
+{
+  const int peer = ConnectLate();
+  shutdown(peer, SHUT_WR);
+  ASSERT_TRUE(RunUntilEnd());
+  ASSERT_GT(recv(peer, m_bytes.data(), m_bytes.size(), MSG_DONTWAIT), 0);
+  EXPECT_EQ(m_listener->end, CloseReason::kClosed);
+}
+
 TEST_F(ConnectionTest, Frame_TooLong_EndsAsMalformedBeforeItIsRead)
 {
   const int peer = ConnectPair();
