A request is "not run" only if none of its attempts may have run

Callers saw 503, which promises that a request did not run, although an earlier attempt of it may have run.

Cause: the outcome was that of the last attempt. DecideAfterNotRun looked at the earlier ones for kFatalRequest only, and IngressSession::GiveUp (shutdown, deadline, body timeout of the caller) assumed that no attempt has run while it waits for a retry, or while the open attempt still lacks its body.

Change: OutcomeWithoutAnswer, in the pure code, says "not run" if the number of attempts that may have run is zero. DecideRetry, DecideAfterQuery and GiveUp use it. A decision to retry states that number; "never seen" takes the queried attempt out of it, so a request that runs at most once keeps its promise if a later attempt is refused.

Idempotent requests are still tried again after a refusal. Requests that run at most once get the same answers as before: they have a second attempt only if the first one certainly did not run.

No existing test stated the old behaviour.

--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -328,11 +328,13 @@
 {
   switch (aDecision.step) {
     case RetryStep::kRetryNow:
+      m_possibleRuns = aDecision.runs;
       m_context.metrics.CountRetry(aDecision.reason);
       m_context.dialect.OnRetry(m_resolved, aDecision.reason, MakeRecord());
       BeginAttempt();
       return;
     case RetryStep::kRetryAfter:
+      m_possibleRuns = aDecision.runs;
       m_context.metrics.CountRetry(aDecision.reason);
       m_context.dialect.OnRetry(m_resolved, aDecision.reason, MakeRecord());
       m_timer.StartOnce(aDecision.delay);
@@ -423,14 +425,11 @@
   if (m_ended || m_answerBegun) {
     return;
   }
-  // While waiting for a retry, the last attempt is known not to have run.
-  const bool waits = !m_call && !m_queryPending && m_timer.Running();
-  const bool started =
-    m_call != nullptr ? MayHaveRun() : m_history.attempts > 0;
+  const uint32_t open = m_call && MayHaveRun() ? 1 : 0;
   if (m_call) {
     m_call->Cancel();
   }
-  Refuse(waits || !started ? Outcome::kNotRun : Outcome::kUnknown, aReason);
+  Refuse(OutcomeWithoutAnswer(m_possibleRuns + open), aReason);
 }
 
 IngressRecord
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -105,7 +105,7 @@
   DownloadResume m_resume;
   bool m_ended = false;
   bool m_isResolved = false;   ///< The dialect accepted the request.
-  uint32_t m_possibleRuns = 0; ///< Attempts that may have run.
+  uint32_t m_possibleRuns = 0; ///< Ended attempts that may have run.
   uint32_t m_sheds = 0;        ///< Refusals by a backend server itself.
   int m_status = 0;            ///< Sent to the caller; 0: none.
   std::optional<RefusalReason> m_reason;
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -27,9 +27,10 @@
 }
 
 RetryDecision
-RetryIn(Duration aDelay, RetryReason aReason)
+RetryIn(Duration aDelay, RetryReason aReason, uint32_t aRuns)
 {
   RetryDecision decision;
+  decision.runs = aRuns;
   decision.step =
     aDelay > Duration{} ? RetryStep::kRetryAfter : RetryStep::kRetryNow;
   decision.delay = aDelay;
@@ -180,20 +181,17 @@
                   const RetrySettings& aSettings,
                   RetryBudget& aBudget)
 {
-  const bool ranBefore =
-    aReport.refusal == RefusalReason::kFatalRequest && aReport.runs > 0;
+  if (OutcomeOf(aReport.refusal) != Outcome::kNotRun) {
+    return GiveUp(Outcome::kUnknown, aReport.refusal);
+  }
   const auto giveUp =
-    GiveUp(ranBefore ? Outcome::kUnknown : OutcomeOf(aReport.refusal),
-           aReport.refusal);
+    GiveUp(OutcomeWithoutAnswer(aReport.runs), aReport.refusal);
   const auto delay = RetryDelay(aReport, aSettings);
   if (IsFinal(aReport.refusal) || !CanRetry(aReport, aSettings, delay)) {
     return giveUp;
   }
-  if (giveUp.outcome != Outcome::kNotRun) {
-    return giveUp;
-  }
   return MayRetryRefusal(aReport, aSettings, aBudget)
-           ? RetryIn(delay, ReasonOf(aReport.refusal))
+           ? RetryIn(delay, ReasonOf(aReport.refusal), aReport.runs)
            : giveUp;
 }
 
@@ -212,7 +210,7 @@
       !aBudget.TrySpend()) {
     return GiveUp(outcome, RefusalReason::kRetriesSpent);
   }
-  return RetryIn(Duration{}, ReasonOf(aReport.end));
+  return RetryIn(Duration{}, ReasonOf(aReport.end), aReport.runs);
 }
 
 bool
@@ -272,6 +270,12 @@
   return true;
 }
 
+Outcome
+OutcomeWithoutAnswer(uint32_t aRuns)
+{
+  return aRuns == 0 ? Outcome::kNotRun : Outcome::kUnknown;
+}
+
 RetryDecision
 DecideRetry(const AttemptReport& aReport,
             const RetrySettings& aSettings,
@@ -330,10 +334,12 @@
     case RequestState::kNeverSeen:
       break;
   }
+  const auto earlierRuns = std::max(aReport.runs, 1U) - 1;
   if (!CanRetry(aReport, aSettings, Duration{}) || !aBudget.TrySpend()) {
-    return GiveUp(Outcome::kNotRun, RefusalReason::kRetriesSpent);
+    return GiveUp(OutcomeWithoutAnswer(earlierRuns),
+                  RefusalReason::kRetriesSpent);
   }
-  return RetryIn(Duration{}, RetryReason::kNeverSeen);
+  return RetryIn(Duration{}, RetryReason::kNeverSeen, earlierRuns);
 }
 
 Duration
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -83,6 +83,8 @@
   Duration delay{}; ///< Before a retry or a query.
   /// Valid for a retry.
   RetryReason reason = RetryReason::kRedirected;
+  /// Attempts so far that may have run; valid for a retry.
+  uint32_t runs = 0;
   /// Valid for kGiveUp.
   Outcome outcome = Outcome::kUnknown;
   /// Valid for kGiveUp, unless the outcome is kDone.
@@ -122,6 +124,15 @@
   bool retryUnreachable = true;
 };
 
+/**
+ * \brief Outcome of a request that gets no answer from a backend server.
+ *
+ * "Not run" is a promise about the whole request: one attempt that may have run
+ * rules it out, however the others ended.
+ * \param aRuns attempts that may have run, an open one included.
+ */
+Outcome OutcomeWithoutAnswer(uint32_t aRuns);
+
 /**
  * \brief Next step after an attempt.
  *
@@ -137,7 +148,8 @@
  * \brief Next step after OutcomeTable::Query() by the daemon of the owner.
  *
  * For kRunning the query is repeated after the delay. For kDone the stored
- * answer is returned to the caller, or unknown if none is stored.
+ * answer is returned to the caller, or unknown if none is stored. After
+ * kNeverSeen the attempt no longer counts as one that may have run.
  * \param aReport the attempt whose outcome was queried.
  */
 RetryDecision DecideAfterQuery(const OutcomeQueryResult& aResult,
--- a/test/Daemon/IngressSessionSupport.h
+++ b/test/Daemon/IngressSessionSupport.h
@@ -65,9 +65,10 @@
   void QueryOutcome(const Destination&,
                     const RequestId&,
                     TablePosition,
-                    PeersTask::OutcomeCallback) override
+                    PeersTask::OutcomeCallback aCallback) override
   {
     ++queries;
+    outcome = std::move(aCallback);
   }
   TablePosition KnownPosition(const Destination&) const override { return {}; }
   void OnEnd(const ServicePolicy&,
@@ -91,7 +92,8 @@
   int started = 0;
   int queries = 0;
   int uploadRefusals = 0;
-  CallRequest request; ///< Of the last attempt.
+  CallRequest request;                ///< Of the last attempt.
+  PeersTask::OutcomeCallback outcome; ///< Of the last query.
   std::shared_ptr<CallListener> listener;
 };
 
@@ -101,8 +103,10 @@
   std::variant<ResolvedRequest, RefusalReason> Read(RequestHead&) override
   {
     ResolvedRequest resolved;
-    resolved.timeLimit = std::chrono::minutes(10);
+    resolved.timeLimit = timeLimit;
     resolved.upload = upload;
+    resolved.requestClass.idempotent = idempotent;
+    resolved.retry = retry;
     if (upload) {
       resolved.policy.division = Division::kAnyInstance;
     }
@@ -123,7 +127,10 @@
   void OnDone(const IngressRecord&) override { ++done; }
 
   std::optional<RefusalNotice> notice;
+  Duration timeLimit = std::chrono::minutes(10);
   bool upload = false;
+  bool idempotent = false;
+  RetrySettings retry = ResolvedRequest{}.retry;
   int done = 0;
 };
 
--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -48,4 +48,112 @@
   EXPECT_EQ(m_dialect.done, 1);
 }
 
+constexpr Duration kLongWait = std::chrono::minutes(1);
+
+/** How an attempt ends, and what the owner tells if it is queried. */
+struct PlayedEnd
+{
+  std::string_view name;
+  std::optional<CallRefusal> refusal;
+  CallLoss loss = CallLoss::kNotSent; ///< Without a refusal.
+  RequestState state = RequestState::kForgotten;
+};
+
+const std::array kPlayedEnds{
+  PlayedEnd{ "refused, tried again at once",
+             CallRefusal{ Outcome::kNotRun, RefusalReason::kCold, {}, {} } },
+  PlayedEnd{
+    "refused, waits",
+    CallRefusal{ Outcome::kNotRun, RefusalReason::kQueueFull, kLongWait, {} } },
+  PlayedEnd{
+    "refused, final",
+    CallRefusal{ Outcome::kNotRun, RefusalReason::kDeadlineExpired, {}, {} } },
+  PlayedEnd{
+    "server lost",
+    CallRefusal{ Outcome::kUnknown, RefusalReason::kBackendDown, {}, {} } },
+  PlayedEnd{ "not sent", {}, CallLoss::kNotSent },
+  PlayedEnd{ "closed, forgotten", {}, CallLoss::kClosed },
+  PlayedEnd{ "closed, never seen",
+             {},
+             CallLoss::kClosed,
+             RequestState::kNeverSeen },
+  PlayedEnd{ "silent, never seen",
+             {},
+             CallLoss::kSilent,
+             RequestState::kNeverSeen },
+  PlayedEnd{ "silent, running", {}, CallLoss::kSilent, RequestState::kRunning },
+  PlayedEnd{ "truncated, forgotten", {}, CallLoss::kTruncated },
+};
+
+/** Plays the ends of the attempts of one request. */
+class RequestOutcomeTest : public IngressSessionTest
+{
+protected:
+  RequestOutcomeTest() { m_dialect.retry.redirectDelay = Duration{}; }
+
+  /** Returns whether the attempt may have run. */
+  bool Play(const PlayedEnd& aEnd)
+  {
+    const auto listener = m_router.listener;
+    const auto queries = m_router.queries;
+    if (aEnd.refusal) {
+      listener->OnRefused(*aEnd.refusal);
+      return aEnd.refusal->outcome != Outcome::kNotRun;
+    }
+    const bool truncated = aEnd.loss == CallLoss::kTruncated;
+    if (truncated) {
+      listener->OnHead({ .status = 200, .contentLength = 10 }, FenceToken());
+    }
+    listener->OnLost(aEnd.loss);
+    const bool queried = m_router.queries > queries;
+    if (queried) {
+      m_router.outcome({ aEnd.state, std::nullopt });
+    }
+    const bool neverSeen = queried && aEnd.state == RequestState::kNeverSeen;
+    return truncated || (aEnd.loss != CallLoss::kNotSent && !neverSeen);
+  }
+
+  /** Plays one request, whose process stops after the last of the ends.
+   * \return whether an attempt may have run. */
+  bool PlayRequest(const std::vector<PlayedEnd>& aEnds)
+  {
+    m_router.budget = RetryBudget(1.0);
+    m_router.started = 0;
+    m_dialect.notice.reset();
+    const CallerDouble caller(m_port);
+    EXPECT_TRUE(caller.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+    EXPECT_TRUE(RunUntil([&] { return m_router.started == 1; }));
+    bool mayHaveRun = false;
+    int played = 0;
+    for (const auto& end : aEnds) {
+      if (m_router.started > played) {
+        mayHaveRun = Play(end) || mayHaveRun;
+        ++played;
+      }
+    }
+    const bool open = !m_dialect.notice && m_router.started > played;
+    m_task->FailPendingRequests();
+    return mayHaveRun || open;
+  }
+};
+
+// Guards against a promise that isn't true: an attempt that may have run is
+// forgotten when a later one is refused, or while the next one is waited for.
+TEST_F(RequestOutcomeTest, AnyThreeAttempts_NotRun_OnlyIfNoneMayHaveRun)
+{
+  constexpr size_t kEnds = kPlayedEnds.size();
+  for (size_t index = 0; index < 2 * kEnds * kEnds * kEnds; ++index) {
+    m_dialect.idempotent = index % 2 == 0;
+    const std::vector ends{ kPlayedEnds.at(index / 2 / kEnds / kEnds),
+                            kPlayedEnds.at(index / 2 / kEnds % kEnds),
+                            kPlayedEnds.at(index / 2 % kEnds) };
+    const bool mayHaveRun = PlayRequest(ends);
+    ASSERT_TRUE(m_dialect.notice);
+    EXPECT_EQ(m_dialect.notice->outcome,
+              mayHaveRun ? Outcome::kUnknown : Outcome::kNotRun)
+      << (m_dialect.idempotent ? "idempotent: " : "at most once: ")
+      << ends[0].name << "; " << ends[1].name << "; " << ends[2].name;
+  }
+}
+
 }
--- a/test/Daemon/IngressUploadTest.cpp
+++ b/test/Daemon/IngressUploadTest.cpp
@@ -157,6 +157,23 @@
   EXPECT_EQ(m_dialect.notice->outcome, Outcome::kNotRun);
 }
 
+// Guards against a promise that isn't true: while a second attempt lacks its
+// body, the first one may have run.
+TEST_F(IngressUploadTest, BodyStalls_AfterAnAttemptThatMayHaveRun_IsUnknown)
+{
+  m_dialect.idempotent = true;
+  ASSERT_TRUE(m_caller.Write(Upload(kUploadBytes, 1000)));
+  ASSERT_TRUE(Attempted(1));
+  const auto first = m_router.listener;
+  first->OnRefused({ Outcome::kUnknown, RefusalReason::kBackendDown, {}, {} });
+  ASSERT_TRUE(Attempted(2));
+  m_router.listener->OnCredit(kUploadBytes + 1);
+  ASSERT_TRUE(RunUntil([&] { return m_dialect.done == 1; }));
+  ASSERT_TRUE(m_dialect.notice);
+  EXPECT_EQ(m_dialect.notice->reason, RefusalReason::kBodyTimeout);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+}
+
 // Guards against a turn that stays taken by a caller that has left.
 TEST_F(IngressUploadTest, Caller_LeavesWhileWaiting_AttemptIsCancelled)
 {
