An answer between daemons has a final status

What callers saw: nothing in the field; found by a check of the ways by which a status that is none can reach a caller. A daemon passed an answer of another daemon on as a whole one although its status was 100 to 199, which is no answer.

Cause: FrameCodec took each status from 100 to 599. HttpClientPool drops interim answers, so no daemon sends one in a frame, and a frame that has one is malformed. Ruled out: -200, 0, 20, 99, 600, 999 and numbers beyond 16 bits were refused before.

Change: 200 to 599, in ResponseOpen and OutcomeReply. The link ends as malformed, the call as lost, and the next call is served by a new link.

--- a/src/Inner/FrameCodec.cpp
+++ b/src/Inner/FrameCodec.cpp
@@ -17,7 +17,8 @@
 constexpr auto kMaxOutcome = static_cast<int32_t>(Outcome::kUnknown);
 constexpr auto kMaxState = static_cast<int32_t>(RequestState::kForgotten);
 constexpr int32_t kMaxStatus = 599;
-constexpr int32_t kMinStatus = 100;
+/** Interim answers (1xx) stay between a backend server and its daemon. */
+constexpr int32_t kMinStatus = 200;
 constexpr int64_t kMaxMicros = 1LL << 52U;
 
 template<class Enum>
--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -272,6 +272,24 @@
   EXPECT_EQ(result->state, RequestState::kDone);
 }
 
+// Guards against a status that is none and that a caller gets from another
+// daemon, and against a link that serves nobody afterwards.
+TEST_F(GoodbyeTest, Answer_StatusNotFinal_CallIsLostAndTheNextIsServed)
+{
+  for (const int status : { 0, 99, 100, 600, 200 }) {
+    const auto call = Send();
+    ASSERT_TRUE(WaitFor([&] { return !m_server.listeners.empty(); }));
+    const auto listener = std::exchange(m_server.listeners, {}).front();
+    listener->OnHead({ .status = status }, FenceToken());
+    listener->OnEnd();
+    ASSERT_TRUE(WaitFor([&] { return call->Ended(); }));
+    EXPECT_EQ(call->status, status == 200 ? 200 : 0);
+    EXPECT_EQ(call->whole, status == 200);
+    EXPECT_EQ(call->loss.has_value(), status != 200);
+    EXPECT_NE(call->loss, CallLoss::kNotSent) << status;
+  }
+}
+
 /** \brief Accepts requests and answers queries as an owner's daemon does. */
 class TableServer : public PendingServer
 {
--- a/test/Inner/CodecTest.cpp
+++ b/test/Inner/CodecTest.cpp
@@ -1,3 +1,5 @@
+#include <climits>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -186,6 +188,36 @@
   }
 }
 
+// Guards against a status that a caller would get although it is none, or no
+// final one, from another daemon or from the outcome that it has stored.
+TEST_F(CodecTest, Status_NotFinal_Throws)
+{
+  const auto decode = [](const Frame& aFrame) {
+    DecodeFrame(EncodeFrame(aFrame).substr(kFrameLengthBytes));
+  };
+  for (const int status : { INT_MIN,
+                            -200,
+                            -1,
+                            0,
+                            20,
+                            99,
+                            100,
+                            199,
+                            600,
+                            999,
+                            0xc8 + 0x10000,
+                            INT_MAX }) {
+    ResponseOpen open;
+    open.head.status = status;
+    EXPECT_THROW(decode(open), InnerError) << status;
+  }
+  for (const uint16_t status : { 0, 99, 100, 199, 600, 0xffff }) {
+    OutcomeReply reply;
+    reply.result = { RequestState::kDone, CachedResponse{ status, "" } };
+    EXPECT_THROW(decode(reply), InnerError) << status;
+  }
+}
+
 TEST_F(CodecTest, RequestOpen_RoundTrip_KeepsFields)
 {
   RequestOpen open;
