A malformed stored answer ends the request at once

If the answer that an owner has stored for a request is malformed (a status that is none, a frame missing), the caller's daemon doesn't pass it on, but the caller waits for its deadline.

Cause: IngressSession decodes the stored answer within the callback of its query. The InnerError ended the link of the query, which catches it, after the query had been taken off the list: nobody told the session. The process went on.

Change: the session catches the error and goes on as for a request that has run and whose answer isn't stored any more: `unknown` (kUndecided). The dialect's OnError reports the problem (on the users' platform, a request-failed line with the id).

Before the change, IngressSessionTest.Outcome_StoredAnswerMalformed_IsAnsweredUnknown failed: InnerError "status out of bounds" left the callback, and the caller had no answer within 20 s.

--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -1,7 +1,7 @@
 #include <utility>
 
-#include "src/Daemon/AnswerCodec.h"
 #include "src/Daemon/IngressSession.h"
+#include "src/Inner/InnerError.h"
 
 namespace pistachioshift {
 
@@ -173,13 +173,23 @@
   m_timer.StartOnce(kRedirectDelay);
 }
 
+std::optional<DecodedResponse>
+IngressSession::TryDecode(const CachedResponse& aAnswer) const
+{
+  try {
+    return DecodeCachedResponse(aAnswer);
+  } catch (const InnerError& error) {
+    m_context.dialect.OnError(error.what(), &m_head);
+    return std::nullopt;
+  }
+}
+
 void
-IngressSession::SendCachedResponse(const CachedResponse& aAnswer)
+IngressSession::SendStoredAnswer(const DecodedResponse& aAnswer)
 {
-  const auto answer = DecodeCachedResponse(aAnswer);
-  OnHead(answer.head, FenceToken());
-  if (!answer.body.empty()) {
-    OnAnswerBody(answer.body);
+  OnHead(aAnswer.head, FenceToken());
+  if (!aAnswer.body.empty()) {
+    OnAnswerBody(aAnswer.body);
   }
   OnAnswerEnd();
 }
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -387,13 +387,18 @@
   if (m_ended) {
     return;
   }
-  if (aResult.state == RequestState::kDone && aResult.answer) {
-    SendCachedResponse(*aResult.answer);
-    return;
+  auto result = aResult;
+  if (result.state == RequestState::kDone && result.answer) {
+    if (const auto answer = TryDecode(*result.answer)) {
+      SendStoredAnswer(*answer);
+      return;
+    }
+    // The request has run, and its answer is lost.
+    result.answer.reset();
   }
   m_report.left = m_deadline - m_context.clock.Now();
   auto& budget = m_context.router.BudgetOf(m_resolved.policy);
-  Execute(DecideAfterQuery(aResult, m_report, m_resolved.retry, budget));
+  Execute(DecideAfterQuery(result, m_report, m_resolved.retry, budget));
 }
 
 void
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "src/Daemon/AnswerCodec.h"
 #include "src/Daemon/BulkSender.h"
 #include "src/Daemon/DownloadResume.h"
 #include "src/Daemon/IngressTask.h"
@@ -66,7 +67,8 @@
   void Execute(const RetryDecision& aDecision);
   void QueryOwner();
   void OnOutcome(const OutcomeQueryResult& aResult);
-  void SendCachedResponse(const CachedResponse& aAnswer);
+  std::optional<DecodedResponse> TryDecode(const CachedResponse& aAnswer) const;
+  void SendStoredAnswer(const DecodedResponse& aAnswer);
   void Refuse(Outcome aOutcome, RefusalReason aReason);
   void OnTimer();
   void OnDeadline() { GiveUp(RefusalReason::kDeadlineExpired); }
--- a/test/Daemon/IngressSessionSupport.h
+++ b/test/Daemon/IngressSessionSupport.h
@@ -65,9 +65,10 @@
   void QueryOutcome(const Destination&,
                     const RequestId&,
                     TablePosition,
-                    PeersTask::OutcomeCallback) override
+                    PeersTask::OutcomeCallback aCallback) override
   {
     ++queries;
+    onOutcome = std::move(aCallback);
   }
   TablePosition KnownPosition(const Destination&) const override { return {}; }
   void OnEnd(const ServicePolicy&,
@@ -90,6 +91,7 @@
   std::vector<InstanceResult> results;
   int started = 0;
   int queries = 0;
+  PeersTask::OutcomeCallback onOutcome; ///< Of the last query.
   int uploadRefusals = 0;
   CallRequest request; ///< Of the last attempt.
   std::shared_ptr<CallListener> listener;
--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -1,3 +1,5 @@
+#include "src/Daemon/AnswerCodec.h"
+#include "src/Inner/FrameCodec.h"
 #include "test/Daemon/IngressSessionSupport.h"
 
 namespace pistachioshift::test {
@@ -48,4 +50,37 @@
   EXPECT_EQ(m_dialect.done, 1);
 }
 
+// Guards against a caller who waits for its deadline because the answer that
+// its owner has stored is malformed, and against one who gets that answer.
+TEST_F(IngressSessionTest, Outcome_StoredAnswerMalformed_IsAnsweredUnknown)
+{
+  const auto body = EncodeFrame(BodyChunk{ StreamId(), "ok", true });
+  const std::vector<CachedResponse> answers{
+    EncodeCachedResponse({ .status = 0 }, "ok"),
+    EncodeCachedResponse({ .status = 99 }, "ok"),
+    EncodeCachedResponse({ .status = 100 }, "ok"),
+    EncodeCachedResponse({ .status = 600 }, "ok"),
+    { 200, "" },
+    { 200, "stored" },
+    { 200, body },
+    { 200, body + body },
+  };
+  for (const auto& answer : answers) {
+    SCOPED_TRACE(testing::PrintToString(answer.payload));
+    const auto queries = m_router.queries;
+    m_dialect.notice.reset();
+    CallerDouble caller(m_port);
+    ASSERT_TRUE(
+      caller.Write("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+    ASSERT_TRUE(RunUntil([&] { return m_router.listener != nullptr; }));
+    std::exchange(m_router.listener, nullptr)->OnLost(CallLoss::kClosed);
+    ASSERT_TRUE(RunUntil([&] { return m_router.queries > queries; }));
+    EXPECT_NO_THROW(m_router.onOutcome({ RequestState::kDone, answer }));
+    ASSERT_TRUE(RunUntil([&] { return caller.AtEnd(); }));
+    EXPECT_TRUE(caller.received.ends_with("unknown")) << caller.received;
+    ASSERT_TRUE(m_dialect.notice);
+    EXPECT_EQ(m_dialect.notice->reason, RefusalReason::kUndecided);
+  }
+}
+
 }
