Tests: status lines without a status, wherever they stand

Http_BrokenAnswerTest reads 21 status lines that have no status, each without a length, with a length and chunked, as answer to GET and to HEAD, first on the connection and after a 103; 000 and 0200 on a connection that is kept, and during an upload. Http_HeadRoundTripTest splits 000 and "20 0" at each place.

--- a/test/Http/BrokenAnswerTest.cpp
+++ b/test/Http/BrokenAnswerTest.cpp
@@ -140,21 +140,23 @@
   }
 
   /** Answer of a server that sends just these bytes and closes. */
-  std::shared_ptr<AnswerRecorder> AnswerTo(const std::string& aBytes)
+  std::shared_ptr<AnswerRecorder> AnswerTo(const std::string& aBytes,
+                                           const std::string& aMethod = "GET")
   {
     RawServer peer(m_base.get(), aBytes, true);
     m_pool = std::make_unique<HttpClientPool>(
       m_base.get(), peer.LocalEndpoint(), m_clientLimits);
     auto answer = std::make_shared<AnswerRecorder>();
-    m_pool->Start({ .method = "GET", .target = "/" }, answer)->Finish();
+    m_pool->Start({ .method = aMethod, .target = "/" }, answer)->Finish();
     EXPECT_TRUE(Done(answer));
     return answer;
   }
 
-  void ExpectMalformed(const std::string& aBytes)
+  void ExpectMalformed(const std::string& aBytes,
+                       const std::string& aMethod = "GET")
   {
-    SCOPED_TRACE(testing::PrintToString(aBytes));
-    const auto answer = AnswerTo(aBytes);
+    SCOPED_TRACE(aMethod + " " + testing::PrintToString(aBytes));
+    const auto answer = AnswerTo(aBytes, aMethod);
     EXPECT_FALSE(answer->head.has_value());
     EXPECT_FALSE(answer->ended);
     EXPECT_EQ(answer->failure, ClientFailure::kMalformedAnswer);
@@ -254,6 +256,80 @@
   }
 }
 
+// Guards against a status line that is read although it has no status, and
+// against a check of it that depends on the request, on the end of the body or
+// on what came before.
+TEST_F(BrokenAnswerTest, StatusLine_WithoutStatus_IsMalformed)
+{
+  using namespace std::string_literals;
+  const std::vector<std::string> lines{
+    "HTTP/1.1 000 OK",   "HTTP/1.0 000 OK",  "HTTP/2.0 000 OK",
+    "HTTP/1.1  000 OK",  "HTTP/1.1 000",     "HTTP/1.1 0200 OK",
+    "HTTP/1.1 -200 OK",  "HTTP/1.1 +200 OK", "HTTP/1.1 2 00 OK",
+    "HTTP/1.1 1e2 OK",   "HTTP/1.1 200OK",   "HTTP/1.1 2\0000 OK"s,
+    "HTTP/1.1 \t200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 \u0662\u0660\u0660 OK",
+    "HTTP/1.1 OK",       "HTTP/1.1 ",        "HTTP/1.1",
+    "http/1.1 200 OK",   "HTTP/2.0 200 OK",  "Content-Type: text/plain",
+  };
+  const std::vector<std::string> rests{
+    "\r\n",
+    "Content-Length: 2\r\n\r\nok",
+    "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+  };
+  for (const auto& line : lines) {
+    for (const auto& rest : rests) {
+      for (const auto* method : { "GET", "HEAD" }) {
+        auto answer = line;
+        answer.append("\r\n").append(rest);
+        ExpectMalformed(answer, method);
+        ExpectMalformed("HTTP/1.1 103 Early Hints\r\n\r\n" + answer, method);
+      }
+    }
+  }
+}
+
+// Guards against a check that is done only for the first answer of a
+// connection.
+TEST_F(BrokenAnswerTest, Status_NoneOnAKeptConnection_IsMalformed)
+{
+  for (const auto* status : { "000", "0200" }) {
+    RawServer peer(
+      m_base.get(), StatusLine("1.1") + "Content-Length: 2\r\n\r\nok", false);
+    m_pool = std::make_unique<HttpClientPool>(
+      m_base.get(), peer.LocalEndpoint(), m_clientLimits);
+    for (const bool first : { true, false }) {
+      auto answer = std::make_shared<AnswerRecorder>();
+      m_pool->Start({ .method = "GET", .target = "/" }, answer)->Finish();
+      ASSERT_TRUE(Done(answer));
+      EXPECT_EQ(answer->ended, first) << status;
+      peer.SetAnswer(std::string("HTTP/1.1 ") + status +
+                     " OK\r\nContent-Length: 2\r\n\r\nok");
+      if (!first) {
+        EXPECT_EQ(answer->failure, ClientFailure::kMalformedAnswer) << status;
+      }
+    }
+    EXPECT_EQ(peer.Accepted(), 1);
+  }
+}
+
+// Guards against a status that is taken for the answer to an upload because
+// the rest of the upload is still being written.
+TEST_F(BrokenAnswerTest, Status_NoneDuringTheUpload_IsMalformed)
+{
+  for (const auto end : { AnswerEnd::kClose, AnswerEnd::kCloseThenReset }) {
+    for (const auto* head :
+         { "HTTP/1.1 000 OK\r\n\r\n",
+           "HTTP/1.1 0200 OK\r\nContent-Length: 16\r\n\r\n" }) {
+      EarlyAnswerServer server(m_base.get(), head + kPart);
+      server.EndAtOnce(end);
+      const auto answer = Upload(server);
+      ASSERT_TRUE(Done(answer));
+      EXPECT_FALSE(answer->head.has_value()) << head;
+      EXPECT_EQ(answer->failure, ClientFailure::kMalformedAnswer) << head;
+    }
+  }
+}
+
 // Guards against a line that is passed on with such a name, and against a body
 // that is read by a length that the server has not stated.
 TEST_F(BrokenAnswerTest, FieldName_WithBlankOrControlByte_IsMalformed)
--- a/test/Http/HeadRoundTripTest.cpp
+++ b/test/Http/HeadRoundTripTest.cpp
@@ -184,6 +184,7 @@
                                        "HTTP/1.0 200 OK\nX-Shop: 1\n\n" };
   const std::vector<std::string> bad{
     "HTTP/1.1 0200 OK\r\n" + rest, status + " " + rest,
+    "HTTP/1.1 000 OK\r\n" + rest,  "HTTP/1.1 20 0 OK\r\n" + rest,
     status + "A: b\r\n\t" + rest,  status + "\r" + rest,
     status + "\n" + rest,          status + "A: b\r\n\r" + rest,
     status + "A: b\n" + rest,      "HTTP/1.1 200 OK\nA: b\n\r" + rest
--- a/test/Http/LoopbackSupport.h
+++ b/test/Http/LoopbackSupport.h
@@ -116,6 +116,8 @@
   const std::string& Received() const { return m_received; }
   int Accepted() const { return static_cast<int>(m_streams.size()); }
   void CloseStreams() { m_streams.clear(); }
+  /** For the requests from now on. */
+  void SetAnswer(std::string aAnswer) { m_answer = std::move(aAnswer); }
 
 private:
   void Accept(evutil_socket_t aSocket);
