--- a/test/Daemon/IngressSessionSupport.h
+++ b/test/Daemon/IngressSessionSupport.h
@@ -68,7 +68,7 @@
                     PeersTask::OutcomeCallback aCallback) override
   {
     ++queries;
-    outcome = std::move(aCallback);
+    onOutcome = std::move(aCallback);
   }
   TablePosition KnownPosition(const Destination&) const override { return {}; }
   void OnEnd(const ServicePolicy&,
@@ -91,9 +91,9 @@
   std::vector<InstanceResult> results;
   int started = 0;
   int queries = 0;
+  PeersTask::OutcomeCallback onOutcome; ///< Of the last query.
   int uploadRefusals = 0;
-  CallRequest request;                ///< Of the last attempt.
-  PeersTask::OutcomeCallback outcome; ///< Of the last query.
+  CallRequest request; ///< Of the last attempt.
   std::shared_ptr<CallListener> listener;
 };
 
