A Hello replaces the known position of the owner's outcome table

A later query of the new process would then be answered as never seen although the record of the request had been evicted there: a write that ran would be told as not run, or run twice. Nothing in the field shows it.

Each Hello states the position of the process that sends it, so it replaces what was known, whatever the boot id. LostWriteTest.KnownPosition_* failed with the larger position kept (2 instead of 0) and passes.

Also from the review: the line for a reply of a younger process is a warning without the word "repeated", and isn't written for peers of versions that state no uptime; IsSameProcess has a test of its own.

--- a/src/Daemon/Peer.cpp
+++ b/src/Daemon/Peer.cpp
@@ -84,12 +84,9 @@
 Peer::OnHello(const Hello& aHello)
 {
   m_connectFailed = false;
-  if (aHello.boot != m_boot) {
-    // Positions of an earlier process are invalid for this one.
-    m_boot = aHello.boot;
-    m_knownPosition = TablePosition();
-  }
-  OnPosition(aHello.position);
+  // Replaces a larger one: positions of an earlier process are invalid for this
+  // one, and a process may have the boot id of the one before.
+  m_knownPosition = aHello.position;
   m_failedAt = MonoTime();
 }
 
@@ -175,13 +172,13 @@
                        aEvidence.sameBoot,
                        milliseconds(aEvidence.uptime),
                        milliseconds(aEvidence.age));
-  if (aEvidence.sameBoot && !aEvidence.IsSameProcess()) {
-    m_task.m_logger.Error("boot-id-repeated",
-                          "peer={}:{} peer_uptime_ms={} age_ms={}",
-                          m_endpoint.address,
-                          m_endpoint.port,
-                          milliseconds(aEvidence.uptime),
-                          milliseconds(aEvidence.age));
+  if (aEvidence.sameBoot && aEvidence.uptime && !aEvidence.IsSameProcess()) {
+    m_task.m_logger.Warning("reply-of-later-process",
+                            "peer={}:{} request={:016x}-{:016x}",
+                            m_endpoint.address,
+                            m_endpoint.port,
+                            aRequest.high,
+                            aRequest.low);
   }
 }
 
@@ -295,7 +292,7 @@
   } else if (const auto* hello = std::get_if<Hello>(&aFrame)) {
     m_boot = hello->boot;
     if (hello->uptime) {
-      m_startedBy = m_peer.GetClock().Now() - *hello->uptime;
+      m_latestStart = m_peer.GetClock().Now() - *hello->uptime;
     }
     m_peer.OnHello(*hello);
   } else if (std::holds_alternative<Goodbye>(aFrame)) {
@@ -349,8 +346,8 @@
   OutcomeEvidence evidence;
   evidence.stated = result.state;
   evidence.sameBoot = sent && sent->boot == m_boot;
-  if (m_startedBy) {
-    evidence.uptime = now - *m_startedBy;
+  if (m_latestStart) {
+    evidence.uptime = now - *m_latestStart;
   }
   if (sent) {
     evidence.age = now - sent->openedAt;
--- a/src/Daemon/Peer.h
+++ b/src/Daemon/Peer.h
@@ -34,7 +34,8 @@
 
   /**
    * \brief Whether the process that replied was sent the request. The boot id
-   * alone doesn't show it: a random source may repeat after a restart.
+   * alone doesn't show it: a random source may repeat after a restart. A
+   * process that started after the attempt has run for less time.
    */
   bool IsSameProcess() const
   {
@@ -120,7 +121,7 @@
   int64_t m_lastStream = 0;
   std::optional<BootId> m_boot; ///< Of the process at the other end.
   /// Latest time at which the process at the other end can have started.
-  std::optional<MonoTime> m_startedBy;
+  std::optional<MonoTime> m_latestStart;
   bool m_peerLeft = false; ///< The peer runs no more requests.
 };
 
@@ -170,7 +171,6 @@
   Endpoint m_endpoint;
   std::shared_ptr<PeerLink> m_link;
   std::vector<std::shared_ptr<PeerLink>> m_queryLinks;
-  BootId m_boot;
   std::unordered_map<RequestId, SentRequest> m_lost;
   std::deque<RequestId> m_lostRequests; ///< Keys of m_lost, oldest first.
   TablePosition m_knownPosition;
--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Pistachioshift/Routing"
 #include "src/Daemon/InnerServerTask.h"
+#include "src/Daemon/Peer.h"
 #include "src/Daemon/PeersTask.h"
 
 namespace pistachioshift {
@@ -415,6 +416,41 @@
             RequestState::kNeverSeen);
 }
 
+// Guards against REFUSED: with the position of an earlier process, a later
+// query of the new one would be answered although its record was evicted.
+TEST_F(LostWriteTest, KnownPosition_NewProcessWithTheSameBootId_IsItsOwn)
+{
+  FailingServer server;
+  server.table.Begin({ 2, 1 }, {});
+  server.table.Begin({ 2, 2 }, {});
+  StartOwner(BootId(3), server);
+  OpenWrite();
+  EXPECT_TRUE(WaitFor([&] { return m_listener->Ended(); }));
+  EXPECT_EQ(m_peers->KnownPosition(m_endpoint), TablePosition(2));
+  m_inner.reset();
+  TableServer after;
+  StartOwner(BootId(3), after);
+  Query();
+  EXPECT_EQ(m_peers->KnownPosition(m_endpoint), TablePosition(0));
+  m_inner.reset();
+}
+
+// Guards against REFUSED where a daemon of an earlier version states no uptime,
+// or where the process started after the attempt.
+TEST(OutcomeEvidenceTest, IsSameProcess_OnlyIfItRanBeforeTheAttempt)
+{
+  OutcomeEvidence evidence;
+  evidence.sameBoot = true;
+  evidence.age = std::chrono::seconds(2);
+  EXPECT_FALSE(evidence.IsSameProcess());
+  evidence.uptime = std::chrono::milliseconds(1999);
+  EXPECT_FALSE(evidence.IsSameProcess());
+  evidence.uptime = std::chrono::seconds(2);
+  EXPECT_TRUE(evidence.IsSameProcess());
+  evidence.sameBoot = false;
+  EXPECT_FALSE(evidence.IsSameProcess());
+}
+
 // Guards against answers 502 for writes that can be sent again: the process
 // that would have run the write still exists and has not seen it.
 TEST_F(LostWriteTest, Query_SameProcessHasNotSeenIt_IsNeverSeen)
