"Never seen" is not believed of a request whose answer had begun to arrive

Fault, found by reading and by a test, not in a log of users: a request that runs at most once, whose answer ends in the middle, is queried at its owner. If the reply is "never seen", it was sent a second time, and answered 503 if that attempt was refused. The head of an answer shows that the backend server has run it, so such a reply is wrong, whatever made it so (a new process that passes for the old one, a record that is gone).

Cause: DecideAfterQuery didn't know that part of the answer had arrived.

Change: AttemptReport says so, and "never seen" then gives an unknown outcome. A stored answer is still returned.

--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -146,6 +146,7 @@
   ++m_possibleRuns;
   auto report = MakeReport();
   report.end = AttemptEnd::kConnectionLost;
+  report.answerSeen = true;
   Decide(report);
 }
 
--- a/src/Routing/Retry.cpp
+++ b/src/Routing/Retry.cpp
@@ -332,6 +332,9 @@
       return decision;
     }
     case RequestState::kNeverSeen:
+      if (aReport.answerSeen) {
+        return unknown;
+      }
       break;
   }
   const auto earlierRuns = std::max(aReport.runs, 1U) - 1;
--- a/src/Routing/Retry.h
+++ b/src/Routing/Retry.h
@@ -62,6 +62,7 @@
   bool idempotent = false;
   bool replayable = true;   ///< The whole body is still buffered.
   bool answerBegun = false; ///< Part of the answer was sent to the caller.
+  bool answerSeen = false;  ///< Part of the answer arrived, so it has run.
   uint32_t attempts = 1;    ///< So far, this one included.
   Duration elapsed{};       ///< Since the request arrived.
   uint32_t runs = 0;        ///< Attempts that may have run, this one included.
@@ -149,7 +150,8 @@
  *
  * For kRunning the query is repeated after the delay. For kDone the stored
  * answer is returned to the caller, or unknown if none is stored. After
- * kNeverSeen the attempt no longer counts as one that may have run.
+ * kNeverSeen the attempt no longer counts as one that may have run; if part of
+ * its answer has arrived, kNeverSeen is wrong and the outcome unknown.
  * \param aReport the attempt whose outcome was queried.
  */
 RetryDecision DecideAfterQuery(const OutcomeQueryResult& aResult,
--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -83,6 +83,10 @@
              RequestState::kNeverSeen },
   PlayedEnd{ "silent, running", {}, CallLoss::kSilent, RequestState::kRunning },
   PlayedEnd{ "truncated, forgotten", {}, CallLoss::kTruncated },
+  PlayedEnd{ "truncated, never seen",
+             {},
+             CallLoss::kTruncated,
+             RequestState::kNeverSeen },
 };
 
 /** Plays the ends of the attempts of one request. */
