A 502 after a refusal says when the server has room

A request that may have run and whose later attempt is refused is answered 502 or 504 now and no longer 503. Callers lost the refusal's Retry-After with it, and would come back at once to a server that has said when it has room.

Change: such an answer has Retry-After if the last attempt was refused as not run and that refusal gave a time. A refusal without one, and an attempt that was lost, give none, as before. The session forgets the time of an earlier refusal when a later attempt may have run; this changes no 503, which can't follow any more.

The tests failed before: no field in the 502, and the time of an earlier refusal in the notice for a lost attempt. The effect on callers under load was not measured.

--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -144,6 +144,7 @@
   m_pendingHead.reset();
   m_heldBody.clear();
   ++m_possibleRuns;
+  m_retryAfter = Duration{};
   auto report = MakeReport();
   report.end = AttemptEnd::kConnectionLost;
   report.answerSeen = true;
--- a/src/Daemon/IngressSession.cpp
+++ b/src/Daemon/IngressSession.cpp
@@ -270,16 +270,16 @@
   if (aRefusal.reason == RefusalReason::kNotOwner && m_history.last) {
     m_history.refused.push_back(*m_history.last);
   }
-  m_retryAfter = aRefusal.retryAfter;
+  const bool notRun = aRefusal.outcome == Outcome::kNotRun;
+  m_retryAfter = notRun ? aRefusal.retryAfter : Duration{};
   m_sheds += aRefusal.reason == RefusalReason::kShed ? 1 : 0;
   if (m_resuming) {
     TryResume();
     return;
   }
-  m_possibleRuns += aRefusal.outcome == Outcome::kNotRun ? 0 : 1;
+  m_possibleRuns += notRun ? 0 : 1;
   auto report = MakeReport();
-  report.end = aRefusal.outcome == Outcome::kNotRun ? AttemptEnd::kNotRun
-                                                    : AttemptEnd::kUnknown;
+  report.end = notRun ? AttemptEnd::kNotRun : AttemptEnd::kUnknown;
   report.refusal = aRefusal.reason;
   // The time until there is room there doesn't delay a try elsewhere.
   const bool elsewhere =
@@ -302,7 +302,10 @@
     OnTruncated();
     return;
   }
-  m_possibleRuns += aLoss == CallLoss::kNotSent ? 0 : 1;
+  if (aLoss != CallLoss::kNotSent) {
+    ++m_possibleRuns;
+    m_retryAfter = Duration{};
+  }
   auto report = MakeReport();
   if (aLoss == CallLoss::kNotSent) {
     report.end = AttemptEnd::kNotRun;
--- a/src/Daemon/IngressSession.h
+++ b/src/Daemon/IngressSession.h
@@ -120,6 +120,7 @@
   MonoTime m_attemptStarted;
   std::shared_ptr<IngressAttempt> m_attempt;
   std::shared_ptr<Call> m_call;
+  /// From the last refusal as not run, unless a later attempt may have run.
   Duration m_retryAfter{};
   bool m_queryPending = false;
   Timer m_timer;
--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -160,4 +160,24 @@
   }
 }
 
+// Guards against a time to return that the last attempt did not give: a caller
+// whose last attempt was lost would wait for a server that refused it before.
+TEST_F(RequestOutcomeTest, RetryAfter_IsThatOfTheLastAttempt)
+{
+  m_dialect.idempotent = true;
+  const auto refusedFor = [](RefusalReason aReason) {
+    return PlayedEnd{ "", CallRefusal{ Outcome::kNotRun, aReason, kLongWait } };
+  };
+  const PlayedEnd lost{ "", {}, CallLoss::kSilent };
+  PlayRequest({ lost, refusedFor(RefusalReason::kFatalRequest) });
+  ASSERT_TRUE(m_dialect.notice);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+  EXPECT_EQ(m_dialect.notice->retryAfter, kLongWait);
+  m_dialect.retry.maxRuns = 1;
+  PlayRequest({ refusedFor(RefusalReason::kCold), lost });
+  ASSERT_TRUE(m_dialect.notice);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+  EXPECT_EQ(m_dialect.notice->retryAfter, Duration{});
+}
+
 }
--- a/test/platform/CallerDialectTest.cpp
+++ b/test/platform/CallerDialectTest.cpp
@@ -36,4 +36,18 @@
   }
 }
 
+// Guards against callers that come back at once to a server that has told when
+// it has room again, only because an earlier attempt may have run.
+TEST_F(CallerDialectTest, Refuse_UnknownAfterARefusal_HasRetryAfter)
+{
+  const auto head = Refuse(
+    Outcome::kUnknown, RefusalReason::kQueueFull, std::chrono::seconds(2));
+  EXPECT_EQ(head.status, 502);
+  const auto* field = head.headers.Find("Retry-After");
+  ASSERT_NE(field, nullptr);
+  EXPECT_GE(std::stod(*field), 2.0);
+  const auto lost = Refuse(Outcome::kUnknown, RefusalReason::kUndecided, {});
+  EXPECT_EQ(lost.headers.Find("Retry-After"), nullptr);
+}
+
 }
