Test: a query's result that arrives after the answer changes nothing

A result of an outcome query can't meet a later attempt: a query is sent only when no attempt is open and no timer runs, its link answers it once, and only its result begins another attempt. What can happen is that the request has been answered before, by its deadline or by a shutdown; then the result must not send it again. This held already; the test passes on the code before it too.

--- a/test/Daemon/IngressSessionSupport.h
+++ b/test/Daemon/IngressSessionSupport.h
@@ -103,7 +103,7 @@
   std::variant<ResolvedRequest, RefusalReason> Read(RequestHead&) override
   {
     ResolvedRequest resolved;
-    resolved.timeLimit = timeLimit;
+    resolved.timeLimit = std::chrono::minutes(10);
     resolved.upload = upload;
     resolved.requestClass.idempotent = idempotent;
     resolved.retry = retry;
@@ -127,7 +127,6 @@
   void OnDone(const IngressRecord&) override { ++done; }
 
   std::optional<RefusalNotice> notice;
-  Duration timeLimit = std::chrono::minutes(10);
   bool upload = false;
   bool idempotent = false;
   RetrySettings retry = ResolvedRequest{}.retry;
--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -180,4 +180,22 @@
   EXPECT_EQ(m_dialect.notice->retryAfter, Duration{});
 }
 
+// Guards against a request that is sent again when the result of its outcome
+// query arrives after the caller has had its answer.
+TEST_F(RequestOutcomeTest, QueryResult_AfterTheAnswer_IsIgnored)
+{
+  const CallerDouble caller(m_port);
+  ASSERT_TRUE(caller.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return m_router.started == 1; }));
+  const auto listener = m_router.listener;
+  listener->OnLost(CallLoss::kSilent);
+  ASSERT_EQ(m_router.queries, 1);
+  m_task->FailPendingRequests();
+  ASSERT_EQ(m_dialect.done, 1);
+  m_router.outcome({ RequestState::kNeverSeen, std::nullopt });
+  EXPECT_EQ(m_router.started, 1);
+  EXPECT_EQ(m_dialect.done, 1);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+}
+
 }
