--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -118,6 +118,10 @@
              RequestState::kNeverSeen },
   PlayedEnd{ "silent, running", {}, CallLoss::kSilent, RequestState::kRunning },
   PlayedEnd{ "truncated, forgotten", {}, CallLoss::kTruncated },
+  PlayedEnd{ "truncated, never seen",
+             {},
+             CallLoss::kTruncated,
+             RequestState::kNeverSeen },
 };
 
 /** Plays the ends of the attempts of one request. */
@@ -191,4 +195,42 @@
   }
 }
 
+// Guards against a time to return that the last attempt did not give: a caller
+// whose last attempt was lost would wait for a server that refused it before.
+TEST_F(RequestOutcomeTest, RetryAfter_IsThatOfTheLastAttempt)
+{
+  m_dialect.idempotent = true;
+  const auto refusedFor = [](RefusalReason aReason) {
+    return PlayedEnd{ "", CallRefusal{ Outcome::kNotRun, aReason, kLongWait } };
+  };
+  const PlayedEnd lost{ "", {}, CallLoss::kSilent };
+  PlayRequest({ lost, refusedFor(RefusalReason::kFatalRequest) });
+  ASSERT_TRUE(m_dialect.notice);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+  EXPECT_EQ(m_dialect.notice->retryAfter, kLongWait);
+  m_dialect.retry.maxRuns = 1;
+  PlayRequest({ refusedFor(RefusalReason::kCold), lost });
+  ASSERT_TRUE(m_dialect.notice);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+  EXPECT_EQ(m_dialect.notice->retryAfter, Duration{});
+}
+
+// Guards against a request that is sent again when the result of its outcome
+// query arrives after the caller has had its answer.
+TEST_F(RequestOutcomeTest, QueryResult_AfterTheAnswer_IsIgnored)
+{
+  const CallerDouble caller(m_port);
+  ASSERT_TRUE(caller.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  ASSERT_TRUE(RunUntil([&] { return m_router.started == 1; }));
+  const auto listener = m_router.listener;
+  listener->OnLost(CallLoss::kSilent);
+  ASSERT_EQ(m_router.queries, 1);
+  m_task->FailPendingRequests();
+  ASSERT_EQ(m_dialect.done, 1);
+  m_router.outcome({ RequestState::kNeverSeen, std::nullopt });
+  EXPECT_EQ(m_router.started, 1);
+  EXPECT_EQ(m_dialect.done, 1);
+  EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
+}
+
 }
