A request that was written to the server is not taken for not run

What callers saw: nothing yet from this cause.

Cause looked for: OwnerCall derives "not run" from the kind of failure that the HTTP client reports, and withdraws the id from the outcome table, which then answers queries with "never seen". By reading and by test no failure of that kind is reported after a byte has been written, so the daemon had no fault here. But nothing held it to that.

Change: an exchange states whether a byte of its request has been written. OwnerCall concludes "not run" after that only from a refusal by the backend server. Else the outcome is unknown, the id stays in the outcome table, pistachio_withdrawn_after_start_total counts it and a withdrawn-after-start line names the request and the reason. All tests of the daemon beside its server check at their end that the counter is 0.

A second copy of the refusal on a kept connection would speak for the second send, which runs. This can't happen because OwnerCall cancels the exchange of a refusal, which closes its connection. The reason stands in the code now.

--- a/src/Daemon/BackendTask.cpp
+++ b/src/Daemon/BackendTask.cpp
@@ -20,6 +20,12 @@
 
 constexpr size_t kMaxHeldRequests = 4096; // requests
 
+std::string
+IdText(const RequestId& aId)
+{
+  return fmt::format("{:016x}{:016x}", aId.high, aId.low);
+}
+
 std::string
 RangeName(const EntryKey& aKey)
 {
@@ -303,10 +309,7 @@
   const auto deadline = m_clock.WallNow() + left;
   head.headers.Set(fields::kDeadline,
                    std::to_string(deadline.time_since_epoch().count()));
-  head.headers.Set(fields::kRequest,
-                   fmt::format("{:016x}{:016x}",
-                               aCall.m_request.id.high,
-                               aCall.m_request.id.low));
+  head.headers.Set(fields::kRequest, IdText(aCall.m_request.id));
   if (!aCall.m_request.key.empty()) {
     head.headers.Set(fields::kKey, aCall.m_request.key);
   }
@@ -331,6 +334,16 @@
   return notRun ? AnswerKind::kNotRun : AnswerKind::kAnswer;
 }
 
+void
+BackendTask::OnWithdrawnAfterStart(const OwnerCall& aCall,
+                                   RefusalReason aReason)
+{
+  m_logger.Error("withdrawn-after-start",
+                 "id={} reason={}",
+                 IdText(aCall.Request().id),
+                 ToString(aReason));
+}
+
 void
 BackendTask::OnEnded(OwnerCall& aCall, ServiceResult aResult)
 {
--- a/src/Daemon/BackendTask.h
+++ b/src/Daemon/BackendTask.h
@@ -82,6 +82,8 @@
   AnswerKind Classify(const OwnerCall& aCall,
                       const ResponseHead& aHead) const override;
   std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const override;
+  void OnWithdrawnAfterStart(const OwnerCall& aCall,
+                             RefusalReason aReason) override;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
 
 private:
--- a/src/Daemon/Metrics.cpp
+++ b/src/Daemon/Metrics.cpp
@@ -50,6 +50,11 @@
   , m_innerBytes(AddCounters("pistachio_inner_bytes_total",
                              "Bytes on compressed connections to other "
                              "daemons, by direction and form"))
+  , m_withdrawnAfterStart(
+      AddCounters("pistachio_withdrawn_after_start_total",
+                  "Attempts taken for not run although their request had been "
+                  "written to the backend server")
+        .Add({}))
   , m_latency(prometheus::BuildHistogram()
                 .Name("pistachio_request_seconds")
                 .Help("Time from the head of a request to the end of its "
--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -41,6 +41,9 @@
   void CountEntryChange(std::string_view aChange);
   void CountOutcomeQuery(std::string_view aState);
   void CountUpload(std::string_view aEvent);
+  /** \brief Counts an attempt that was taken for not run after its request had
+   * been written to the backend server. */
+  void CountWithdrawnAfterStart() { m_withdrawnAfterStart.Increment(); }
   /** \brief Sets the bytes of compressed connections to other daemons.
    * \param aDirection sent or received
    * \param aForm frames (uncompressed) or wire */
@@ -78,6 +81,7 @@
   Counters& m_outcomeQueries;
   Counters& m_uploads;
   Counters& m_innerBytes;
+  prometheus::Counter& m_withdrawnAfterStart;
   prometheus::Histogram& m_latency;
 };
 
--- a/src/Daemon/OwnerCall.cpp
+++ b/src/Daemon/OwnerCall.cpp
@@ -249,6 +249,16 @@
   Refuse(refusal);
 }
 
+/** After the first byte of the request only the backend server can say that it
+ * has not run the request. */
+bool
+OwnerCall::IsWithdrawnAfterStart(const CallRefusal& aRefusal) const
+{
+  return aRefusal.outcome == Outcome::kNotRun &&
+         aRefusal.reason != RefusalReason::kShed && m_exchange &&
+         m_exchange->Written();
+}
+
 void
 OwnerCall::Refuse(const CallRefusal& aRefusal)
 {
@@ -261,6 +271,11 @@
   if (refusal.reason == RefusalReason::kNotOwner) {
     refusal.holder = m_delegate.HolderHint(*this);
   }
+  if (IsWithdrawnAfterStart(refusal)) {
+    m_delegate.m_metrics.CountWithdrawnAfterStart();
+    m_delegate.OnWithdrawnAfterStart(*this, refusal.reason);
+    refusal.outcome = Outcome::kUnknown;
+  }
   m_delegate.m_metrics.CountAdmissionRefusal(refusal.reason);
   m_delegate.OnRefusing(*this, refusal);
   const bool ran = refusal.outcome != Outcome::kNotRun;
@@ -301,6 +316,9 @@
   m_exchange = nullptr;
   const bool written = m_state == State::kRunning;
   if (exchange && !exchange->Ended()) {
+    // Closes the connection, also after a refusal by the backend server: a
+    // second copy of it would be taken for the answer to the next send of the
+    // same request, which runs.
     exchange->Cancel();
   }
   if (m_inOutcomeTable) {
--- a/src/Daemon/OwnerCall.h
+++ b/src/Daemon/OwnerCall.h
@@ -65,6 +65,10 @@
   virtual void OnUploadBytes(OwnerCall&, size_t) {}
   virtual void OnUploadReceived(OwnerCall&) {}
 
+  /** \brief Called if this daemon, and not the backend server, takes a call for
+   * not run although its request has been written; used for logging. */
+  virtual void OnWithdrawnAfterStart(const OwnerCall&, RefusalReason) {}
+
   /** \brief Called before a call is refused; used for logging. */
   virtual void OnRefusing(const OwnerCall&, const CallRefusal&) {}
 
@@ -133,6 +137,7 @@
   void Start(HttpClientPool& aPool);
   void Refuse(RefusalReason aReason, Duration aRetryAfter);
   void Refuse(const CallRefusal& aRefusal);
+  bool IsWithdrawnAfterStart(const CallRefusal& aRefusal) const;
   void ReplayResponse(const CachedResponse& aAnswer);
   void EndWith(ServiceResult aResult);
   void CacheAnswerBytes(std::string_view aData);
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -345,6 +345,16 @@
   return m_dialect.Classify(aCall.Request().head, aHead);
 }
 
+void
+RangeServerTask::OnWithdrawnAfterStart(const OwnerCall& aCall,
+                                       RefusalReason aReason)
+{
+  m_logger.Error("withdrawn-after-start",
+                 "id={} reason={}",
+                 m_dialect.RequestLabel(aCall.Request().head),
+                 ToString(aReason));
+}
+
 void
 RangeServerTask::OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal)
 {
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -197,6 +197,8 @@
   void OnAnswerHead(const OwnerCall& aCall, const ResponseHead& aHead) override;
   std::optional<DaemonId> HolderHint(const OwnerCall& aCall) const override;
   void OnEnded(OwnerCall& aCall, ServiceResult aResult) override;
+  void OnWithdrawnAfterStart(const OwnerCall& aCall,
+                             RefusalReason aReason) override;
   void OnRefusing(const OwnerCall& aCall, const CallRefusal& aRefusal) override;
   void OnServerFailed(const OwnerCall& aCall, ClientFailure aFailure) override;
   void OnRequestBytes(size_t aBytes) override;
--- a/src/Http/Client.cpp
+++ b/src/Http/Client.cpp
@@ -75,6 +75,12 @@
   return !m_state->listener;
 }
 
+bool
+ClientExchange::Written() const
+{
+  return m_state->written;
+}
+
 size_t
 ClientExchange::BufferedBytes() const
 {
--- a/src/Http/Client.h
+++ b/src/Http/Client.h
@@ -130,6 +130,10 @@
 
   bool Ended() const;
 
+  /** \brief Whether a byte of the request has been written to a socket; holds
+   * after the end of the exchange too. */
+  bool Written() const;
+
 private:
   friend class internal::ClientConnection;
   friend class internal::ClientCore;
--- a/src/Http/internal/ClientConnection.cpp
+++ b/src/Http/internal/ClientConnection.cpp
@@ -74,6 +74,7 @@
     evbuffer_drain(request, state.head.size());
     return WriteResult::kDead;
   }
+  state.written = true;
   evbuffer_add_buffer(m_stream->Output(), request);
   if (state.outputFull) {
     m_stream->ScheduleWritable();
--- a/src/Http/internal/ClientState.h
+++ b/src/Http/internal/ClientState.h
@@ -25,6 +25,7 @@
   BodyWriter body;
   BufferPtr pending{ evbuffer_new() }; ///< Body before the head is written.
   size_t outputHighWatermark = 0;
+  bool written = false; ///< A byte of the request has been written.
   bool finished = false;
   bool paused = false;
   bool outputFull = false;
--- a/test/platform/ServerTaskSupport.h
+++ b/test/platform/ServerTaskSupport.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <event2/event.h>
+#include <fmt/format.h>
 
 #include "Pistachioshift/Http"
 #include "platform/Dialects.h"
@@ -54,6 +55,18 @@
     m_topic.Append({ EncodeHost(m_record) }, WriterPosition{ "a", 1, 0 });
   }
 
+  // Guards, in each of these tests, against a request that is taken for not run
+  // after it has been written to the backend server.
+  void TearDown() override { EXPECT_TRUE(HasWithdrawn(m_faults)); }
+
+  /** Whether the counter of such requests has the value. */
+  bool HasWithdrawn(int aTimes) const
+  {
+    const auto line =
+      fmt::format("\npistachio_withdrawn_after_start_total {}\n", aTimes);
+    return m_metrics.Render().find(line) != std::string::npos;
+  }
+
   /** The daemon reads the store, then its server goes on sending heartbeats. */
   void Join()
   {
@@ -173,6 +186,7 @@
   bool m_healthy = true;
   std::string m_healthyServer = "server-a";
   int m_received = 0;
+  int m_faults = 0; ///< Failures that a test feigns.
   int m_requests = 0;
   int64_t m_sequence = 0;
   std::unique_ptr<HttpServer> m_backend = MakeBackend({ "127.0.0.1", 0 });
