--- a/test/Http/LoopbackSupport.cpp
+++ b/test/Http/LoopbackSupport.cpp
@@ -133,6 +133,24 @@
   bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
+void
+RawServer::ResetStreams()
+{
+  for (const auto& stream : m_streams) {
+    const sockaddr nowhere{ .sa_family = AF_UNSPEC, .sa_data = {} };
+    const auto socket = bufferevent_getfd(stream.get());
+    EXPECT_EQ(connect(socket, &nowhere, sizeof(nowhere)), 0);
+  }
+}
+
+void
+RawServer::ShutDownStreams()
+{
+  for (const auto& stream : m_streams) {
+    shutdown(bufferevent_getfd(stream.get()), SHUT_RDWR);
+  }
+}
+
 void
 RawServer::Read(bufferevent* aStream)
 {
--- a/test/Http/LoopbackSupport.h
+++ b/test/Http/LoopbackSupport.h
@@ -117,6 +117,10 @@
   int Accepted() const { return static_cast<int>(m_streams.size()); }
   void CloseStreams() { m_streams.clear(); }
 
+  /** These act at once, also from within a callback of the loop. */
+  void ResetStreams();
+  void ShutDownStreams();
+
 private:
   void Accept(evutil_socket_t aSocket);
   void Read(bufferevent* aStream);
