Tests: outcome table, random calls with idempotency keys

The random calls of OutcomeTableTest had no idempotency keys, under which a record is found by its key before its id is looked at, and keys and records end at different times. Guards against an id that starts after a query said that it was never seen, or of which a query says so after it has run.

--- a/test/Routing/OutcomeTableTest.cpp
+++ b/test/Routing/OutcomeTableTest.cpp
@@ -1,5 +1,6 @@
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -128,6 +129,135 @@
   }
 }
 
+// Makes random calls for requests with idempotency keys under changing grants,
+// and records which of them have run.
+class RandomKeyedCalls
+{
+public:
+  explicit RandomKeyedCalls(size_t aCapacity)
+    : m_table(OutcomeTableSettings{ aCapacity, 100, 1000 })
+  {
+  }
+
+  void Step()
+  {
+    if (m_requests.empty() || *rc::gen::inRange(0, 3) == 0) {
+      m_requests.push_back({ m_table.Position(), *rc::gen::inRange(0, 4) });
+    }
+    const auto index = *rc::gen::inRange<size_t>(0, m_requests.size());
+    const RequestId id{ 5, index };
+    auto& request = m_requests[index];
+    switch (*rc::gen::inRange(0, 9)) {
+      case 0:
+        EndGrant();
+        break;
+      case 1:
+      case 2:
+        Query(id, request);
+        break;
+      case 3:
+        Withdraw(id, request);
+        break;
+      case 4:
+        Finish(id, request);
+        break;
+      default:
+        Begin(id, request);
+    }
+  }
+
+private:
+  struct Request
+  {
+    TablePosition known;
+    int key = 0;
+    bool running = false;
+    bool ran = false;
+    bool neverSeen = false; ///< As a query or a refusal has told its sender.
+  };
+
+  struct KeyUse
+  {
+    std::optional<FenceToken> firstGrant;
+    int runs = 0; ///< Withdrawn ones don't count.
+  };
+
+  void EndGrant()
+  {
+    m_table.EndGrant(m_grant);
+    m_grant.entry = Offset(m_grant.entry.Value() + 1);
+  }
+
+  void Begin(const RequestId& aId, Request& aRequest)
+  {
+    auto& use = m_uses[aRequest.key];
+    IdempotencyKey key{ std::to_string(aRequest.key) };
+    key.repeat = use.firstGrant.has_value();
+    key.firstGrant = use.firstGrant;
+    use.firstGrant = use.firstGrant.value_or(m_grant);
+    const auto verdict =
+      m_table.Begin(aId, aRequest.known, m_grant, key).verdict;
+    const bool earlier =
+      verdict == BeginVerdict::kRunning || verdict == BeginVerdict::kDone;
+    RC_ASSERT(earlier <= (use.runs == 1));
+    if (verdict != BeginVerdict::kStarted) {
+      return;
+    }
+    RC_ASSERT(!aRequest.ran);
+    RC_ASSERT(!aRequest.neverSeen);
+    RC_ASSERT(++use.runs == 1);
+    aRequest.running = true;
+    aRequest.ran = true;
+  }
+
+  void Withdraw(const RequestId& aId, Request& aRequest)
+  {
+    if (!std::exchange(aRequest.running, false)) {
+      return;
+    }
+    m_table.Withdraw(aId);
+    --m_uses[aRequest.key].runs;
+    aRequest.ran = false;
+    aRequest.neverSeen = true;
+  }
+
+  void Finish(const RequestId& aId, Request& aRequest)
+  {
+    if (std::exchange(aRequest.running, false)) {
+      m_table.Finish(aId, CachedResponse{ 200, "x" });
+    }
+  }
+
+  void Query(const RequestId& aId, Request& aRequest)
+  {
+    const auto state = m_table.Query(aId, aRequest.known).state;
+    RC_ASSERT((state == RequestState::kRunning) == aRequest.running);
+    if (state == RequestState::kNeverSeen) {
+      RC_ASSERT(!aRequest.ran);
+      aRequest.neverSeen = true;
+    }
+  }
+
+  OutcomeTable m_table;
+  FenceToken m_grant{ Offset(1), Rank(0) };
+  std::vector<Request> m_requests;
+  std::map<int, KeyUse> m_uses;
+};
+
+// Guards against an id that runs after it was told to be never seen, or is told
+// so after it has run, where the request has an idempotency key: its record is
+// found by the key first, and the key outlives or precedes the record.
+RC_GTEST_FIXTURE_PROP(OutcomeTableTest,
+                      AnyCalls_WithKeys_NeverSeenOnlyIfNotRunAndThenNeverRuns,
+                      ())
+{
+  RandomKeyedCalls calls(*rc::gen::inRange<size_t>(1, 12));
+  const auto steps = *rc::gen::inRange(1, 300);
+  for (int step = 0; step < steps; ++step) {
+    calls.Step();
+  }
+}
+
 // Callers repeat idempotency keys while grants change and a small table evicts
 // its records.
 RC_GTEST_FIXTURE_PROP(OutcomeTableTest,
