--- a/src/Daemon/Metrics.h
+++ b/src/Daemon/Metrics.h
@@ -44,6 +44,9 @@
    * \param aTaken state that this daemon goes on with */
   void CountOutcomeReply(std::string_view aStated, std::string_view aTaken);
   void CountUpload(std::string_view aEvent);
+  /** \brief Counts an attempt that was taken for not run after its request had
+   * been written to the backend server. */
+  void CountWithdrawnAfterStart() { m_withdrawnAfterStart.Increment(); }
   /** \brief Sets the bytes of compressed connections to other daemons.
    * \param aDirection sent or received
    * \param aForm frames (uncompressed) or wire */
@@ -82,6 +85,7 @@
   Counters& m_outcomeReplies;
   Counters& m_uploads;
   Counters& m_innerBytes;
+  prometheus::Counter& m_withdrawnAfterStart;
   prometheus::Histogram& m_latency;
 };
 
--- a/test/Http/LoopbackSupport.h
+++ b/test/Http/LoopbackSupport.h
@@ -119,6 +119,10 @@
   /** For the requests from now on. */
   void SetAnswer(std::string aAnswer) { m_answer = std::move(aAnswer); }
 
+  /** These act at once, also from within a callback of the loop. */
+  void ResetStreams();
+  void ShutDownStreams();
+
 private:
   void Accept(evutil_socket_t aSocket);
   void Read(bufferevent* aStream);
