--- a/test/Daemon/GoodbyeTest.cpp
+++ b/test/Daemon/GoodbyeTest.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
@@ -338,6 +340,17 @@
   m_inner.reset();
 }
 
+// Guards against "not sent" for a request that the owner starts: the connect
+// timeout was due in the round of the event loop that wrote the request.
+TEST_F(GoodbyeTest, Start_LoopIsLateWhileConnecting_IsNotCalledNotSent)
+{
+  const auto call = Send();
+  std::this_thread::sleep_for(2 * ConnectionSettings().connectTimeout);
+  ASSERT_TRUE(WaitFor([&] { return m_server.listeners.size() == 1; }));
+  EXPECT_NE(call->loss, CallLoss::kNotSent);
+  EXPECT_FALSE(call->Ended());
+}
+
 /**
  * While a host is cut off, each request for its keys used to wait for a
  * connection attempt to time out.
