--- a/test/Daemon/IngressSessionTest.cpp
+++ b/test/Daemon/IngressSessionTest.cpp
@@ -227,7 +227,7 @@
   ASSERT_EQ(m_router.queries, 1);
   m_task->FailPendingRequests();
   ASSERT_EQ(m_dialect.done, 1);
-  m_router.outcome({ RequestState::kNeverSeen, std::nullopt });
+  m_router.onOutcome({ RequestState::kNeverSeen, std::nullopt });
   EXPECT_EQ(m_router.started, 1);
   EXPECT_EQ(m_dialect.done, 1);
   EXPECT_EQ(m_dialect.notice->outcome, Outcome::kUnknown);
