--- a/src/Daemon/IngressAnswer.cpp
+++ b/src/Daemon/IngressAnswer.cpp
@@ -144,8 +144,10 @@
   m_pendingHead.reset();
   m_heldBody.clear();
   ++m_possibleRuns;
+  m_retryAfter = Duration{};
   auto report = MakeReport();
   report.end = AttemptEnd::kConnectionLost;
+  report.answerSeen = true;
   Decide(report);
 }
 
