--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
+# Writes what was sent, answered and run to record.txt beside it.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")" || exit 2
