ServerPresence: one class decides whether the server may be sent requests

Change: ServerPresence (src/Ranges) has the decisions without I/O. No behaviour is changed; GrantManager goes on deciding which incarnation is current.

--- a/src/HostDaemon/RangeServerEvacuation.cpp
+++ b/src/HostDaemon/RangeServerEvacuation.cpp
@@ -43,8 +43,8 @@
   }
   if (m_evacuation.Active()) {
     server->state = ServerState::kDraining;
-  } else if (m_evacuation.TakesKeys() && !m_grants.RevokingAll() && !m_exitAt &&
-             !m_silent && HasHeardServer() &&
+  } else if (m_evacuation.TakesKeys() && !m_presence.Left() && !m_exitAt &&
+             !m_silent && m_presence.Proven() &&
              server->incarnation == m_grants.Incarnation()) {
     server->state = ServerState::kReady;
   }
--- a/src/HostDaemon/RangeServerHealth.cpp
+++ b/src/HostDaemon/RangeServerHealth.cpp
@@ -52,8 +52,8 @@
 void
 RangeServerTask::CheckHealth()
 {
-  const bool needed = m_serverId && !HasHeardServer() &&
-                      !m_grants.RevokingAll() && !m_exitAt &&
+  const bool needed = m_serverId && !m_presence.Proven() &&
+                      !m_presence.Left() && !m_exitAt &&
                       m_evacuation.TakesKeys();
   if (!needed || m_healthPath.empty() || m_healthTimer.Running() ||
       m_healthChecks >= kMaxChecks) {
@@ -84,13 +84,12 @@
   m_healthExchange.reset();
   const bool healthy =
     m_serverId && m_dialect.ReadHealth(aAnswer) == *m_serverId;
-  if (!healthy || m_grants.RevokingAll() || HasHeardServer()) {
+  if (!healthy || m_presence.Left() || m_presence.Proven()) {
     return;
   }
   m_logger.Info("server-healthy", "server={}", m_serverId->Value());
   m_healthTimer.Stop();
-  m_heard = m_grants.Incarnation();
-  m_firstHeartbeat.reset();
+  m_presence.OnHealthy();
   OnColdChecked(aAnswer, m_healthAskedAt);
 }
 
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -18,15 +18,9 @@
  * yet granted to the backend server: two of the server's heartbeats. */
 constexpr Duration kHoldTimeout = milliseconds(1800);
 
-constexpr size_t kMaxEarlyLeaves = 8;
-
 /** Time in which a release that was sent is expected to be in the table. */
 constexpr Duration kRepeatInterval = milliseconds(600);
 
-/** Least time between two heartbeats that show a server which is running. Below
- * any heartbeat interval, and above the delay of a reordered pair. */
-constexpr Duration kMinHeartbeatGap = milliseconds(500);
-
 }
 
 std::vector<RangeRow>
@@ -105,9 +99,9 @@
   server.incarnation = aHeartbeat.incarnation;
   server.slots = aHeartbeat.slots;
   const bool takesKeys =
-    !m_exitAt && !m_grants.RevokingAll() && m_evacuation.TakesKeys();
+    !m_exitAt && !m_presence.Left() && m_evacuation.TakesKeys();
   server.state = takesKeys ? ServerState::kReady : ServerState::kDraining;
-  server.leaving = m_grants.RevokingAll();
+  server.leaving = m_presence.Left();
   m_state.PublishServer(server);
 }
 
@@ -118,69 +112,10 @@
          aHeartbeat.service == m_settings.service;
 }
 
-void
-RangeServerTask::RememberLeave(const ServerLeave& aLeave)
-{
-  auto leave = aLeave;
-  if (leave.startedBy == WallTime::max()) {
-    // A server that starts later under the same id has not left.
-    leave.startedBy = m_clock.WallNow();
-  }
-  std::erase_if(m_earlyLeaves,
-                [&](const ServerLeave& aItem) { return aItem.id == leave.id; });
-  m_earlyLeaves.push_back(leave);
-  if (m_earlyLeaves.size() > kMaxEarlyLeaves) {
-    m_earlyLeaves.erase(m_earlyLeaves.begin());
-  }
-}
-
-bool
-RangeServerTask::HasLeft(const ServerIncarnation& aIncarnation) const
+ServerLeave
+RangeServerTask::LeaveOf(const ServerIncarnation& aIncarnation)
 {
-  return std::any_of(
-    m_earlyLeaves.begin(), m_earlyLeaves.end(), [&](const ServerLeave& aLeave) {
-      return aLeave.Concerns(aIncarnation);
-    });
-}
-
-/**
- * An earlier process of this daemon may have acknowledged that the server
- * leaves, and its record need not say so. A server that leaves with a heartbeat
- * repeats it in the next one; a server that leaves without one sends no more.
- * A single heartbeat may have been sent before the leave and held up. Only
- * heartbeats that go on prove that a server is ready.
- */
-bool
-RangeServerTask::HasHeardServer() const
-{
-  return m_heard && m_heard == m_grants.Incarnation();
-}
-
-void
-RangeServerTask::NoteHeartbeat(const ServerIncarnation& aIncarnation)
-{
-  const auto now = m_clock.Now();
-  const bool repeated = m_firstHeartbeat &&
-                        m_firstHeartbeat->incarnation == aIncarnation &&
-                        now - m_firstHeartbeat->at >= kMinHeartbeatGap;
-  // Without an earlier process, or once this one has heard a server, no leave
-  // can have been acknowledged elsewhere.
-  if (!m_state.Rejoined() || m_heard || repeated) {
-    m_heard = aIncarnation;
-    m_firstHeartbeat.reset();
-  } else if (!m_firstHeartbeat ||
-             m_firstHeartbeat->incarnation != aIncarnation) {
-    m_firstHeartbeat = FirstHeartbeat{ aIncarnation, now };
-  }
-}
-
-/** End of the drain time of a leave that is acknowledged now. It is over if
- * the leave may have been acknowledged before. */
-MonoTime
-RangeServerTask::DrainEnd() const
-{
-  const auto now = m_clock.Now();
-  return HasHeardServer() ? now + m_settings.drainTime : now;
+  return { aIncarnation.id, aIncarnation.startedAt };
 }
 
 std::optional<HeartbeatReply>
@@ -189,10 +124,10 @@
   if (!IsOwnServer(aHeartbeat)) {
     return std::nullopt;
   }
+  const auto& incarnation = aHeartbeat.incarnation;
   if (!m_state.Joined()) {
     if (aHeartbeat.state == ServerState::kDraining) {
-      const auto& incarnation = aHeartbeat.incarnation;
-      RememberLeave({ incarnation.id, incarnation.startedAt });
+      RememberLeave(LeaveOf(incarnation));
     }
     return HeartbeatReply{};
   }
@@ -202,37 +137,40 @@
   const auto now = m_clock.Now();
   EnsureGate(aHeartbeat.slots);
   NotePaceHeartbeat(aHeartbeat); // Before any request starts at a new server.
-  if (m_grants.Incarnation() != aHeartbeat.incarnation) {
+  bool leaves = false;
+  if (m_grants.Incarnation() != incarnation) {
     m_logger.Info("server-started",
                   "server={} born={} slots={}",
-                  aHeartbeat.incarnation.id.Value(),
-                  aHeartbeat.incarnation.startedAt.time_since_epoch().count(),
+                  incarnation.id.Value(),
+                  incarnation.startedAt.time_since_epoch().count(),
                   aHeartbeat.slots);
     OnServerEndProven();
-    m_drainEndsAt.reset();
+    m_presence.Begin(incarnation, now);
+    leaves = m_presence.Left();
     m_serverSince = now;
     LimitRate(std::nullopt);
   }
   m_lastHeartbeat = now;
   m_silent = false;
-  m_serverId = aHeartbeat.incarnation.id;
-  const bool wasLeaving = m_grants.RevokingAll();
+  m_serverId = incarnation.id;
   auto heartbeat = aHeartbeat;
-  if (HasLeft(heartbeat.incarnation)) {
-    heartbeat.state = ServerState::kDraining;
+  if (heartbeat.state == ServerState::kDraining) {
+    leaves = RememberLeave(LeaveOf(incarnation)) || leaves;
   }
-  auto reply = m_grants.OnHeartbeat(
-    heartbeat, RowsOf(heartbeat.incarnation), m_state.RemainingLease(), now);
-  if (m_grants.RevokingAll() && (!wasLeaving || !m_drainEndsAt)) {
-    m_drainEndsAt = DrainEnd();
+  if (leaves) {
     m_logger.Info("server-draining",
                   "server={} heard={}",
                   m_serverId->Value(),
-                  HasHeardServer());
+                  m_presence.Proven());
+  }
+  if (m_presence.Left()) {
+    heartbeat.state = ServerState::kDraining;
   }
-  NoteHeartbeat(heartbeat.incarnation);
+  auto reply = m_grants.OnHeartbeat(
+    heartbeat, RowsOf(incarnation), m_state.RemainingLease(), now);
+  m_presence.OnHeartbeat(m_state.Rejoined(), now);
   PublishServerState(aHeartbeat);
-  SendReleased(aHeartbeat.incarnation, m_grants.TakeRelinquished());
+  SendReleased(incarnation, m_grants.TakeRelinquished());
   RetryHeldCalls();
   return reply;
 }
@@ -240,25 +178,26 @@
 void
 RangeServerTask::OnLeave(const ServerLeave& aLeave)
 {
-  const auto& current = m_grants.Incarnation();
-  const bool concerns = current && aLeave.Concerns(*current);
-  if (concerns && !m_grants.RevokingAll()) {
-    BeginServerLeave();
-  }
-  if (!concerns) {
-    RememberLeave(aLeave); // It may be of a server that is not known yet.
+  if (RememberLeave(aLeave)) {
+    ApplyServerLeave();
   }
 }
 
+/** Returns whether the current incarnation leaves because of it. */
+bool
+RangeServerTask::RememberLeave(const ServerLeave& aLeave)
+{
+  return m_presence.OnLeave(aLeave, m_clock.Now(), m_clock.WallNow());
+}
+
 void
-RangeServerTask::BeginServerLeave()
+RangeServerTask::ApplyServerLeave()
 {
   m_logger.Info("server-leaving",
                 "server={} heard={}",
                 m_serverId->Value(),
-                HasHeardServer());
+                m_presence.Proven());
   m_grants.RevokeAll();
-  m_drainEndsAt = DrainEnd();
   auto server = m_state.OwnRecord().server;
   if (server) {
     server->state = ServerState::kDraining;
@@ -344,8 +283,12 @@
     m_serverSince = m_clock.Now();
     m_grants.Adopt(known->incarnation);
     EnsureGate(known->slots);
-    if (HasLeft(known->incarnation) || known->leaving) {
-      BeginServerLeave();
+    m_presence.Begin(known->incarnation, m_clock.Now());
+    if (known->leaving) {
+      RememberLeave(LeaveOf(known->incarnation));
+    }
+    if (m_presence.Left()) {
+      ApplyServerLeave();
     }
     PublishEvacuation();
     CheckHealth();
@@ -382,11 +325,11 @@
     "server={} silent_ms={} heard={}",
     server->incarnation.id.Value(),
     std::chrono::duration_cast<milliseconds>(now - m_lastHeartbeat).count(),
-    HasHeardServer());
+    m_presence.Proven());
   // A silent server is still sent requests that any server can run, unless it
   // leaves or may have left.
   const bool usable =
-    HasHeardServer() && !m_grants.RevokingAll() && m_evacuation.TakesKeys();
+    m_presence.Proven() && !m_presence.Left() && m_evacuation.TakesKeys();
   server->state = usable ? ServerState::kSilent : ServerState::kDraining;
   m_grants.RelinquishExpired(RowsOf(server->incarnation));
   m_state.PublishServer(server);
--- a/src/HostDaemon/RangeServerNotices.cpp
+++ b/src/HostDaemon/RangeServerNotices.cpp
@@ -11,8 +11,9 @@
     return; // The answer of an earlier backend server.
   }
   const auto notice = m_dialect.ReadNotice(aHead);
-  if (notice.leaving && m_serverId && !m_grants.RevokingAll()) {
-    BeginServerLeave();
+  const auto& server = m_grants.Incarnation();
+  if (notice.leaving && server) {
+    OnLeave(LeaveOf(*server));
   }
   ApplyStatedLimit(aCall, notice);
   EndRateProbe(); // After the limit is known.
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -78,6 +78,7 @@
   , m_dialect(aDialect)
   , m_logger(aLogger)
   , m_grants(GrantSettings{}, aClock.Now())
+  , m_presence(PresenceSettings{ aSettings.drainTime })
   , m_evacuation(aSettings.evacuateLimit)
   , m_pool(aBase, aSettings.endpoint, PoolLimits())
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
@@ -141,7 +142,7 @@
 bool
 RangeServerTask::RefusesNewCalls(MonoTime aNow) const
 {
-  return m_draining || (m_drainEndsAt && aNow >= *m_drainEndsAt) ||
+  return m_draining || m_presence.Drained(aNow) ||
          m_evacuation.RefusesStarts(aNow);
 }
 
@@ -171,7 +172,7 @@
   }
   const auto key = ParseShardKey(request.key);
   const bool divided = m_sharded && key;
-  if (!m_gate || !m_serverId || (!divided && !HasHeardServer())) {
+  if (!m_gate || !m_serverId || (!divided && !m_presence.Proven())) {
     aCall->Refuse(RefusalReason::kCold, Duration::zero());
     return;
   }
@@ -313,7 +314,7 @@
     return false;
   }
   const auto key = ParseShardKey(aCall.Request().key);
-  return m_sharded && key ? m_grants.MayServe(*key, now) : HasHeardServer();
+  return m_sharded && key ? m_grants.MayServe(*key, now) : m_presence.Proven();
 }
 
 RefusalReason
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -210,12 +210,6 @@
   class HealthCheck;
   class ColdCheck;
 
-  struct FirstHeartbeat
-  {
-    ServerIncarnation incarnation;
-    MonoTime at;
-  };
-
   void AcceptNewCalls();
   void Accept(const CallPtr& aCall);
   void HoldCall(const CallPtr& aCall, RefusalReason aRefusal);
@@ -256,10 +250,6 @@
   std::vector<RangeRow> RowsOf(const ServerIncarnation& aIncarnation) const;
   bool AssignedHere(ShardKey aKey) const;
   bool IsOwnServer(const ServerHeartbeat& aHeartbeat) const;
-  void RememberLeave(const ServerLeave& aLeave);
-  bool HasLeft(const ServerIncarnation& aIncarnation) const;
-  bool HasHeardServer() const;
-  void NoteHeartbeat(const ServerIncarnation& aIncarnation);
   void CheckHealth();
   void OnHealthTimer();
   void OnHealthChecked(const ResponseHead& aAnswer);
@@ -271,8 +261,9 @@
   void OnColdCheckTimer();
   void OnColdChecked(const ResponseHead& aAnswer, MonoTime aAskedAt);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
-  void BeginServerLeave();
-  MonoTime DrainEnd() const;
+  static ServerLeave LeaveOf(const ServerIncarnation& aIncarnation);
+  bool RememberLeave(const ServerLeave& aLeave);
+  void ApplyServerLeave();
   void SendReleased(const ServerIncarnation& aIncarnation,
                     std::vector<Relinquished> aRanges);
   void RepeatReleases();
@@ -289,6 +280,7 @@
   const ServerDialect& m_dialect;
   const Logger& m_logger;
   GrantManager m_grants;
+  ServerPresence m_presence;
   std::unique_ptr<AdmissionController>
     m_gate; ///< Empty before the first heartbeat.
   /// Of running requests; a label can be in use twice while one is repeated.
@@ -315,12 +307,6 @@
   uint64_t m_returns = 0;
   MonoTime m_releasesRepeatedAt{ -std::chrono::hours(1) };
   std::optional<ServerId> m_serverId;
-  /// Latest leaves of incarnations of which no heartbeat had been handled.
-  std::vector<ServerLeave> m_earlyLeaves;
-  /// Incarnation that is known to be running now.
-  std::optional<ServerIncarnation> m_heard;
-  /// First heartbeat since a restart, which may have been sent before it.
-  std::optional<FirstHeartbeat> m_firstHeartbeat;
   std::string m_healthPath;
   uint32_t m_healthChecks = 0;
   std::shared_ptr<ClientExchange> m_healthExchange; ///< Of the check that runs.
@@ -332,7 +318,6 @@
   MonoTime m_pacedSince; ///< When m_paceReason changed.
   std::shared_ptr<ClientExchange> m_coldExchange; ///< Of the check that runs.
   Timer m_coldCheckTimer;
-  std::optional<MonoTime> m_drainEndsAt; ///< No request is started later.
   MonoTime m_serverSince; ///< When this process learnt of its backend server.
   std::optional<MonoTime> m_exitAt; ///< Set once the daemon is leaving.
   /// When an answer last stated a limit of the request rate.
