--- a/src/Ranges/ServerPresence.cpp
+++ b/src/Ranges/ServerPresence.cpp
@@ -1,13 +1,9 @@
 #include "src/Ranges/ServerPresence.h"
 
-#include <algorithm>
-
 namespace pistachioshift {
 
 namespace {
 
-constexpr size_t kMaxEarlyLeaves = 8;
-
 /** Least time between two heartbeats that show a server which is running. Below
  * any heartbeat interval, and above the delay of a reordered pair. */
 constexpr Duration kMinHeartbeatGap = std::chrono::milliseconds(500);
@@ -27,11 +23,7 @@
   m_proven = false;
   m_drainEndsAt.reset();
   m_firstHeartbeatAt.reset();
-  const bool left = std::any_of(
-    m_earlyLeaves.begin(), m_earlyLeaves.end(), [&](const ServerLeave& aLeave) {
-      return aLeave.Concerns(aIncarnation);
-    });
-  if (left) {
+  if (m_leaves.VerdictOn(aIncarnation) == LeaveVerdict::kLeft) {
     BeginLeave(aNow);
   }
 }
@@ -52,7 +44,10 @@
   // Without an earlier process, or once this one has heard a server, no leave
   // can have been acknowledged elsewhere.
   const bool onlyHere = !aEarlierProcess || m_provenOnce;
-  if (onlyHere || aNow - *m_firstHeartbeatAt >= kMinHeartbeatGap) {
+  const bool unknown =
+    m_leaves.VerdictOn(*m_current) == LeaveVerdict::kPossible;
+  if ((onlyHere && !unknown) ||
+      aNow - *m_firstHeartbeatAt >= kMinHeartbeatGap) {
     m_proven = true;
     m_provenOnce = true;
   }
@@ -70,25 +65,14 @@
                         MonoTime aNow,
                         WallTime aWallNow)
 {
-  if (m_current && aLeave.Concerns(*m_current)) {
-    const bool leaves = !m_left;
-    if (leaves) {
-      BeginLeave(aNow);
-    }
-    return leaves;
-  }
-  auto leave = aLeave;
-  if (leave.startedBy == WallTime::max()) {
-    // A server that starts later under the same id has not left.
-    leave.startedBy = aWallNow;
-  }
-  std::erase_if(m_earlyLeaves,
-                [&](const ServerLeave& aItem) { return aItem.id == leave.id; });
-  m_earlyLeaves.push_back(leave);
-  if (m_earlyLeaves.size() > kMaxEarlyLeaves) {
-    m_earlyLeaves.erase(m_earlyLeaves.begin());
+  // It may also be of a later start under the same id, whose first heartbeat
+  // has not arrived yet.
+  m_leaves.Add(aLeave, aWallNow);
+  if (m_left || !m_current || !aLeave.Concerns(*m_current)) {
+    return false;
   }
-  return false;
+  BeginLeave(aNow);
+  return true;
 }
 
 /** The drain time is over if the leave may have been acknowledged before. */
--- a/src/Ranges/ServerPresence.h
+++ b/src/Ranges/ServerPresence.h
@@ -2,9 +2,9 @@
 #define PISTACHIOSHIFT_RANGES_SERVERPRESENCE_H
 
 #include <optional>
-#include <vector>
 
 #include "src/Base/Clock.h"
+#include "src/Ranges/AcknowledgedLeaves.h"
 #include "src/Ranges/GrantManager.h"
 
 namespace pistachioshift {
@@ -74,8 +74,7 @@
   /// First heartbeat of the current incarnation, which may have been sent
   /// before this process was started.
   std::optional<MonoTime> m_firstHeartbeatAt;
-  /// Latest leaves of incarnations of which no heartbeat had been handled.
-  std::vector<ServerLeave> m_earlyLeaves;
+  AcknowledgedLeaves m_leaves;
 };
 
 }
--- /dev/null
+++ b/test/Ranges/ServerPresenceTest.cpp
@@ -0,0 +1,79 @@
+#include <gtest/gtest.h>
+
+#include "test/Ranges/RangesSupport.h"
+
+namespace pistachioshift::test {
+
+using std::chrono::milliseconds;
+
+constexpr bool kEarlierProcess = true;
+
+/** A backend server that is about to be stopped. */
+class ServerPresenceTest : public ::testing::Test
+{
+protected:
+  /** A heartbeat of an incarnation that is not stale. */
+  void Hear(const ServerIncarnation& aIncarnation,
+            bool aEarlierProcess = !kEarlierProcess)
+  {
+    if (m_current != aIncarnation) {
+      m_current = aIncarnation;
+      m_presence.Begin(aIncarnation, m_clock.Now());
+    }
+    m_presence.OnHeartbeat(aEarlierProcess, m_clock.Now());
+  }
+
+  bool Leave(const ServerLeave& aLeave)
+  {
+    return m_presence.OnLeave(aLeave, m_clock.Now(), m_clock.WallNow());
+  }
+
+  bool MayStart() const
+  {
+    return m_presence.Proven() && !m_presence.Drained(m_clock.Now());
+  }
+
+  static ServerLeave LeaveOf(const ServerIncarnation& aIncarnation)
+  {
+    return { aIncarnation.id, aIncarnation.startedAt };
+  }
+
+  ManualClock m_clock;
+  PresenceSettings m_settings;
+  ServerPresence m_presence{ m_settings };
+  std::optional<ServerIncarnation> m_current;
+  const ServerIncarnation m_first = IncarnationOf("server-a", 1000);
+  const ServerIncarnation m_second = IncarnationOf("server-a", 2000);
+};
+
+TEST_F(ServerPresenceTest, OnLeave_OfTheRunningServer_StartsForTheDrainTime)
+{
+  Hear(m_first);
+  EXPECT_TRUE(Leave(LeaveOf(m_first)));
+  EXPECT_FALSE(Leave(LeaveOf(m_first)));
+  EXPECT_TRUE(MayStart());
+  m_clock.Advance(m_settings.drainTime);
+  EXPECT_FALSE(MayStart());
+}
+
+/** Guards against a leave that is forgotten because the daemon has not heard
+ * yet that the server was started again under its id. */
+TEST_F(ServerPresenceTest, Begin_LeaveWasAcknowledgedBefore_HasLeft)
+{
+  Hear(m_first);
+  Leave(LeaveOf(m_second));
+  Hear(m_second);
+  EXPECT_TRUE(m_presence.Left());
+  EXPECT_FALSE(MayStart());
+}
+
+TEST_F(ServerPresenceTest, Begin_StartedAfterTheLeave_IsUsed)
+{
+  Hear(m_first);
+  Leave(LeaveOf(m_first));
+  Hear(m_second);
+  EXPECT_FALSE(m_presence.Left());
+  EXPECT_TRUE(MayStart());
+}
+
+}
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -272,6 +272,68 @@
   EXPECT_EQ(Received(), 0);
 }
 
+/**
+ * Guards against a server that is used again after its leave: it had started
+ * again under its id, and its first heartbeat arrived after the leave.
+ */
+TEST_F(ServerNoticeTest, OnHeartbeat_FirstOfAStartThatHasLeft_GetsNothing)
+{
+  Join();
+  auto heartbeat = Heartbeat();
+  heartbeat.incarnation.startedAt += milliseconds(5000);
+  m_server.OnLeave(
+    { heartbeat.incarnation.id, heartbeat.incarnation.startedAt });
+  Run(milliseconds(300));
+  m_server.OnHeartbeat(heartbeat);
+  EXPECT_EQ(Received(), 0);
+  EXPECT_TRUE(m_state.OwnRecord().server->leaving);
+}
+
+/** The same, for a leave that does not say which start it concerns. */
+TEST_F(ServerNoticeTest, OnHeartbeat_LateAfterALeaveWithoutAStart_GetsNothing)
+{
+  Join();
+  auto heartbeat = Heartbeat();
+  heartbeat.incarnation.startedAt = m_clock.WallNow();
+  m_server.OnLeave({ heartbeat.incarnation.id });
+  Run(milliseconds(300));
+  m_server.OnHeartbeat(heartbeat);
+  EXPECT_EQ(Received(), 0);
+}
+
+/** A repetition of the leave of an earlier start arrives in between. */
+TEST_F(ServerNoticeTest, OnHeartbeat_LateAfterAnEarlierLeaveToo_GetsNothing)
+{
+  Join();
+  auto heartbeat = Heartbeat();
+  const auto earlier = heartbeat.incarnation;
+  heartbeat.incarnation.startedAt += milliseconds(5000);
+  m_server.OnLeave(
+    { heartbeat.incarnation.id, heartbeat.incarnation.startedAt });
+  m_server.OnLeave({ earlier.id, earlier.startedAt });
+  Run(milliseconds(300));
+  m_server.OnHeartbeat(heartbeat);
+  EXPECT_EQ(Received(), 0);
+}
+
+/** Leaves of other ids, however many, do not make room for a server that has
+ * left: more of them than are kept. */
+TEST_F(ServerNoticeTest, OnHeartbeat_LateAfterManyOtherLeaves_GetsNothing)
+{
+  Join();
+  auto heartbeat = Heartbeat();
+  heartbeat.incarnation = IncarnationOf("server-new", 5000);
+  m_server.OnLeave(
+    { heartbeat.incarnation.id, heartbeat.incarnation.startedAt });
+  for (int other = 0; other < 1000; ++other) {
+    m_server.OnLeave(
+      { ServerId(fmt::format("server-{}", other)), WallTime(milliseconds(1)) });
+  }
+  Run(milliseconds(300));
+  m_server.OnHeartbeat(heartbeat);
+  EXPECT_EQ(Received(), 0);
+}
+
 /** A server that started again under the id of the one that left. */
 TEST_F(ServerNoticeTest, OnHeartbeat_SameIdStartedAfterALeave_IsServed)
 {
