--- a/src/HostDaemon/RangeServerHealth.cpp
+++ b/src/HostDaemon/RangeServerHealth.cpp
@@ -12,7 +12,8 @@
  * like any other request. */
 constexpr Duration kCheckInterval = milliseconds(1000);
 
-/** Checks of one process; afterwards, heartbeats show whether a server runs. */
+/** Checks without a heartbeat in between. A server that sends none is gone, or
+ * has left. */
 constexpr uint32_t kMaxChecks = 4;
 
 }
@@ -91,6 +92,7 @@
   m_healthTimer.Stop();
   m_presence.OnHealthy();
   OnColdChecked(aAnswer, m_healthAskedAt);
+  RetryHeldCalls();
 }
 
 }
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -89,7 +89,15 @@
 {
   const auto key = ParseShardKey(aCall.Request().key);
   return m_sharded && key && AssignedHere(*key) &&
-         !m_grants.MayServe(*key, m_clock.Now());
+         !MayServe(*key, m_clock.Now());
+}
+
+/** The backend server may still have the hold that it got from an earlier
+ * process of this daemon, which may have acknowledged its leave. */
+bool
+RangeServerTask::MayServe(ShardKey aKey, MonoTime aNow) const
+{
+  return m_presence.Proven() && m_grants.MayServe(aKey, aNow);
 }
 
 void
@@ -172,6 +180,8 @@
   PublishServerState(aHeartbeat);
   SendReleased(incarnation, m_grants.TakeRelinquished());
   RetryHeldCalls();
+  m_healthChecks = 0;
+  CheckHealth();
   return reply;
 }
 
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -78,7 +78,8 @@
   , m_dialect(aDialect)
   , m_logger(aLogger)
   , m_grants(GrantSettings{}, aClock.Now())
-  , m_presence(PresenceSettings{ aSettings.drainTime })
+  , m_presence(
+      PresenceSettings{ aSettings.drainTime, aSettings.maxHeartbeatDelay })
   , m_evacuation(aSettings.evacuateLimit)
   , m_pool(aBase, aSettings.endpoint, PoolLimits())
   , m_evidenceTimer(aBase, [this] { WriteCrashEvidence(); })
@@ -176,7 +177,7 @@
     aCall->Refuse(RefusalReason::kCold, Duration::zero());
     return;
   }
-  if (!divided || m_grants.MayServe(*key, now)) {
+  if (!divided || MayServe(*key, now)) {
     if (AwaitsSuspect(*aCall) && m_heldCalls.size() < kMaxHeldCalls) {
       HoldCall(aCall, RefusalReason::kOverloaded);
       return;
@@ -314,7 +315,7 @@
     return false;
   }
   const auto key = ParseShardKey(aCall.Request().key);
-  return m_sharded && key ? m_grants.MayServe(*key, now) : m_presence.Proven();
+  return m_sharded && key ? MayServe(*key, now) : m_presence.Proven();
 }
 
 RefusalReason
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -37,6 +37,7 @@
   /// Requests are still started for this time after the backend server's
   /// announcement of its stop was acknowledged.
   Duration drainTime = std::chrono::milliseconds(1600);
+  Duration maxHeartbeatDelay = PresenceSettings{}.maxHeartbeatDelay;
   /// No request may reach the backend server later than this after the operator
   /// has ordered an evacuation of its zone. If set, none is started before the
   /// evacuated zones are known.
@@ -264,6 +265,7 @@
   static ServerLeave LeaveOf(const ServerIncarnation& aIncarnation);
   bool RememberLeave(const ServerLeave& aLeave);
   void ApplyServerLeave();
+  bool MayServe(ShardKey aKey, MonoTime aNow) const;
   void SendReleased(const ServerIncarnation& aIncarnation,
                     std::vector<Relinquished> aRanges);
   void RepeatReleases();
@@ -308,7 +310,7 @@
   MonoTime m_releasesRepeatedAt{ -std::chrono::hours(1) };
   std::optional<ServerId> m_serverId;
   std::string m_healthPath;
-  uint32_t m_healthChecks = 0;
+  uint32_t m_healthChecks = 0; ///< Since the last heartbeat.
   std::shared_ptr<ClientExchange> m_healthExchange; ///< Of the check that runs.
   MonoTime m_healthAskedAt;
   Timer m_healthTimer;
--- a/src/Ranges/ServerPresence.cpp
+++ b/src/Ranges/ServerPresence.cpp
@@ -2,14 +2,6 @@
 
 namespace pistachioshift {
 
-namespace {
-
-/** Least time between two heartbeats that show a server which is running. Below
- * any heartbeat interval, and above the delay of a reordered pair. */
-constexpr Duration kMinHeartbeatGap = std::chrono::milliseconds(500);
-
-}
-
 ServerPresence::ServerPresence(const PresenceSettings& aSettings)
   : m_settings(aSettings)
 {
@@ -30,10 +22,9 @@
 
 /**
  * An earlier process of this daemon may have acknowledged that the server
- * leaves, and its record need not say so. A server that leaves with a heartbeat
- * repeats it in the next one; a server that leaves without one sends no more.
- * A single heartbeat may have been sent before the leave and held up. Only
- * heartbeats that go on prove that a server is ready.
+ * leaves, and its record need not say so. Heartbeats that were sent before the
+ * leave may arrive after the restart, seconds late. Only one that arrives after
+ * a longer time than that shows that the server goes on.
  */
 void
 ServerPresence::OnHeartbeat(bool aEarlierProcess, MonoTime aNow)
@@ -46,8 +37,9 @@
   const bool onlyHere = !aEarlierProcess || m_provenOnce;
   const bool unknown =
     m_leaves.VerdictOn(*m_current) == LeaveVerdict::kPossible;
-  if ((onlyHere && !unknown) ||
-      aNow - *m_firstHeartbeatAt >= kMinHeartbeatGap) {
+  const bool sentSince =
+    aNow - *m_firstHeartbeatAt >= m_settings.maxHeartbeatDelay;
+  if ((onlyHere && !unknown) || sentSince) {
     m_proven = true;
     m_provenOnce = true;
   }
--- a/src/Ranges/ServerPresence.h
+++ b/src/Ranges/ServerPresence.h
@@ -14,13 +14,16 @@
 {
   /// Requests are still started for this time after a leave was acknowledged.
   Duration drainTime = std::chrono::milliseconds(1600);
+  /// Longest time for which a heartbeat is on its way.
+  Duration maxHeartbeatDelay = std::chrono::seconds(10);
 };
 
 /**
  * \brief Decides whether requests may be started at the backend server of a
  * host, from its heartbeats, leaves and health checks. Performs no I/O.
  *
- * A leave that was acknowledged binds the daemon, whatever arrives afterwards.
+ * A leave that was acknowledged binds the daemon, whatever arrives afterwards,
+ * also if an earlier process of the daemon acknowledged it.
  *
  * \sa GrantManager, which decides which incarnation of the server is current
  */
--- a/test/Ranges/ServerPresenceTest.cpp
+++ b/test/Ranges/ServerPresenceTest.cpp
@@ -76,4 +76,36 @@
   EXPECT_TRUE(MayStart());
 }
 
+/**
+ * Guards against a leave that is forgotten over a restart of the daemon:
+ * heartbeats that were sent before it arrive at the next process.
+ */
+TEST_F(ServerPresenceTest,
+       OnHeartbeat_SeveralLateOnesAfterARestart_ProveNothing)
+{
+  for (int heartbeat = 0; heartbeat < 9; ++heartbeat) {
+    Hear(m_first, kEarlierProcess);
+    EXPECT_FALSE(MayStart());
+    m_clock.Advance(milliseconds(1000));
+  }
+}
+
+TEST_F(ServerPresenceTest, OnHeartbeat_TooLateToBeFromBeforeTheRestart_IsProof)
+{
+  Hear(m_first, kEarlierProcess);
+  m_clock.Advance(m_settings.maxHeartbeatDelay);
+  Hear(m_first, kEarlierProcess);
+  EXPECT_TRUE(MayStart());
+}
+
+/** A server that leaves does not answer a health check that it runs. */
+TEST_F(ServerPresenceTest, OnHealthy_AfterARestart_IsProof)
+{
+  Hear(m_first, kEarlierProcess);
+  m_presence.OnHealthy();
+  EXPECT_TRUE(MayStart());
+  Hear(m_second, kEarlierProcess);
+  EXPECT_TRUE(MayStart());
+}
+
 }
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -4,7 +4,13 @@
 
 /** A backend server that adds fields to all its answers, or leaves. */
 class ServerNoticeTest : public ServerTaskTest
-{};
+{
+protected:
+  explicit ServerNoticeTest(Duration aMaxHeartbeatDelay = kShortHeartbeatDelay)
+    : ServerTaskTest(std::nullopt, aMaxHeartbeatDelay)
+  {
+  }
+};
 
 TEST_F(ServerNoticeTest, Start_NoLimit_AllAreServed)
 {
@@ -202,6 +208,103 @@
   EXPECT_EQ(Received(), 0);
 }
 
+/** A daemon that has been restarted, with heartbeats that may be late by more
+ * than a test lasts. */
+class LateHeartbeatTest : public ServerNoticeTest
+{
+protected:
+  LateHeartbeatTest()
+    : ServerNoticeTest(std::chrono::hours(1))
+  {
+  }
+
+  /** Two heartbeats that were sent before the restart, at the usual interval.
+   */
+  void SendLateHeartbeats()
+  {
+    SendHeartbeat();
+    Run(kHeartbeatInterval);
+    SendHeartbeat();
+  }
+
+  /** Assigns all keys to this host. */
+  void DivideKeys()
+  {
+    m_server.SetSharded(true);
+    RangeTable table;
+    table.Assign(kOrders, KeyRange{}, HolderOf("a"), {});
+    table.era = m_topic.Position().era;
+    m_topic.Append({ EncodeTable(table) }, ExpectedEnd{ m_topic.End() });
+  }
+};
+
+/**
+ * Guards against a leave that is forgotten over a restart of the daemon, which
+ * could not write it to the store: heartbeats that were sent before the leave
+ * arrive at the next process one after the other.
+ */
+TEST_F(LateHeartbeatTest, Start_TwoSinceARestart_GetsNothing)
+{
+  m_healthy = false;
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  SendLateHeartbeats();
+  EXPECT_EQ(Received(), 0);
+  EXPECT_EQ(m_ends->refusals,
+            std::vector<RefusalReason>{ RefusalReason::kCold });
+}
+
+TEST_F(LateHeartbeatTest, Start_NoHealthCheckIsDeclared_GetsNothing)
+{
+  m_server.SetHealthPath("");
+  JoinSilently();
+  SendLateHeartbeats();
+  EXPECT_EQ(Received(), 0);
+}
+
+/** The same for a request with a key: the server accepts it for as long as the
+ * hold lasts that it got from the process before. */
+TEST_F(LateHeartbeatTest, Start_WithAKeySinceARestart_GetsNothing)
+{
+  m_healthy = false;
+  DivideKeys();
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  SendLateHeartbeats();
+  Request(milliseconds(500), "/r/1", "7");
+  Run(milliseconds(50));
+  EXPECT_EQ(m_received, 0);
+}
+
+/** A request with a key waits for the check, as it does for the grant. */
+TEST_F(LateHeartbeatTest, Start_WithAKeyAndBusyAtTheFirstCheck_IsServedLater)
+{
+  m_healthy = false;
+  DivideKeys();
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  SendHeartbeat();
+  Request(milliseconds(3000), "/r/1", "7");
+  m_healthy = true;
+  Run(milliseconds(1200));
+  EXPECT_EQ(m_received, 1);
+}
+
+/** Guards against a server that stays unused because it was busy for longer
+ * than the first checks took. */
+TEST_F(LateHeartbeatTest, Start_BusyForLongSinceARestart_IsCheckedAgain)
+{
+  m_healthy = false;
+  m_server.SetHealthPath(kHealthPath);
+  JoinSilently();
+  Run(milliseconds(5000));
+  m_healthy = true;
+  EXPECT_EQ(Received(), 0);
+  SendHeartbeat();
+  Run(milliseconds(50));
+  EXPECT_EQ(Received(), 1);
+}
+
 /** No earlier process can have acknowledged a leave. */
 TEST_F(ServerNoticeTest, Start_FirstProcessOfTheHost_FirstHeartbeatSuffices)
 {
--- a/test/platform/ServerTaskSupport.h
+++ b/test/platform/ServerTaskSupport.h
@@ -47,8 +47,10 @@
 class ServerTaskTest : public ::testing::Test
 {
 protected:
-  explicit ServerTaskTest(std::optional<Duration> aEvacuateLimit = std::nullopt)
+  explicit ServerTaskTest(std::optional<Duration> aEvacuateLimit = std::nullopt,
+                          Duration aMaxHeartbeatDelay = kShortHeartbeatDelay)
     : m_evacuateLimit(aEvacuateLimit)
+    , m_maxHeartbeatDelay(aMaxHeartbeatDelay)
   {
     m_state.AddListener(m_server);
     // Written by the previous process of the daemon.
@@ -77,6 +79,7 @@
   }
 
   static constexpr Duration kHeartbeatInterval = milliseconds(600);
+  static constexpr Duration kShortHeartbeatDelay = milliseconds(500);
 
   std::unique_ptr<HttpServer> MakeBackend(const Endpoint& aAddress)
   {
@@ -156,9 +159,11 @@
 
   /** Starts a request that must end within aFor. */
   void Request(Duration aFor = milliseconds(500),
-               const std::string& aTarget = "/r/1")
+               const std::string& aTarget = "/r/1",
+               const std::string& aKey = {})
   {
     CallRequest request;
+    request.key = aKey;
     request.id = DrawRequestId(m_random);
     request.service = kOrders;
     request.head.method = "GET";
@@ -192,6 +197,7 @@
   std::unique_ptr<HttpServer> m_backend = MakeBackend({ "127.0.0.1", 0 });
   Endpoint m_address = m_backend->LocalEndpoint();
   std::optional<Duration> m_evacuateLimit;
+  Duration m_maxHeartbeatDelay;
   HostRecord m_record = RecordOf("a");
   FakeTopic m_topic;
   FakeStore m_store{ m_base.get(), m_topic };
@@ -202,11 +208,12 @@
                                 m_record };
   RangeServerTask m_server{ m_base.get(),
                             m_clock,
-                            RangeServerSettings{ .endpoint = m_address,
-                                                 .service = kOrders,
-                                                 .drainTime = milliseconds(300),
-                                                 .evacuateLimit =
-                                                   m_evacuateLimit },
+                            RangeServerSettings{
+                              .endpoint = m_address,
+                              .service = kOrders,
+                              .drainTime = milliseconds(300),
+                              .maxHeartbeatDelay = m_maxHeartbeatDelay,
+                              .evacuateLimit = m_evacuateLimit },
                             m_state,
                             m_dialect,
                             m_logger,
