--- a/src/HostDaemon/RangeServerHealth.cpp
+++ b/src/HostDaemon/RangeServerHealth.cpp
@@ -70,12 +70,20 @@
   m_healthTimer.StartOnce(kCheckInterval);
 }
 
+/** The answer to a check that was sent before proves nothing any more. */
 void
-RangeServerTask::OnHealthTimer()
+RangeServerTask::CancelHealthCheck()
 {
+  m_healthTimer.Stop();
   if (const auto exchange = std::exchange(m_healthExchange, nullptr)) {
     exchange->Cancel();
   }
+}
+
+void
+RangeServerTask::OnHealthTimer()
+{
+  CancelHealthCheck();
   CheckHealth();
 }
 
--- a/src/HostDaemon/RangeServerHolds.cpp
+++ b/src/HostDaemon/RangeServerHolds.cpp
@@ -140,6 +140,9 @@
     return HeartbeatReply{};
   }
   if (m_grants.IsStale(aHeartbeat)) {
+    if (aHeartbeat.state == ServerState::kDraining) {
+      OnLeave(LeaveOf(incarnation)); // The reply acknowledges it.
+    }
     return HeartbeatReply{};
   }
   const auto now = m_clock.Now();
@@ -153,6 +156,7 @@
                   incarnation.startedAt.time_since_epoch().count(),
                   aHeartbeat.slots);
     OnServerEndProven();
+    CancelHealthCheck();
     m_presence.Begin(incarnation, now);
     leaves = m_presence.Left();
     m_serverSince = now;
@@ -163,7 +167,8 @@
   m_serverId = incarnation.id;
   auto heartbeat = aHeartbeat;
   if (heartbeat.state == ServerState::kDraining) {
-    leaves = RememberLeave(LeaveOf(incarnation)) || leaves;
+    const auto effect = RememberLeave(LeaveOf(incarnation));
+    leaves = leaves || effect == LeaveEffect::kLeaves;
   }
   if (leaves) {
     m_logger.Info("server-draining",
@@ -188,13 +193,16 @@
 void
 RangeServerTask::OnLeave(const ServerLeave& aLeave)
 {
-  if (RememberLeave(aLeave)) {
+  const auto effect = RememberLeave(aLeave);
+  if (effect == LeaveEffect::kLeaves) {
     ApplyServerLeave();
   }
+  if (effect == LeaveEffect::kDoubts) {
+    ProveServerAgain();
+  }
 }
 
-/** Returns whether the current incarnation leaves because of it. */
-bool
+LeaveEffect
 RangeServerTask::RememberLeave(const ServerLeave& aLeave)
 {
   return m_presence.OnLeave(aLeave, m_clock.Now(), m_clock.WallNow());
@@ -216,6 +224,20 @@
   }
 }
 
+void
+RangeServerTask::ProveServerAgain()
+{
+  m_logger.Info("server-doubted", "server={}", m_serverId->Value());
+  auto server = m_state.OwnRecord().server;
+  if (server && m_silent) {
+    server->state = ServerState::kDraining;
+    m_state.PublishServer(server);
+  }
+  m_healthChecks = 0;
+  CancelHealthCheck();
+  CheckHealth();
+}
+
 void
 RangeServerTask::SendReleased(const ServerIncarnation& aIncarnation,
                               std::vector<Relinquished> aRanges)
--- a/src/HostDaemon/RangeServerTask.cpp
+++ b/src/HostDaemon/RangeServerTask.cpp
@@ -327,6 +327,9 @@
   if (IsExcluded(aCall)) {
     return RefusalReason::kFatalRequest;
   }
+  if (!m_presence.Proven()) {
+    return RefusalReason::kCold;
+  }
   return AwaitsSuspect(aCall) ? RefusalReason::kOverloaded
                               : RefusalReason::kLeaseNotHeld;
 }
--- a/src/HostDaemon/RangeServerTask.h
+++ b/src/HostDaemon/RangeServerTask.h
@@ -252,6 +252,7 @@
   bool AssignedHere(ShardKey aKey) const;
   bool IsOwnServer(const ServerHeartbeat& aHeartbeat) const;
   void CheckHealth();
+  void CancelHealthCheck();
   void OnHealthTimer();
   void OnHealthChecked(const ResponseHead& aAnswer);
   void NotePaceHeartbeat(const ServerHeartbeat& aHeartbeat);
@@ -263,8 +264,9 @@
   void OnColdChecked(const ResponseHead& aAnswer, MonoTime aAskedAt);
   void PublishServerState(const ServerHeartbeat& aHeartbeat);
   static ServerLeave LeaveOf(const ServerIncarnation& aIncarnation);
-  bool RememberLeave(const ServerLeave& aLeave);
+  LeaveEffect RememberLeave(const ServerLeave& aLeave);
   void ApplyServerLeave();
+  void ProveServerAgain();
   bool MayServe(ShardKey aKey, MonoTime aNow) const;
   void SendReleased(const ServerIncarnation& aIncarnation,
                     std::vector<Relinquished> aRanges);
--- a/src/Ranges/AcknowledgedLeaves.cpp
+++ b/src/Ranges/AcknowledgedLeaves.cpp
@@ -36,14 +36,15 @@
 LeaveVerdict
 AcknowledgedLeaves::VerdictOn(const ServerIncarnation& aIncarnation) const
 {
-  const bool left =
-    std::any_of(m_leaves.begin(), m_leaves.end(), [&](const auto& aLeave) {
-      return aLeave.Concerns(aIncarnation);
+  const auto known = std::find_if(
+    m_leaves.begin(), m_leaves.end(), [&](const ServerLeave& aLeave) {
+      return aLeave.id == aIncarnation.id;
     });
-  if (left) {
-    return LeaveVerdict::kLeft;
+  if (known == m_leaves.end()) {
+    return m_dropped ? LeaveVerdict::kPossible : LeaveVerdict::kNone;
   }
-  return m_dropped ? LeaveVerdict::kPossible : LeaveVerdict::kNone;
+  return known->Concerns(aIncarnation) ? LeaveVerdict::kLeft
+                                       : LeaveVerdict::kPossible;
 }
 
 }
--- a/src/Ranges/AcknowledgedLeaves.h
+++ b/src/Ranges/AcknowledgedLeaves.h
@@ -12,7 +12,7 @@
 enum class LeaveVerdict
 {
   kNone,     ///< None concerns it.
-  kPossible, ///< One that is no longer kept may concern it.
+  kPossible, ///< One of the same id, or one no longer kept, may concern it.
   kLeft,
 };
 
@@ -33,7 +33,9 @@
    */
   void Add(ServerLeave aLeave, WallTime aNow);
 
-  /** \brief Whether an incarnation has left. */
+  /** \brief Whether an incarnation has left. One with a later start time than
+   * a leave of its id names need not be a later one: the time of day may have
+   * been set back, and its heartbeat may be late. */
   LeaveVerdict VerdictOn(const ServerIncarnation& aIncarnation) const;
 
 private:
--- a/src/Ranges/ServerPresence.cpp
+++ b/src/Ranges/ServerPresence.cpp
@@ -15,7 +15,9 @@
   m_proven = false;
   m_drainEndsAt.reset();
   m_firstHeartbeatAt.reset();
-  if (m_leaves.VerdictOn(aIncarnation) == LeaveVerdict::kLeft) {
+  const auto verdict = m_leaves.VerdictOn(aIncarnation);
+  m_doubted = verdict == LeaveVerdict::kPossible;
+  if (verdict == LeaveVerdict::kLeft) {
     BeginLeave(aNow);
   }
 }
@@ -35,11 +37,9 @@
   // Without an earlier process, or once this one has heard a server, no leave
   // can have been acknowledged elsewhere.
   const bool onlyHere = !aEarlierProcess || m_provenOnce;
-  const bool unknown =
-    m_leaves.VerdictOn(*m_current) == LeaveVerdict::kPossible;
   const bool sentSince =
     aNow - *m_firstHeartbeatAt >= m_settings.maxHeartbeatDelay;
-  if ((onlyHere && !unknown) || sentSince) {
+  if ((onlyHere && !m_doubted) || sentSince) {
     m_proven = true;
     m_provenOnce = true;
   }
@@ -52,7 +52,7 @@
   m_provenOnce = true;
 }
 
-bool
+LeaveEffect
 ServerPresence::OnLeave(const ServerLeave& aLeave,
                         MonoTime aNow,
                         WallTime aWallNow)
@@ -60,11 +60,20 @@
   // It may also be of a later start under the same id, whose first heartbeat
   // has not arrived yet.
   m_leaves.Add(aLeave, aWallNow);
-  if (m_left || !m_current || !aLeave.Concerns(*m_current)) {
-    return false;
+  if (m_left || !m_current || aLeave.id != m_current->id) {
+    return LeaveEffect::kNone;
   }
-  BeginLeave(aNow);
-  return true;
+  if (aLeave.Concerns(*m_current)) {
+    BeginLeave(aNow);
+    return LeaveEffect::kLeaves;
+  }
+  // The leave is a late one of an earlier start, or the running server started
+  // after the time of day had been set back. Then it has the lower start time,
+  // and its heartbeats count as late ones too.
+  m_proven = false;
+  m_doubted = true;
+  m_firstHeartbeatAt.reset();
+  return LeaveEffect::kDoubts;
 }
 
 /** The drain time is over if the leave may have been acknowledged before. */
--- a/src/Ranges/ServerPresence.h
+++ b/src/Ranges/ServerPresence.h
@@ -18,6 +18,14 @@
   Duration maxHeartbeatDelay = std::chrono::seconds(10);
 };
 
+/** \brief What a leave means for the current incarnation of a server. */
+enum class LeaveEffect
+{
+  kNone,
+  kLeaves, ///< It leaves.
+  kDoubts, ///< It has to be proven again that it runs.
+};
+
 /**
  * \brief Decides whether requests may be started at the backend server of a
  * host, from its heartbeats, leaves and health checks. Performs no I/O.
@@ -46,11 +54,10 @@
    * not leave. \pre the check was sent by this process. */
   void OnHealthy();
 
-  /**
-   * \brief Handles a leave that is acknowledged now.
-   * \return whether the current incarnation leaves because of it.
-   */
-  bool OnLeave(const ServerLeave& aLeave, MonoTime aNow, WallTime aWallNow);
+  /** \brief Handles a leave that is acknowledged now. */
+  LeaveEffect OnLeave(const ServerLeave& aLeave,
+                      MonoTime aNow,
+                      WallTime aWallNow);
 
   /** \brief Whether the current incarnation has left, or is about to. */
   bool Left() const { return m_left; }
@@ -71,11 +78,13 @@
   std::optional<ServerIncarnation> m_current;
   bool m_left = false;
   bool m_proven = false;
+  /// A leave that was acknowledged in this process may concern it.
+  bool m_doubted = false;
   /// No earlier process has acknowledged a leave of a later incarnation.
   bool m_provenOnce = false;
   std::optional<MonoTime> m_drainEndsAt;
-  /// First heartbeat of the current incarnation, which may have been sent
-  /// before this process was started.
+  /// First heartbeat of the current incarnation since it has had to be proven;
+  /// it may have been sent before.
   std::optional<MonoTime> m_firstHeartbeatAt;
   AcknowledgedLeaves m_leaves;
 };
--- a/test/Ranges/AcknowledgedLeavesTest.cpp
+++ b/test/Ranges/AcknowledgedLeavesTest.cpp
@@ -15,12 +15,12 @@
   return { ServerId(aServer), WallTime(milliseconds(aStartedBy)) };
 }
 
-TEST(AcknowledgedLeavesTest, VerdictOn_LaterStartUnderTheSameId_HasNotLeft)
+TEST(AcknowledgedLeavesTest, VerdictOn_LaterStartUnderTheSameId_IsPossible)
 {
   AcknowledgedLeaves leaves;
   leaves.Add(LeaveOf("a", 10), kNow);
   EXPECT_EQ(leaves.VerdictOn(IncarnationOf("a", 10)), LeaveVerdict::kLeft);
-  EXPECT_EQ(leaves.VerdictOn(IncarnationOf("a", 11)), LeaveVerdict::kNone);
+  EXPECT_EQ(leaves.VerdictOn(IncarnationOf("a", 11)), LeaveVerdict::kPossible);
   EXPECT_EQ(leaves.VerdictOn(IncarnationOf("b", 10)), LeaveVerdict::kNone);
 }
 
@@ -29,7 +29,7 @@
   AcknowledgedLeaves leaves;
   leaves.Add({ ServerId("a") }, kNow);
   EXPECT_EQ(leaves.VerdictOn(IncarnationOf("a", 50)), LeaveVerdict::kLeft);
-  EXPECT_EQ(leaves.VerdictOn(IncarnationOf("a", 51)), LeaveVerdict::kNone);
+  EXPECT_EQ(leaves.VerdictOn(IncarnationOf("a", 51)), LeaveVerdict::kPossible);
 }
 
 TEST(AcknowledgedLeavesTest, VerdictOn_AfterMoreLeavesThanAreKept_IsPossible)
--- a/test/Ranges/ServerPresenceTest.cpp
+++ b/test/Ranges/ServerPresenceTest.cpp
@@ -23,7 +23,7 @@
     m_presence.OnHeartbeat(aEarlierProcess, m_clock.Now());
   }
 
-  bool Leave(const ServerLeave& aLeave)
+  LeaveEffect Leave(const ServerLeave& aLeave)
   {
     return m_presence.OnLeave(aLeave, m_clock.Now(), m_clock.WallNow());
   }
@@ -49,8 +49,8 @@
 TEST_F(ServerPresenceTest, OnLeave_OfTheRunningServer_StartsForTheDrainTime)
 {
   Hear(m_first);
-  EXPECT_TRUE(Leave(LeaveOf(m_first)));
-  EXPECT_FALSE(Leave(LeaveOf(m_first)));
+  EXPECT_EQ(Leave(LeaveOf(m_first)), LeaveEffect::kLeaves);
+  EXPECT_EQ(Leave(LeaveOf(m_first)), LeaveEffect::kNone);
   EXPECT_TRUE(MayStart());
   m_clock.Advance(m_settings.drainTime);
   EXPECT_FALSE(MayStart());
@@ -67,12 +67,15 @@
   EXPECT_FALSE(MayStart());
 }
 
-TEST_F(ServerPresenceTest, Begin_StartedAfterTheLeave_IsUsed)
+/** It may also be an earlier start, if the time of day was set back. */
+TEST_F(ServerPresenceTest, Begin_HigherStartAfterALeave_IsUsedOnceProven)
 {
   Hear(m_first);
   Leave(LeaveOf(m_first));
   Hear(m_second);
   EXPECT_FALSE(m_presence.Left());
+  EXPECT_FALSE(MayStart());
+  m_presence.OnHealthy();
   EXPECT_TRUE(MayStart());
 }
 
@@ -108,4 +111,24 @@
   EXPECT_TRUE(MayStart());
 }
 
+/** Guards against a leave that is acknowledged and ignored, of a server that
+ * started after the time of day had been set back. */
+TEST_F(ServerPresenceTest, OnLeave_OfALowerStart_HasToBeProvenAgain)
+{
+  Hear(m_second);
+  EXPECT_EQ(Leave(LeaveOf(m_first)), LeaveEffect::kDoubts);
+  EXPECT_FALSE(MayStart());
+  Hear(m_second);
+  EXPECT_FALSE(MayStart());
+  m_presence.OnHealthy();
+  EXPECT_TRUE(MayStart());
+}
+
+TEST_F(ServerPresenceTest, OnLeave_OfAnotherServer_ChangesNothing)
+{
+  Hear(m_first);
+  EXPECT_EQ(Leave(LeaveOf(IncarnationOf("server-b", 1))), LeaveEffect::kNone);
+  EXPECT_TRUE(MayStart());
+}
+
 }
--- a/test/platform/ServerNoticeTest.cpp
+++ b/test/platform/ServerNoticeTest.cpp
@@ -437,14 +437,87 @@
   EXPECT_EQ(Received(), 0);
 }
 
+/**
+ * Guards against a leave that is acknowledged and ignored: the server started
+ * again under its id after its time of day had been set back, so that its start
+ * time is lower than the one before.
+ */
+TEST_F(ServerNoticeTest, OnLeave_OfALowerStart_GetsNothing)
+{
+  m_server.SetHealthPath(kHealthPath);
+  Join();
+  ASSERT_EQ(Received(), 1);
+  m_healthy = false;
+  m_server.OnLeave({ ServerId("server-a"), WallTime(milliseconds(900)) });
+  EXPECT_EQ(Received(), 0);
+  // A heartbeat of the start before is no proof.
+  SendHeartbeat();
+  EXPECT_EQ(Received(), 0);
+}
+
+/** The same leave, announced by a heartbeat, which is acknowledged too. */
+TEST_F(ServerNoticeTest, OnHeartbeat_DrainingWithALowerStart_GetsNothing)
+{
+  m_server.SetHealthPath(kHealthPath);
+  Join();
+  m_healthy = false;
+  auto heartbeat = Heartbeat();
+  heartbeat.incarnation.startedAt -= milliseconds(100);
+  heartbeat.state = ServerState::kDraining;
+  EXPECT_TRUE(m_server.OnHeartbeat(heartbeat));
+  EXPECT_EQ(Received(), 0);
+}
+
+/** A silent server whose leave may have been acknowledged is not published as
+ * one that still takes requests. */
+TEST_F(ServerNoticeTest, OnLeave_OfALowerStartWhileSilent_IsDraining)
+{
+  m_server.SetHealthPath(kHealthPath);
+  Join();
+  Run(milliseconds(3800));
+  ASSERT_EQ(m_state.OwnRecord().server->state, ServerState::kSilent);
+  m_healthy = false;
+  m_server.OnLeave({ ServerId("server-a"), WallTime(milliseconds(900)) });
+  EXPECT_EQ(m_state.OwnRecord().server->state, ServerState::kDraining);
+}
+
+/** A late leave of an earlier start costs the running server one check. */
+TEST_F(ServerNoticeTest, OnLeave_LateOfAnEarlierStart_ServesAfterACheck)
+{
+  m_server.SetHealthPath(kHealthPath);
+  Join();
+  m_server.OnLeave({ ServerId("server-a"), WallTime(milliseconds(900)) });
+  Run(milliseconds(50));
+  EXPECT_EQ(Received(), 1);
+}
+
+/**
+ * Guards against the same, where the heartbeat of the start before, which has
+ * the higher start time, arrives after the leave and is the first one.
+ */
+TEST_F(ServerNoticeTest, OnHeartbeat_HigherStartAfterALeave_GetsNothing)
+{
+  m_server.SetHealthPath(kHealthPath);
+  Join();
+  m_healthy = false;
+  auto heartbeat = Heartbeat();
+  heartbeat.incarnation.startedAt += milliseconds(5000);
+  m_server.OnLeave({ heartbeat.incarnation.id,
+                     heartbeat.incarnation.startedAt - milliseconds(100) });
+  m_server.OnHeartbeat(heartbeat);
+  EXPECT_EQ(Received(), 0);
+}
+
 /** A server that started again under the id of the one that left. */
 TEST_F(ServerNoticeTest, OnHeartbeat_SameIdStartedAfterALeave_IsServed)
 {
+  m_server.SetHealthPath(kHealthPath);
   Join();
   m_server.OnLeave({ ServerId("server-a") });
   auto heartbeat = Heartbeat();
   heartbeat.incarnation.startedAt = m_clock.WallNow() + milliseconds(1);
   m_server.OnHeartbeat(heartbeat);
+  Run(milliseconds(50));
   EXPECT_EQ(Received(), 1);
 }
 
