--- a/test/platform/CalleeThrottleTaskTest.cpp
+++ b/test/platform/CalleeThrottleTaskTest.cpp
@@ -16,6 +16,8 @@
     ResponseHead head;
     head.status = 500;
     head.contentLength = 0;
+    head.headers.Set(names::kRequestId,
+                     *aExchange->Head().headers.Find(names::kRequestId));
     aExchange->SendHead(head);
     aExchange->Finish();
   }
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -359,7 +359,30 @@
             AnswerKind::kNotRun);
   EXPECT_EQ(Classify(421, { id }), AnswerKind::kNotRun);
   EXPECT_EQ(Classify(500, { id }), AnswerKind::kAnswer);
-  EXPECT_EQ(Classify(500, {}), AnswerKind::kAnswer);
+}
+
+/** Guards against an extra failure that is taken for the answer to a request
+ * which has run and whose own answer follows. */
+TEST_F(ServerDialectTest, Classify_FailureWithoutTheId_IsInvalid)
+{
+  const Header id{ names::kRequestId, "id-1" };
+  const Header other{ names::kRequestId, "id-0" };
+  const Header empty{ names::kRequestId, "" };
+  for (const int status : { 300, 302, 304, 400, 404, 413, 500, 501, 504 }) {
+    EXPECT_EQ(Classify(status, {}), AnswerKind::kInvalid) << status;
+    EXPECT_EQ(Classify(status, { empty }), AnswerKind::kInvalid) << status;
+    EXPECT_EQ(Classify(status, { other }), AnswerKind::kInvalid) << status;
+    EXPECT_EQ(Classify(status, { id }), AnswerKind::kAnswer) << status;
+  }
+}
+
+/** A request without an id is answered without one. */
+TEST_F(ServerDialectTest, Classify_FailureOfARequestWithoutAnId_IsAnswer)
+{
+  m_request.headers.Remove(names::kRequestId);
+  EXPECT_EQ(Classify(400, {}), AnswerKind::kAnswer);
+  EXPECT_EQ(Classify(400, { { names::kRequestId, "id-0" } }),
+            AnswerKind::kInvalid);
 }
 
 TEST_F(ServerDialectTest, ReadNotice_LimitIsANumber_IsRead)
