A start time out of bounds is malformed

Cause: a start time beyond some 9.2e12 ms overflowed in the difference to the time of day, which is kept in nanoseconds (undefined behaviour); the largest number stood for "not stated" in a leave, which then concerned every start.

Tests: HeartbeatTest Decode_FieldMissingOrOfWrongType_* and LeaveTest Decode_MalformedBody_* with such values; both failed before.

--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -53,6 +53,9 @@
          { "\"born\":1785414586000,", "" },
          { "1785414586000", "\"1785414586000\"" },
          { "1785414586000", "1785414586000.5" },
+         { "1785414586000", "-1" },
+         { "1785414586000", "9223372036854775" },
+         { "1785414586000", "9223372036854775807" },
          { "\"slots\":9", "\"slots\":\"9\"" },
          { "\"slots\":9", "\"slots\":0" },
          { "\"ready\"", "\"resting\"" },
@@ -108,8 +111,12 @@
 
 TEST(LeaveTest, Decode_MalformedBody_Throws)
 {
-  for (const char* body :
-       { "\x01", "7", "[]", R"({"born":"1000"})", R"({"born":null})" }) {
+  for (const char* body : { "\x01",
+                            "7",
+                            "[]",
+                            R"({"born":"1000"})",
+                            R"({"born":null})",
+                            R"({"born":9223372036854775807})" }) {
     EXPECT_THROW(DecodeLeave(ServerId("i-1"), body), PlatformError) << body;
   }
 }
