LeaveOutcomeTest: heartbeats prove its server after 0.5 s

Cause: its daemon is one that was restarted.

Change: the longest delay of a heartbeat is set to 0.5 s, as in ServerTaskTest. What the test checks is unchanged.

--- a/test/HostDaemon/LeaveOutcomeTest.cpp
+++ b/test/HostDaemon/LeaveOutcomeTest.cpp
@@ -69,7 +69,8 @@
     const Endpoint any{ "127.0.0.1", 0 };
     HostSettings settings{ .inner = m_inner, .callers = any, .metrics = any };
     settings.server = { .endpoint = m_backend.LocalEndpoint(),
-                        .service = kOrders };
+                        .service = kOrders,
+                        .maxHeartbeatDelay = milliseconds(500) };
     settings.grace = GetParam();
     return settings;
   }
